--- /dev/null
+++ b/cmd/mangoloom-fleet.c
@@ -0,0 +1,108 @@
+/** @file mangoloom-fleet.c Commands on VMs: status, stop. */
+#include "mangoloom-cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STATUS_TIMEOUT_US (2 * USEC_PER_SEC)
+
+static int64_t get_int(JsonObject *o, const char *name)
+{
+	return json_object_get_int_member_with_default(o, name, 0);
+}
+
+static void print_members(JsonObject *o)
+{
+	JsonArray *list = json_object_get_array_member(o, "members");
+	guint i;
+
+	for (i = 0; i < json_array_get_length(list); i++) {
+		JsonObject *m = json_array_get_object_element(list, i);
+
+		printf("    %s/%s %s, primary %s of term %ld, %ld queued, %ld running, %ld "
+		       "connections\n",
+		       json_object_get_string_member(m, "pool"),
+		       json_object_get_string_member(m, "member"),
+		       json_object_get_string_member(m, "state"),
+		       json_object_get_string_member(m, "primary"), get_int(m, "term"),
+		       get_int(m, "queued"), get_int(m, "running"), get_int(m, "connections"));
+	}
+}
+
+static void print_status(const char *text)
+{
+	JsonParser *parser = json_parser_new();
+	JsonObject *o, *counters;
+
+	if (json_parser_load_from_data(parser, text, -1, NULL)) {
+		o = json_node_get_object(json_parser_get_root(parser));
+		counters = json_object_get_object_member(o, "counters");
+		printf("%s in %s: %s, configuration %ld, %ld callers, %ld requests, %ld refused, "
+		       "%ld KB\n",
+		       json_object_get_string_member(o, "vm"),
+		       json_object_get_string_member(o, "data_center"),
+		       json_object_get_boolean_member(o, "draining") ? "stopping" : "serving",
+		       get_int(o, "conf_version"), get_int(o, "callers"),
+		       get_int(counters, "requests"), get_int(counters, "refused"),
+		       get_int(o, "memory_kb"));
+		print_members(o);
+	}
+	g_object_unref(parser);
+}
+
+int cmd_status(struct cli *cli)
+{
+	GArray *vms = cli_vms(cli);
+	int code = EXIT_OK;
+	bool found = false;
+	guint i;
+
+	if (vms == NULL)
+		return cli_fail(EXIT_FAILED, "the platform's service does not answer");
+	for (i = 0; i < vms->len; i++) {
+		const struct cli_vm *vm = &g_array_index(vms, struct cli_vm, i);
+		ml_status_res res;
+
+		if (cli->opt.n_words > 0 && strcmp(cli->opt.words[0], vm->name) != 0)
+			continue;
+		found = true;
+		if (!cli_call(cli, vm->address, ML_STATUS, NULL, &res, STATUS_TIMEOUT_US)) {
+			code = cli_fail(EXIT_PARTIAL, "%s does not answer", vm->name);
+			continue;
+		}
+		if (cli->opt.json)
+			printf("%s\n", res.json);
+		else
+			print_status(res.json);
+		xdr_free((xdrproc_t)xdr_ml_status_res, &res);
+	}
+	g_array_unref(vms);
+	if (!found && cli->opt.n_words > 0)
+		return cli_fail(EXIT_FAILED, "the platform lists no VM %s", cli->opt.words[0]);
+	return code;
+}
+
+int cmd_stop(struct cli *cli)
+{
+	GArray *vms = cli_vms(cli);
+	guint i;
+
+	if (vms == NULL)
+		return cli_fail(EXIT_FAILED, "the platform's service does not answer");
+	for (i = 0; i < vms->len; i++) {
+		const struct cli_vm *vm = &g_array_index(vms, struct cli_vm, i);
+		ml_status_res res;
+		bool ok;
+
+		if (strcmp(cli->opt.words[0], vm->name) != 0)
+			continue;
+		ok = cli_call(cli, vm->address, ML_STOP, NULL, &res, STATUS_TIMEOUT_US);
+		if (ok)
+			xdr_free((xdrproc_t)xdr_ml_status_res, &res);
+		g_array_unref(vms);
+		return ok ? EXIT_OK
+			  : cli_fail(EXIT_FAILED, "%s does not answer", cli->opt.words[0]);
+	}
+	g_array_unref(vms);
+	return cli_fail(EXIT_FAILED, "the platform lists no VM %s", cli->opt.words[0]);
+}
--- /dev/null
+++ b/cmd/mangoloom-key.c
@@ -0,0 +1,146 @@
+/** @file mangoloom-key.c Commands on team keys: give, withdraw, list. */
+#include "error.h"
+#include "key.h"
+#include "mangoloom-cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_TRIES 20
+
+/** Put @a e in force on top of whatever else changes meanwhile. @return the version, or 0 with @a
+ * error */
+static uint64_t put_entry(struct cli *cli, struct conf_entry *e, const char *summary,
+			  GError **error)
+{
+	uint64_t version = 0;
+	int try;
+
+	for (try = 0; try < KEY_TRIES && version == 0; try++) {
+		struct store_change c = {.summary = summary};
+		struct store *s;
+
+		g_clear_error(error);
+		s = store_read(cli, error);
+		if (s == NULL)
+			return 0;
+		c.puts = g_ptr_array_new();
+		c.removes = g_ptr_array_new();
+		g_ptr_array_add(c.puts, e);
+		version = store_commit(cli, s, &c, error);
+		g_ptr_array_unref(c.puts);
+		g_ptr_array_unref(c.removes);
+		store_free(s);
+		if (version == 0 && (*error)->code != ML_ERROR_CONFLICT)
+			break;
+	}
+	return version;
+}
+
+static int key_give(struct cli *cli, const char *team)
+{
+	char text[KEY_TEXT_SIZE];
+	char *summary = g_strdup_printf("key given to %s", team);
+	GError *error = NULL;
+	struct conf_entry *e;
+	struct conf_key key;
+	uint64_t version;
+	int code;
+
+	key_create(team, &key, text);
+	e = table_key_entry(&key);
+	version = put_entry(cli, e, summary, &error);
+	conf_entry_unref(e);
+	g_free(summary);
+	if (version == 0)
+		return cli_fail_error(error);
+	/* The only time that the key is shown: what is kept is its hash. */
+	if (cli->opt.json)
+		printf("{\"id\":\"%s\",\"team\":\"%s\",\"key\":\"%s\",\"version\":%lu}\n", key.id,
+		       team, text, version);
+	else
+		printf("%s\n", text);
+	fflush(stdout);
+	code = store_wait(cli, version, "the key");
+	return code;
+}
+
+static const struct conf_entry *key_find(const struct store *s, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < s->entries->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(s->entries, i);
+
+		if (e->kind == CONF_KEY && strcmp(e->key.id, id) == 0)
+			return e;
+	}
+	return NULL;
+}
+
+static int key_withdraw(struct cli *cli, const char *id)
+{
+	char *summary = g_strdup_printf("key %s withdrawn", id);
+	const struct conf_entry *old;
+	GError *error = NULL;
+	struct conf_entry *e;
+	struct conf_key key;
+	uint64_t version;
+	struct store *s;
+
+	s = store_read(cli, &error);
+	if (s == NULL)
+		return cli_fail_error(error);
+	old = key_find(s, id);
+	if (old == NULL) {
+		store_free(s);
+		return cli_fail(EXIT_FAILED, "there is no key %s", id);
+	}
+	key = old->key;
+	key.withdrawn = true;
+	store_free(s);
+	e = table_key_entry(&key);
+	version = put_entry(cli, e, summary, &error);
+	conf_entry_unref(e);
+	g_free(summary);
+	if (version == 0)
+		return cli_fail_error(error);
+	if (store_wait(cli, version, "the withdrawal") != EXIT_OK)
+		return EXIT_PARTIAL;
+	printf("withdrawn on all VMs\n");
+	return EXIT_OK;
+}
+
+static int key_list(struct cli *cli)
+{
+	GError *error = NULL;
+	struct store *s = store_read(cli, &error);
+	guint i;
+
+	if (s == NULL)
+		return cli_fail_error(error);
+	for (i = 0; i < s->entries->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(s->entries, i);
+
+		if (e->kind != CONF_KEY)
+			continue;
+		printf(cli->opt.json ? "{\"id\":\"%s\",\"team\":\"%s\",\"state\":\"%s\"}\n"
+				     : "%s %s %s\n",
+		       e->key.id, e->key.team, e->key.withdrawn ? "withdrawn" : "given");
+	}
+	store_free(s);
+	return EXIT_OK;
+}
+
+int cmd_key(struct cli *cli)
+{
+	const char *word = cli->opt.words[0];
+
+	if (strcmp(word, "list") == 0 && cli->opt.n_words == 1)
+		return key_list(cli);
+	if (strcmp(word, "give") == 0 && cli->opt.n_words == 2)
+		return key_give(cli, cli->opt.words[1]);
+	if (strcmp(word, "withdraw") == 0 && cli->opt.n_words == 2)
+		return key_withdraw(cli, cli->opt.words[1]);
+	return cli_fail(EXIT_USAGE, "usage: mangoloom key give TEAM | withdraw ID | list");
+}
--- /dev/null
+++ b/cmd/mangoloomd.c
@@ -0,0 +1,136 @@
+/** @file mangoloomd.c The daemon: reads its settings, makes the services, runs the loop. */
+#include "caller.h"
+#include "entry.h"
+#include "fleet.h"
+#include "home.h"
+#include "kernel.h"
+#include "log.h"
+#include "rpc.h"
+#include "shares.h"
+#include "status.h"
+#include "trace.h"
+#include "version.h"
+
+#include <argtable2.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/resource.h>
+
+#define LOG_FLUSH_US (100 * USEC_PER_MSEC)
+
+static void on_signal(evutil_socket_t sig, short what, void *arg)
+{
+	kernel_drain(arg);
+}
+
+static void on_flush(evutil_socket_t fd, short what, void *arg)
+{
+	log_flush();
+}
+
+/** Each caller is a file; the soft limit is often far below the hard one. */
+static void raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static int run(const struct settings *settings)
+{
+	struct kernel *k = kernel_create(settings);
+	struct event *term = evsignal_new(k->base, SIGTERM, on_signal, k);
+	struct event *interrupt = evsignal_new(k->base, SIGINT, on_signal, k);
+	struct event *flush = kernel_every(k, LOG_FLUSH_US, on_flush, NULL);
+	GError *error = NULL;
+	int code = EXIT_OK;
+
+	signal(SIGPIPE, SIG_IGN);
+	raise_file_limit();
+	event_add(term, NULL);
+	event_add(interrupt, NULL);
+	rpc_service_create(k);
+	fleet_service_create(k);
+	shares_service_create(k);
+	home_service_create(k);
+	entry_service_create(k);
+	caller_service_create(k);
+	status_service_create(k);
+	if (kernel_start(k, &error)) {
+		log_info("started", LOG_STR("version", MANGOLOOM_VERSION),
+			 LOG_STR("callers", settings->caller_address),
+			 LOG_STR("rpc", settings->rpc_address));
+		kernel_run(k);
+	} else {
+		log_error("start-failed", LOG_STR("why", error->message));
+		fprintf(stderr, "mangoloomd: %s\n", error->message);
+		g_error_free(error);
+		code = EXIT_FAILED;
+	}
+	event_free(term);
+	event_free(interrupt);
+	event_free(flush);
+	kernel_free(k);
+	log_flush();
+	return code;
+}
+
+static int with_settings(const char *path, bool only_check)
+{
+	struct settings settings;
+	GError *error = NULL;
+
+	if (!settings_load(path, &settings, &error)) {
+		fprintf(stderr, "mangoloomd: %s\n", error->message);
+		g_error_free(error);
+		return EXIT_INVALID;
+	}
+	if (only_check) {
+		printf("%s: valid\n", path);
+		return EXIT_OK;
+	}
+	if (!log_open(settings.log_path, (enum log_format)settings.log_format,
+		      settings_log_level(&settings), settings.name) ||
+	    !trace_open(settings.trace_path)) {
+		fprintf(stderr, "mangoloomd: [log]: path or trace cannot be opened for writing\n");
+		return EXIT_FAILED;
+	}
+	return run(&settings);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *path =
+		arg_file0(NULL, "settings", "FILE", "settings in TOML (see docs/mangoloomd.md)");
+	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {path, check, help, version, end};
+	int errors = arg_parse(argc, argv, table);
+	int code;
+
+	if (help->count > 0) {
+		printf("Usage: mangoloomd");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		printf("Exit codes: 0 stopped as asked, 1 failed, 2 wrong command line, 3 wrong "
+		       "settings.\n");
+		code = EXIT_OK;
+	} else if (version->count > 0) {
+		printf("mangoloomd %s\n", MANGOLOOM_VERSION);
+		code = EXIT_OK;
+	} else if (errors > 0 || path->count == 0) {
+		arg_print_errors(stderr, end, "mangoloomd");
+		fprintf(stderr, "mangoloomd: --settings FILE is needed; --help tells more\n");
+		code = EXIT_USAGE;
+	} else {
+		code = with_settings(path->filename[0], check->count > 0);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/decide/conf.c
@@ -0,0 +1,236 @@
+/** @file conf.c Versions of the configuration. */
+#include "conf.h"
+
+#include <string.h>
+
+struct conf_entry *conf_entry_create(const char *id, uint64_t version, const char *text)
+{
+	struct conf_entry *e = g_new0(struct conf_entry, 1);
+
+	e->refs = 1;
+	e->id = g_strdup(id);
+	e->version = version;
+	e->text = g_strdup(text);
+	e->removed = text == NULL;
+	return e;
+}
+
+struct conf_entry *conf_entry_add_ref(struct conf_entry *e)
+{
+	e->refs++;
+	return e;
+}
+
+void conf_entry_unref(struct conf_entry *e)
+{
+	if (--e->refs > 0)
+		return;
+	g_free(e->id);
+	g_free(e->text);
+	g_free(e);
+}
+
+static void entry_unref(gpointer e)
+{
+	conf_entry_unref(e);
+}
+
+struct conf *conf_create(void)
+{
+	struct conf *c = g_new0(struct conf, 1);
+
+	c->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_unref);
+	c->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_queue_init(&c->tombstones);
+	return c;
+}
+
+void conf_free(struct conf *c)
+{
+	g_queue_clear_full(&c->tombstones, entry_unref);
+	g_hash_table_destroy(c->routes);
+	g_hash_table_destroy(c->entries);
+	g_free(c);
+}
+
+static char *route_key(const char *team, const char *kind)
+{
+	return g_strdup_printf("%s %s", team, kind);
+}
+
+static void conf_forget_route(struct conf *c, const struct conf_entry *e)
+{
+	char *key = route_key(e->route.team, e->route.kind);
+
+	if (g_hash_table_lookup(c->routes, key) == e)
+		g_hash_table_remove(c->routes, key);
+	g_free(key);
+}
+
+static void conf_remove(struct conf *c, const char *id)
+{
+	struct conf_entry *old = g_hash_table_lookup(c->entries, id);
+
+	if (old == NULL)
+		return;
+	if (old->kind == CONF_ROUTE)
+		conf_forget_route(c, old);
+	g_hash_table_remove(c->entries, id);
+}
+
+static void conf_bury(struct conf *c, struct conf_entry *e)
+{
+	struct conf_entry *oldest;
+
+	g_queue_push_tail(&c->tombstones, conf_entry_add_ref(e));
+	if (g_queue_get_length(&c->tombstones) <= CONF_TOMBSTONES_MAX)
+		return;
+	oldest = g_queue_pop_head(&c->tombstones);
+	if (oldest->version > c->oldest)
+		c->oldest = oldest->version;
+	conf_entry_unref(oldest);
+}
+
+static void conf_put(struct conf *c, struct conf_entry *e)
+{
+	const struct conf_entry *old = g_hash_table_lookup(c->entries, e->id);
+
+	if (old != NULL && old->version >= e->version)
+		return;
+	conf_remove(c, e->id);
+	if (e->removed) {
+		conf_bury(c, e);
+		return;
+	}
+	g_hash_table_insert(c->entries, e->id, conf_entry_add_ref(e));
+	if (e->kind == CONF_ROUTE)
+		g_hash_table_replace(c->routes, route_key(e->route.team, e->route.kind), e);
+}
+
+/** Remove what a full update does not name. */
+static void conf_keep_only(struct conf *c, const struct conf_update *u)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+	GList *ids = g_hash_table_get_keys(c->entries);
+	GList *l;
+	guint i;
+
+	for (i = 0; i < u->entries->len; i++) {
+		struct conf_entry *e = g_ptr_array_index(u->entries, i);
+
+		g_hash_table_add(named, e->id);
+	}
+	for (l = ids; l != NULL; l = l->next) {
+		if (!g_hash_table_contains(named, l->data))
+			conf_remove(c, l->data);
+	}
+	g_list_free(ids);
+	g_hash_table_destroy(named);
+	g_queue_clear_full(&c->tombstones, entry_unref);
+	c->oldest = u->version;
+}
+
+enum conf_verdict conf_apply(struct conf *c, const struct conf_update *u)
+{
+	guint i;
+
+	/*
+	 * A VM that wakes from a long pause, or answers late, offers an old version. Taking it
+	 * would bring a withdrawn key back; versions only go up.
+	 */
+	if (u->version <= c->version)
+		return CONF_OLD;
+	if (!u->full && u->base > c->version)
+		return CONF_GAP;
+	if (u->full)
+		conf_keep_only(c, u);
+	for (i = 0; i < u->entries->len; i++)
+		conf_put(c, g_ptr_array_index(u->entries, i));
+	c->version = u->version;
+	return CONF_APPLIED;
+}
+
+void conf_since(const struct conf *c, uint64_t base, struct conf_update *u)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GList *l;
+
+	u->full = base < c->oldest || base == 0;
+	u->base = base;
+	u->version = c->version;
+	u->entries = g_ptr_array_new_with_free_func(entry_unref);
+	g_hash_table_iter_init(&iter, c->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct conf_entry *e = value;
+
+		if (u->full || e->version > base)
+			g_ptr_array_add(u->entries, conf_entry_add_ref(e));
+	}
+	for (l = c->tombstones.head; l != NULL && !u->full; l = l->next) {
+		struct conf_entry *e = l->data;
+
+		if (e->version > base)
+			g_ptr_array_add(u->entries, conf_entry_add_ref(e));
+	}
+}
+
+void conf_update_clear(struct conf_update *u)
+{
+	if (u->entries != NULL)
+		g_ptr_array_unref(u->entries);
+	u->entries = NULL;
+}
+
+static const struct conf_entry *conf_find(const struct conf *c, const char *kind, const char *name)
+{
+	char id[NAME_SIZE + 16];
+
+	g_snprintf(id, sizeof(id), "%s/%s", kind, name);
+	return g_hash_table_lookup(c->entries, id);
+}
+
+const struct conf_pool *conf_pool(const struct conf *c, const char *name)
+{
+	const struct conf_entry *e = conf_find(c, "pool", name);
+
+	return e != NULL ? &e->pool : NULL;
+}
+
+const struct conf_team *conf_team(const struct conf *c, const char *name)
+{
+	const struct conf_entry *e = conf_find(c, "team", name);
+
+	return e != NULL ? &e->team : NULL;
+}
+
+const struct conf_key *conf_key(const struct conf *c, const char *id)
+{
+	const struct conf_entry *e = conf_find(c, "key", id);
+
+	return e != NULL ? &e->key : NULL;
+}
+
+static const struct conf_route *route_exact(const struct conf *c, const char *team,
+					    const char *kind)
+{
+	char key[2 * NAME_SIZE];
+	const struct conf_entry *e;
+
+	g_snprintf(key, sizeof(key), "%s %s", team, kind);
+	e = g_hash_table_lookup(c->routes, key);
+	return e != NULL ? &e->route : NULL;
+}
+
+const struct conf_route *conf_route(const struct conf *c, const char *team, const char *kind)
+{
+	const struct conf_route *r = route_exact(c, team, kind);
+
+	if (r == NULL)
+		r = route_exact(c, team, "*");
+	if (r == NULL)
+		r = route_exact(c, "*", kind);
+	if (r == NULL)
+		r = route_exact(c, "*", "*");
+	return r;
+}
--- /dev/null
+++ b/decide/conf.h
@@ -0,0 +1,117 @@
+/**
+ * @file conf.h
+ * The configuration in force: routes, pools, teams and keys, each entry with the version that last
+ * changed it. A version is accepted only when it is higher, so nothing reverts; changes travel as
+ * the entries that differ.
+ */
+#ifndef DECIDE_CONF_H
+#define DECIDE_CONF_H
+
+#include "confirm.h"
+#include "types.h"
+
+#include <glib.h>
+
+/** Bytes of a key's hash (BLAKE2b). */
+#define KEY_HASH_SIZE 32
+/** Removed entries remembered, so that a VM that is behind can be told of them. */
+#define CONF_TOMBSTONES_MAX 1024
+
+enum conf_kind { CONF_ROUTE, CONF_POOL, CONF_TEAM, CONF_KEY, CONF_KINDS };
+
+struct conf_member {
+	char name[NAME_SIZE];
+	char address[ADDRESS_SIZE];
+	char data_center[NAME_SIZE];
+	unsigned slots;	      /**< statements that it runs side by side */
+	unsigned connections; /**< that it accepts */
+	bool leaving;
+};
+
+struct conf_pool {
+	char name[NAME_SIZE];
+	enum confirm_mode confirm;
+	unsigned n;
+	struct conf_member member[GROUP_MEMBERS_MAX];
+};
+
+struct conf_route {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE]; /**< "*" for every team */
+	char kind[NAME_SIZE]; /**< "*" for every kind */
+	char pool[NAME_SIZE];
+	bool write;
+	unsigned max_age_ms; /**< oldest data that a read accepts; 0: the session's and all
+				acknowledged writes */
+	unsigned deadline_ms;
+};
+
+struct conf_team {
+	char name[NAME_SIZE];
+	double rate; /**< requests a second over the whole fleet */
+	double burst;
+};
+
+struct conf_key {
+	char id[NAME_SIZE];
+	char team[NAME_SIZE];
+	unsigned char hash[KEY_HASH_SIZE];
+	bool withdrawn;
+};
+
+/** One entry. Its text is what the platform keeps and what VMs send each other. */
+struct conf_entry {
+	unsigned refs;
+	char *id; /**< "pool/orders" */
+	enum conf_kind kind;
+	uint64_t version;
+	char *text;
+	bool removed;
+	union {
+		struct conf_route route;
+		struct conf_pool pool;
+		struct conf_team team;
+		struct conf_key key;
+	};
+};
+
+struct conf_entry *conf_entry_create(const char *id, uint64_t version, const char *text);
+struct conf_entry *conf_entry_add_ref(struct conf_entry *e);
+void conf_entry_unref(struct conf_entry *e);
+
+struct conf {
+	uint64_t version;
+	uint64_t oldest;     /**< changes after this version can be told as a difference */
+	GHashTable *entries; /**< id to conf_entry */
+	GHashTable *routes;  /**< "team kind" to conf_entry */
+	GQueue tombstones;   /**< removed conf_entry, oldest first */
+};
+
+/** A change to a configuration. */
+struct conf_update {
+	uint64_t base; /**< the entries are those changed after this version */
+	uint64_t version;
+	bool full; /**< the entries are all there are */
+	GPtrArray *entries;
+};
+
+enum conf_verdict {
+	CONF_APPLIED,
+	CONF_OLD, /**< not newer than what is in force */
+	CONF_GAP, /**< starts after the version in force: ask for more */
+};
+
+struct conf *conf_create(void);
+void conf_free(struct conf *c);
+enum conf_verdict conf_apply(struct conf *c, const struct conf_update *u);
+/** What a VM at version @a base lacks. Free with conf_update_clear(). */
+void conf_since(const struct conf *c, uint64_t base, struct conf_update *u);
+void conf_update_clear(struct conf_update *u);
+
+const struct conf_pool *conf_pool(const struct conf *c, const char *name);
+const struct conf_team *conf_team(const struct conf *c, const char *name);
+const struct conf_key *conf_key(const struct conf *c, const char *id);
+/** The most exact route for @a team and @a kind, or NULL. A named team goes before a named kind. */
+const struct conf_route *conf_route(const struct conf *c, const char *team, const char *kind);
+
+#endif
--- /dev/null
+++ b/decide/fairq.c
@@ -0,0 +1,237 @@
+/** @file fairq.c Deficit round robin by team, earliest deadline first within a team. */
+#include "fairq.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** First guess of an item's time in a slot. */
+#define SERVICE_START_US 500.0
+/** Weight of a new sample in the moving average. */
+#define SERVICE_ALPHA 0.05
+
+void fairq_init(struct fairq *q, unsigned limit, unsigned slots)
+{
+	memset(q, 0, sizeof(*q));
+	TAILQ_INIT(&q->active);
+	TAILQ_INIT(&q->idle);
+	q->limit = limit;
+	q->slots = slots > 0 ? slots : 1;
+	q->service_us = SERVICE_START_US;
+}
+
+static void fairq_free_teams(struct fairq_teams *teams)
+{
+	struct fairq_team *t, *next;
+
+	TAILQ_FOREACH_SAFE (t, teams, link, next) {
+		TAILQ_REMOVE(teams, t, link);
+		free(t);
+	}
+}
+
+void fairq_clear(struct fairq *q)
+{
+	fairq_free_teams(&q->active);
+	fairq_free_teams(&q->idle);
+	q->length = 0;
+}
+
+static struct fairq_team *fairq_find(struct fairq_teams *teams, const char *name)
+{
+	struct fairq_team *t;
+
+	TAILQ_FOREACH (t, teams, link) {
+		if (strcmp(t->name, name) == 0)
+			return t;
+	}
+	return NULL;
+}
+
+static struct fairq_team *fairq_team_get(struct fairq *q, const char *name)
+{
+	struct fairq_team *t = fairq_find(&q->active, name);
+
+	if (t == NULL)
+		t = fairq_find(&q->idle, name);
+	if (t != NULL)
+		return t;
+	t = calloc(1, sizeof(*t));
+	if (t == NULL)
+		abort();
+	snprintf(t->name, sizeof(t->name), "%s", name);
+	TAILQ_INIT(&t->items);
+	TAILQ_INSERT_TAIL(&q->idle, t, link);
+	return t;
+}
+
+static double fairq_active_weight(const struct fairq *q, const struct fairq_team *with)
+{
+	struct fairq_team *t;
+	double sum = with->active ? 0 : with->weight;
+
+	TAILQ_FOREACH (t, &q->active, link)
+		sum += t->weight;
+	return sum;
+}
+
+/** Wait of a new item of @a t: its place in the team, served at the team's part of the slots. */
+static int64_t fairq_predict_us(const struct fairq *q, const struct fairq_team *t, unsigned ahead)
+{
+	double part = t->weight / fairq_active_weight(q, t);
+	double wait = (double)ahead * q->service_us / (double)q->slots / part;
+	double whole = (double)q->length * q->service_us / (double)q->slots;
+
+	return (int64_t)(wait < whole ? wait : whole);
+}
+
+/** Most items that one team may have waiting: its part by weight, and always a few. */
+static unsigned fairq_team_limit(const struct fairq *q, const struct fairq_team *t)
+{
+	unsigned part = (unsigned)((double)q->limit * t->weight / fairq_active_weight(q, t));
+
+	return part > 4 ? part : 4;
+}
+
+static void fairq_insert(struct fairq_team *t, struct fairq_item *item)
+{
+	struct fairq_item *at;
+
+	TAILQ_FOREACH_REVERSE(at, &t->items, fairq_items, link)
+	{
+		if (at->deadline_us <= item->deadline_us) {
+			TAILQ_INSERT_AFTER(&t->items, at, item, link);
+			return;
+		}
+	}
+	TAILQ_INSERT_HEAD(&t->items, item, link);
+}
+
+static unsigned fairq_ahead(const struct fairq_team *t, int64_t deadline_us)
+{
+	struct fairq_item *at;
+	unsigned ahead = 0;
+
+	TAILQ_FOREACH (at, &t->items, link) {
+		if (at->deadline_us > deadline_us)
+			break;
+		ahead++;
+	}
+	return ahead;
+}
+
+struct fairq_outcome fairq_add(struct fairq *q, struct fairq_item *item, const char *team,
+			       double weight, int64_t now_us)
+{
+	struct fairq_outcome out = {.verdict = FAIRQ_QUEUED};
+	struct fairq_team *t = fairq_team_get(q, team);
+	int64_t wait;
+
+	t->weight = weight > 1 ? weight : 1;
+	wait = fairq_predict_us(q, t, fairq_ahead(t, item->deadline_us));
+	out.retry_after_us = wait;
+	/*
+	 * A team that sends several times its rate would fill the whole queue, and every other team
+	 * would be refused as full. Each team is held to its part by weight, so its excess is
+	 * refused to itself alone.
+	 */
+	if (q->length >= q->limit || t->length >= fairq_team_limit(q, t)) {
+		out.verdict = FAIRQ_FULL;
+		return out;
+	}
+	if (now_us + wait > item->deadline_us) {
+		out.verdict = FAIRQ_TOO_LATE;
+		return out;
+	}
+	item->enqueued_us = now_us;
+	item->team = t;
+	fairq_insert(t, item);
+	t->length++;
+	q->length++;
+	if (!t->active) {
+		TAILQ_REMOVE(&q->idle, t, link);
+		TAILQ_INSERT_TAIL(&q->active, t, link);
+		t->active = true;
+		t->deficit = 0;
+	}
+	return out;
+}
+
+static void fairq_drop_from_team(struct fairq *q, struct fairq_item *item)
+{
+	struct fairq_team *t = item->team;
+
+	TAILQ_REMOVE(&t->items, item, link);
+	item->team = NULL;
+	t->length--;
+	q->length--;
+	if (t->length > 0)
+		return;
+	TAILQ_REMOVE(&q->active, t, link);
+	TAILQ_INSERT_TAIL(&q->idle, t, link);
+	t->active = false;
+	t->deficit = 0;
+}
+
+static double fairq_largest_weight(const struct fairq *q)
+{
+	struct fairq_team *t;
+	double largest = 1;
+
+	TAILQ_FOREACH (t, &q->active, link) {
+		if (t->weight > largest)
+			largest = t->weight;
+	}
+	return largest;
+}
+
+struct fairq_item *fairq_next(struct fairq *q)
+{
+	double quantum = fairq_largest_weight(q);
+
+	for (;;) {
+		struct fairq_team *t = TAILQ_FIRST(&q->active);
+		struct fairq_item *item;
+
+		if (t == NULL)
+			return NULL;
+		if (t->deficit < 1) {
+			/* A team's turn ends here; it is credited for the next round, so every
+			 * round ends. */
+			t->deficit += t->weight / quantum;
+			TAILQ_REMOVE(&q->active, t, link);
+			TAILQ_INSERT_TAIL(&q->active, t, link);
+			continue;
+		}
+		t->deficit -= 1;
+		item = TAILQ_FIRST(&t->items);
+		fairq_drop_from_team(q, item);
+		return item;
+	}
+}
+
+void fairq_remove(struct fairq *q, struct fairq_item *item)
+{
+	if (item->team != NULL)
+		fairq_drop_from_team(q, item);
+}
+
+struct fairq_item *fairq_expired(struct fairq *q, int64_t now_us)
+{
+	struct fairq_team *t;
+
+	TAILQ_FOREACH (t, &q->active, link) {
+		struct fairq_item *first = TAILQ_FIRST(&t->items);
+
+		if (first->deadline_us <= now_us) {
+			fairq_drop_from_team(q, first);
+			return first;
+		}
+	}
+	return NULL;
+}
+
+void fairq_served(struct fairq *q, int64_t us)
+{
+	q->service_us += SERVICE_ALPHA * ((double)us - q->service_us);
+}
--- /dev/null
+++ b/decide/outcome.c
@@ -0,0 +1,121 @@
+/** @file outcome.c The rules of retries and refusals, as one table. */
+#include "outcome.h"
+
+/** Tries of one request, at most; each costs a round trip. */
+#define ATTEMPTS_MAX 2000
+/** First pause between tries, doubled to the last. */
+#define PAUSE_MIN_US (2 * USEC_PER_MSEC)
+#define PAUSE_MAX_US (50 * USEC_PER_MSEC)
+
+/** When a try that ended so may be followed by another one. */
+enum retry_rule {
+	RETRY_NEVER,
+	RETRY_READ,   /**< a read only: a write may have run */
+	RETRY_ALWAYS, /**< nothing ran */
+};
+
+static const struct {
+	struct outcome_text text;
+	enum retry_rule rule;
+	bool pause; /**< wait before the next try */
+} rules[OUTCOMES] = {
+	[OUTCOME_DONE] = {{"done", "00000", "done", false}, RETRY_NEVER, false},
+	[OUTCOME_SQL_ERROR] = {{"sql-error", "XX000", "error of the database", false},
+			       RETRY_NEVER,
+			       false},
+	[OUTCOME_NOT_PRIMARY] = {{"not-primary", "57P03", "the database has no primary now", true},
+				 RETRY_ALWAYS,
+				 true},
+	[OUTCOME_BEHIND] = {{"behind", "57P03", "no database has data as new as asked for", true},
+			    RETRY_ALWAYS,
+			    false},
+	[OUTCOME_QUEUE_FULL] = {{"queue-full", "53300", "the queue of the database is full", true},
+				RETRY_NEVER,
+				false},
+	[OUTCOME_TOO_LATE] = {{"too-late", "57014", "the request cannot be served by its deadline",
+			       true},
+			      RETRY_NEVER,
+			      false},
+	[OUTCOME_NO_CONNECTION] = {{"no-connection", "57P03", "the database cannot be reached",
+				    true},
+				   RETRY_ALWAYS,
+				   true},
+	[OUTCOME_NOT_SENT] = {{"not-sent", "57P03", "the database's VM cannot be reached", true},
+			      RETRY_ALWAYS,
+			      true},
+	[OUTCOME_LEAVING] = {{"leaving", "57P03", "the database is leaving", true},
+			     RETRY_ALWAYS,
+			     true},
+	[OUTCOME_LOST] = {{"lost", "08007", "the outcome of the statement is not known", false},
+			  RETRY_READ,
+			  false},
+	[OUTCOME_TX_LOST] = {{"transaction-lost", "40000", "the transaction was rolled back", true},
+			     RETRY_NEVER,
+			     false},
+	[OUTCOME_NOT_CONFIRMED] = {{"not-confirmed", "08007",
+				    "committed on the primary alone; whether it lasts is not known",
+				    false},
+				   RETRY_NEVER,
+				   false},
+	[OUTCOME_TOKEN_LOST] = {{"token-lost", "55000",
+				 "a write of this session was lost in a change of primary", true},
+				RETRY_NEVER,
+				false},
+	[OUTCOME_TOO_LARGE] = {{"too-large", "54000", "the result is larger than this proxy serves",
+				true},
+			       RETRY_NEVER,
+			       false},
+	[OUTCOME_ALREADY_RUN] = {{"already-run", "23505",
+				  "a request with this mangoloom.once has run already", false},
+				 RETRY_NEVER,
+				 false},
+	[OUTCOME_OVER_RATE] = {{"over-rate", "53300", "the team is over its rate", true},
+			       RETRY_NEVER,
+			       false},
+	[OUTCOME_NO_ROUTE] = {{"no-route", "42501", "no route for this team and kind of request",
+			       true},
+			      RETRY_NEVER,
+			      false},
+};
+
+const struct outcome_text *outcome_text(enum outcome o)
+{
+	return &rules[o].text;
+}
+
+static int64_t pause_us(unsigned attempts)
+{
+	int64_t us = PAUSE_MIN_US << (attempts < 5 ? attempts : 5);
+
+	return us < PAUSE_MAX_US ? us : PAUSE_MAX_US;
+}
+
+struct retry_decision outcome_next(enum outcome o, const struct retry_state *r, int64_t hint_us,
+				   int64_t now_us)
+{
+	struct retry_decision refuse = {.step = STEP_REFUSE, .after_us = hint_us};
+	struct retry_decision d = {.step = STEP_RETRY};
+
+	if (o == OUTCOME_DONE || o == OUTCOME_SQL_ERROR)
+		return (struct retry_decision){.step = STEP_ANSWER};
+	if (rules[o].rule == RETRY_NEVER || r->attempts >= ATTEMPTS_MAX)
+		return refuse;
+	/*
+	 * A write whose answer was lost may have run. Sending it again would order the cartons
+	 * twice; the caller is told that the outcome is not known instead.
+	 */
+	if (rules[o].rule == RETRY_READ && r->write)
+		return refuse;
+	/* A statement inside a transaction belongs to one connection; elsewhere its earlier
+	 * statements are missing. */
+	if (r->in_transaction)
+		return refuse;
+	if (rules[o].pause) {
+		d.step = STEP_RETRY_LATER;
+		d.after_us =
+			hint_us > 0 && hint_us < PAUSE_MAX_US ? hint_us : pause_us(r->attempts);
+	}
+	if (now_us + d.after_us >= r->deadline_us)
+		return refuse;
+	return d;
+}
--- /dev/null
+++ b/decide/rank.c
@@ -0,0 +1,17 @@
+/** @file rank.c Rendezvous hashing over VMs, with xxHash. */
+#include "rank.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t rank_weight(const char *key, const char *candidate)
+{
+	return XXH64(candidate, strlen(candidate), XXH64(key, strlen(key), 0));
+}
+
+bool rank_better(uint64_t weight_a, bool near_a, uint64_t weight_b, bool near_b)
+{
+	if (near_a != near_b)
+		return near_a;
+	return weight_a > weight_b;
+}
--- /dev/null
+++ b/decide/share.c
@@ -0,0 +1,398 @@
+/** @file share.c Holders and the allocator of a team's rate. */
+#include "share.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Window over which arrivals are counted. */
+#define DEMAND_WINDOW_US (100 * USEC_PER_MSEC)
+/** Weight of the newest window in the moving average when demand falls; a rise counts at once. */
+#define DEMAND_FALL_ALPHA 0.15
+/** Part of an even split that a holder keeps without any demand, so that a first request finds a
+ * token. */
+#define SHARE_FLOOR 0.05
+/** Changes smaller than this part of the whole are not ordered. */
+#define SHARE_STEP (SHARE_WHOLE / 200)
+/** A burst with fewer tokens than this for each holder is not split. */
+#define SHARE_SPLIT_TOKENS 2
+/** A holder that has been silent for longer counts as having no demand. */
+#define DEMAND_STALE_US (5 * USEC_PER_SEC)
+
+void share_holder_init(struct share_holder *h, uint64_t incarnation, int64_t now_us)
+{
+	memset(h, 0, sizeof(*h));
+	h->incarnation = incarnation;
+	h->window_us = now_us;
+	h->reported_us = now_us - SHARE_REPORT_SLOW_US;
+}
+
+static void holder_roll(struct share_holder *h, int64_t now_us)
+{
+	int64_t span = now_us - h->window_us;
+	double rate;
+
+	if (span < DEMAND_WINDOW_US)
+		return;
+	rate = (double)h->arrivals * (double)USEC_PER_SEC / (double)span;
+	if (rate > h->demand) {
+		h->demand = rate;
+	} else {
+		int64_t windows = span / DEMAND_WINDOW_US;
+
+		while (windows-- > 0 && h->demand > 0.01)
+			h->demand += DEMAND_FALL_ALPHA * (rate - h->demand);
+	}
+	h->arrivals = 0;
+	h->window_us = now_us;
+}
+
+void share_holder_arrival(struct share_holder *h, bool admitted, int64_t now_us)
+{
+	holder_roll(h, now_us);
+	h->arrivals++;
+	if (!admitted)
+		h->short_now = true;
+}
+
+int64_t share_holder_due_us(const struct share_holder *h)
+{
+	if (h->short_now)
+		return h->reported_us + SHARE_REPORT_FAST_US;
+	if (h->epoch == 0 || h->seq == 0)
+		return h->reported_us + SHARE_REPORT_FAST_US * 4;
+	return h->reported_us + SHARE_REPORT_SLOW_US;
+}
+
+struct share_report share_holder_report(struct share_holder *h, int64_t now_us)
+{
+	struct share_report r;
+
+	holder_roll(h, now_us);
+	r.incarnation = h->incarnation;
+	r.epoch = h->epoch;
+	r.seq = h->seq;
+	r.units = h->units;
+	r.demand = h->demand;
+	/* A holder that is short has demand, even when its window has not closed yet. */
+	if (h->short_now && r.demand < 1)
+		r.demand = 1;
+	h->reported_us = now_us;
+	h->short_now = false;
+	h->pending = true;
+	return r;
+}
+
+bool share_holder_order(struct share_holder *h, const struct share_order *o, int64_t now_us)
+{
+	uint32_t before = h->units;
+
+	h->pending = false;
+	if (o->epoch < h->epoch)
+		return false;
+	h->ordered_us = now_us;
+	if (o->epoch > h->epoch) {
+		/* Binding alone moves nothing: the new allocator must first hear what is held here.
+		 */
+		h->epoch = o->epoch;
+		h->seq = 0;
+		h->over = false;
+		h->reported_us = now_us - SHARE_REPORT_SLOW_US;
+		return false;
+	}
+	h->over = o->over;
+	/* An order that comes late, after a newer one, would bring units back that were given to
+	 * others. */
+	if (o->seq <= h->seq)
+		return false;
+	h->seq = o->seq;
+	h->units = o->units;
+	if (h->units < before) {
+		/* Others wait for what was lowered here; tell the allocator soon. */
+		h->reported_us = now_us - SHARE_REPORT_SLOW_US;
+	}
+	return h->units != before;
+}
+
+bool share_holder_paused(struct share_holder *h, int64_t gap_us)
+{
+	/*
+	 * A VM that was stopped for long may have been taken off the platform's list, and its units
+	 * given to others. Using them after waking would pass the team's rate. A pause shorter than
+	 * SHARE_PAUSE_MAX_US can't have been followed by a hand-out, which waits SHARE_GONE_US.
+	 */
+	if (gap_us < SHARE_PAUSE_MAX_US || h->units == 0)
+		return false;
+	h->units = 0;
+	h->short_now = true;
+	return true;
+}
+
+bool share_holder_hopeful(const struct share_holder *h)
+{
+	return !h->over;
+}
+
+void share_alloc_init(struct share_alloc *a, uint32_t salt, const char *self, double rate,
+		      double burst)
+{
+	memset(a, 0, sizeof(*a));
+	a->salt = salt;
+	a->rate = rate;
+	a->burst = burst;
+	snprintf(a->self, sizeof(a->self), "%s", self);
+	a->epoch = (UINT64_C(1) << 32) | salt;
+	TAILQ_INIT(&a->entries);
+}
+
+void share_alloc_clear(struct share_alloc *a)
+{
+	struct share_entry *e, *next;
+
+	TAILQ_FOREACH_SAFE (e, &a->entries, link, next) {
+		TAILQ_REMOVE(&a->entries, e, link);
+		free(e);
+	}
+}
+
+static struct share_entry *alloc_find(struct share_alloc *a, const char *vm)
+{
+	struct share_entry *e;
+
+	TAILQ_FOREACH (e, &a->entries, link) {
+		if (strcmp(e->vm, vm) == 0)
+			return e;
+	}
+	return NULL;
+}
+
+static struct share_entry *alloc_get(struct share_alloc *a, const char *vm)
+{
+	struct share_entry *e = alloc_find(a, vm);
+
+	if (e != NULL)
+		return e;
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		abort();
+	snprintf(e->vm, sizeof(e->vm), "%s", vm);
+	TAILQ_INSERT_TAIL(&a->entries, e, link);
+	return e;
+}
+
+/** Whether units that this VM may hold must still be counted. */
+static bool entry_counts(const struct share_entry *e, int64_t now_us)
+{
+	return e->listed || now_us - e->gone_us < SHARE_GONE_US;
+}
+
+/** Once every VM that may hold units is bound, all that is not held is this allocator's to give. */
+static void alloc_census(struct share_alloc *a, int64_t now_us)
+{
+	struct share_entry *e, *next;
+
+	TAILQ_FOREACH_SAFE (e, &a->entries, link, next) {
+		if (entry_counts(e, now_us))
+			continue;
+		if (e->bound && !a->whole)
+			a->budget -= e->held < a->budget ? e->held : a->budget;
+		TAILQ_REMOVE(&a->entries, e, link);
+		free(e);
+	}
+	if (a->whole)
+		return;
+	TAILQ_FOREACH (e, &a->entries, link) {
+		if (!e->bound)
+			return;
+	}
+	if (TAILQ_EMPTY(&a->entries))
+		return;
+	a->whole = true;
+	a->budget = SHARE_WHOLE;
+}
+
+void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us)
+{
+	struct share_entry *e;
+	unsigned i;
+
+	TAILQ_FOREACH (e, &a->entries, link) {
+		bool found = false;
+
+		for (i = 0; i < n && !found; i++)
+			found = strcmp(vms[i], e->vm) == 0;
+		if (e->listed && !found)
+			e->gone_us = now_us;
+		e->listed = found;
+	}
+	for (i = 0; i < n; i++) {
+		e = alloc_get(a, vms[i]);
+		e->listed = true;
+	}
+	alloc_census(a, now_us);
+}
+
+/** Another allocator of a higher epoch has been heard of: begin again above it. */
+static void alloc_restart(struct share_alloc *a, uint64_t above)
+{
+	struct share_entry *e;
+
+	a->epoch = (((above >> 32) + 1) << 32) | a->salt;
+	a->whole = false;
+	a->budget = 0;
+	TAILQ_FOREACH (e, &a->entries, link) {
+		e->bound = false;
+		e->held = 0;
+		e->ordered = 0;
+		e->seq = 0;
+		e->acked = 0;
+	}
+}
+
+static uint32_t alloc_held(const struct share_alloc *a)
+{
+	const struct share_entry *e;
+	uint64_t sum = 0;
+
+	TAILQ_FOREACH (e, &a->entries, link)
+		sum += e->held;
+	return (uint32_t)sum;
+}
+
+static double entry_demand(const struct share_entry *e, int64_t now_us)
+{
+	return now_us - e->heard_us > DEMAND_STALE_US ? 0 : e->demand;
+}
+
+static double alloc_demand(const struct share_alloc *a, int64_t now_us, unsigned *bound)
+{
+	const struct share_entry *e;
+	double sum = 0;
+
+	*bound = 0;
+	TAILQ_FOREACH (e, &a->entries, link) {
+		if (!e->bound)
+			continue;
+		(*bound)++;
+		sum += entry_demand(e, now_us);
+	}
+	return sum;
+}
+
+/** What @a e should hold: its part of the budget by demand, above a floor. */
+static uint32_t alloc_target(const struct share_alloc *a, const struct share_entry *e,
+			     int64_t now_us)
+{
+	unsigned bound;
+	double sum = alloc_demand(a, now_us, &bound);
+	double even = (double)a->budget / bound;
+	double floor = even * SHARE_FLOOR;
+	double rest = (double)a->budget - floor * bound;
+
+	/*
+	 * A VM that the platform does not list could vanish unseen with its units, and be thought
+	 * gone while it still spends them. It gets none until it is listed.
+	 */
+	if (!e->listed)
+		return 0;
+	/* Split into parts of less than a token, the burst would serve nobody. */
+	if (a->burst < SHARE_SPLIT_TOKENS * (double)bound)
+		return strcmp(e->vm, a->self) == 0 ? a->budget : 0;
+	if (sum <= 0)
+		return (uint32_t)even;
+	return (uint32_t)(floor + rest * entry_demand(e, now_us) / sum);
+}
+
+static void entry_bind(struct share_alloc *a, struct share_entry *e, const struct share_report *r)
+{
+	e->bound = true;
+	e->held = r->units;
+	e->ordered = r->units;
+	e->seq = r->seq;
+	e->acked = r->seq;
+	if (!a->whole)
+		a->budget += r->units;
+}
+
+static void entry_ack(struct share_entry *e, const struct share_report *r)
+{
+	/* A holder that paused may hold less than it was ordered to; it never holds more than it
+	 * says. */
+	if (r->seq == e->seq) {
+		e->acked = r->seq;
+		e->held = r->units;
+	}
+}
+
+static void entry_order(struct share_alloc *a, struct share_entry *e, int64_t now_us)
+{
+	uint32_t target = alloc_target(a, e, now_us);
+	uint32_t held = alloc_held(a);
+	uint32_t spare = a->budget > held ? a->budget - held : 0;
+
+	if (e->acked != e->seq)
+		return;
+	if (target > e->held && target - e->held > spare)
+		target = e->held + spare;
+	if (target == e->ordered && e->ordered == e->held)
+		return;
+	if (target + SHARE_STEP > e->held && target < e->held + SHARE_STEP && spare < SHARE_STEP &&
+	    e->seq > 0)
+		return;
+	e->seq++;
+	e->ordered = target;
+	/* Raised units count from the order on; lowered ones are free only when the holder says
+	 * that it obeyed. */
+	if (target > e->held)
+		e->held = target;
+}
+
+/**
+ * Note which process of the VM reports. A restarted one holds nothing.
+ * @return false for a late report of a process that has ended.
+ */
+static bool entry_incarnation(struct share_entry *e, const struct share_report *r)
+{
+	if (r->incarnation == e->incarnation)
+		return true;
+	if (r->incarnation == e->former)
+		return false;
+	e->former = e->incarnation;
+	e->incarnation = r->incarnation;
+	e->bound = false;
+	e->held = 0;
+	e->ordered = 0;
+	e->seq = 0;
+	e->acked = 0;
+	return true;
+}
+
+struct share_order share_alloc_report(struct share_alloc *a, const char *vm,
+				      const struct share_report *r, int64_t now_us)
+{
+	struct share_order o = {0};
+	struct share_entry *e = alloc_get(a, vm);
+	unsigned bound;
+
+	if (!entry_incarnation(e, r))
+		return o;
+	e->heard_us = now_us;
+	e->demand = r->demand;
+	if (!e->listed)
+		e->gone_us = now_us;
+	if (r->epoch > a->epoch)
+		alloc_restart(a, r->epoch);
+	o.epoch = a->epoch;
+	if (r->epoch < a->epoch)
+		return o;
+	if (!e->bound)
+		entry_bind(a, e, r);
+	else
+		entry_ack(e, r);
+	alloc_census(a, now_us);
+	entry_order(a, e, now_us);
+	o.seq = e->seq;
+	o.units = e->ordered;
+	o.over = alloc_demand(a, now_us, &bound) > a->rate;
+	return o;
+}
--- /dev/null
+++ b/decide/share.h
@@ -0,0 +1,116 @@
+/**
+ * @file share.h
+ * Splits a team's rate and burst over the VMs so that the parts never add up to more than the
+ * whole, also while they move, while VMs pause or die, and while the network is cut. Source:
+ * docs/DESIGN.md, "Fleet-wide rate and burst".
+ *
+ * A holder (one per VM and team) has units of SHARE_WHOLE. The team's allocator moves units between
+ * holders. A holder obeys one allocator at a time, the one of the highest epoch it has heard, and
+ * an allocator hands out only what its bound holders had, or the whole once every listed VM is
+ * bound to it. So no lease and no platform call is needed.
+ */
+#ifndef DECIDE_SHARE_H
+#define DECIDE_SHARE_H
+
+#include "types.h"
+
+/** A team's whole rate and burst, in units. */
+#define SHARE_WHOLE 1048576U
+/** A holder whose loop stood still for longer gives up its units: others may have been given them.
+ */
+#define SHARE_PAUSE_MAX_US (2 * USEC_PER_SEC)
+/** How long after a VM left the platform's list its units are given to others. Above the pause by a
+ * wide margin. */
+#define SHARE_GONE_US (6 * USEC_PER_SEC)
+/** Shortest and longest time between two reports of a holder. */
+#define SHARE_REPORT_FAST_US (50 * USEC_PER_MSEC)
+#define SHARE_REPORT_SLOW_US (1 * USEC_PER_SEC)
+
+/** What a holder tells the allocator. */
+struct share_report {
+	uint64_t incarnation; /**< of the holder's process */
+	uint64_t epoch;	      /**< allocator that the holder obeys */
+	uint64_t seq;	      /**< last order of that allocator that was carried out */
+	uint32_t units;
+	double demand; /**< requests a second that arrived */
+};
+
+/** The allocator's order, in answer to a report. */
+struct share_order {
+	uint64_t epoch;
+	uint64_t seq;
+	uint32_t units;
+	bool over; /**< the team as a whole asks for more than its rate */
+};
+
+struct share_holder {
+	uint64_t incarnation;
+	uint64_t epoch;
+	uint64_t seq;
+	uint32_t units;
+	bool over;
+	double demand;
+	unsigned arrivals; /**< since @a window_us */
+	int64_t window_us;
+	int64_t reported_us; /**< last report sent */
+	int64_t ordered_us;  /**< last order received */
+	bool pending;	     /**< a report is out */
+	bool short_now;	     /**< a request found too few tokens since the last report */
+};
+
+void share_holder_init(struct share_holder *h, uint64_t incarnation, int64_t now_us);
+/** A request of the team arrived; @a admitted tells whether it found a token at once. */
+void share_holder_arrival(struct share_holder *h, bool admitted, int64_t now_us);
+/** When the next report is due. */
+int64_t share_holder_due_us(const struct share_holder *h);
+/** Make the report that is due now. */
+struct share_report share_holder_report(struct share_holder *h, int64_t now_us);
+/** Carry out @a o. @return whether the units changed. */
+bool share_holder_order(struct share_holder *h, const struct share_order *o, int64_t now_us);
+/** The loop stood still for @a gap_us. @return whether the units were given up. */
+bool share_holder_paused(struct share_holder *h, int64_t gap_us);
+/**
+ * Whether a request without a token should wait for units to move here: the team as a whole is
+ * within its rate, as far as is known.
+ */
+bool share_holder_hopeful(const struct share_holder *h);
+
+/** What the allocator knows of one holder. */
+struct share_entry {
+	TAILQ_ENTRY(share_entry) link;
+	char vm[NAME_SIZE];
+	uint64_t incarnation; /**< of the process that was last heard */
+	uint64_t former;      /**< of the process before it, whose late reports say nothing */
+	bool listed;
+	int64_t gone_us; /**< when it left the platform's list */
+	bool bound;	 /**< it reported under this allocator's epoch */
+	uint64_t seq;	 /**< last order sent */
+	uint64_t acked;	 /**< last order carried out */
+	uint32_t held;	 /**< most that it may hold now */
+	uint32_t ordered;
+	double demand;
+	int64_t heard_us;
+};
+TAILQ_HEAD(share_entries, share_entry);
+
+struct share_alloc {
+	uint64_t epoch;
+	uint32_t salt;	 /**< tells allocators apart whose epochs would be equal */
+	uint32_t budget; /**< units that the bound holders may hold together */
+	bool whole;	 /**< every listed VM is bound: the budget is SHARE_WHOLE */
+	double rate;	 /**< the team's, a second */
+	double burst;
+	char self[NAME_SIZE]; /**< the allocator's own VM */
+	struct share_entries entries;
+};
+
+void share_alloc_init(struct share_alloc *a, uint32_t salt, const char *self, double rate,
+		      double burst);
+void share_alloc_clear(struct share_alloc *a);
+/** Take in the platform's list of VMs. */
+void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us);
+/** Answer a holder's report. */
+struct share_order share_alloc_report(struct share_alloc *a, const char *vm,
+				      const struct share_report *r, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,516 @@
+/** @file entry.c Requests on the VM that their caller is connected to. */
+#include "entry.h"
+
+#include "fleet.h"
+#include "log.h"
+#include "route.h"
+#include "stat.h"
+
+#include <string.h>
+
+/** How long a member that could not serve is left alone. */
+#define AVOID_US (100 * USEC_PER_MSEC)
+/** How long a replica that lacked a position is not asked again. */
+#define BEHIND_US (20 * USEC_PER_MSEC)
+/** Time on top of a request's own for its home's last word to arrive. */
+#define ANSWER_GRACE_US (100 * USEC_PER_MSEC)
+
+/** What is known here of one pool's members. */
+struct entry_pool {
+	char name[NAME_SIZE];
+	uint64_t version; /**< of the configuration that the members are from */
+	struct route_view view;
+};
+
+struct entry {
+	struct service service;
+	GHashTable *pools;
+	uint64_t next_request;
+	unsigned open;
+};
+
+struct entry_request {
+	struct admission admission;
+	struct entry *e;
+	ml_exec_args args;
+	char pool[NAME_SIZE];
+	char member[NAME_SIZE];
+	char address[ADDRESS_SIZE];
+	bool as_replica;
+	bool route_write;
+	struct entry_tx tx;
+	struct retry_state retry;
+	int64_t max_age_us;
+	int64_t started_us;
+	bool tokens_overflow;
+	struct rpc_call *call;
+	struct event *timer;
+	enum outcome refused; /**< to be told from the loop */
+	int64_t refused_retry_us;
+	bool cancelled;
+	entry_done cb;
+	void *arg;
+};
+
+struct entry *entry_of(struct kernel *k)
+{
+	return (struct entry *)kernel_find(k, "entry");
+}
+
+static struct fleet *entry_fleet(struct entry *e)
+{
+	return fleet_of(e->service.kernel);
+}
+
+/** Bring the view's members up to the configuration in force. */
+static void pool_refresh(struct entry *e, struct entry_pool *p, const struct conf_pool *conf)
+{
+	const char *here = e->service.kernel->settings->data_center;
+	struct route_view next = {.n = conf->n, .primary = -1};
+	unsigned i;
+
+	for (i = 0; i < conf->n; i++) {
+		int old = route_find(&p->view, conf->member[i].name);
+		struct route_member *m = &next.member[i];
+
+		if (old >= 0)
+			*m = p->view.member[old];
+		g_strlcpy(m->name, conf->member[i].name, sizeof(m->name));
+		m->leaving = conf->member[i].leaving;
+		m->near = strcmp(conf->member[i].data_center, here) == 0;
+		if (old >= 0 && old == p->view.primary) {
+			next.primary = (int)i;
+			next.primary_term = p->view.primary_term;
+		}
+	}
+	p->view = next;
+}
+
+static struct entry_pool *pool_get(struct entry *e, const char *name)
+{
+	const struct conf *conf = entry_fleet(e)->conf;
+	const struct conf_pool *c = conf_pool(conf, name);
+	struct entry_pool *p = g_hash_table_lookup(e->pools, name);
+
+	if (c == NULL)
+		return NULL;
+	if (p == NULL) {
+		p = g_new0(struct entry_pool, 1);
+		g_strlcpy(p->name, name, sizeof(p->name));
+		p->view.primary = -1;
+		g_hash_table_insert(e->pools, p->name, p);
+	}
+	if (p->version != conf->version) {
+		pool_refresh(e, p, c);
+		p->version = conf->version;
+	}
+	return p;
+}
+
+/* The end */
+
+static void request_free(struct entry_request *r)
+{
+	shares_cancel(&r->admission);
+	if (r->call != NULL)
+		rpc_call_forget(r->call);
+	event_free(r->timer);
+	r->e->open--;
+	g_free(r);
+}
+
+static void request_end(struct entry_request *r, enum outcome o, const ml_exec_res *res,
+			int64_t retry_after_us)
+{
+	struct entry_answer a = {
+		.outcome = o, .retry_after_us = retry_after_us, .tx = r->tx, .sqlstate = ""};
+	entry_done cb = r->cb;
+	void *arg = r->arg;
+
+	stat_outcome(o);
+	if (o != OUTCOME_DONE && o != OUTCOME_SQL_ERROR)
+		stat_add(STAT_REFUSED, 1);
+	a.write = r->retry.write;
+	g_strlcpy(a.pool, r->pool, sizeof(a.pool));
+	if (res != NULL) {
+		a.sqlstate = res->sqlstate;
+		a.frames = (const uint8_t *)res->frames.frames_val;
+		a.frames_len = res->frames.frames_len;
+		a.pos = (struct pos){res->pos.term, res->pos.lsn};
+		a.tx_failed = res->transaction_failed;
+		a.tx.id = res->transaction;
+	}
+	if (o != OUTCOME_DONE && o != OUTCOME_SQL_ERROR)
+		a.tx.id = 0;
+	if (a.tx.id != 0 && r->tx.id == 0) {
+		g_strlcpy(a.tx.pool, r->pool, sizeof(a.tx.pool));
+		g_strlcpy(a.tx.member, r->member, sizeof(a.tx.member));
+		g_strlcpy(a.tx.address, r->address, sizeof(a.tx.address));
+		a.tx.write = r->route_write;
+	}
+	log_info("answer", LOG_NUM("request", r->args.request), LOG_STR("team", r->args.team),
+		 LOG_STR("pool", r->pool), LOG_STR("outcome", outcome_text(o)->name),
+		 LOG_NUM("attempts", r->retry.attempts), LOG_NUM("us", now_us() - r->started_us),
+		 LOG_NUM("retry_after_us", retry_after_us));
+	r->call = NULL;
+	if (cb != NULL)
+		cb(&a, arg);
+	request_free(r);
+}
+
+void entry_forget(struct entry_request *r)
+{
+	r->cb = NULL;
+	/* What has not been sent yet is never sent; a call that is out ends by itself. */
+	if (r->call == NULL)
+		request_free(r);
+}
+
+bool entry_cancel(struct entry_request *r)
+{
+	if (r->call != NULL || r->cancelled)
+		return false;
+	r->cancelled = true;
+	shares_cancel(&r->admission);
+	r->refused = OUTCOME_TOO_LATE;
+	kernel_arm(r->timer, 0);
+	return true;
+}
+
+/* One try */
+
+static void request_try(struct entry_request *r);
+
+/** What the view learns from an answer, or from the lack of one. */
+static void learn(struct entry_request *r, enum outcome o, const ml_exec_res *res)
+{
+	struct entry_pool *p = pool_get(r->e, r->pool);
+	int64_t now = now_us();
+	struct route_member *m;
+	int i;
+
+	if (p == NULL)
+		return;
+	if (res != NULL && res->primary[0] != '\0')
+		route_learn_primary(&p->view, res->primary, res->primary_term);
+	i = route_find(&p->view, r->member);
+	if (i < 0)
+		return;
+	m = &p->view.member[i];
+	switch (o) {
+	case OUTCOME_DONE:
+		if (res != NULL && res->pos.term != 0) {
+			m->applied = (struct pos){res->pos.term, res->pos.lsn};
+			m->applied_us = now;
+		}
+		break;
+	case OUTCOME_BEHIND:
+		m->behind_until_us = now + BEHIND_US;
+		break;
+	case OUTCOME_NOT_PRIMARY:
+		/* The member says itself that it does not lead, and names nobody else: ask the
+		 * others. */
+		if (p->view.primary == i &&
+		    (res == NULL || res->primary_term <= p->view.primary_term))
+			p->view.primary = -1;
+		break;
+	case OUTCOME_NO_CONNECTION:
+	case OUTCOME_LEAVING:
+	case OUTCOME_QUEUE_FULL:
+		if (r->as_replica)
+			m->avoid_until_us = now + AVOID_US;
+		break;
+	default:
+		break;
+	}
+}
+
+/** A try has ended with @a o: answer, refuse, or try again. */
+static void request_ended(struct entry_request *r, enum outcome o, const ml_exec_res *res)
+{
+	int64_t hint = res != NULL ? (int64_t)res->retry_after_us : 0;
+	struct retry_decision d;
+
+	learn(r, o, res);
+	r->retry.attempts++;
+	/* A replica that cannot serve a read leaves the primary to be asked. */
+	if (r->as_replica && (o == OUTCOME_QUEUE_FULL || o == OUTCOME_TOO_LATE))
+		o = OUTCOME_BEHIND;
+	d = outcome_next(o, &r->retry, hint, now_us());
+	switch (d.step) {
+	case STEP_ANSWER:
+		request_end(r, o, res, 0);
+		return;
+	case STEP_REFUSE:
+		request_end(r, o, res, d.after_us);
+		return;
+	case STEP_RETRY:
+		stat_add(STAT_RETRIES, 1);
+		kernel_arm(r->timer, 0);
+		return;
+	case STEP_RETRY_LATER:
+		stat_add(STAT_RETRIES, 1);
+		kernel_arm(r->timer, d.after_us);
+		return;
+	}
+}
+
+static void exec_done(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_exec_res *res = arg_res;
+	struct entry_request *r = arg;
+	enum outcome o;
+
+	r->call = NULL;
+	if (r->cb == NULL) {
+		/* The caller is gone; a transaction that was begun for it must not keep its
+		 * connection. */
+		if (status == RPC_DONE && res->transaction != 0) {
+			struct entry_tx tx = {.id = res->transaction};
+
+			g_strlcpy(tx.pool, r->pool, sizeof(tx.pool));
+			g_strlcpy(tx.member, r->member, sizeof(tx.member));
+			g_strlcpy(tx.address, r->address, sizeof(tx.address));
+			entry_abandon(r->e, &tx);
+		}
+		request_free(r);
+		return;
+	}
+	if (status == RPC_DONE && res->outcome >= 0 && res->outcome < OUTCOMES) {
+		request_ended(r, (enum outcome)res->outcome, res);
+		return;
+	}
+	fleet_suspect(entry_fleet(r->e), r->address);
+	o = status == RPC_NOT_SENT ? OUTCOME_NOT_SENT : OUTCOME_LOST;
+	/* A transaction's home is gone: its connection closed, so all before its COMMIT was rolled
+	 * back. */
+	if (r->tx.id != 0 && (r->args.control != ML_CONTROL_COMMIT || status == RPC_NOT_SENT))
+		o = OUTCOME_TX_LOST;
+	request_ended(r, o, NULL);
+}
+
+static void request_send(struct entry_request *r)
+{
+	int64_t left = r->retry.deadline_us - now_us();
+
+	r->args.pool = r->pool;
+	r->args.member = r->member;
+	r->args.as_replica = r->as_replica;
+	r->args.deadline_us = left > 0 ? (u_quad_t)left : 0;
+	r->call = rpc_start(rpc_of(r->e->service.kernel), r->address, ML_EXEC, &r->args,
+			    left + ANSWER_GRACE_US, exec_done, r);
+}
+
+static void request_refuse(struct entry_request *r, enum outcome o, int64_t retry_after_us)
+{
+	r->refused = o;
+	r->refused_retry_us = retry_after_us;
+	kernel_arm(r->timer, 0);
+}
+
+/** Choose the member, and its home, for the next try. */
+static void request_try(struct entry_request *r)
+{
+	struct entry_pool *p = pool_get(r->e, r->pool);
+	struct route_request req = {.write = r->retry.write, .attempt = r->retry.attempts};
+	struct route_outcome out;
+	const char *address;
+
+	if (p == NULL) {
+		request_end(r, OUTCOME_NO_ROUTE, NULL, 0);
+		return;
+	}
+	req.token = (struct pos){r->args.token.term, r->args.token.lsn};
+	req.has_token = req.token.term != 0;
+	req.max_age_us = r->max_age_us;
+	req.random = random_bits();
+	/* A session that wrote where its token no longer tells reads what is sure to have it. */
+	if (r->tokens_overflow && !req.has_token)
+		req.max_age_us = 0;
+	out = route_choose(&p->view, &req, now_us());
+	if (out.verdict == ROUTE_WAIT) {
+		request_ended(r, OUTCOME_NO_CONNECTION, NULL);
+		return;
+	}
+	g_strlcpy(r->member, p->view.member[out.member].name, sizeof(r->member));
+	r->as_replica = out.as_replica;
+	address = fleet_home_address(entry_fleet(r->e), r->pool, r->member);
+	log_info("route", LOG_NUM("request", r->args.request), LOG_STR("team", r->args.team),
+		 LOG_STR("pool", r->pool), LOG_STR("member", r->member),
+		 LOG_STR("cause", route_cause_name(out.cause)), LOG_STR("home", address),
+		 LOG_NUM("attempt", r->retry.attempts));
+	if (address == NULL) {
+		request_ended(r, OUTCOME_NOT_SENT, NULL);
+		return;
+	}
+	g_strlcpy(r->address, address, sizeof(r->address));
+	request_send(r);
+}
+
+static void request_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct entry_request *r = arg;
+
+	if (r->refused != OUTCOME_DONE) {
+		request_end(r, r->refused, NULL, r->refused_retry_us);
+		return;
+	}
+	request_try(r);
+}
+
+/* The start */
+
+static void admitted(struct admission *a, bool ok, int64_t retry_after_us)
+{
+	struct entry_request *r = (struct entry_request *)a;
+
+	if (ok) {
+		request_try(r);
+		return;
+	}
+	if (shares_within_rate(shares_of(r->e->service.kernel), r->args.team))
+		stat_add(STAT_REFUSED_WITHIN_RATE, 1);
+	stat_add(STAT_OVER_RATE, 1);
+	request_end(r, OUTCOME_OVER_RATE, NULL, retry_after_us);
+}
+
+static void request_admit(struct entry_request *r)
+{
+	struct shares *s = shares_of(r->e->service.kernel);
+	int64_t retry = 0;
+	int verdict = shares_admit(s, r->args.team, &r->admission, r->retry.deadline_us, &retry);
+
+	if (verdict > 0) {
+		kernel_arm(r->timer, 0);
+		return;
+	}
+	if (verdict < 0) {
+		stat_add(STAT_OVER_RATE, 1);
+		request_refuse(r, OUTCOME_OVER_RATE, retry);
+	}
+}
+
+/** Take the route's settings. @return false when there is no route. */
+static bool request_route(struct entry_request *r, const struct entry_ask *ask)
+{
+	const struct conf_route *route = conf_route(entry_fleet(r->e)->conf, ask->team, ask->kind);
+	int64_t deadline = ask->deadline_us;
+
+	if (route == NULL)
+		return false;
+	g_strlcpy(r->pool, route->pool, sizeof(r->pool));
+	r->route_write = route->write;
+	r->retry.write = route->write || ask->control != ML_CONTROL_NONE;
+	r->args.write = r->retry.write && ask->op != ML_DESCRIBE;
+	r->max_age_us =
+		ask->max_age_us >= 0 ? ask->max_age_us : (int64_t)route->max_age_ms * USEC_PER_MSEC;
+	if (deadline == 0)
+		deadline = (int64_t)route->deadline_ms * USEC_PER_MSEC;
+	if (deadline == 0)
+		deadline = (int64_t)r->e->service.kernel->settings->deadline_ms * USEC_PER_MSEC;
+	r->retry.deadline_us = r->started_us + deadline;
+	r->args.max_age_us = (u_quad_t)r->max_age_us;
+	return true;
+}
+
+static void request_ask(struct entry_request *r, const struct entry_ask *ask)
+{
+	struct pos token;
+
+	r->args.team = (char *)ask->team;
+	r->args.once = (char *)ask->once;
+	r->args.sql = (char *)ask->sql;
+	r->args.control = ask->control;
+	r->args.op = ask->op;
+	r->args.describe_row = ask->describe_row;
+	r->args.result_format = ask->result_format;
+	r->args.params.params_val = ask->params;
+	r->args.params.params_len = ask->n_params;
+	r->args.weight = shares_weight(shares_of(r->e->service.kernel), ask->team);
+	token = token_set_find(ask->tokens, r->pool);
+	r->args.token.term = token.term;
+	r->args.token.lsn = token.lsn;
+	r->tokens_overflow = ask->tokens->overflow;
+}
+
+struct entry_request *entry_run(struct entry *e, const struct entry_ask *ask, entry_done cb,
+				void *arg)
+{
+	struct entry_request *r = g_new0(struct entry_request, 1);
+
+	r->e = e;
+	r->admission.done = admitted;
+	r->cb = cb;
+	r->arg = arg;
+	r->started_us = now_us();
+	r->timer = event_new(e->service.kernel->base, -1, 0, request_timer, r);
+	r->args.request = ++e->next_request;
+	r->args.team = (char *)ask->team;
+	r->tx = *ask->tx;
+	e->open++;
+	stat_add(STAT_REQUESTS, 1);
+	if (!request_route(r, ask)) {
+		request_refuse(r, OUTCOME_NO_ROUTE, 0);
+		return r;
+	}
+	request_ask(r, ask);
+	if (r->tx.id == 0) {
+		request_admit(r);
+		return r;
+	}
+	/* Inside a transaction the place is given; it was admitted as a whole. */
+	r->retry.in_transaction = true;
+	r->retry.write = true;
+	r->args.write = r->tx.write;
+	r->args.transaction = r->tx.id;
+	g_strlcpy(r->pool, r->tx.pool, sizeof(r->pool));
+	g_strlcpy(r->member, r->tx.member, sizeof(r->member));
+	g_strlcpy(r->address, r->tx.address, sizeof(r->address));
+	request_send(r);
+	return r;
+}
+
+static void abandoned(enum rpc_status status, const void *res, void *arg)
+{
+}
+
+void entry_abandon(struct entry *e, const struct entry_tx *tx)
+{
+	ml_exec_args args = {
+		.team = "", .once = "", .sql = "", .op = ML_ABANDON, .transaction = tx->id};
+
+	args.pool = (char *)tx->pool;
+	args.member = (char *)tx->member;
+	rpc_start(rpc_of(e->service.kernel), tx->address, ML_EXEC, &args, USEC_PER_SEC, abandoned,
+		  NULL);
+}
+
+static bool entry_drained(struct service *s)
+{
+	return ((struct entry *)s)->open == 0;
+}
+
+static void entry_stop(struct service *s)
+{
+	struct entry *e = (struct entry *)s;
+
+	g_hash_table_destroy(e->pools);
+	g_free(e);
+}
+
+static const struct service_ops entry_ops = {
+	.name = "entry",
+	.drained = entry_drained,
+	.stop = entry_stop,
+};
+
+struct service *entry_service_create(struct kernel *k)
+{
+	struct entry *e = g_new0(struct entry, 1);
+
+	e->service.ops = &entry_ops;
+	e->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	e->next_request = k->incarnation >> 24 << 16;
+	kernel_add(k, &e->service);
+	return &e->service;
+}
--- /dev/null
+++ b/src/error.c
@@ -0,0 +1,7 @@
+/** @file error.c */
+#include "error.h"
+
+GQuark ml_error_quark(void)
+{
+	return g_quark_from_static_string("mangoloom");
+}
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,304 @@
+/** @file fleet.c Membership: heartbeats between the daemons, and who holds which role. */
+#include "fleet.h"
+
+#include "log.h"
+#include "stat.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct fleet *fleet_of(struct kernel *k)
+{
+	return (struct fleet *)kernel_find(k, "fleet");
+}
+
+void fleet_listen(struct fleet *f, fleet_changed cb, void *owner)
+{
+	g_assert(f->n_listeners < FLEET_LISTENERS_MAX);
+	f->listeners[f->n_listeners].cb = cb;
+	f->listeners[f->n_listeners].owner = owner;
+	f->n_listeners++;
+}
+
+void fleet_notify(struct fleet *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_listeners; i++)
+		f->listeners[i].cb(f->listeners[i].owner);
+}
+
+static const struct conf_member *member_conf(struct fleet *f, const char *pool, const char *member)
+{
+	const struct conf_pool *p = conf_pool(f->conf, pool);
+	unsigned i;
+
+	for (i = 0; p != NULL && i < p->n; i++) {
+		if (strcmp(p->member[i].name, member) == 0)
+			return &p->member[i];
+	}
+	return NULL;
+}
+
+static struct vm *home_vm(struct fleet *f, const char *pool, const struct conf_member *m)
+{
+	char role[2 * NAME_SIZE + 8];
+
+	snprintf(role, sizeof(role), "home %s %s", pool, m->name);
+	return peers_holder(&f->peers, role, m->data_center);
+}
+
+const char *fleet_home_address(struct fleet *f, const char *pool, const char *member)
+{
+	const struct conf_member *m = member_conf(f, pool, member);
+	struct vm *vm = m != NULL ? home_vm(f, pool, m) : NULL;
+
+	return vm != NULL ? vm->address : NULL;
+}
+
+bool fleet_home_is_self(struct fleet *f, const char *pool, const struct conf_member *m)
+{
+	return home_vm(f, pool, m) == f->peers.self;
+}
+
+const char *fleet_holder_address(struct fleet *f, const char *role)
+{
+	struct vm *vm = peers_holder(&f->peers, role, NULL);
+
+	return vm != NULL ? vm->address : NULL;
+}
+
+void fleet_suspect(struct fleet *f, const char *address)
+{
+	struct vm *vm;
+
+	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+		if (strcmp(vm->address, address) != 0 || vm->suspect)
+			continue;
+		log_info("vm-suspect", LOG_STR("peer", vm->name));
+		peers_suspect(&f->peers, vm);
+		fleet_notify(f);
+		return;
+	}
+}
+
+int64_t fleet_news_age_us(const struct fleet *f)
+{
+	return now_us() - f->news_us;
+}
+
+/* Heartbeats */
+
+struct beat {
+	struct fleet *f;
+	char vm[NAME_SIZE];
+	char address[ADDRESS_SIZE];
+};
+
+static void heartbeat_make(struct fleet *f, ml_heartbeat *h, struct vm_news *news, ml_news *wire)
+{
+	unsigned n = peers_news(&f->peers, news);
+	unsigned i;
+
+	memset(h, 0, sizeof(*h));
+	h->vm = f->peers.self->name;
+	h->incarnation = f->peers.self->incarnation;
+	h->conf_version = f->conf->version;
+	h->vms_revision = f->peers.revision;
+	for (i = 0; i < n; i++) {
+		wire[i].vm = news[i].vm;
+		wire[i].incarnation = news[i].incarnation;
+		wire[i].seq = news[i].seq;
+		wire[i].dead = news[i].dead;
+		wire[i].leaving = news[i].leaving;
+	}
+	h->news.news_val = wire;
+	h->news.news_len = n;
+}
+
+static void heartbeat_take(struct fleet *f, const ml_heartbeat *h)
+{
+	struct vm *vm = peers_find(&f->peers, h->vm);
+	bool usable, changed = false;
+	u_int i;
+
+	for (i = 0; i < h->news.news_len; i++) {
+		const ml_news *n = &h->news.news_val[i];
+		struct vm_news news = {
+			.incarnation = n->incarnation, .seq = n->seq, .dead = n->dead};
+		struct vm *about = peers_find(&f->peers, n->vm);
+		bool before = about != NULL && peers_usable(about);
+
+		news.leaving = n->leaving;
+		g_strlcpy(news.vm, n->vm, sizeof(news.vm));
+		peers_learn(&f->peers, &news);
+		changed = changed || (about != NULL && peers_usable(about) != before);
+	}
+	if (vm != NULL && vm != f->peers.self) {
+		usable = peers_usable(vm);
+		peers_heard(vm, h->incarnation, h->conf_version);
+		changed = changed || peers_usable(vm) != usable;
+		if (h->conf_version > f->conf->version || h->vms_revision > f->peers.revision)
+			fleet_conf_behind(f, vm->address);
+		else if (h->conf_version == f->conf->version && f->conf->version > 0)
+			f->news_us = now_us();
+	}
+	if (changed)
+		fleet_notify(f);
+}
+
+static void beat_done(enum rpc_status status, const void *res, void *arg)
+{
+	struct beat *b = arg;
+	struct fleet *f = b->f;
+	struct vm *vm = peers_find(&f->peers, b->vm);
+
+	if (status == RPC_DONE) {
+		heartbeat_take(f, res);
+	} else if (vm != NULL && vm != f->peers.self) {
+		bool usable = peers_usable(vm);
+
+		if (peers_missed(&f->peers, vm))
+			log_warn("vm-dead", LOG_STR("peer", vm->name));
+		if (usable != peers_usable(vm))
+			fleet_notify(f);
+	}
+	g_free(b);
+}
+
+static void beat_send(struct fleet *f, struct vm *vm)
+{
+	struct vm_news news[PEERS_NEWS_MAX];
+	ml_news wire[PEERS_NEWS_MAX];
+	int64_t timeout = (int64_t)f->service.kernel->settings->heartbeat_ms * USEC_PER_MSEC;
+	struct beat *b = g_new0(struct beat, 1);
+	ml_heartbeat h;
+
+	b->f = f;
+	g_strlcpy(b->vm, vm->name, sizeof(b->vm));
+	g_strlcpy(b->address, vm->address, sizeof(b->address));
+	heartbeat_make(f, &h, news, wire);
+	rpc_start(rpc_of(f->service.kernel), b->address, ML_HEARTBEAT, &h, timeout, beat_done, b);
+}
+
+void fleet_beat(struct fleet *f)
+{
+	struct vm *targets[PEERS_TARGETS_MAX];
+	unsigned n = peers_targets(&f->peers, random_bits(), targets);
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		beat_send(f, targets[i]);
+}
+
+static void beat_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct fleet *f = arg;
+
+	f->beat_us = now_us();
+	fleet_beat(f);
+}
+
+static void heartbeat_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	struct fleet *f = owner;
+	struct vm_news news[PEERS_NEWS_MAX];
+	ml_news wire[PEERS_NEWS_MAX];
+	ml_heartbeat answer;
+
+	heartbeat_take(f, args);
+	heartbeat_make(f, &answer, news, wire);
+	rpc_reply(rq, &answer);
+}
+
+/* The service */
+
+static gboolean fleet_start(struct service *s, GError **error)
+{
+	struct fleet *f = (struct fleet *)s;
+	const struct settings *set = s->kernel->settings;
+
+	rpc_serve(rpc_of(s->kernel), ML_HEARTBEAT, heartbeat_serve, f);
+	rpc_serve(rpc_of(s->kernel), ML_CONF, fleet_conf_serve, f);
+	f->heartbeat =
+		kernel_every(s->kernel, (int64_t)set->heartbeat_ms * USEC_PER_MSEC, beat_tick, f);
+	fleet_conf_start(f);
+	return TRUE;
+}
+
+/** Rounds of heartbeats that tell of leaving at once: each reaches other VMs. */
+#define LEAVE_ROUNDS 4
+
+static void fleet_drain(struct service *s)
+{
+	struct fleet *f = (struct fleet *)s;
+	int i;
+
+	peers_leave(&f->peers);
+	for (i = 0; i < LEAVE_ROUNDS; i++)
+		fleet_beat(f);
+	fleet_notify(f);
+}
+
+static void fleet_stop(struct service *s)
+{
+	struct fleet *f = (struct fleet *)s;
+
+	if (f->heartbeat != NULL)
+		event_free(f->heartbeat);
+	fleet_conf_stop(f);
+	peers_clear(&f->peers);
+	conf_free(f->conf);
+	g_free(f->vms_text);
+	g_free(f);
+}
+
+static const struct service_ops fleet_ops = {
+	.name = "fleet",
+	.start = fleet_start,
+	.drain = fleet_drain,
+	.stop = fleet_stop,
+};
+
+struct service *fleet_service_create(struct kernel *k)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+
+	f->service.ops = &fleet_ops;
+	f->conf = conf_create();
+	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
+		   k->incarnation);
+	kernel_add(k, &f->service);
+	return &f->service;
+}
+
+void fleet_json(struct fleet *f, JsonBuilder *b)
+{
+	struct vm *vm;
+
+	json_builder_set_member_name(b, "conf_version");
+	json_builder_add_int_value(b, (gint64)f->conf->version);
+	json_builder_set_member_name(b, "conf_age_ms");
+	json_builder_add_int_value(b, fleet_news_age_us(f) / USEC_PER_MSEC);
+	json_builder_set_member_name(b, "vms");
+	json_builder_begin_array(b);
+	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+		const char *state = "live";
+
+		if (vm->leaving)
+			state = "leaving";
+		else if (vm->dead)
+			state = "dead";
+		else if (vm->suspect)
+			state = "suspect";
+		json_builder_begin_object(b);
+		json_builder_set_member_name(b, "name");
+		json_builder_add_string_value(b, vm->name);
+		json_builder_set_member_name(b, "address");
+		json_builder_add_string_value(b, vm->address);
+		json_builder_set_member_name(b, "state");
+		json_builder_add_string_value(b, state);
+		json_builder_end_object(b);
+	}
+	json_builder_end_array(b);
+}
--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,70 @@
+/**
+ * @file fleet.h
+ * The daemons as one: membership, heartbeats, the configuration in force and how it spreads.
+ * Decisions are in decide/peers.c and decide/conf.c.
+ *
+ * fleet.c       heartbeats, membership, who is home to what
+ * fleet-conf.c  the configuration: from the platform, from peers, to peers
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include "conf.h"
+#include "kernel.h"
+#include "peers.h"
+#include "rpc.h"
+
+#include <json-glib/json-glib.h>
+
+struct platform;
+
+/** Something changed: the membership or the configuration. */
+typedef void (*fleet_changed)(void *owner);
+
+#define FLEET_LISTENERS_MAX 8
+
+struct fleet {
+	struct service service;
+	struct peers peers;
+	struct conf *conf;
+	char *vms_text; /**< the platform's list, as it came, for peers */
+	struct platform *platform;
+	struct event *heartbeat;
+	int64_t beat_us; /**< when the last round of heartbeats began */
+	bool fetching;	 /**< a peer or the platform is being asked for the configuration */
+	struct event *fetch;
+	int64_t news_us; /**< when the configuration was last known to be current */
+	struct {
+		fleet_changed cb;
+		void *owner;
+	} listeners[FLEET_LISTENERS_MAX];
+	unsigned n_listeners;
+};
+
+struct service *fleet_service_create(struct kernel *k);
+struct fleet *fleet_of(struct kernel *k);
+void fleet_listen(struct fleet *f, fleet_changed cb, void *owner);
+/** RPC address of the member's home; NULL when none is known. */
+const char *fleet_home_address(struct fleet *f, const char *pool, const char *member);
+bool fleet_home_is_self(struct fleet *f, const char *pool, const struct conf_member *m);
+/** RPC address of the holder of @a role in the whole fleet; NULL when none is known. */
+const char *fleet_holder_address(struct fleet *f, const char *role);
+/** A call to the VM at @a address failed. */
+void fleet_suspect(struct fleet *f, const char *address);
+/** How long ago the configuration was known to be current. */
+int64_t fleet_news_age_us(const struct fleet *f);
+/** Membership and versions for `mangoloom status`. */
+void fleet_json(struct fleet *f, JsonBuilder *b);
+
+/* fleet-conf.c */
+void fleet_conf_start(struct fleet *f);
+void fleet_conf_stop(struct fleet *f);
+void fleet_conf_serve(struct rpc_request *rq, const void *args, void *owner);
+/** A peer at @a address has a newer version, or a newer list of VMs. */
+void fleet_conf_behind(struct fleet *f, const char *address);
+/** Tell the listeners. */
+void fleet_notify(struct fleet *f);
+/** Send a round of heartbeats now, to spread what is new. */
+void fleet_beat(struct fleet *f);
+
+#endif
--- /dev/null
+++ b/src/home-job.c
@@ -0,0 +1,690 @@
+/** @file home-job.c One statement on a member: queued, run step by step, and answered once. */
+#include "home.h"
+
+#include "fleet.h"
+#include "log.h"
+#include "pgwire.h"
+#include "stat.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** A transaction that its caller leaves alone for longer is rolled back: it holds one of few
+ * connections. */
+#define TX_IDLE_US (60 * USEC_PER_SEC)
+/** When a member is known to be behind, how old that knowledge may be to refuse on it alone. */
+#define BEHIND_FRESH_US (20 * USEC_PER_MSEC)
+
+/** States of the database that mean: this member takes no writes. */
+static const char *const not_primary_states[] = {"25006", "57P01", "57P02", "57P03"};
+
+static void job_step(struct home_job *job, enum job_step step);
+
+/** Answer without a job. */
+static void exec_refuse(struct rpc_request *rq, const struct home_member *m, enum outcome o,
+			int64_t retry_after_us)
+{
+	ml_exec_res res = {.outcome = (int)o, .sqlstate = "", .message = "", .primary = ""};
+
+	res.retry_after_us = (u_quad_t)retry_after_us;
+	if (m != NULL)
+		res.primary = (char *)home_primary(m, &res.primary_term);
+	rpc_reply(rq, &res);
+}
+
+static void job_log(const struct home_job *job, enum outcome o)
+{
+	log_info("home", LOG_NUM("request", job->args->request), LOG_STR("team", job->args->team),
+		 LOG_STR("pool", job->m->pool), LOG_STR("member", job->m->conf.name),
+		 LOG_STR("outcome", outcome_text(o)->name),
+		 LOG_NUM("us", now_us() - job->started_us));
+}
+
+void home_job_end(struct home_job *job, enum outcome o, int64_t retry_after_us)
+{
+	struct home_member *m = job->m;
+	ml_exec_res res = {.outcome = (int)o};
+	bool tell = o == OUTCOME_DONE || o == OUTCOME_SQL_ERROR;
+
+	res.sqlstate = job->sqlstate;
+	res.message = job->message != NULL ? job->message : "";
+	res.retry_after_us = (u_quad_t)retry_after_us;
+	res.pos.term = job->pos.term;
+	res.pos.lsn = job->pos.lsn;
+	res.age_us = (u_quad_t)job->age_us;
+	res.transaction = job->tx != NULL ? job->tx->id : 0;
+	res.transaction_failed =
+		job->tx != NULL && job->tx->conn->db->ops->failed(job->tx->conn->db);
+	res.primary = (char *)home_primary(m, &res.primary_term);
+	if (tell && job->frames != NULL) {
+		res.frames.frames_val = (char *)job->frames->data;
+		res.frames.frames_len = job->frames->len;
+	}
+	job_log(job, o);
+	rpc_reply(job->rq, &res);
+	if (job->frames != NULL)
+		g_byte_array_unref(job->frames);
+	g_free(job->message);
+	g_free(job);
+	m->jobs--;
+	m->home->jobs--;
+}
+
+/** The job no longer occupies a slot. */
+static void job_leave_slot(struct home_job *job)
+{
+	struct home_member *m = job->m;
+
+	m->running--;
+	fairq_served(&m->queue, now_us() - job->started_us);
+	event_active(m->dispatch, EV_TIMEOUT, 0);
+}
+
+/** Give the connection back, keep it for the open transaction, or close it. */
+static void job_leave_conn(struct home_job *job, bool close)
+{
+	struct home_conn *c = job->conn;
+
+	job->conn = NULL;
+	if (c == NULL)
+		return;
+	c->job = NULL;
+	if (close) {
+		if (c->tx != NULL) {
+			struct home_tx *tx = c->tx;
+
+			job->tx = NULL;
+			c->tx = NULL;
+			tx->conn = NULL;
+			home_tx_end(job->m, tx);
+		}
+		stat_add(STAT_CONNECTIONS_LOST, 1);
+		home_conn_close(c);
+		return;
+	}
+	c->idle_looks = 0;
+	if (c->tx == NULL)
+		home_conn_release(c);
+}
+
+/** The statement is over, but for what home_job_end() tells. */
+static void job_finish(struct home_job *job, enum outcome o)
+{
+	job_leave_slot(job);
+	job_leave_conn(job, false);
+	home_job_end(job, o, 0);
+}
+
+/** Take over the answer's frames, to be told when the outcome is known. */
+static void job_keep(struct home_job *job, const struct db_result *res)
+{
+	if (job->frames != NULL)
+		g_byte_array_unref(job->frames);
+	job->frames = g_byte_array_ref(res->frames);
+	g_strlcpy(job->sqlstate, res->sqlstate, sizeof(job->sqlstate));
+	g_free(job->message);
+	job->message = g_strdup(res->message);
+}
+
+/** The connection broke, or is silent, in the midst of the job's step. */
+static void job_lost(struct home_job *job)
+{
+	struct home_member *m = job->m;
+	bool in_tx = job->tx != NULL;
+	enum job_step step = job->step;
+
+	job_leave_slot(job);
+	job_leave_conn(job, true);
+	home_watch_hint(m);
+	if (step == JOB_COMMIT) {
+		home_fate_start(job);
+		return;
+	}
+	/* Before its COMMIT was sent a transaction can't have been committed; a lost connection
+	 * rolls it back. */
+	if (step == JOB_ROLLBACK)
+		home_job_end(job, job->outcome, 0);
+	else if (in_tx)
+		home_job_end(job, OUTCOME_TX_LOST, 0);
+	else if (job->args->write)
+		home_job_end(job, OUTCOME_NO_CONNECTION, 0);
+	else
+		home_job_end(job, OUTCOME_LOST, 0);
+}
+
+void home_job_silent(struct home_job *job)
+{
+	log_warn("connection-silent", LOG_STR("pool", job->m->pool),
+		 LOG_STR("member", job->m->conf.name), LOG_NUM("request", job->args->request));
+	job_lost(job);
+}
+
+static bool means_not_primary(const char *sqlstate)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(not_primary_states); i++) {
+		if (strcmp(sqlstate, not_primary_states[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/** Outcome of a statement that the member answered with an error. */
+static enum outcome error_outcome(const struct home_job *job, const struct db_result *res)
+{
+	if (means_not_primary(res->sqlstate))
+		return job->tx != NULL ? OUTCOME_TX_LOST : OUTCOME_NOT_PRIMARY;
+	return OUTCOME_SQL_ERROR;
+}
+
+/** Begin keeping the connection for the caller's transaction. */
+static void job_pin(struct home_job *job)
+{
+	struct home_member *m = job->m;
+	struct home_tx *tx = g_new0(struct home_tx, 1);
+
+	tx->id = ++m->home->next_tx;
+	tx->conn = job->conn;
+	tx->conn->tx = tx;
+	tx->rpc_conn = rpc_request_conn(job->rq);
+	tx->write = job->args->write;
+	tx->used_us = now_us();
+	g_strlcpy(tx->xid, job->xid, sizeof(tx->xid));
+	job->tx = tx;
+	m->n_pinned++;
+	TAILQ_INSERT_TAIL(&m->txs, tx, link);
+}
+
+static void tx_unpin(struct home_member *m, struct home_tx *tx)
+{
+	TAILQ_REMOVE(&m->txs, tx, link);
+	m->n_pinned--;
+	if (tx->conn != NULL)
+		tx->conn->tx = NULL;
+	g_free(tx);
+	event_active(m->dispatch, EV_TIMEOUT, 0);
+}
+
+void home_tx_end(struct home_member *m, struct home_tx *tx)
+{
+	struct home_conn *c = tx->conn;
+
+	log_info("transaction-dropped", LOG_STR("pool", m->pool), LOG_STR("member", m->conf.name));
+	tx_unpin(m, tx);
+	/* Closing makes the member roll back, whatever state the connection is in. */
+	if (c != NULL)
+		home_conn_close(c);
+}
+
+void home_tx_expire(struct home_member *m, int64_t now)
+{
+	struct home_tx *tx, *next;
+
+	TAILQ_FOREACH_SAFE (tx, &m->txs, link, next) {
+		if (tx->conn->job == NULL && (tx->orphan || now - tx->used_us > TX_IDLE_US))
+			home_tx_end(m, tx);
+	}
+}
+
+/** The caller's transaction is over: its connection serves others again. */
+static void job_unpin(struct home_job *job)
+{
+	if (job->tx == NULL)
+		return;
+	tx_unpin(job->m, job->tx);
+	job->tx = NULL;
+}
+
+static void after_prologue(struct home_job *job, const struct db_result *res)
+{
+	if (res->status == DB_SQL_ERROR) {
+		job->outcome = strcmp(res->sqlstate, "23505") == 0 ? OUTCOME_ALREADY_RUN
+								   : error_outcome(job, res);
+		job_step(job, JOB_ROLLBACK);
+		return;
+	}
+	g_strlcpy(job->xid, res->value, sizeof(job->xid));
+	if (job->args->control != ML_CONTROL_BEGIN) {
+		job_step(job, JOB_STATEMENT);
+		return;
+	}
+	job->frames = g_byte_array_new();
+	pg_put_complete(job->frames, "BEGIN");
+	job_pin(job);
+	job_finish(job, OUTCOME_DONE);
+}
+
+/** Whether a replica's answer is as new as was asked for; sets the age that was measured. */
+static enum outcome read_outcome(struct home_job *job, const struct db_result *res)
+{
+	const struct home_member *m = job->m;
+	const ml_exec_args *a = job->args;
+	struct pos token = {a->token.term, a->token.lsn};
+	const struct member_report *own = &m->view.member[m->self].report;
+
+	job->age_us = 0;
+	if (!a->as_replica)
+		return OUTCOME_DONE;
+	job->age_us = group_age_us(&m->view, res->pos.lsn, now_us());
+	if (token.term != 0) {
+		/* The position in the answer itself is checked: what the last probe saw may be
+		 * older or newer. */
+		if (res->pos.term < token.term || res->pos.lsn < token.lsn)
+			return OUTCOME_BEHIND;
+		if (token_fate(token, &own->terms) == TOKEN_LOST)
+			return OUTCOME_TOKEN_LOST;
+	}
+	if (a->max_age_us > 0 && job->age_us > (int64_t)a->max_age_us)
+		return OUTCOME_BEHIND;
+	return OUTCOME_DONE;
+}
+
+static void after_read(struct home_job *job, const struct db_result *res)
+{
+	enum outcome o;
+
+	job_keep(job, res);
+	if (res->status == DB_SQL_ERROR) {
+		job_finish(job, error_outcome(job, res));
+		return;
+	}
+	o = read_outcome(job, res);
+	if (o == OUTCOME_DONE && res->too_large)
+		o = OUTCOME_TOO_LARGE;
+	if (o == OUTCOME_DONE)
+		stat_add(job->args->as_replica ? STAT_READS_BY_REPLICA : STAT_READS_BY_PRIMARY, 1);
+	job_finish(job, o);
+}
+
+static void after_statement(struct home_job *job, const struct db_result *res)
+{
+	job->pos = res->pos;
+	if (job->tx != NULL) {
+		job->tx->used_us = now_us();
+		job_keep(job, res);
+		job_finish(job,
+			   res->status == DB_SQL_ERROR ? error_outcome(job, res) : OUTCOME_DONE);
+		return;
+	}
+	if (!job->args->write || job->args->op == ML_DESCRIBE) {
+		after_read(job, res);
+		return;
+	}
+	if (job->xid[0] == '\0')
+		g_strlcpy(job->xid, res->value, sizeof(job->xid));
+	job_keep(job, res);
+	if (res->status == DB_SQL_ERROR) {
+		bool once_taken = job->args->once[0] != '\0' &&
+				  strcmp(res->sqlstate, "23505") == 0 &&
+				  strstr(res->message, "mangoloom_once") != NULL;
+
+		job->outcome = once_taken ? OUTCOME_ALREADY_RUN : error_outcome(job, res);
+		job_step(job, JOB_ROLLBACK);
+		return;
+	}
+	if (res->too_large) {
+		job->outcome = OUTCOME_TOO_LARGE;
+		job_step(job, JOB_ROLLBACK);
+		return;
+	}
+	job_step(job, JOB_COMMIT);
+}
+
+static void after_commit(struct home_job *job, const struct db_result *res)
+{
+	bool tx = job->args->control == ML_CONTROL_COMMIT;
+
+	if (tx) {
+		job_unpin(job);
+		job_keep(job, res);
+	}
+	if (res->status == DB_SQL_ERROR) {
+		/* The member itself says that it did not commit. */
+		enum outcome o =
+			means_not_primary(res->sqlstate) ? OUTCOME_NOT_PRIMARY : OUTCOME_SQL_ERROR;
+
+		if (!tx)
+			job_keep(job, res);
+		job_finish(job, tx && o == OUTCOME_NOT_PRIMARY ? OUTCOME_TX_LOST : o);
+		return;
+	}
+	job->pos = res->pos;
+	stat_add(STAT_WRITES, 1);
+	job_leave_slot(job);
+	job_leave_conn(job, false);
+	home_confirm_start(job);
+}
+
+static void after_rollback(struct home_job *job, const struct db_result *res)
+{
+	if (job->args->control == ML_CONTROL_ROLLBACK) {
+		job_unpin(job);
+		job_keep(job, res);
+		job->outcome = OUTCOME_DONE;
+	}
+	job_finish(job, job->outcome);
+}
+
+static void job_answered(struct db_conn *db, const struct db_result *res, void *arg)
+{
+	struct home_conn *c = arg;
+	struct home_job *job = c->job;
+	static void (*const after[])(struct home_job *, const struct db_result *) = {
+		[JOB_PROLOGUE] = after_prologue,
+		[JOB_STATEMENT] = after_statement,
+		[JOB_COMMIT] = after_commit,
+		[JOB_ROLLBACK] = after_rollback,
+	};
+
+	if (res->status == DB_LOST)
+		job_lost(job);
+	else
+		after[job->step](job, res);
+}
+
+/** A once-id as a literal; ids with quotes are refused by the entry VM. */
+static char *once_sql(const struct home_job *job)
+{
+	if (job->args->once[0] == '\0')
+		return g_strdup("");
+	return g_strdup_printf("INSERT INTO mangoloom_once VALUES ('%s', '%s');", job->args->once,
+			       job->args->team);
+}
+
+static char *statement_sql(const struct home_job *job, struct db_query *q)
+{
+	const ml_exec_args *a = job->args;
+	char *once, *sql;
+
+	if (!a->write || job->tx != NULL || a->op != ML_SIMPLE)
+		return g_strdup(a->sql);
+	/* One round trip begins the transaction, learns its number and runs the statement. */
+	once = once_sql(job);
+	sql = g_strdup_printf("BEGIN;SELECT pg_current_xact_id();%s%s", once, a->sql);
+	q->skip_results = once[0] != '\0' ? 3 : 2;
+	g_free(once);
+	return sql;
+}
+
+static char *step_sql(const struct home_job *job, struct db_query *q)
+{
+	char *once, *sql;
+
+	switch (job->step) {
+	case JOB_PROLOGUE:
+		once = once_sql(job);
+		sql = g_strdup_printf("BEGIN;SELECT pg_current_xact_id();%s", once);
+		g_free(once);
+		return sql;
+	case JOB_STATEMENT:
+		return statement_sql(job, q);
+	case JOB_COMMIT:
+		return g_strdup("COMMIT");
+	default:
+		return g_strdup("ROLLBACK");
+	}
+}
+
+static struct db_param *job_params(const ml_exec_args *a)
+{
+	struct db_param *params = g_new0(struct db_param, a->params.params_len + 1);
+	u_int i;
+
+	for (i = 0; i < a->params.params_len; i++) {
+		const ml_param *p = &a->params.params_val[i];
+
+		params[i].null = p->null;
+		params[i].format = p->format;
+		params[i].type = p->type;
+		params[i].value = p->value.value_val != NULL ? p->value.value_val : "";
+		params[i].len = p->value.value_len;
+	}
+	return params;
+}
+
+static void job_step(struct home_job *job, enum job_step step)
+{
+	const ml_exec_args *a = job->args;
+	struct db_conn *db = job->conn->db;
+	struct db_query q = {0};
+	struct db_param *params = NULL;
+	char *sql;
+
+	job->step = step;
+	if (step == JOB_STATEMENT) {
+		q.extended = a->op == ML_EXTENDED;
+		q.describe = a->op == ML_DESCRIBE;
+		q.describe_row = a->describe_row;
+		q.result_format = a->result_format;
+		q.result_max = job->m->home->service.kernel->settings->result_max;
+		params = job_params(a);
+		q.params = params;
+		q.n_params = a->params.params_len;
+	}
+	sql = step_sql(job, &q);
+	q.sql = sql;
+	job->conn->idle_looks = 0;
+	db->ops->query(db, &q, job_answered, job->conn);
+	g_free(sql);
+	g_free(params);
+}
+
+/** Start @a job on @a c. */
+static void job_start(struct home_job *job, struct home_conn *c)
+{
+	const ml_exec_args *a = job->args;
+	struct home_member *m = job->m;
+	enum job_step step = JOB_STATEMENT;
+
+	stat_add(STAT_HOME_RUN, 1);
+	m->running++;
+	job->conn = c;
+	c->job = job;
+	job->backend_pid = c->db->ops->backend_pid(c->db);
+	if (a->control == ML_CONTROL_COMMIT)
+		step = JOB_COMMIT;
+	else if (a->control == ML_CONTROL_ROLLBACK)
+		step = JOB_ROLLBACK;
+	else if (a->control == ML_CONTROL_BEGIN)
+		step = JOB_PROLOGUE;
+	else if (a->write && job->tx == NULL && a->op == ML_EXTENDED)
+		step = JOB_PROLOGUE;
+	job_step(job, step);
+}
+
+/** Whether one more transaction may keep a connection: the last one stays for single statements. */
+static bool may_pin(const struct home_member *m)
+{
+	return m->n_pinned + 1 < home_conn_limit(m);
+}
+
+static struct home_job *next_job(struct home_member *m)
+{
+	struct home_job *job = TAILQ_FIRST(&m->waiting_begin);
+	struct fairq_item *item;
+
+	if (job != NULL && may_pin(m)) {
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		return job;
+	}
+	while ((item = fairq_next(&m->queue)) != NULL) {
+		job = (struct home_job *)item;
+		if (job->args->control != ML_CONTROL_BEGIN || may_pin(m))
+			return job;
+		TAILQ_INSERT_TAIL(&m->waiting_begin, job, link);
+	}
+	return NULL;
+}
+
+void home_dispatch(struct home_member *m)
+{
+	while (m->running < m->conf.slots) {
+		bool waiting =
+			m->queue.length > 0 || (!TAILQ_EMPTY(&m->waiting_begin) && may_pin(m));
+		struct home_conn *c = home_conn_idle(m);
+		struct home_job *job;
+
+		if (!waiting)
+			return;
+		if (c == NULL) {
+			if (m->n_opening < m->conf.slots)
+				home_conn_open(m);
+			return;
+		}
+		job = next_job(m);
+		if (job == NULL)
+			return;
+		job->started_us = now_us();
+		job_start(job, c);
+	}
+}
+
+void home_refuse_waiting(struct home_member *m, enum outcome o)
+{
+	struct fairq_item *item;
+	struct home_job *job;
+
+	while ((item = fairq_next(&m->queue)) != NULL)
+		home_job_end((struct home_job *)item, o, 0);
+	while ((job = TAILQ_FIRST(&m->waiting_begin)) != NULL) {
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		home_job_end(job, o, 0);
+	}
+}
+
+void home_expire(struct home_member *m, int64_t now)
+{
+	int64_t retry = (int64_t)(m->queue.service_us * m->queue.length / m->queue.slots);
+	struct fairq_item *item;
+	struct home_job *job, *next;
+
+	while ((item = fairq_expired(&m->queue, now)) != NULL)
+		home_job_end((struct home_job *)item, OUTCOME_TOO_LATE, retry);
+	TAILQ_FOREACH_SAFE (job, &m->waiting_begin, link, next) {
+		if (job->deadline_us > now)
+			continue;
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		home_job_end(job, OUTCOME_TOO_LATE, retry);
+	}
+}
+
+static struct home_tx *tx_find(struct home_member *m, uint64_t id)
+{
+	struct home_tx *tx;
+
+	TAILQ_FOREACH (tx, &m->txs, link) {
+		if (tx->id == id)
+			return tx;
+	}
+	return NULL;
+}
+
+/** Whether the member is known to lack what a read asks for, by what was seen a moment ago. */
+static bool known_behind(const struct home_member *m, const ml_exec_args *a, int64_t now)
+{
+	const struct member_view *v = &m->view.member[m->self];
+
+	if (!a->as_replica || v->state != MEMBER_UP || now - v->reported_us > BEHIND_FRESH_US)
+		return false;
+	if (a->token.lsn > v->report.applied_lsn)
+		return true;
+	return a->max_age_us > 0 &&
+	       group_age_us(&m->view, v->report.applied_lsn, now) > (int64_t)a->max_age_us;
+}
+
+/** What must be refused before it is queued; OUTCOME_DONE for nothing. */
+static enum outcome exec_check(const struct home_member *m, const ml_exec_args *a)
+{
+	if (m->conf.leaving || !m->configured || m->home->draining)
+		return OUTCOME_LEAVING;
+	if (m->view.member[m->self].state == MEMBER_DOWN)
+		return OUTCOME_NO_CONNECTION;
+	if (a->as_replica)
+		return known_behind(m, a, now_us()) ? OUTCOME_BEHIND : OUTCOME_DONE;
+	if (!home_leads(m))
+		return OUTCOME_NOT_PRIMARY;
+	if (a->token.term != 0) {
+		struct pos token = {a->token.term, a->token.lsn};
+
+		if (token_fate(token, &m->view.member[m->self].report.terms) == TOKEN_LOST)
+			return OUTCOME_TOKEN_LOST;
+	}
+	/* A write that no replica could confirm would end with an outcome that nobody knows; better
+	 * not begun. */
+	if (a->write && !home_confirmable(m))
+		return OUTCOME_NO_CONNECTION;
+	return OUTCOME_DONE;
+}
+
+static struct home_job *job_create(struct home_member *m, struct rpc_request *rq,
+				   const ml_exec_args *a)
+{
+	struct home_job *job = g_new0(struct home_job, 1);
+
+	job->m = m;
+	job->rq = rq;
+	job->args = a;
+	job->started_us = now_us();
+	job->deadline_us = job->started_us + (int64_t)a->deadline_us;
+	job->item.deadline_us = job->deadline_us;
+	m->jobs++;
+	m->home->jobs++;
+	return job;
+}
+
+/** A statement of an open transaction: its connection waits for it alone. */
+static void exec_in_tx(struct home_member *m, struct rpc_request *rq, const ml_exec_args *a)
+{
+	struct home_tx *tx = tx_find(m, a->transaction);
+	struct home_job *job;
+
+	if (tx == NULL || tx->conn->job != NULL) {
+		exec_refuse(rq, m, OUTCOME_TX_LOST, 0);
+		return;
+	}
+	if (a->op == ML_ABANDON) {
+		home_tx_end(m, tx);
+		exec_refuse(rq, m, OUTCOME_DONE, 0);
+		return;
+	}
+	job = job_create(m, rq, a);
+	job->tx = tx;
+	g_strlcpy(job->xid, tx->xid, sizeof(job->xid));
+	job_start(job, tx->conn);
+}
+
+void home_exec(struct rpc_request *rq, const void *args, void *owner)
+{
+	struct home *h = owner;
+	const ml_exec_args *a = args;
+	struct home_member *m = home_member_get(h, a->pool, a->member);
+	struct fairq_outcome queued;
+	struct home_job *job;
+	enum outcome o;
+
+	if (m == NULL) {
+		exec_refuse(rq, NULL, OUTCOME_LEAVING, 0);
+		return;
+	}
+	if (a->transaction != 0) {
+		exec_in_tx(m, rq, a);
+		return;
+	}
+	o = exec_check(m, a);
+	if (o != OUTCOME_DONE) {
+		exec_refuse(rq, m, o, 0);
+		return;
+	}
+	job = job_create(m, rq, a);
+	queued = fairq_add(&m->queue, &job->item, a->team, a->weight, job->started_us);
+	if (queued.verdict != FAIRQ_QUEUED) {
+		home_job_end(job,
+			     queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
+			     queued.retry_after_us);
+		return;
+	}
+	if (m->running >= m->conf.slots)
+		stat_add(STAT_HOME_QUEUED, 1);
+	home_dispatch(m);
+}
--- /dev/null
+++ b/src/mango.x
@@ -0,0 +1,203 @@
+/* The protocol between daemons: ONC RPC. `make generate` writes mango.h and mango_xdr.c from this file. */
+
+const ML_NAME_MAX = 63;
+const ML_TEXT_MAX = 1048576;
+const ML_RESULT_MAX = 67108864;
+const ML_PARAMS_MAX = 4096;
+const ML_NEWS_MAX = 16;
+const ML_TEAMS_MAX = 4096;
+const ML_ENTRIES_MAX = 65536;
+const ML_TERMS_MAX = 8;
+
+typedef string ml_name<ML_NAME_MAX>;
+typedef string ml_text<ML_TEXT_MAX>;
+
+struct ml_pos {
+	unsigned hyper term;
+	unsigned hyper lsn;
+};
+
+struct ml_news {
+	ml_name vm;
+	unsigned hyper incarnation;
+	unsigned hyper seq;
+	bool dead;
+	bool leaving;
+};
+
+struct ml_heartbeat {
+	ml_name vm;
+	unsigned hyper incarnation;
+	unsigned hyper conf_version;
+	unsigned hyper vms_revision;
+	ml_news news<ML_NEWS_MAX>;
+};
+
+enum ml_op {
+	ML_SIMPLE = 0,
+	ML_EXTENDED = 1,
+	ML_DESCRIBE = 2,
+	ML_ABANDON = 3
+};
+
+enum ml_control {
+	ML_CONTROL_NONE = 0,
+	ML_CONTROL_BEGIN = 1,
+	ML_CONTROL_COMMIT = 2,
+	ML_CONTROL_ROLLBACK = 3
+};
+
+struct ml_param {
+	bool null;
+	int format;
+	unsigned int type;
+	opaque value<ML_RESULT_MAX>;
+};
+
+struct ml_exec_args {
+	unsigned hyper request;
+	ml_name team;
+	double weight;
+	ml_name pool;
+	ml_name member;
+	bool write;
+	bool as_replica;
+	ml_pos token;
+	unsigned hyper max_age_us;
+	unsigned hyper deadline_us;
+	unsigned hyper transaction;
+	ml_control control;
+	ml_op op;
+	ml_text once;
+	ml_text sql;
+	bool describe_row;
+	int result_format;
+	ml_param params<ML_PARAMS_MAX>;
+};
+
+struct ml_exec_res {
+	int outcome;
+	ml_name sqlstate;
+	ml_text message;
+	unsigned hyper retry_after_us;
+	ml_pos pos;
+	unsigned hyper age_us;
+	unsigned hyper transaction;
+	bool transaction_failed;
+	ml_name primary;
+	unsigned hyper primary_term;
+	opaque frames<ML_RESULT_MAX>;
+};
+
+struct ml_member_args {
+	ml_name pool;
+	ml_name member;
+	ml_pos wait_for;
+	unsigned hyper wait_us;
+};
+
+struct ml_member_res {
+	int state;
+	bool primary;
+	unsigned hyper seen_term;
+	ml_pos received;
+	unsigned hyper applied_lsn;
+	ml_pos terms<ML_TERMS_MAX>;
+	ml_name upstream;
+	unsigned hyper age_us;
+};
+
+struct ml_order_args {
+	ml_name pool;
+	ml_name member;
+	bool promote;
+	unsigned hyper term;
+	ml_name upstream;
+};
+
+struct ml_order_res {
+	bool reached;
+	bool ok;
+	unsigned hyper seen_term;
+	ml_pos received;
+};
+
+struct ml_conf_args {
+	unsigned hyper conf_version;
+	unsigned hyper vms_revision;
+};
+
+struct ml_entry {
+	ml_name id;
+	unsigned hyper conf_version;
+	bool removed;
+	ml_text text;
+};
+
+struct ml_conf_res {
+	unsigned hyper base;
+	unsigned hyper conf_version;
+	bool full;
+	ml_entry entries<ML_ENTRIES_MAX>;
+	unsigned hyper vms_revision;
+	ml_text vms;
+};
+
+struct ml_share_report {
+	ml_name team;
+	unsigned hyper epoch;
+	unsigned hyper seq;
+	unsigned int units;
+	double demand;
+	unsigned int want;
+};
+
+struct ml_share_args {
+	ml_name vm;
+	unsigned hyper incarnation;
+	ml_share_report reports<ML_TEAMS_MAX>;
+};
+
+struct ml_share_order {
+	ml_name team;
+	unsigned hyper epoch;
+	unsigned hyper seq;
+	unsigned int units;
+	bool over;
+	unsigned int granted;
+};
+
+struct ml_share_res {
+	ml_share_order orders<ML_TEAMS_MAX>;
+};
+
+struct ml_fate_args {
+	ml_name pool;
+	ml_name member;
+	ml_name xid;
+	int backend_pid;
+	ml_name former;
+};
+
+struct ml_fate_res {
+	int fate;
+	ml_pos pos;
+};
+
+struct ml_status_res {
+	ml_text json;
+};
+
+program MANGOLOOM_PROG {
+	version MANGOLOOM_V1 {
+		ml_heartbeat ML_HEARTBEAT(ml_heartbeat) = 1;
+		ml_exec_res ML_EXEC(ml_exec_args) = 2;
+		ml_member_res ML_MEMBER(ml_member_args) = 3;
+		ml_order_res ML_ORDER(ml_order_args) = 4;
+		ml_conf_res ML_CONF(ml_conf_args) = 5;
+		ml_share_res ML_SHARE(ml_share_args) = 6;
+		ml_fate_res ML_FATE(ml_fate_args) = 7;
+		ml_status_res ML_STATUS(void) = 8;
+		ml_status_res ML_STOP(void) = 9;
+	} = 1;
+} = 0x20004d4c;
--- /dev/null
+++ b/src/net.c
@@ -0,0 +1,49 @@
+/** @file net.c Socket helpers. */
+#include "net.h"
+
+#include "error.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LISTEN_BACKLOG 1024
+
+bool net_parse(const char *address, struct sockaddr_in *sin)
+{
+	const char *colon = strrchr(address, ':');
+	char host[64];
+
+	if (colon == NULL || (size_t)(colon - address) >= sizeof(host))
+		return false;
+	g_strlcpy(host, address, (gsize)(colon - address) + 1);
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	sin->sin_port = htons((uint16_t)atoi(colon + 1));
+	return inet_pton(AF_INET, host, &sin->sin_addr) == 1;
+}
+
+void net_set_nodelay(evutil_socket_t fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+struct evconnlistener *net_listen(struct event_base *base, const char *address,
+				  evconnlistener_cb cb, void *arg, GError **error)
+{
+	struct evconnlistener *l = NULL;
+	struct sockaddr_in sin;
+
+	if (net_parse(address, &sin))
+		l = evconnlistener_new_bind(base, cb, arg,
+					    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+					    LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	if (l == NULL)
+		g_set_error(error, ML_ERROR, ML_ERROR_IO, "cannot listen on %s: %s", address,
+			    strerror(errno));
+	return l;
+}
--- /dev/null
+++ b/src/rpc-msg.c
@@ -0,0 +1,182 @@
+/** @file rpc-msg.c Encoding of RPC messages. */
+#include "rpc-msg.h"
+
+#include <rpc/rpc.h>
+#include <sodium.h>
+#include <string.h>
+
+/** Our own authentication flavour: the body holds the calling process's incarnation and the keyed
+ * hash. */
+#define RPC_FLAVOR 0x4d4c
+#define RPC_AUTH_SIZE (8 + RPC_MAC_SIZE)
+/** Room for any header of ours. */
+#define RPC_HEADER_MAX 256
+#define RPC_MARK_LAST 0x80000000U
+#define RPC_MARK_SIZE 4
+#define RPC_VERSION 1
+
+bool_t rpc_xdr_none(XDR *x, ...)
+{
+	return TRUE;
+}
+
+static void put_auth(struct opaque_auth *auth, char *body, uint64_t incarnation)
+{
+	auth->oa_flavor = RPC_FLAVOR;
+	auth->oa_base = body;
+	auth->oa_length = RPC_AUTH_SIZE;
+	memset(body, 0, RPC_AUTH_SIZE);
+	memcpy(body, &incarnation, sizeof(incarnation));
+}
+
+static bool encode_header(XDR *x, const struct rpc_header *h, char *auth)
+{
+	struct rpc_msg msg = {.rm_xid = h->xid};
+
+	if (h->call) {
+		msg.rm_direction = CALL;
+		msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+		msg.rm_call.cb_prog = MANGOLOOM_PROG;
+		msg.rm_call.cb_vers = RPC_VERSION;
+		msg.rm_call.cb_proc = h->proc;
+		put_auth(&msg.rm_call.cb_cred, auth, h->incarnation);
+		return xdr_callmsg(x, &msg);
+	}
+	msg.rm_direction = REPLY;
+	msg.rm_reply.rp_stat = MSG_ACCEPTED;
+	msg.acpted_rply.ar_stat = SUCCESS;
+	put_auth(&msg.acpted_rply.ar_verf, auth, h->incarnation);
+	msg.acpted_rply.ar_results.where = NULL;
+	msg.acpted_rply.ar_results.proc = rpc_xdr_none;
+	return xdr_replymsg(x, &msg);
+}
+
+/** Hash the record as if the hash's own bytes at @a mac were zero. */
+static void record_hash(char *record, size_t len, char *mac, const char *secret,
+			unsigned char out[RPC_MAC_SIZE])
+{
+	unsigned char key[crypto_generichash_KEYBYTES];
+
+	memset(mac, 0, RPC_MAC_SIZE);
+	crypto_generichash(key, sizeof(key), (const unsigned char *)secret, strlen(secret), NULL,
+			   0);
+	crypto_generichash(out, RPC_MAC_SIZE, (const unsigned char *)record, len, key, sizeof(key));
+}
+
+/** Where the hash stands in a record: after the incarnation, which is unique enough to be found by
+ * its offset. */
+static char *mac_at(char *record, bool call)
+{
+	/* Call: xid, direction, versions (4 words), flavour, length. Reply: xid, direction, status,
+	 * flavour, length. */
+	size_t words = call ? 8 : 5;
+
+	return record + words * BYTES_PER_XDR_UNIT + sizeof(uint64_t);
+}
+
+char *rpc_msg_encode(const struct rpc_header *h, xdrproc_t codec, const void *body,
+		     const char *secret, size_t *len)
+{
+	u_long size = RPC_HEADER_MAX + xdr_sizeof(codec, (void *)body);
+	char *record = g_malloc(RPC_MARK_SIZE + size);
+	char auth[RPC_AUTH_SIZE];
+	uint32_t mark;
+	bool ok;
+	XDR x;
+
+	xdrmem_create(&x, record + RPC_MARK_SIZE, (u_int)size, XDR_ENCODE);
+	ok = encode_header(&x, h, auth) && codec(&x, (void *)body);
+	*len = RPC_MARK_SIZE + xdr_getpos(&x);
+	xdr_destroy(&x);
+	if (!ok) {
+		g_free(record);
+		return NULL;
+	}
+	if (secret[0] != '\0') {
+		char *mac = mac_at(record + RPC_MARK_SIZE, h->call);
+		unsigned char hash[RPC_MAC_SIZE];
+
+		record_hash(record + RPC_MARK_SIZE, *len - RPC_MARK_SIZE, mac, secret, hash);
+		memcpy(mac, hash, sizeof(hash));
+	}
+	mark = htonl(RPC_MARK_LAST | (uint32_t)(*len - RPC_MARK_SIZE));
+	memcpy(record, &mark, sizeof(mark));
+	return record;
+}
+
+static bool check_hash(char *record, size_t len, bool call, const char *secret)
+{
+	char *mac = mac_at(record, call);
+	unsigned char claimed[RPC_MAC_SIZE];
+	unsigned char hash[RPC_MAC_SIZE];
+
+	if (secret[0] == '\0')
+		return true;
+	memcpy(claimed, mac, sizeof(claimed));
+	record_hash(record, len, mac, secret, hash);
+	return sodium_memcmp(claimed, hash, sizeof(hash)) == 0;
+}
+
+static bool decode_call(XDR *x, struct rpc_header *h, char *auth)
+{
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+
+	msg.rm_call.cb_cred.oa_base = auth;
+	msg.rm_call.cb_verf.oa_base = verf;
+	if (!xdr_callmsg(x, &msg) || msg.rm_call.cb_prog != MANGOLOOM_PROG ||
+	    msg.rm_call.cb_vers != RPC_VERSION || msg.rm_call.cb_cred.oa_length != RPC_AUTH_SIZE)
+		return false;
+	h->xid = msg.rm_xid;
+	h->proc = msg.rm_call.cb_proc;
+	memcpy(&h->incarnation, auth, sizeof(h->incarnation));
+	return true;
+}
+
+static bool decode_reply(XDR *x, struct rpc_header *h, char *auth)
+{
+	struct rpc_msg msg = {0};
+
+	msg.acpted_rply.ar_verf.oa_base = auth;
+	msg.acpted_rply.ar_results.proc = rpc_xdr_none;
+	if (!xdr_replymsg(x, &msg) || msg.rm_reply.rp_stat != MSG_ACCEPTED ||
+	    msg.acpted_rply.ar_stat != SUCCESS ||
+	    msg.acpted_rply.ar_verf.oa_length != RPC_AUTH_SIZE)
+		return false;
+	h->xid = msg.rm_xid;
+	memcpy(&h->incarnation, auth, sizeof(h->incarnation));
+	return true;
+}
+
+size_t rpc_msg_header(char *record, size_t len, const char *secret, struct rpc_header *h)
+{
+	char auth[MAX_AUTH_BYTES];
+	uint32_t direction;
+	size_t at = 0;
+	bool ok;
+	XDR x;
+
+	if (len < 2 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE + 6 * BYTES_PER_XDR_UNIT)
+		return 0;
+	memcpy(&direction, record + BYTES_PER_XDR_UNIT, sizeof(direction));
+	h->call = ntohl(direction) == CALL;
+	if (!check_hash(record, len, h->call, secret))
+		return 0;
+	xdrmem_create(&x, record, (u_int)len, XDR_DECODE);
+	ok = h->call ? decode_call(&x, h, auth) : decode_reply(&x, h, auth);
+	if (ok)
+		at = xdr_getpos(&x);
+	xdr_destroy(&x);
+	return at;
+}
+
+bool rpc_msg_body(char *body, size_t len, xdrproc_t codec, void *out)
+{
+	bool ok;
+	XDR x;
+
+	xdrmem_create(&x, body, (u_int)len, XDR_DECODE);
+	ok = codec(&x, out);
+	xdr_destroy(&x);
+	return ok;
+}
--- /dev/null
+++ b/src/rpc.c
@@ -0,0 +1,667 @@
+/** @file rpc.c RPC transport: client connections by address, a listener, calls and requests. */
+#include "rpc.h"
+
+#include "error.h"
+#include "log.h"
+#include "net.h"
+#include "rpc-msg.h"
+#include "stat.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+
+#define RPC_RECORD_MAX (96U * 1024 * 1024)
+#define RPC_MARK_SIZE 4
+#define RPC_MARK_LAST 0x80000000U
+/** Looks at each connection within the time that a silent one is kept. */
+#define RPC_LOOKS 4
+
+#define PROC(upper, lower, args, res, control)                                                     \
+	[upper] = {lower,  (xdrproc_t)xdr_##args, sizeof(args), (xdrproc_t)xdr_##res, sizeof(res), \
+		   control}
+
+const struct rpc_proc rpc_procs[RPC_PROCS] = {
+	[0] = {"ping", rpc_xdr_none, 0, rpc_xdr_none, 0, true},
+	PROC(ML_HEARTBEAT, "heartbeat", ml_heartbeat, ml_heartbeat, true),
+	PROC(ML_EXEC, "exec", ml_exec_args, ml_exec_res, false),
+	PROC(ML_MEMBER, "member", ml_member_args, ml_member_res, true),
+	PROC(ML_ORDER, "order", ml_order_args, ml_order_res, true),
+	PROC(ML_CONF, "conf", ml_conf_args, ml_conf_res, true),
+	PROC(ML_SHARE, "share", ml_share_args, ml_share_res, true),
+	PROC(ML_FATE, "fate", ml_fate_args, ml_fate_res, false),
+	[ML_STATUS] = {"status", rpc_xdr_none, 0, (xdrproc_t)xdr_ml_status_res,
+		       sizeof(ml_status_res), false},
+	[ML_STOP] = {"stop", rpc_xdr_none, 0, (xdrproc_t)xdr_ml_status_res, sizeof(ml_status_res),
+		     false},
+};
+
+struct rpc_conn;
+
+struct rpc_call {
+	TAILQ_ENTRY(rpc_call) link;
+	struct rpc *rpc;
+	struct rpc_conn *conn; /**< NULL for a call to this process */
+	u_int xid;
+	u_int proc;
+	int64_t sent_us;
+	rpc_done cb; /**< NULL once forgotten */
+	void *arg;
+	struct event *timer;
+	enum rpc_status status; /**< of a call to this process, with its result */
+	void *res;
+};
+TAILQ_HEAD(rpc_calls, rpc_call);
+
+struct rpc_request {
+	TAILQ_ENTRY(rpc_request) link;
+	struct rpc *rpc;
+	struct rpc_conn *conn; /**< NULL once closed, or for this process itself */
+	struct rpc_call *local;
+	u_int xid;
+	u_int proc;
+	uint64_t incarnation;
+	void *args;
+};
+TAILQ_HEAD(rpc_requests, rpc_request);
+
+struct rpc_conn {
+	TAILQ_ENTRY(rpc_conn) link;
+	struct rpc *rpc;
+	unsigned refs;
+	bool closed;
+	uint64_t number;
+	char address[ADDRESS_SIZE]; /**< empty for an accepted one */
+	struct bufferevent *bev;
+	bool up;
+	int64_t heard_us;
+	int64_t pinged_us; /**< when the open ping was sent; 0 for none */
+	struct rpc_calls calls;
+	struct rpc_requests requests;
+};
+TAILQ_HEAD(rpc_conns, rpc_conn);
+
+struct rpc {
+	struct kernel *kernel;
+	struct evconnlistener *listener;
+	struct rpc_conns conns;
+	uint64_t next_conn;
+	u_int next_xid;
+	GHashTable *by_address;
+	struct rpc_calls finished; /**< calls to this process, answered */
+	struct event *finish;
+	struct event *look;
+	struct {
+		rpc_handler handler;
+		void *owner;
+	} served[RPC_PROCS];
+	struct {
+		rpc_closed cb;
+		void *owner;
+	} closed;
+	unsigned open; /**< calls and requests, but for pings */
+};
+
+static void rpc_conn_close(struct rpc_conn *c);
+
+static void rpc_conn_unref(struct rpc_conn *c)
+{
+	if (--c->refs == 0)
+		g_free(c);
+}
+
+static const char *rpc_secret(const struct rpc *r)
+{
+	return r->kernel->settings->rpc_secret;
+}
+
+static void count_bytes(u_int proc, size_t len, bool in)
+{
+	stat_add(in ? STAT_RPC_BYTES_IN : STAT_RPC_BYTES_OUT, len);
+	if (rpc_procs[proc].control)
+		stat_add(in ? STAT_CONTROL_BYTES_IN : STAT_CONTROL_BYTES_OUT, len);
+}
+
+/** End @a call with @a status and free it. */
+static void rpc_call_end(struct rpc_call *call, enum rpc_status status, const void *res)
+{
+	rpc_done cb = call->cb;
+	void *arg = call->arg;
+
+	if (call->conn != NULL)
+		TAILQ_REMOVE(&call->conn->calls, call, link);
+	if (call->timer != NULL)
+		event_free(call->timer);
+	if (call->proc != NULLPROC)
+		call->rpc->open--;
+	if (status != RPC_DONE)
+		stat_add(STAT_RPC_LOST, 1);
+	g_free(call);
+	if (cb != NULL)
+		cb(status, res, arg);
+}
+
+void rpc_call_forget(struct rpc_call *call)
+{
+	call->cb = NULL;
+}
+
+static void rpc_call_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct rpc_call *call = arg;
+
+	/*
+	 * What was written while connecting would still leave if the connection came up later, and
+	 * a call told as not sent would be carried out as well as its repetition. Closing drops the
+	 * bytes.
+	 */
+	if (call->conn != NULL && !call->conn->up) {
+		rpc_conn_close(call->conn);
+		return;
+	}
+	rpc_call_end(call, call->sent_us != 0 ? RPC_LOST : RPC_NOT_SENT, NULL);
+}
+
+static void rpc_send(struct rpc_conn *c, const struct rpc_header *h, xdrproc_t codec,
+		     const void *body)
+{
+	size_t len;
+	char *record = rpc_msg_encode(h, codec, body, rpc_secret(c->rpc), &len);
+
+	if (record == NULL) {
+		log_warn("rpc-encode", LOG_STR("proc", rpc_procs[h->proc].name));
+		return;
+	}
+	count_bytes(h->proc, len, false);
+	bufferevent_write(c->bev, record, len);
+	g_free(record);
+}
+
+static void rpc_request_free(struct rpc_request *rq)
+{
+	const struct rpc_proc *p = &rpc_procs[rq->proc];
+
+	if (rq->conn != NULL)
+		TAILQ_REMOVE(&rq->conn->requests, rq, link);
+	if (rq->args != NULL) {
+		xdr_free(p->args, rq->args);
+		g_free(rq->args);
+	}
+	if (rq->proc != NULLPROC)
+		rq->rpc->open--;
+	g_free(rq);
+}
+
+/** Copy @a from by encoding and decoding it, for calls to this process. */
+static void *rpc_copy(xdrproc_t codec, size_t size, const void *from)
+{
+	u_long len = xdr_sizeof(codec, (void *)from);
+	void *to = g_malloc0(size > 0 ? size : 1);
+	char *bytes = g_malloc(len + 1);
+	XDR x;
+
+	xdrmem_create(&x, bytes, (u_int)len, XDR_ENCODE);
+	codec(&x, (void *)from);
+	xdr_destroy(&x);
+	rpc_msg_body(bytes, len, codec, to);
+	g_free(bytes);
+	return to;
+}
+
+void rpc_reply(struct rpc_request *rq, const void *res)
+{
+	const struct rpc_proc *p = &rpc_procs[rq->proc];
+	struct rpc_header h = {.xid = rq->xid, .proc = rq->proc, .incarnation = rq->incarnation};
+
+	if (rq->local != NULL) {
+		rq->local->res = rpc_copy(p->res, p->res_size, res);
+		rq->local->status = RPC_DONE;
+		TAILQ_INSERT_TAIL(&rq->rpc->finished, rq->local, link);
+		event_active(rq->rpc->finish, EV_TIMEOUT, 0);
+	} else if (rq->conn != NULL) {
+		rpc_send(rq->conn, &h, p->res, res);
+	}
+	rpc_request_free(rq);
+}
+
+uint64_t rpc_request_conn(const struct rpc_request *rq)
+{
+	return rq->conn != NULL ? rq->conn->number : 0;
+}
+
+/** Hand over the answers of calls to this process. */
+static void rpc_finish(evutil_socket_t fd, short what, void *arg)
+{
+	struct rpc *r = arg;
+	struct rpc_call *call;
+
+	while ((call = TAILQ_FIRST(&r->finished)) != NULL) {
+		const struct rpc_proc *p = &rpc_procs[call->proc];
+		void *res = call->res;
+
+		TAILQ_REMOVE(&r->finished, call, link);
+		rpc_call_end(call, call->status, res);
+		xdr_free(p->res, res);
+		g_free(res);
+	}
+}
+
+static void rpc_handle(struct rpc *r, struct rpc_request *rq)
+{
+	if (r->served[rq->proc].handler == NULL) {
+		rpc_request_free(rq);
+		return;
+	}
+	r->served[rq->proc].handler(rq, rq->args, r->served[rq->proc].owner);
+}
+
+static void rpc_take_call(struct rpc_conn *c, const struct rpc_header *h, char *body, size_t len)
+{
+	const struct rpc_proc *p;
+	struct rpc_request *rq;
+
+	if (h->proc == NULLPROC) {
+		struct rpc_header reply = {.xid = h->xid, .incarnation = h->incarnation};
+
+		rpc_send(c, &reply, rpc_xdr_none, NULL);
+		return;
+	}
+	if (h->proc >= RPC_PROCS)
+		return;
+	p = &rpc_procs[h->proc];
+	rq = g_new0(struct rpc_request, 1);
+	rq->rpc = c->rpc;
+	rq->conn = c;
+	rq->xid = h->xid;
+	rq->proc = h->proc;
+	rq->incarnation = h->incarnation;
+	rq->args = g_malloc0(p->args_size + 1);
+	TAILQ_INSERT_TAIL(&c->requests, rq, link);
+	c->rpc->open++;
+	if (!rpc_msg_body(body, len, p->args, rq->args)) {
+		log_warn("rpc-malformed", LOG_STR("proc", p->name));
+		rpc_request_free(rq);
+		return;
+	}
+	rpc_handle(c->rpc, rq);
+}
+
+static void rpc_take_reply(struct rpc_conn *c, const struct rpc_header *h, char *body, size_t len)
+{
+	const struct rpc_proc *p;
+	struct rpc_call *call;
+	void *res;
+
+	/* An answer to an earlier process on this VM, or to a call that was given up on, reaches
+	 * nobody. */
+	if (h->incarnation != c->rpc->kernel->incarnation)
+		return;
+	TAILQ_FOREACH (call, &c->calls, link) {
+		if (call->xid == h->xid)
+			break;
+	}
+	if (call == NULL)
+		return;
+	count_bytes(call->proc, len, true);
+	p = &rpc_procs[call->proc];
+	if (call->proc == NULLPROC)
+		c->pinged_us = 0;
+	res = g_malloc0(p->res_size + 1);
+	if (rpc_msg_body(body, len, p->res, res))
+		rpc_call_end(call, RPC_DONE, res);
+	else
+		rpc_call_end(call, RPC_LOST, NULL);
+	xdr_free(p->res, res);
+	g_free(res);
+}
+
+/** Take one whole record off @a in. @return its length, 0 when it is not whole yet, or -1 when it
+ * is malformed. */
+static ssize_t rpc_record(struct evbuffer *in)
+{
+	uint32_t mark;
+	size_t len;
+
+	if (evbuffer_copyout(in, &mark, sizeof(mark)) < (ssize_t)sizeof(mark))
+		return 0;
+	mark = ntohl(mark);
+	len = mark & ~RPC_MARK_LAST;
+	if (!(mark & RPC_MARK_LAST) || len > RPC_RECORD_MAX)
+		return -1;
+	if (evbuffer_get_length(in) < RPC_MARK_SIZE + len)
+		return 0;
+	return (ssize_t)len;
+}
+
+/** Take one record off @a in and act on it. @return false when the connection is to be closed. */
+static bool rpc_take_record(struct rpc_conn *c, struct evbuffer *in, size_t len)
+{
+	char *record = g_malloc(len);
+	struct rpc_header h = {0};
+	size_t at;
+
+	evbuffer_drain(in, RPC_MARK_SIZE);
+	evbuffer_remove(in, record, len);
+	at = rpc_msg_header(record, len, rpc_secret(c->rpc), &h);
+	if (at == 0) {
+		log_warn("rpc-rejected", LOG_STR("address", c->address));
+	} else if (h.call) {
+		if (h.proc < RPC_PROCS)
+			count_bytes(h.proc, len, true);
+		rpc_take_call(c, &h, record + at, len - at);
+	} else {
+		rpc_take_reply(c, &h, record + at, len - at);
+	}
+	g_free(record);
+	return at != 0;
+}
+
+static void rpc_read(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct rpc_conn *c = arg;
+	bool ok = true;
+	ssize_t len = 0;
+
+	c->heard_us = now_us();
+	c->refs++;
+	/* What is called back may close this connection. */
+	while (ok && !c->closed && (len = rpc_record(in)) > 0)
+		ok = rpc_take_record(c, in, (size_t)len);
+	if (!c->closed && (!ok || len < 0))
+		rpc_conn_close(c);
+	rpc_conn_unref(c);
+}
+
+static void rpc_conn_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct rpc_conn *c = arg;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		struct rpc_call *call;
+
+		c->up = true;
+		c->heard_us = now_us();
+		net_set_nodelay(bufferevent_getfd(bev));
+		/* What was written while connecting leaves now. */
+		TAILQ_FOREACH (call, &c->calls, link)
+			call->sent_us = c->heard_us;
+		return;
+	}
+	rpc_conn_close(c);
+}
+
+static struct rpc_conn *rpc_conn_create(struct rpc *r, evutil_socket_t fd)
+{
+	struct rpc_conn *c = g_new0(struct rpc_conn, 1);
+
+	c->rpc = r;
+	c->refs = 1;
+	c->number = ++r->next_conn;
+	c->heard_us = now_us();
+	TAILQ_INIT(&c->calls);
+	TAILQ_INIT(&c->requests);
+	c->bev = bufferevent_socket_new(r->kernel->base, fd,
+					BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(c->bev, rpc_read, NULL, rpc_conn_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	TAILQ_INSERT_TAIL(&r->conns, c, link);
+	return c;
+}
+
+static void rpc_conn_close(struct rpc_conn *c)
+{
+	struct rpc *r = c->rpc;
+	uint64_t number = c->number;
+	struct rpc_request *rq, *next;
+	struct rpc_calls calls = TAILQ_HEAD_INITIALIZER(calls);
+	struct rpc_call *call;
+
+	TAILQ_REMOVE(&r->conns, c, link);
+	if (c->address[0] != '\0' && g_hash_table_lookup(r->by_address, c->address) == c)
+		g_hash_table_remove(r->by_address, c->address);
+	bufferevent_free(c->bev);
+	TAILQ_FOREACH_SAFE (rq, &c->requests, link, next) {
+		TAILQ_REMOVE(&c->requests, rq, link);
+		rq->conn = NULL;
+	}
+	TAILQ_CONCAT(&calls, &c->calls, link);
+	c->closed = true;
+	rpc_conn_unref(c);
+	while ((call = TAILQ_FIRST(&calls)) != NULL) {
+		TAILQ_REMOVE(&calls, call, link);
+		call->conn = NULL;
+		rpc_call_end(call, call->sent_us != 0 ? RPC_LOST : RPC_NOT_SENT, NULL);
+	}
+	if (r->closed.cb != NULL)
+		r->closed.cb(number, r->closed.owner);
+}
+
+static struct rpc_conn *rpc_conn_get(struct rpc *r, const char *address)
+{
+	struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
+	struct sockaddr_in sin;
+
+	if (c != NULL)
+		return c;
+	if (!net_parse(address, &sin))
+		return NULL;
+	c = rpc_conn_create(r, -1);
+	g_strlcpy(c->address, address, sizeof(c->address));
+	g_hash_table_insert(r->by_address, c->address, c);
+	if (bufferevent_socket_connect(c->bev, (struct sockaddr *)&sin, sizeof(sin)) < 0) {
+		/* The failure is told by an event as well, from the loop. */
+		return c;
+	}
+	return c;
+}
+
+static struct rpc_call *rpc_call_create(struct rpc *r, u_int proc, rpc_done cb, void *arg)
+{
+	struct rpc_call *call = g_new0(struct rpc_call, 1);
+
+	call->rpc = r;
+	call->xid = ++r->next_xid;
+	call->proc = proc;
+	call->cb = cb;
+	call->arg = arg;
+	if (proc != NULLPROC)
+		r->open++;
+	return call;
+}
+
+static struct rpc_call *rpc_call_local(struct rpc *r, u_int proc, const void *args, rpc_done cb,
+				       void *arg)
+{
+	const struct rpc_proc *p = &rpc_procs[proc];
+	struct rpc_call *call = rpc_call_create(r, proc, cb, arg);
+	struct rpc_request *rq = g_new0(struct rpc_request, 1);
+
+	call->sent_us = now_us();
+	rq->rpc = r;
+	rq->local = call;
+	rq->proc = proc;
+	rq->args = rpc_copy(p->args, p->args_size, args);
+	r->open++;
+	rpc_handle(r, rq);
+	return call;
+}
+
+static void rpc_transmit(struct rpc_conn *c, struct rpc_call *call, const void *args)
+{
+	struct rpc_header h = {.call = true, .xid = call->xid, .proc = call->proc};
+
+	h.incarnation = c->rpc->kernel->incarnation;
+	call->conn = c;
+	TAILQ_INSERT_TAIL(&c->calls, call, link);
+	rpc_send(c, &h, rpc_procs[call->proc].args, args);
+	if (c->up)
+		call->sent_us = now_us();
+}
+
+struct rpc_call *rpc_start(struct rpc *r, const char *address, u_int proc, const void *args,
+			   int64_t timeout_us, rpc_done cb, void *arg)
+{
+	struct rpc_call *call;
+	struct rpc_conn *c;
+
+	if (!rpc_procs[proc].control)
+		stat_add(STAT_RPC_CALLS, 1);
+	if (strcmp(address, r->kernel->settings->advertise) == 0)
+		return rpc_call_local(r, proc, args, cb, arg);
+	c = rpc_conn_get(r, address);
+	call = rpc_call_create(r, proc, cb, arg);
+	call->timer = event_new(r->kernel->base, -1, 0, rpc_call_timeout, call);
+	if (c == NULL) {
+		kernel_arm(call->timer, 0);
+		return call;
+	}
+	kernel_arm(call->timer, timeout_us);
+	rpc_transmit(c, call, args);
+	return call;
+}
+
+/** Find connections that went silent: a ping goes out where an answer is awaited, and must come
+ * back. */
+static void rpc_look(evutil_socket_t fd, short what, void *arg)
+{
+	struct rpc *r = arg;
+	int64_t silent = (int64_t)r->kernel->settings->silent_ms * USEC_PER_MSEC;
+	int64_t now = now_us();
+	struct rpc_conn *c, *next;
+
+	TAILQ_FOREACH_SAFE (c, &r->conns, link, next) {
+		struct rpc_call *ping;
+
+		if (c->address[0] == '\0' || TAILQ_EMPTY(&c->calls))
+			continue;
+		/*
+		 * Something between two VMs can lose track of an open connection: what is written
+		 * vanishes, no error comes, and every caller waits for its deadline. A ping that
+		 * stays out shows it; the next call opens a new connection.
+		 */
+		if ((c->pinged_us != 0 && now - c->pinged_us > silent * 3 / RPC_LOOKS &&
+		     now - c->heard_us > silent) ||
+		    (!c->up && now - c->heard_us > silent)) {
+			log_warn("rpc-silent", LOG_STR("address", c->address));
+			rpc_conn_close(c);
+			/* Callbacks may have changed the list. */
+			next = TAILQ_FIRST(&r->conns);
+			continue;
+		}
+		if (!c->up || c->pinged_us != 0 || now - c->heard_us < silent / RPC_LOOKS)
+			continue;
+		ping = rpc_call_create(r, NULLPROC, NULL, NULL);
+		c->pinged_us = now;
+		rpc_transmit(c, ping, NULL);
+	}
+}
+
+static void rpc_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		       void *arg)
+{
+	struct rpc_conn *c = rpc_conn_create(arg, fd);
+
+	net_set_nodelay(fd);
+	c->up = true;
+}
+
+gboolean rpc_listen(struct rpc *r, const char *address, GError **error)
+{
+	r->listener = net_listen(r->kernel->base, address, rpc_accept, r, error);
+	return r->listener != NULL;
+}
+
+void rpc_serve(struct rpc *r, u_int proc, rpc_handler handler, void *owner)
+{
+	r->served[proc].handler = handler;
+	r->served[proc].owner = owner;
+}
+
+void rpc_on_closed(struct rpc *r, rpc_closed cb, void *owner)
+{
+	r->closed.cb = cb;
+	r->closed.owner = owner;
+}
+
+bool rpc_idle(const struct rpc *r)
+{
+	return r->open == 0;
+}
+
+struct rpc *rpc_create(struct kernel *k)
+{
+	struct rpc *r = g_new0(struct rpc, 1);
+
+	r->kernel = k;
+	r->next_xid = (u_int)random_bits();
+	TAILQ_INIT(&r->conns);
+	TAILQ_INIT(&r->finished);
+	r->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	r->finish = event_new(k->base, -1, 0, rpc_finish, r);
+	r->look = kernel_every(k, (int64_t)k->settings->silent_ms * USEC_PER_MSEC / RPC_LOOKS,
+			       rpc_look, r);
+	return r;
+}
+
+void rpc_free(struct rpc *r)
+{
+	struct rpc_conn *c;
+
+	r->closed.cb = NULL;
+	if (r->listener != NULL)
+		evconnlistener_free(r->listener);
+	while ((c = TAILQ_FIRST(&r->conns)) != NULL) {
+		struct rpc_call *call;
+
+		TAILQ_FOREACH (call, &c->calls, link)
+			call->cb = NULL;
+		rpc_conn_close(c);
+	}
+	event_free(r->finish);
+	event_free(r->look);
+	g_hash_table_destroy(r->by_address);
+	g_free(r);
+}
+
+struct rpc_service {
+	struct service service;
+	struct rpc *rpc;
+};
+
+static gboolean rpc_service_start(struct service *s, GError **error)
+{
+	struct rpc_service *rs = (struct rpc_service *)s;
+
+	return rpc_listen(rs->rpc, s->kernel->settings->rpc_address, error);
+}
+
+static void rpc_service_stop(struct service *s)
+{
+	struct rpc_service *rs = (struct rpc_service *)s;
+
+	rpc_free(rs->rpc);
+	g_free(rs);
+}
+
+static const struct service_ops rpc_service_ops = {
+	.name = "rpc",
+	.start = rpc_service_start,
+	.stop = rpc_service_stop,
+};
+
+struct service *rpc_service_create(struct kernel *k)
+{
+	struct rpc_service *rs = g_new0(struct rpc_service, 1);
+
+	rs->service.ops = &rpc_service_ops;
+	rs->rpc = rpc_create(k);
+	kernel_add(k, &rs->service);
+	return &rs->service;
+}
+
+struct rpc *rpc_of(struct kernel *k)
+{
+	return ((struct rpc_service *)kernel_find(k, "rpc"))->rpc;
+}
--- /dev/null
+++ b/src/schema.c
@@ -0,0 +1,358 @@
+/** @file schema.c Table-driven reading and checking of documents. */
+#include "schema.h"
+
+#include "error.h"
+#include "toml-shim.h"
+#include "types.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+JsonObject *schema_parse(const char *file, const char *text, GError **error)
+{
+	JsonParser *parser = json_parser_new();
+	char problem[256] = "";
+	JsonObject *o = NULL;
+	char *json;
+
+	json = toml_shim_to_json(text, problem, sizeof(problem));
+	if (json == NULL) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "%s: %s", file, problem);
+		goto out;
+	}
+	if (!json_parser_load_from_data(parser, json, -1, error))
+		goto out;
+	o = json_object_ref(json_node_get_object(json_parser_get_root(parser)));
+out:
+	free(json);
+	g_object_unref(parser);
+	return o;
+}
+
+static gboolean wrong(GError **error, const char *where, const char *key, const char *found,
+		      const char *allowed)
+{
+	g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "%s: %s: found %s; allowed: %s", where, key,
+		    found, allowed);
+	return FALSE;
+}
+
+/** The value as it stands in the document, for errors. */
+static char *node_text(JsonNode *node)
+{
+	char *text = json_to_string(node, FALSE);
+
+	if (strlen(text) > 80)
+		strcpy(text + 77, "...");
+	return text;
+}
+
+static bool name_ok(const char *s)
+{
+	size_t len = strlen(s);
+
+	return len > 0 && len < NAME_SIZE &&
+	       strspn(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") ==
+		       len;
+}
+
+static bool address_ok(const char *s)
+{
+	const char *colon = strrchr(s, ':');
+	char host[ADDRESS_SIZE];
+	struct in_addr in;
+	char *end;
+	long port;
+
+	if (colon == NULL || strlen(s) >= ADDRESS_SIZE)
+		return false;
+	g_strlcpy(host, s, (gsize)(colon - s) + 1);
+	port = strtol(colon + 1, &end, 10);
+	return inet_pton(AF_INET, host, &in) == 1 && *end == '\0' && end != colon + 1 && port > 0 &&
+	       port < 65536;
+}
+
+static const char *const string_rules[] = {
+	[SCHEMA_NAME] = "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+	[SCHEMA_PATTERN] = "such a name, or \"*\"",
+	[SCHEMA_ADDRESS] = "\"ip:port\" with an IPv4 number",
+	[SCHEMA_PATH] = "a text of at most 255 bytes",
+};
+
+static bool string_ok(enum schema_type type, const char *s)
+{
+	switch (type) {
+	case SCHEMA_NAME:
+		return name_ok(s);
+	case SCHEMA_PATTERN:
+		return strcmp(s, "*") == 0 || name_ok(s);
+	case SCHEMA_ADDRESS:
+		return address_ok(s);
+	default:
+		return strlen(s) < SCHEMA_PATH_SIZE;
+	}
+}
+
+static size_t string_size(enum schema_type type)
+{
+	return type == SCHEMA_PATH ? SCHEMA_PATH_SIZE : NAME_SIZE;
+}
+
+static int choice_find(const struct schema_field *f, const char *word)
+{
+	int i;
+
+	for (i = 0; i < SCHEMA_CHOICES_MAX && f->choices[i] != NULL; i++) {
+		if (strcmp(f->choices[i], word) == 0)
+			return i;
+	}
+	return -1;
+}
+
+static void allowed_text(const struct schema_field *f, char *buf, size_t size)
+{
+	int i;
+
+	switch (f->type) {
+	case SCHEMA_UINT:
+		snprintf(buf, size, "a whole number from %.0f to %.0f", f->min, f->max);
+		return;
+	case SCHEMA_DOUBLE:
+		snprintf(buf, size, "a number from %g to %g", f->min, f->max);
+		return;
+	case SCHEMA_BOOL:
+		snprintf(buf, size, "true or false");
+		return;
+	case SCHEMA_CHOICE:
+		buf[0] = '\0';
+		for (i = 0; i < SCHEMA_CHOICES_MAX && f->choices[i] != NULL; i++) {
+			g_strlcat(buf, i > 0 ? ", " : "one of ", size);
+			g_strlcat(buf, f->choices[i], size);
+		}
+		return;
+	default:
+		snprintf(buf, size, "%s", string_rules[f->type]);
+	}
+}
+
+static bool read_number(const struct schema_field *f, JsonNode *node, void *out)
+{
+	GType type = json_node_get_value_type(node);
+	double d;
+
+	if (type != G_TYPE_INT64 && (type != G_TYPE_DOUBLE || f->type == SCHEMA_UINT))
+		return false;
+	d = type == G_TYPE_INT64 ? (double)json_node_get_int(node) : json_node_get_double(node);
+	if (!(d >= f->min && d <= f->max))
+		return false;
+	if (f->type == SCHEMA_UINT)
+		*(unsigned *)out = (unsigned)d;
+	else
+		*(double *)out = d;
+	return true;
+}
+
+static bool read_string(const struct schema_field *f, const char *s, void *out)
+{
+	int choice;
+
+	if (f->type == SCHEMA_CHOICE) {
+		choice = choice_find(f, s);
+		if (choice < 0)
+			return false;
+		*(int *)out = choice;
+		return true;
+	}
+	if (!string_ok(f->type, s))
+		return false;
+	g_strlcpy(out, s, string_size(f->type));
+	return true;
+}
+
+static bool read_node(const struct schema_field *f, JsonNode *node, void *out)
+{
+	if (!JSON_NODE_HOLDS_VALUE(node))
+		return false;
+	switch (f->type) {
+	case SCHEMA_UINT:
+	case SCHEMA_DOUBLE:
+		return read_number(f, node, out);
+	case SCHEMA_BOOL:
+		if (json_node_get_value_type(node) != G_TYPE_BOOLEAN)
+			return false;
+		*(bool *)out = json_node_get_boolean(node);
+		return true;
+	default:
+		if (json_node_get_value_type(node) != G_TYPE_STRING)
+			return false;
+		return read_string(f, json_node_get_string(node), out);
+	}
+}
+
+static void read_fallback(const struct schema_field *f, void *out)
+{
+	const char *text = f->fallback != NULL ? f->fallback : "";
+
+	switch (f->type) {
+	case SCHEMA_UINT:
+		*(unsigned *)out = (unsigned)strtoul(text, NULL, 10);
+		return;
+	case SCHEMA_DOUBLE:
+		*(double *)out = strtod(text, NULL);
+		return;
+	case SCHEMA_BOOL:
+		*(bool *)out = strcmp(text, "true") == 0;
+		return;
+	case SCHEMA_CHOICE:
+		*(int *)out = choice_find(f, text);
+		return;
+	default:
+		g_strlcpy(out, text, string_size(f->type));
+	}
+}
+
+static gboolean read_field(JsonObject *o, const char *where, const struct schema_field *f,
+			   void *out, GError **error)
+{
+	JsonNode *node = json_object_get_member(o, f->key);
+	char allowed[256];
+	char *found;
+
+	allowed_text(f, allowed, sizeof(allowed));
+	if (node == NULL && f->required)
+		return wrong(error, where, f->key, "nothing", allowed);
+	if (node == NULL) {
+		read_fallback(f, out);
+		return TRUE;
+	}
+	if (read_node(f, node, out))
+		return TRUE;
+	found = node_text(node);
+	wrong(error, where, f->key, found, allowed);
+	g_free(found);
+	return FALSE;
+}
+
+static bool key_known(const char *key, const struct schema_field *fields, unsigned n,
+		      const char *const *others)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(fields[i].key, key) == 0)
+			return true;
+	}
+	return others != NULL && g_strv_contains(others, key);
+}
+
+static gboolean check_keys(JsonObject *o, const char *where, const struct schema_field *fields,
+			   unsigned n, const char *const *others, GError **error)
+{
+	GList *keys = json_object_get_members(o);
+	GString *known = g_string_new(NULL);
+	gboolean ok = TRUE;
+	GList *l;
+	unsigned i;
+
+	for (l = keys; l != NULL && ok; l = l->next) {
+		if (key_known(l->data, fields, n, others))
+			continue;
+		for (i = 0; i < n; i++)
+			g_string_append_printf(known, "%s%s", known->len > 0 ? ", " : "one of ",
+					       fields[i].key);
+		for (i = 0; others != NULL && others[i] != NULL; i++)
+			g_string_append_printf(known, "%s%s", known->len > 0 ? ", " : "one of ",
+					       others[i]);
+		ok = wrong(error, where, l->data, "an unknown key", known->str);
+	}
+	g_list_free(keys);
+	g_string_free(known, TRUE);
+	return ok;
+}
+
+gboolean schema_read(JsonObject *o, const char *where, const struct schema_field *fields,
+		     unsigned n, const char *const *others, void *out, GError **error)
+{
+	unsigned i;
+
+	if (!check_keys(o, where, fields, n, others, error))
+		return FALSE;
+	for (i = 0; i < n; i++) {
+		if (!read_field(o, where, &fields[i], (char *)out + fields[i].offset, error))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void write_value(const struct schema_field *f, const void *in, GString *out)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	switch (f->type) {
+	case SCHEMA_UINT:
+		g_string_append_printf(out, "%u", *(const unsigned *)in);
+		return;
+	case SCHEMA_DOUBLE:
+		g_string_append(out, g_ascii_dtostr(number, sizeof(number), *(const double *)in));
+		return;
+	case SCHEMA_BOOL:
+		g_string_append(out, *(const bool *)in ? "true" : "false");
+		return;
+	case SCHEMA_CHOICE:
+		g_string_append_printf(out, "\"%s\"", f->choices[*(const int *)in]);
+		return;
+	default:
+		g_string_append_printf(out, "\"%s\"", (const char *)in);
+	}
+}
+
+void schema_write(const struct schema_field *fields, unsigned n, const void *in, bool json,
+		  GString *out)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (json)
+			g_string_append_printf(out, "%s\"%s\":", i > 0 ? "," : "", fields[i].key);
+		else
+			g_string_append_printf(out, "%s = ", fields[i].key);
+		write_value(&fields[i], (const char *)in + fields[i].offset, out);
+		if (!json)
+			g_string_append_c(out, '\n');
+	}
+}
+
+gboolean schema_tables(JsonObject *o, const char *where, const char *key, JsonArray **tables,
+		       GError **error)
+{
+	JsonNode *node = json_object_get_member(o, key);
+	guint i;
+
+	*tables = NULL;
+	if (node == NULL)
+		return TRUE;
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return wrong(error, where, key, "something else", "tables written as [[...]]");
+	*tables = json_node_get_array(node);
+	for (i = 0; i < json_array_get_length(*tables); i++) {
+		if (!JSON_NODE_HOLDS_OBJECT(json_array_get_element(*tables, i)))
+			return wrong(error, where, key, "something else",
+				     "tables written as [[...]]");
+	}
+	return TRUE;
+}
+
+JsonObject *schema_table(JsonObject *o, const char *where, const char *key, GError **error)
+{
+	JsonNode *node = json_object_get_member(o, key);
+
+	if (node == NULL)
+		return json_object_new();
+	if (!JSON_NODE_HOLDS_OBJECT(node)) {
+		wrong(error, where, key, "something else", "a table written as [...]");
+		return NULL;
+	}
+	return json_object_ref(json_node_get_object(node));
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,199 @@
+/** @file settings.c Reading of the daemon's settings. */
+#include "settings.h"
+
+#include "error.h"
+
+#include <string.h>
+
+#define F(field, k, t, ...)                                                                        \
+	{                                                                                          \
+		.key = (k), .type = (t), .offset = offsetof(struct settings, field), __VA_ARGS__   \
+	}
+#define DAY_MS 86400000.0
+
+static const struct schema_field vm_fields[] = {
+	F(name, "name", SCHEMA_NAME, .required = true),
+	F(data_center, "data_center", SCHEMA_NAME, .required = true),
+	F(caller_address, "caller_address", SCHEMA_ADDRESS, .required = true),
+	F(rpc_address, "rpc_address", SCHEMA_ADDRESS, .required = true),
+	F(advertise, "advertise", SCHEMA_ADDRESS),
+	F(drain_ms, "drain_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS, .fallback = "10000"),
+};
+
+static const struct schema_field platform_fields[] = {
+	F(platform_timeout_ms, "timeout_ms", SCHEMA_UINT, .min = 10, .max = 60000,
+	  .fallback = "2000"),
+};
+
+static const struct schema_field caller_fields[] = {
+	F(callers_max, "max", SCHEMA_UINT, .min = 1, .max = 1000000, .fallback = "10000"),
+	F(idle_ms, "idle_ms", SCHEMA_UINT, .min = 10, .max = DAY_MS, .fallback = "3600000"),
+	F(message_ms, "message_ms", SCHEMA_UINT, .min = 10, .max = DAY_MS, .fallback = "10000"),
+	F(message_max, "message_max", SCHEMA_UINT, .min = 1024, .max = 67108864,
+	  .fallback = "1048576"),
+	F(result_max, "result_max", SCHEMA_UINT, .min = 1024, .max = 67108864,
+	  .fallback = "16777216"),
+	F(deadline_ms, "deadline_ms", SCHEMA_UINT, .min = 1, .max = DAY_MS, .fallback = "15000"),
+};
+
+static const struct schema_field tls_fields[] = {
+	F(tls_certificate, "certificate", SCHEMA_PATH),
+	F(tls_key, "key", SCHEMA_PATH),
+	F(tls_required, "required", SCHEMA_BOOL),
+};
+
+static const struct schema_field key_fields[] = {
+	F(stale_keys_ms, "trust_without_news_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS,
+	  .fallback = "0"),
+};
+
+static const struct schema_field rpc_fields[] = {
+	F(rpc_secret, "secret", SCHEMA_PATH),
+	F(heartbeat_ms, "heartbeat_ms", SCHEMA_UINT, .min = 10, .max = 60000, .fallback = "500"),
+	F(silent_ms, "silent_ms", SCHEMA_UINT, .min = 50, .max = 60000, .fallback = "1200"),
+};
+
+static const struct schema_field database_fields[] = {
+	F(probe_ms, "probe_ms", SCHEMA_UINT, .min = 10, .max = 60000, .fallback = "150"),
+	F(probe_timeout_ms, "probe_timeout_ms", SCHEMA_UINT, .min = 10, .max = 60000,
+	  .fallback = "300"),
+	F(queue_max, "queue_max", SCHEMA_UINT, .min = 1, .max = 1000000, .fallback = "2000"),
+	F(statement_ms, "statement_ms", SCHEMA_UINT, .min = 10, .max = DAY_MS, .fallback = "30000"),
+	F(hold_connection_ms, "hold_connection_ms", SCHEMA_UINT, .min = 10, .max = DAY_MS,
+	  .fallback = "10000"),
+};
+
+static const struct schema_field log_fields_table[] = {
+	F(log_path, "path", SCHEMA_PATH),
+	F(log_format, "format", SCHEMA_CHOICE, .fallback = "text", .choices = {"text", "json"}),
+	F(log_level, "level", SCHEMA_CHOICE, .fallback = "info",
+	  .choices = {"error", "warning", "info", "debug"}),
+	F(trace_path, "trace", SCHEMA_PATH),
+};
+
+static const char *const platform_others[] = {"endpoints", NULL};
+static const char *const rpc_others[] = {"seeds", NULL};
+
+static const struct {
+	const char *name;
+	const struct schema_field *fields;
+	unsigned n;
+	const char *const *others;
+} sections[] = {
+	{"vm", vm_fields, G_N_ELEMENTS(vm_fields), NULL},
+	{"platform", platform_fields, G_N_ELEMENTS(platform_fields), platform_others},
+	{"callers", caller_fields, G_N_ELEMENTS(caller_fields), NULL},
+	{"tls", tls_fields, G_N_ELEMENTS(tls_fields), NULL},
+	{"keys", key_fields, G_N_ELEMENTS(key_fields), NULL},
+	{"rpc", rpc_fields, G_N_ELEMENTS(rpc_fields), rpc_others},
+	{"databases", database_fields, G_N_ELEMENTS(database_fields), NULL},
+	{"log", log_fields_table, G_N_ELEMENTS(log_fields_table), NULL},
+};
+
+const char *settings_log_level(const struct settings *s)
+{
+	return log_fields_table[2].choices[s->log_level];
+}
+
+static gboolean addresses_wrong(const char *where, const char *key, unsigned least, GError **error)
+{
+	g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+		    "%s: %s: found something else; allowed: a list of %u to %d texts \"ip:port\"",
+		    where, key, least, SETTINGS_ADDRESSES_MAX);
+	return FALSE;
+}
+
+/** Read a list of addresses. */
+static gboolean read_addresses(JsonObject *section, const char *where, const char *key,
+			       unsigned least, char (*out)[ADDRESS_SIZE], unsigned *n,
+			       GError **error)
+{
+	const struct schema_field item = {.key = key, .type = SCHEMA_ADDRESS, .required = true};
+	JsonNode *node = json_object_get_member(section, key);
+	JsonArray *list;
+	guint i;
+
+	if (node == NULL && least == 0)
+		return TRUE;
+	if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node))
+		return addresses_wrong(where, key, least, error);
+	list = json_node_get_array(node);
+	*n = json_array_get_length(list);
+	if (*n < least || *n > SETTINGS_ADDRESSES_MAX)
+		return addresses_wrong(where, key, least, error);
+	for (i = 0; i < *n; i++) {
+		JsonObject *one = json_object_new();
+		gboolean ok;
+
+		json_object_set_member(one, key, json_node_copy(json_array_get_element(list, i)));
+		ok = schema_read(one, where, &item, 1, NULL, out[i], error);
+		json_object_unref(one);
+		if (!ok)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean read_section(JsonObject *root, const char *path, unsigned i, struct settings *s,
+			     GError **error)
+{
+	char *where = g_strdup_printf("%s: [%s]", path, sections[i].name);
+	JsonObject *o = schema_table(root, path, sections[i].name, error);
+	gboolean ok = o != NULL;
+
+	ok = ok &&
+	     schema_read(o, where, sections[i].fields, sections[i].n, sections[i].others, s, error);
+	if (ok && sections[i].others == platform_others)
+		ok = read_addresses(o, where, "endpoints", 1, s->platform, &s->platforms, error);
+	if (ok && sections[i].others == rpc_others)
+		ok = read_addresses(o, where, "seeds", 0, s->seed, &s->seeds, error);
+	if (o != NULL)
+		json_object_unref(o);
+	g_free(where);
+	return ok;
+}
+
+static gboolean check_together(const char *path, const struct settings *s, GError **error)
+{
+	if ((s->tls_certificate[0] != '\0') != (s->tls_key[0] != '\0')) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "%s: [tls]: found one of certificate and key; allowed: both or none",
+			    path);
+		return FALSE;
+	}
+	if (s->tls_required && s->tls_key[0] == '\0') {
+		g_set_error(
+			error, ML_ERROR, ML_ERROR_SETTINGS,
+			"%s: [tls]: required: found true without a certificate; allowed: with one",
+			path);
+		return FALSE;
+	}
+	return TRUE;
+}
+
+gboolean settings_load(const char *path, struct settings *s, GError **error)
+{
+	const char *known[G_N_ELEMENTS(sections) + 1] = {NULL};
+	JsonObject *root;
+	gboolean ok;
+	char *text;
+	unsigned i;
+
+	memset(s, 0, sizeof(*s));
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return FALSE;
+	root = schema_parse(path, text, error);
+	g_free(text);
+	if (root == NULL)
+		return FALSE;
+	for (i = 0; i < G_N_ELEMENTS(sections); i++)
+		known[i] = sections[i].name;
+	ok = schema_read(root, path, NULL, 0, known, s, error);
+	for (i = 0; i < G_N_ELEMENTS(sections) && ok; i++)
+		ok = read_section(root, path, i, s, error);
+	ok = ok && check_together(path, s, error);
+	if (ok && s->advertise[0] == '\0')
+		memcpy(s->advertise, s->rpc_address, sizeof(s->advertise));
+	json_object_unref(root);
+	return ok;
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,59 @@
+/** @file settings.h The settings of one daemon, read once from a TOML file. */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "schema.h"
+#include "types.h"
+
+#define SETTINGS_ADDRESSES_MAX 5
+
+struct settings {
+	char name[NAME_SIZE];
+	char data_center[NAME_SIZE];
+	char caller_address[ADDRESS_SIZE];
+	char rpc_address[ADDRESS_SIZE];
+	char advertise[ADDRESS_SIZE]; /**< RPC address told to others; rpc_address when empty */
+	unsigned drain_ms;
+
+	char platform[SETTINGS_ADDRESSES_MAX][ADDRESS_SIZE];
+	unsigned platforms;
+	unsigned platform_timeout_ms;
+
+	unsigned callers_max;
+	unsigned idle_ms;    /**< a caller that sends nothing is dropped after this */
+	unsigned message_ms; /**< time for a started message to arrive whole */
+	unsigned message_max;
+	unsigned result_max;
+	unsigned deadline_ms; /**< of a request whose route gives none */
+
+	char tls_certificate[SCHEMA_PATH_SIZE];
+	char tls_key[SCHEMA_PATH_SIZE];
+	bool tls_required;
+
+	unsigned stale_keys_ms; /**< how long keys are trusted without news; 0: for ever */
+
+	char seed[SETTINGS_ADDRESSES_MAX]
+		 [ADDRESS_SIZE]; /**< RPC addresses of peers to ask while the platform is down */
+	unsigned seeds;
+	char rpc_secret[SCHEMA_PATH_SIZE];
+	unsigned heartbeat_ms;
+	unsigned silent_ms; /**< an RPC connection without an answer for this long is replaced */
+
+	unsigned probe_ms; /**< between two looks at a database member */
+	unsigned probe_timeout_ms;
+	unsigned queue_max;	     /**< waiting requests of one member */
+	unsigned statement_ms;	     /**< longest time of one statement on a member */
+	unsigned hold_connection_ms; /**< an unused database connection is closed after this */
+
+	char log_path[SCHEMA_PATH_SIZE];
+	int log_format;
+	int log_level;
+	char trace_path[SCHEMA_PATH_SIZE];
+};
+
+/** Name of the log level that was set. */
+const char *settings_log_level(const struct settings *s);
+/** Read and check the file. */
+gboolean settings_load(const char *path, struct settings *s, GError **error);
+
+#endif
--- /dev/null
+++ b/src/shares.c
@@ -0,0 +1,506 @@
+/** @file shares.c The service that admits requests and moves parts of teams' rates between VMs. */
+#include "shares.h"
+
+#include "bucket.h"
+#include "fleet.h"
+#include "log.h"
+#include "rpc.h"
+#include "share.h"
+#include "stat.h"
+
+#include <string.h>
+
+#define TICK_US (10 * USEC_PER_MSEC)
+/** Longest wait for a token, as long as the team is within its rate. */
+#define HOPE_US (1000 * USEC_PER_MSEC)
+/** Longest wait for a token of a team that is over its rate. */
+#define OVER_US (300 * USEC_PER_MSEC)
+#define REPORT_TIMEOUT_US (400 * USEC_PER_MSEC)
+/** Single tokens that took longer to arrive are not used. */
+#define GRANT_FRESH_US (100 * USEC_PER_MSEC)
+/** Teams that one report may name. */
+#define REPORT_TEAMS 256
+/** Most requests of one team that wait for tokens. */
+#define WAITING_MAX 5000
+
+struct shares_team {
+	TAILQ_ENTRY(shares_team) link;
+	struct shares *s;
+	char name[NAME_SIZE];
+	double rate;
+	double burst;
+	bool configured;
+	struct bucket bucket;
+	struct share_holder holder;
+	int64_t out_us;		   /**< when the open report was sent */
+	struct share_alloc *alloc; /**< when this VM was asked to be the team's allocator */
+	struct admissions waiting;
+	unsigned n_waiting;
+	double granted; /**< single tokens from the allocator, for those that wait now */
+};
+TAILQ_HEAD(shares_teams, shares_team);
+
+struct shares {
+	struct service service;
+	struct shares_teams teams;
+	GHashTable *by_name;
+	struct event *tick;
+	int64_t ticked_us;
+};
+
+struct shares *shares_of(struct kernel *k)
+{
+	return (struct shares *)kernel_find(k, "shares");
+}
+
+static struct shares_team *team_find(struct shares *s, const char *name)
+{
+	return g_hash_table_lookup(s->by_name, name);
+}
+
+/** Bring the bucket to this VM's part. */
+static void team_resize(struct shares_team *t, int64_t now)
+{
+	double part = (double)t->holder.units / SHARE_WHOLE;
+
+	bucket_resize(&t->bucket, t->rate * part, t->burst * part, now);
+}
+
+static struct shares_team *team_create(struct shares *s, const char *name)
+{
+	struct shares_team *t = g_new0(struct shares_team, 1);
+	int64_t now = now_us();
+
+	t->s = s;
+	g_strlcpy(t->name, name, sizeof(t->name));
+	TAILQ_INIT(&t->waiting);
+	bucket_init(&t->bucket, 0, 0, 0, now);
+	share_holder_init(&t->holder, s->service.kernel->incarnation, now);
+	TAILQ_INSERT_TAIL(&s->teams, t, link);
+	g_hash_table_insert(s->by_name, t->name, t);
+	return t;
+}
+
+static void team_free(struct shares_team *t)
+{
+	if (t->alloc != NULL) {
+		share_alloc_clear(t->alloc);
+		g_free(t->alloc);
+	}
+	TAILQ_REMOVE(&t->s->teams, t, link);
+	g_hash_table_remove(t->s->by_name, t->name);
+	g_free(t);
+}
+
+static void list_vms(struct shares *s, struct share_alloc *alloc)
+{
+	struct fleet *f = fleet_of(s->service.kernel);
+	const char **names = g_new0(const char *, f->peers.n + 1);
+	struct vm *vm;
+	unsigned n = 0;
+
+	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+		/* This VM counts itself as listed only when the platform does. */
+		if (vm->listed && (vm != f->peers.self || f->peers.revision > 0))
+			names[n++] = vm->name;
+	}
+	share_alloc_listed(alloc, names, n, now_us());
+	g_free(names);
+}
+
+static void shares_changed(void *owner)
+{
+	struct shares *s = owner;
+	struct fleet *f = fleet_of(s->service.kernel);
+	struct shares_team *t, *next;
+	int64_t now = now_us();
+	GHashTableIter iter;
+	gpointer value;
+
+	TAILQ_FOREACH (t, &s->teams, link)
+		t->configured = false;
+	g_hash_table_iter_init(&iter, f->conf->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct conf_entry *e = value;
+
+		if (e->kind != CONF_TEAM)
+			continue;
+		t = team_find(s, e->team.name);
+		if (t == NULL)
+			t = team_create(s, e->team.name);
+		t->configured = true;
+		t->rate = e->team.rate;
+		t->burst = e->team.burst;
+		team_resize(t, now);
+	}
+	TAILQ_FOREACH_SAFE (t, &s->teams, link, next) {
+		if (t->alloc != NULL) {
+			t->alloc->rate = t->rate;
+			t->alloc->burst = t->burst;
+			list_vms(s, t->alloc);
+		}
+		if (!t->configured && t->n_waiting == 0)
+			team_free(t);
+	}
+}
+
+/** A loop that stood still may hold parts that others have by now: give them up before any request
+ * takes a token. */
+static void check_pause(struct shares *s, int64_t now)
+{
+	int64_t gap = now - s->ticked_us;
+	struct shares_team *t;
+
+	if (gap < SHARE_PAUSE_MAX_US)
+		return;
+	s->ticked_us = now;
+	TAILQ_FOREACH (t, &s->teams, link) {
+		if (!share_holder_paused(&t->holder, gap))
+			continue;
+		log_warn("share-dropped", LOG_STR("team", t->name),
+			 LOG_NUM("paused_ms", gap / USEC_PER_MSEC));
+		team_resize(t, now);
+	}
+}
+
+/* Admission */
+
+static void admission_end(struct admission *a, bool admitted, int64_t retry)
+{
+	struct shares_team *t = a->team;
+
+	TAILQ_REMOVE(&t->waiting, a, link);
+	t->n_waiting--;
+	a->team = NULL;
+	a->done(a, admitted, retry);
+}
+
+void shares_cancel(struct admission *a)
+{
+	if (a->team == NULL)
+		return;
+	TAILQ_REMOVE(&a->team->waiting, a, link);
+	a->team->n_waiting--;
+	a->team = NULL;
+}
+
+/** When the team's next token is likely to be free for a new request here. */
+static int64_t team_wait_us(struct shares_team *t, int64_t now)
+{
+	double ahead = (double)t->n_waiting + 1;
+	double part = t->bucket.rate > 0 ? t->bucket.rate : t->rate / 2;
+	int64_t wait = (int64_t)((ahead - t->bucket.tokens) / part * (double)USEC_PER_SEC);
+
+	return wait > 0 ? wait : 1;
+}
+
+int shares_admit(struct shares *s, const char *team, struct admission *a, int64_t deadline_us,
+		 int64_t *retry_after_us)
+{
+	struct shares_team *t = team_find(s, team);
+	int64_t now = now_us();
+	int64_t limit;
+	bool ok;
+
+	check_pause(s, now);
+	a->team = NULL;
+	/* A team without a rate of its own is not limited. */
+	if (t == NULL || !t->configured)
+		return 1;
+	ok = t->n_waiting == 0 && bucket_take(&t->bucket, 1, now);
+	share_holder_arrival(&t->holder, ok, now);
+	if (ok)
+		return 1;
+	*retry_after_us = team_wait_us(t, now);
+	limit = now + (share_holder_hopeful(&t->holder) ? HOPE_US : OVER_US);
+	if (limit > deadline_us)
+		limit = deadline_us;
+	/* A wait that must fail is not begun: the caller hears now, and when to come back. */
+	if (t->n_waiting >= WAITING_MAX)
+		return -1;
+	if (!share_holder_hopeful(&t->holder) && now + *retry_after_us > limit)
+		return -1;
+	a->team = t;
+	a->until_us = limit;
+	TAILQ_INSERT_TAIL(&t->waiting, a, link);
+	t->n_waiting++;
+	return 0;
+}
+
+static void team_admit_waiting(struct shares_team *t, int64_t now)
+{
+	struct admission *a;
+
+	while ((a = TAILQ_FIRST(&t->waiting)) != NULL) {
+		if (t->granted >= 1)
+			t->granted -= 1;
+		else if (!bucket_take(&t->bucket, 1, now))
+			break;
+		admission_end(a, true, 0);
+	}
+	t->granted = 0;
+	if (a != NULL)
+		t->holder.short_now = true;
+	while ((a = TAILQ_FIRST(&t->waiting)) != NULL && a->until_us <= now)
+		admission_end(a, false, team_wait_us(t, now));
+}
+
+double shares_weight(struct shares *s, const char *team)
+{
+	const struct shares_team *t = team_find(s, team);
+
+	return t != NULL && t->configured ? t->rate : 1;
+}
+
+bool shares_within_rate(struct shares *s, const char *team)
+{
+	const struct shares_team *t = team_find(s, team);
+
+	return t == NULL || share_holder_hopeful(&t->holder);
+}
+
+/* Holder's side */
+
+struct report {
+	struct shares *s;
+	char address[ADDRESS_SIZE];
+};
+
+static void report_done(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_share_res *res = arg_res;
+	struct report *r = arg;
+	int64_t now = now_us();
+	u_int i;
+
+	if (status != RPC_DONE)
+		fleet_suspect(fleet_of(r->s->service.kernel), r->address);
+	for (i = 0; status == RPC_DONE && i < res->orders.orders_len; i++) {
+		const ml_share_order *wire = &res->orders.orders_val[i];
+		struct share_order o = {
+			.epoch = wire->epoch, .seq = wire->seq, .units = wire->units};
+		struct shares_team *t = team_find(r->s, wire->team);
+
+		o.over = wire->over;
+		if (t == NULL)
+			continue;
+		/* Tokens that were long under way would come on top of a burst that has filled up
+		 * again since. */
+		t->granted = now - t->out_us < GRANT_FRESH_US ? wire->granted : 0;
+		t->out_us = 0;
+		if (share_holder_order(&t->holder, &o, now)) {
+			stat_add(STAT_SHARE_ORDERS, 1);
+			team_resize(t, now);
+		}
+		log_debug("share", LOG_STR("team", t->name), LOG_NUM("units", t->holder.units),
+			  LOG_NUM("epoch", t->holder.epoch));
+		team_admit_waiting(t, now);
+	}
+	g_free(r);
+}
+
+static void report_send(struct shares *s, const char *address, ml_share_report *reports, unsigned n)
+{
+	struct kernel *k = s->service.kernel;
+	ml_share_args args = {.vm = (char *)k->settings->name, .incarnation = k->incarnation};
+	struct report *r = g_new0(struct report, 1);
+
+	r->s = s;
+	g_strlcpy(r->address, address, sizeof(r->address));
+	args.reports.reports_val = reports;
+	args.reports.reports_len = n;
+	rpc_start(rpc_of(k), r->address, ML_SHARE, &args, REPORT_TIMEOUT_US, report_done, r);
+}
+
+static bool report_due(const struct shares_team *t, int64_t now)
+{
+	if (t->out_us != 0 && now - t->out_us < REPORT_TIMEOUT_US)
+		return false;
+	return t->configured && share_holder_due_us(&t->holder) <= now;
+}
+
+static void report_fill(struct shares_team *t, ml_share_report *wire, int64_t now)
+{
+	struct share_report r = share_holder_report(&t->holder, now);
+
+	t->out_us = now;
+	wire->team = t->name;
+	wire->epoch = r.epoch;
+	wire->seq = r.seq;
+	wire->units = r.units;
+	wire->demand = r.demand;
+	wire->want = t->n_waiting;
+}
+
+/** Send what is due, one message to each allocator. */
+static void reports_send(struct shares *s, int64_t now)
+{
+	struct fleet *f = fleet_of(s->service.kernel);
+	ml_share_report reports[REPORT_TEAMS];
+	struct shares_team *t, *other;
+
+	TAILQ_FOREACH (t, &s->teams, link) {
+		char role[NAME_SIZE + 8];
+		const char *address;
+		unsigned n = 0;
+
+		if (!report_due(t, now))
+			continue;
+		g_snprintf(role, sizeof(role), "share %s", t->name);
+		address = fleet_holder_address(f, role);
+		if (address == NULL)
+			continue;
+		for (other = t; other != NULL && n < REPORT_TEAMS;
+		     other = TAILQ_NEXT(other, link)) {
+			g_snprintf(role, sizeof(role), "share %s", other->name);
+			if (report_due(other, now) && fleet_holder_address(f, role) == address)
+				report_fill(other, &reports[n++], now);
+		}
+		report_send(s, address, reports, n);
+	}
+}
+
+/* Allocator's side */
+
+static struct share_alloc *team_alloc(struct shares_team *t)
+{
+	struct shares *s = t->s;
+
+	if (t->alloc == NULL) {
+		t->alloc = g_new0(struct share_alloc, 1);
+		share_alloc_init(t->alloc, (uint32_t)s->service.kernel->incarnation | 1,
+				 s->service.kernel->settings->name, t->rate, t->burst);
+		log_info("placement", LOG_STR("choice", "allocator"), LOG_STR("team", t->name));
+		list_vms(s, t->alloc);
+	}
+	return t->alloc;
+}
+
+/** Single tokens for another VM's waiting requests, out of this VM's own part. */
+static u_int grant_tokens(struct shares_team *t, u_int want, int64_t now)
+{
+	u_int granted = 0;
+
+	/* Those that wait here go first. */
+	if (t->n_waiting > 0)
+		return 0;
+	while (granted < want && bucket_take(&t->bucket, 1, now))
+		granted++;
+	return granted;
+}
+
+static void share_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_share_args *a = args;
+	struct shares *s = owner;
+	ml_share_order *orders = g_new0(ml_share_order, a->reports.reports_len + 1);
+	ml_share_res res = {0};
+	int64_t now = now_us();
+	u_int i;
+
+	check_pause(s, now);
+	for (i = 0; i < a->reports.reports_len; i++) {
+		const ml_share_report *wire = &a->reports.reports_val[i];
+		struct share_report r = {
+			.incarnation = a->incarnation, .epoch = wire->epoch, .seq = wire->seq};
+		struct shares_team *t = team_find(s, wire->team);
+		struct share_order o;
+
+		/* The team is not known here yet: no order, the holder asks again. */
+		if (t == NULL || !t->configured)
+			continue;
+		r.units = wire->units;
+		r.demand = wire->demand;
+		o = share_alloc_report(team_alloc(t), a->vm, &r, now);
+		orders[res.orders.orders_len] = (ml_share_order){.team = wire->team,
+								 .epoch = o.epoch,
+								 .seq = o.seq,
+								 .units = o.units,
+								 .over = o.over};
+		if (strcmp(a->vm, s->service.kernel->settings->name) != 0)
+			orders[res.orders.orders_len].granted = grant_tokens(t, wire->want, now);
+		res.orders.orders_len++;
+	}
+	res.orders.orders_val = orders;
+	rpc_reply(rq, &res);
+	g_free(orders);
+}
+
+/* The service */
+
+static void shares_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct shares *s = arg;
+	int64_t now = now_us();
+	struct shares_team *t;
+
+	check_pause(s, now);
+	s->ticked_us = now;
+	TAILQ_FOREACH (t, &s->teams, link)
+		team_admit_waiting(t, now);
+	reports_send(s, now);
+}
+
+static gboolean shares_start(struct service *service, GError **error)
+{
+	struct shares *s = (struct shares *)service;
+
+	rpc_serve(rpc_of(service->kernel), ML_SHARE, share_serve, s);
+	fleet_listen(fleet_of(service->kernel), shares_changed, s);
+	s->ticked_us = now_us();
+	s->tick = kernel_every(service->kernel, TICK_US, shares_tick, s);
+	return TRUE;
+}
+
+static void shares_stop(struct service *service)
+{
+	struct shares *s = (struct shares *)service;
+	struct shares_team *t;
+
+	if (s->tick != NULL)
+		event_free(s->tick);
+	while ((t = TAILQ_FIRST(&s->teams)) != NULL)
+		team_free(t);
+	g_hash_table_destroy(s->by_name);
+	g_free(s);
+}
+
+static const struct service_ops shares_ops = {
+	.name = "shares",
+	.start = shares_start,
+	.stop = shares_stop,
+};
+
+struct service *shares_service_create(struct kernel *k)
+{
+	struct shares *s = g_new0(struct shares, 1);
+
+	s->service.ops = &shares_ops;
+	TAILQ_INIT(&s->teams);
+	s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	kernel_add(k, &s->service);
+	return &s->service;
+}
+
+void shares_json(struct shares *s, JsonBuilder *b)
+{
+	struct shares_team *t;
+
+	json_builder_set_member_name(b, "teams");
+	json_builder_begin_array(b);
+	TAILQ_FOREACH (t, &s->teams, link) {
+		json_builder_begin_object(b);
+		json_builder_set_member_name(b, "team");
+		json_builder_add_string_value(b, t->name);
+		json_builder_set_member_name(b, "part");
+		json_builder_add_double_value(b, (double)t->holder.units / SHARE_WHOLE);
+		json_builder_set_member_name(b, "demand");
+		json_builder_add_double_value(b, t->holder.demand);
+		json_builder_set_member_name(b, "waiting");
+		json_builder_add_int_value(b, t->n_waiting);
+		json_builder_set_member_name(b, "allocator");
+		json_builder_add_boolean_value(b, t->alloc != NULL);
+		json_builder_end_object(b);
+	}
+	json_builder_end_array(b);
+}
--- /dev/null
+++ b/src/stat.c
@@ -0,0 +1,74 @@
+/** @file stat.c Counters. */
+#include "stat.h"
+
+static uint64_t counters[STATS];
+static uint64_t outcomes[OUTCOMES];
+
+static const char *const names[STATS] = {
+	[STAT_CALLERS_OPENED] = "callers_opened",
+	[STAT_CALLERS_CLOSED] = "callers_closed",
+	[STAT_CALLERS_REFUSED] = "callers_refused",
+	[STAT_CALLERS_TIMED_OUT] = "callers_timed_out",
+	[STAT_REQUESTS] = "requests",
+	[STAT_READS_BY_REPLICA] = "reads_by_replica",
+	[STAT_READS_BY_PRIMARY] = "reads_by_primary",
+	[STAT_WRITES] = "writes",
+	[STAT_RETRIES] = "retries",
+	[STAT_REFUSED] = "refused",
+	[STAT_REFUSED_WITHIN_RATE] = "refused_within_rate",
+	[STAT_OVER_RATE] = "over_rate",
+	[STAT_HOME_RUN] = "home_run",
+	[STAT_HOME_QUEUED] = "home_queued",
+	[STAT_CONNECTIONS_OPENED] = "connections_opened",
+	[STAT_CONNECTIONS_LOST] = "connections_lost",
+	[STAT_FAILOVERS_BEGUN] = "failovers_begun",
+	[STAT_FAILOVERS_DONE] = "failovers_done",
+	[STAT_CONFIRMS] = "confirms",
+	[STAT_CONFIRMS_LOST] = "confirms_lost",
+	[STAT_FATES_ASKED] = "fates_asked",
+	[STAT_RPC_CALLS] = "rpc_calls",
+	[STAT_RPC_LOST] = "rpc_lost",
+	[STAT_RPC_BYTES_IN] = "rpc_bytes_in",
+	[STAT_RPC_BYTES_OUT] = "rpc_bytes_out",
+	[STAT_CONTROL_BYTES_IN] = "control_bytes_in",
+	[STAT_CONTROL_BYTES_OUT] = "control_bytes_out",
+	[STAT_PLATFORM_CALLS] = "platform_calls",
+	[STAT_PLATFORM_FAILED] = "platform_failed",
+	[STAT_PLATFORM_WATCHES] = "platform_watches",
+	[STAT_CONF_APPLIED] = "conf_applied",
+	[STAT_SHARE_ORDERS] = "share_orders",
+};
+
+void stat_add(enum stat_id id, uint64_t n)
+{
+	counters[id] += n;
+}
+
+uint64_t stat_get(enum stat_id id)
+{
+	return counters[id];
+}
+
+void stat_outcome(enum outcome o)
+{
+	outcomes[o]++;
+}
+
+static void put(JsonBuilder *b, const char *name, uint64_t value)
+{
+	json_builder_set_member_name(b, name);
+	json_builder_add_int_value(b, (gint64)value);
+}
+
+void stat_json(JsonBuilder *b)
+{
+	unsigned i;
+
+	for (i = 0; i < STATS; i++)
+		put(b, names[i], counters[i]);
+	json_builder_set_member_name(b, "outcomes");
+	json_builder_begin_object(b);
+	for (i = 0; i < OUTCOMES; i++)
+		put(b, outcome_text((enum outcome)i)->name, outcomes[i]);
+	json_builder_end_object(b);
+}
--- /dev/null
+++ b/src/stat.h
@@ -0,0 +1,56 @@
+/**
+ * @file stat.h
+ * Counters of our own: named, process-wide, only ever rising; read by `mangoloom status`.
+ */
+#ifndef STAT_H
+#define STAT_H
+
+#include "outcome.h"
+
+#include <json-glib/json-glib.h>
+#include <stdint.h>
+
+enum stat_id {
+	STAT_CALLERS_OPENED,
+	STAT_CALLERS_CLOSED,
+	STAT_CALLERS_REFUSED,
+	STAT_CALLERS_TIMED_OUT,
+	STAT_REQUESTS,
+	STAT_READS_BY_REPLICA,
+	STAT_READS_BY_PRIMARY,
+	STAT_WRITES,
+	STAT_RETRIES,
+	STAT_REFUSED,
+	STAT_REFUSED_WITHIN_RATE,
+	STAT_OVER_RATE,
+	STAT_HOME_RUN,
+	STAT_HOME_QUEUED,
+	STAT_CONNECTIONS_OPENED,
+	STAT_CONNECTIONS_LOST,
+	STAT_FAILOVERS_BEGUN,
+	STAT_FAILOVERS_DONE,
+	STAT_CONFIRMS,
+	STAT_CONFIRMS_LOST,
+	STAT_FATES_ASKED,
+	STAT_RPC_CALLS,
+	STAT_RPC_LOST,
+	STAT_RPC_BYTES_IN,
+	STAT_RPC_BYTES_OUT,
+	STAT_CONTROL_BYTES_IN,
+	STAT_CONTROL_BYTES_OUT,
+	STAT_PLATFORM_CALLS,
+	STAT_PLATFORM_FAILED,
+	STAT_PLATFORM_WATCHES,
+	STAT_CONF_APPLIED,
+	STAT_SHARE_ORDERS,
+	STATS
+};
+
+void stat_add(enum stat_id id, uint64_t n);
+uint64_t stat_get(enum stat_id id);
+/** Count one request's final outcome. */
+void stat_outcome(enum outcome o);
+/** Write all counters as members of the open JSON object of @a b. */
+void stat_json(JsonBuilder *b);
+
+#endif
--- /dev/null
+++ b/src/status.c
@@ -0,0 +1,99 @@
+/** @file status.c The service that tells of this daemon, and stops it. */
+#include "status.h"
+
+#include "caller.h"
+#include "fleet.h"
+#include "home.h"
+#include "rpc.h"
+#include "shares.h"
+#include "stat.h"
+
+#include <sys/resource.h>
+
+static void put_usage(JsonBuilder *b)
+{
+	struct rusage u;
+
+	getrusage(RUSAGE_SELF, &u);
+	json_builder_set_member_name(b, "cpu_us");
+	json_builder_add_int_value(b, (u.ru_utime.tv_sec + u.ru_stime.tv_sec) * USEC_PER_SEC +
+					      u.ru_utime.tv_usec + u.ru_stime.tv_usec);
+	json_builder_set_member_name(b, "memory_kb");
+	json_builder_add_int_value(b, u.ru_maxrss);
+}
+
+static char *status_json(struct kernel *k)
+{
+	JsonBuilder *b = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(b);
+	json_builder_set_member_name(b, "vm");
+	json_builder_add_string_value(b, k->settings->name);
+	json_builder_set_member_name(b, "data_center");
+	json_builder_add_string_value(b, k->settings->data_center);
+	json_builder_set_member_name(b, "draining");
+	json_builder_add_boolean_value(b, k->draining);
+	json_builder_set_member_name(b, "callers");
+	json_builder_add_int_value(b, callers_count(callers_of(k)));
+	put_usage(b);
+	fleet_json(fleet_of(k), b);
+	home_json(home_of(k), b);
+	shares_json(shares_of(k), b);
+	json_builder_set_member_name(b, "counters");
+	json_builder_begin_object(b);
+	stat_json(b);
+	json_builder_end_object(b);
+	json_builder_end_object(b);
+	root = json_builder_get_root(b);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(b);
+	return text;
+}
+
+static void status_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	struct service *s = owner;
+	ml_status_res res = {.json = status_json(s->kernel)};
+
+	rpc_reply(rq, &res);
+	g_free(res.json);
+}
+
+static void stop_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	struct service *s = owner;
+	ml_status_res res = {.json = "{}"};
+
+	rpc_reply(rq, &res);
+	kernel_drain(s->kernel);
+}
+
+static gboolean status_start(struct service *s, GError **error)
+{
+	rpc_serve(rpc_of(s->kernel), ML_STATUS, status_serve, s);
+	rpc_serve(rpc_of(s->kernel), ML_STOP, stop_serve, s);
+	return TRUE;
+}
+
+static void status_stop(struct service *s)
+{
+	g_free(s);
+}
+
+static const struct service_ops status_ops = {
+	.name = "status",
+	.start = status_start,
+	.stop = status_stop,
+};
+
+struct service *status_service_create(struct kernel *k)
+{
+	struct service *s = g_new0(struct service, 1);
+
+	s->ops = &status_ops;
+	kernel_add(k, s);
+	return s;
+}
--- /dev/null
+++ b/src/table.c
@@ -0,0 +1,430 @@
+/** @file table.c Routes, pools, teams and keys in their text forms. */
+#include "table.h"
+
+#include "error.h"
+#include "schema.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define F(st, field, k, t, ...)                                                                    \
+	{                                                                                          \
+		.key = (k), .type = (t), .offset = offsetof(struct st, field), __VA_ARGS__         \
+	}
+#define DAY_MS 86400000.0
+
+static const struct schema_field route_fields[] = {
+	F(conf_route, name, "name", SCHEMA_NAME, .required = true),
+	F(conf_route, team, "team", SCHEMA_PATTERN, .fallback = "*"),
+	F(conf_route, kind, "kind", SCHEMA_PATTERN, .fallback = "*"),
+	F(conf_route, pool, "pool", SCHEMA_NAME, .required = true),
+	F(conf_route, write, "write", SCHEMA_BOOL, .fallback = "true"),
+	F(conf_route, max_age_ms, "max_age_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS,
+	  .fallback = "0"),
+	F(conf_route, deadline_ms, "deadline_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS,
+	  .fallback = "0"),
+};
+
+static const struct schema_field team_fields[] = {
+	F(conf_team, name, "name", SCHEMA_NAME, .required = true),
+	F(conf_team, rate, "rate", SCHEMA_DOUBLE, .required = true, .min = 0.001, .max = 1e9),
+	F(conf_team, burst, "burst", SCHEMA_DOUBLE, .required = true, .min = 1, .max = 1e9),
+};
+
+static const struct schema_field pool_fields[] = {
+	F(conf_pool, name, "name", SCHEMA_NAME, .required = true),
+	F(conf_pool, confirm, "confirm", SCHEMA_CHOICE, .fallback = "replica",
+	  .choices = {"replica", "primary"}),
+};
+
+static const struct schema_field member_fields[] = {
+	F(conf_member, name, "name", SCHEMA_NAME, .required = true),
+	F(conf_member, address, "address", SCHEMA_ADDRESS, .required = true),
+	F(conf_member, data_center, "data_center", SCHEMA_NAME, .required = true),
+	F(conf_member, slots, "slots", SCHEMA_UINT, .min = 1, .max = 1024, .fallback = "2"),
+	F(conf_member, connections, "connections", SCHEMA_UINT, .min = 4, .max = 65536,
+	  .fallback = "16"),
+	F(conf_member, leaving, "leaving", SCHEMA_BOOL, .fallback = "false"),
+};
+
+/** A key's entry holds its hash as hexadecimal text. */
+struct key_text {
+	char id[NAME_SIZE];
+	char team[NAME_SIZE];
+	char hash[SCHEMA_PATH_SIZE];
+	bool withdrawn;
+};
+
+static const struct schema_field key_fields[] = {
+	F(key_text, id, "id", SCHEMA_NAME, .required = true),
+	F(key_text, team, "team", SCHEMA_NAME, .required = true),
+	F(key_text, hash, "hash", SCHEMA_PATH, .required = true),
+	F(key_text, withdrawn, "withdrawn", SCHEMA_BOOL, .fallback = "false"),
+};
+
+/** Each kind of entry: its place in the files and its fields. */
+static const struct kind {
+	const char *prefix;
+	const struct schema_field *fields;
+	unsigned n;
+	enum table_which table;
+} kinds[CONF_KINDS] = {
+	[CONF_ROUTE] = {"route", route_fields, G_N_ELEMENTS(route_fields), TABLE_ROUTES},
+	[CONF_POOL] = {"pool", pool_fields, G_N_ELEMENTS(pool_fields), TABLE_POOLS},
+	[CONF_TEAM] = {"team", team_fields, G_N_ELEMENTS(team_fields), TABLE_ROUTES},
+	[CONF_KEY] = {"key", key_fields, G_N_ELEMENTS(key_fields), TABLES},
+};
+
+static const char *const member_key[] = {"member", NULL};
+
+const char *table_name(enum table_which which)
+{
+	return which == TABLE_ROUTES ? "routes" : "pools";
+}
+
+bool table_holds(enum table_which which, enum conf_kind kind)
+{
+	return kinds[kind].table == which;
+}
+
+/** Read one struct of @a kind into @a e. */
+static void *entry_body(struct conf_entry *e)
+{
+	switch (e->kind) {
+	case CONF_ROUTE:
+		return &e->route;
+	case CONF_POOL:
+		return &e->pool;
+	case CONF_TEAM:
+		return &e->team;
+	default:
+		return &e->key;
+	}
+}
+
+static gboolean read_members(JsonObject *o, const char *where, struct conf_pool *pool,
+			     GError **error)
+{
+	JsonArray *list;
+	unsigned i, j;
+
+	if (!schema_tables(o, where, "member", &list, error))
+		return FALSE;
+	pool->n = list != NULL ? json_array_get_length(list) : 0;
+	if (pool->n < 1 || pool->n > GROUP_MEMBERS_MAX) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "%s: member: found %u members; allowed: 1 to %d", where, pool->n,
+			    GROUP_MEMBERS_MAX);
+		return FALSE;
+	}
+	for (i = 0; i < pool->n; i++) {
+		char *at = g_strdup_printf("%s: member %u", where, i + 1);
+		gboolean ok =
+			schema_read(json_array_get_object_element(list, i), at, member_fields,
+				    G_N_ELEMENTS(member_fields), NULL, &pool->member[i], error);
+
+		g_free(at);
+		if (!ok)
+			return FALSE;
+		for (j = 0; j < i; j++) {
+			if (strcmp(pool->member[j].name, pool->member[i].name) != 0)
+				continue;
+			g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+				    "%s: member: found \"%s\" twice; allowed: each name once",
+				    where, pool->member[i].name);
+			return FALSE;
+		}
+	}
+	return TRUE;
+}
+
+static gboolean read_key(JsonObject *o, const char *where, struct conf_key *key, GError **error)
+{
+	struct key_text text;
+	size_t len = 0;
+
+	if (!schema_read(o, where, key_fields, G_N_ELEMENTS(key_fields), NULL, &text, error))
+		return FALSE;
+	if (sodium_hex2bin(key->hash, sizeof(key->hash), text.hash, strlen(text.hash), NULL, &len,
+			   NULL) != 0 ||
+	    len != KEY_HASH_SIZE) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "%s: hash: found another text; allowed: %d hex digits", where,
+			    2 * KEY_HASH_SIZE);
+		return FALSE;
+	}
+	g_strlcpy(key->id, text.id, sizeof(key->id));
+	g_strlcpy(key->team, text.team, sizeof(key->team));
+	key->withdrawn = text.withdrawn;
+	return TRUE;
+}
+
+static gboolean read_body(JsonObject *o, const char *where, struct conf_entry *e, GError **error)
+{
+	const struct kind *k = &kinds[e->kind];
+
+	if (e->kind == CONF_KEY)
+		return read_key(o, where, &e->key, error);
+	if (!schema_read(o, where, k->fields, k->n, e->kind == CONF_POOL ? member_key : NULL,
+			 entry_body(e), error))
+		return FALSE;
+	return e->kind != CONF_POOL || read_members(o, where, &e->pool, error);
+}
+
+/** The entry's text, in JSON, always the same for the same content. */
+static char *body_text(struct conf_entry *e)
+{
+	GString *out = g_string_new("{");
+	unsigned i;
+
+	schema_write(kinds[e->kind].fields, kinds[e->kind].n, entry_body(e), true, out);
+	if (e->kind == CONF_POOL) {
+		g_string_append(out, ",\"member\":[");
+		for (i = 0; i < e->pool.n; i++) {
+			g_string_append(out, i > 0 ? ",{" : "{");
+			schema_write(member_fields, G_N_ELEMENTS(member_fields), &e->pool.member[i],
+				     true, out);
+			g_string_append_c(out, '}');
+		}
+		g_string_append_c(out, ']');
+	}
+	g_string_append_c(out, '}');
+	return g_string_free(out, FALSE);
+}
+
+static int kind_of_id(const char *id)
+{
+	int kind;
+
+	for (kind = 0; kind < CONF_KINDS; kind++) {
+		size_t len = strlen(kinds[kind].prefix);
+
+		if (strncmp(id, kinds[kind].prefix, len) == 0 && id[len] == '/')
+			return kind;
+	}
+	return -1;
+}
+
+struct conf_entry *table_entry_parse(const char *id, uint64_t version, const char *text,
+				     GError **error)
+{
+	struct conf_entry *e = conf_entry_create(id, version, text);
+	JsonParser *parser = json_parser_new();
+	int kind = kind_of_id(id);
+	gboolean ok = kind >= 0;
+	JsonNode *root;
+
+	if (!ok) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "entry %s: is of no known kind",
+			    id);
+		goto out;
+	}
+	e->kind = (enum conf_kind)kind;
+	if (text == NULL)
+		goto out;
+	ok = json_parser_load_from_data(parser, text, -1, error);
+	if (!ok)
+		goto out;
+	root = json_parser_get_root(parser);
+	ok = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
+	if (!ok) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "entry %s: is no object", id);
+		goto out;
+	}
+	ok = read_body(json_node_get_object(root), id, e, error);
+out:
+	g_object_unref(parser);
+	if (ok)
+		return e;
+	conf_entry_unref(e);
+	return NULL;
+}
+
+struct conf_entry *table_key_entry(const struct conf_key *key)
+{
+	struct key_text text = {.withdrawn = key->withdrawn};
+	GString *json = g_string_new("{");
+	struct conf_entry *e;
+	char *id;
+
+	g_strlcpy(text.id, key->id, sizeof(text.id));
+	g_strlcpy(text.team, key->team, sizeof(text.team));
+	sodium_bin2hex(text.hash, sizeof(text.hash), key->hash, sizeof(key->hash));
+	schema_write(key_fields, G_N_ELEMENTS(key_fields), &text, true, json);
+	g_string_append_c(json, '}');
+	id = g_strdup_printf("key/%s", key->id);
+	e = conf_entry_create(id, 0, json->str);
+	e->kind = CONF_KEY;
+	e->key = *key;
+	g_free(id);
+	g_string_free(json, TRUE);
+	return e;
+}
+
+static void entry_unref(gpointer e)
+{
+	conf_entry_unref(e);
+}
+
+static gboolean add_entry(struct table *t, const char *file, enum conf_kind kind, JsonObject *o,
+			  guint at, GError **error)
+{
+	char *where = g_strdup_printf("%s: %s %u", file, kinds[kind].prefix, at + 1);
+	struct conf_entry *e = conf_entry_create("", 0, "");
+	gboolean ok;
+	guint i;
+
+	e->kind = kind;
+	ok = read_body(o, where, e, error);
+	g_free(e->id);
+	e->id = g_strdup_printf("%s/%s", kinds[kind].prefix, (const char *)entry_body(e));
+	for (i = 0; i < t->entries->len && ok; i++) {
+		const struct conf_entry *other = g_ptr_array_index(t->entries, i);
+
+		if (strcmp(other->id, e->id) == 0) {
+			g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+				    "%s: name: found \"%s\" twice; allowed: each name once", where,
+				    (const char *)entry_body(e));
+			ok = FALSE;
+		} else if (kind == CONF_ROUTE && other->kind == CONF_ROUTE &&
+			   strcmp(other->route.team, e->route.team) == 0 &&
+			   strcmp(other->route.kind, e->route.kind) == 0) {
+			g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+				    "%s: found the team and kind of route \"%s\" again; allowed: "
+				    "each pair once",
+				    where, other->route.name);
+			ok = FALSE;
+		}
+	}
+	g_free(where);
+	if (!ok) {
+		conf_entry_unref(e);
+		return FALSE;
+	}
+	g_free(e->text);
+	e->text = body_text(e);
+	g_ptr_array_add(t->entries, e);
+	return TRUE;
+}
+
+static gboolean add_kind(struct table *t, const char *file, enum conf_kind kind, JsonObject *root,
+			 GError **error)
+{
+	JsonArray *list;
+	guint i;
+
+	if (!schema_tables(root, file, kinds[kind].prefix, &list, error))
+		return FALSE;
+	for (i = 0; list != NULL && i < json_array_get_length(list); i++) {
+		if (!add_entry(t, file, kind, json_array_get_object_element(list, i), i, error))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+gboolean table_parse(const char *file, const char *text, enum table_which which, struct table *t,
+		     GError **error)
+{
+	static const struct schema_field base_field = {.key = "base_version",
+						       .type = SCHEMA_DOUBLE,
+						       .min = 0,
+						       .max = 9e15,
+						       .fallback = "0"};
+	const char *known[CONF_KINDS + 1] = {NULL};
+	JsonObject *root = schema_parse(file, text, error);
+	double base = 0;
+	unsigned n = 0;
+	gboolean ok;
+	int kind;
+
+	t->which = which;
+	t->entries = g_ptr_array_new_with_free_func(entry_unref);
+	if (root == NULL)
+		return FALSE;
+	for (kind = 0; kind < CONF_KINDS; kind++) {
+		if (table_holds(which, (enum conf_kind)kind))
+			known[n++] = kinds[kind].prefix;
+	}
+	ok = schema_read(root, file, &base_field, 1, known, &base, error);
+	for (kind = 0; kind < CONF_KINDS && ok; kind++) {
+		if (table_holds(which, (enum conf_kind)kind))
+			ok = add_kind(t, file, (enum conf_kind)kind, root, error);
+	}
+	t->base = (uint64_t)base;
+	json_object_unref(root);
+	return ok;
+}
+
+gboolean table_load(const char *path, enum table_which which, struct table *t, GError **error)
+{
+	gboolean ok;
+	char *text;
+
+	memset(t, 0, sizeof(*t));
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return FALSE;
+	ok = table_parse(path, text, which, t, error);
+	g_free(text);
+	return ok;
+}
+
+void table_clear(struct table *t)
+{
+	if (t->entries != NULL)
+		g_ptr_array_unref(t->entries);
+	t->entries = NULL;
+}
+
+static bool has_pool(const GPtrArray *pools, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < pools->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(pools, i);
+
+		if (e->kind == CONF_POOL && strcmp(e->pool.name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+gboolean table_check_joined(const char *file, const GPtrArray *routes, const GPtrArray *pools,
+			    GError **error)
+{
+	guint i;
+
+	for (i = 0; i < routes->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(routes, i);
+
+		if (e->kind != CONF_ROUTE || has_pool(pools, e->route.pool))
+			continue;
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "%s: route %s: pool: found \"%s\"; allowed: the name of a pool", file,
+			    e->route.name, e->route.pool);
+		return FALSE;
+	}
+	return TRUE;
+}
+
+char *table_to_toml(const GPtrArray *entries, enum table_which which, uint64_t base)
+{
+	GString *out = g_string_new(NULL);
+	unsigned j;
+	guint i;
+
+	g_string_append_printf(out, "base_version = %lu\n", base);
+	for (i = 0; i < entries->len; i++) {
+		struct conf_entry *e = g_ptr_array_index(entries, i);
+
+		if (!table_holds(which, e->kind))
+			continue;
+		g_string_append_printf(out, "\n[[%s]]\n", kinds[e->kind].prefix);
+		schema_write(kinds[e->kind].fields, kinds[e->kind].n, entry_body(e), false, out);
+		for (j = 0; e->kind == CONF_POOL && j < e->pool.n; j++) {
+			g_string_append(out, "\n[[pool.member]]\n");
+			schema_write(member_fields, G_N_ELEMENTS(member_fields), &e->pool.member[j],
+				     false, out);
+		}
+	}
+	return g_string_free(out, FALSE);
+}
