--- a/decide/failover.c
+++ b/decide/failover.c
@@ -8,6 +8,9 @@
 /** Longest random pause before a further try, so that two promoters do not duel for long. */
 #define FAILOVER_JITTER_US (200 * USEC_PER_MSEC)
 
+/** Time for the news of a change to come back as reports, before another one may begin. */
+#define FAILOVER_SETTLE_US (500 * USEC_PER_MSEC)
+
 static const struct failover_order nothing = {.act = FAILOVER_NOTHING, .member = -1};
 
 static bool group_led(const struct group_view *g)
@@ -130,7 +133,11 @@
 {
 	if (f->phase != FAILOVER_PROMOTING || term != f->term)
 		return nothing;
-	failover_reset(f, ok ? now_us : now_us + FAILOVER_JITTER_US);
+	/*
+	 * Until the new primary's first report is here, the group still looks leaderless, and the
+	 * promoter would depose the primary that it has just made.
+	 */
+	failover_reset(f, now_us + (ok ? FAILOVER_SETTLE_US : FAILOVER_JITTER_US));
 	if (!ok)
 		return nothing;
 	return (struct failover_order){.act = FAILOVER_ATTACH, .term = term, .member = f->chosen};
--- a/decide/share.c
+++ b/decide/share.c
@@ -8,7 +8,7 @@
 /** Window over which arrivals are counted. */
 #define DEMAND_WINDOW_US (100 * USEC_PER_MSEC)
 /** Weight of the newest window in the moving average when demand falls; a rise counts at once. */
-#define DEMAND_FALL_ALPHA 0.15
+#define DEMAND_FALL_ALPHA 0.3
 /** Part of an even split that a holder keeps without any demand, so that a first request finds a
  * token. */
 #define SHARE_FLOOR 0.05
--- a/src/db-libpq.c
+++ b/src/db-libpq.c
@@ -98,8 +98,8 @@
 {
 	const char *keys[] = {"hostaddr", "port",	"dbname",	    "user",
 			      "sslmode",  "gssencmode", "application_name", NULL};
-	const char *values[] = {NULL,	   NULL,      database,	   "mangoloom",
-				"disable", "disable", "mangoloom", NULL};
+	const char *values[] = {NULL,	   NULL,      database,		 "mangoloom",
+				"disable", "disable", k->settings->name, NULL};
 	struct libpq_conn *c = g_new0(struct libpq_conn, 1);
 	char host[ADDRESS_SIZE];
 	char *colon;
--- a/src/rpc-msg.c
+++ b/src/rpc-msg.c
@@ -9,6 +9,8 @@
  * hash. */
 #define RPC_FLAVOR 0x4d4c
 #define RPC_AUTH_SIZE (8 + RPC_MAC_SIZE)
+/** A call also names the calling VM. */
+#define RPC_CALL_AUTH_MAX (RPC_AUTH_SIZE + NAME_SIZE)
 /** Room for any header of ours. */
 #define RPC_HEADER_MAX 256
 #define RPC_MARK_LAST 0x80000000U
@@ -40,6 +42,8 @@
 		msg.rm_call.cb_vers = RPC_VERSION;
 		msg.rm_call.cb_proc = h->proc;
 		put_auth(&msg.rm_call.cb_cred, auth, h->incarnation);
+		g_strlcpy(auth + RPC_AUTH_SIZE, h->vm, NAME_SIZE);
+		msg.rm_call.cb_cred.oa_length += (u_int)strlen(auth + RPC_AUTH_SIZE);
 		return xdr_callmsg(x, &msg);
 	}
 	msg.rm_direction = REPLY;
@@ -79,7 +83,7 @@
 {
 	u_long size = RPC_HEADER_MAX + xdr_sizeof(codec, (void *)body);
 	char *record = g_malloc(RPC_MARK_SIZE + size);
-	char auth[RPC_AUTH_SIZE];
+	char auth[RPC_CALL_AUTH_MAX];
 	uint32_t mark;
 	bool ok;
 	XDR x;
@@ -125,7 +129,7 @@
 	msg.rm_call.cb_cred.oa_base = auth;
 	msg.rm_call.cb_verf.oa_base = verf;
 	if (!xdr_callmsg(x, &msg) || msg.rm_call.cb_prog != MANGOLOOM_PROG ||
-	    msg.rm_call.cb_vers != RPC_VERSION || msg.rm_call.cb_cred.oa_length != RPC_AUTH_SIZE)
+	    msg.rm_call.cb_vers != RPC_VERSION || msg.rm_call.cb_cred.oa_length < RPC_AUTH_SIZE)
 		return false;
 	h->xid = msg.rm_xid;
 	h->proc = msg.rm_call.cb_proc;
--- a/src/rpc-msg.h
+++ b/src/rpc-msg.h
@@ -13,6 +13,7 @@
 	u_int xid;
 	u_int proc;
 	uint64_t incarnation; /**< of the calling process */
+	const char *vm;	      /**< the calling VM; only to encode a call */
 };
 
 /** Encode a message with @a body by @a codec, record mark included. @return bytes to g_free(), or
--- /dev/null
+++ b/tests/harness.c
@@ -0,0 +1,764 @@
+/** @file harness.c Runner of tests, and a fleet of real processes. */
+#include "harness.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+extern char **environ;
+
+#define START_TIMEOUT_MS 20000
+
+/* The runner */
+
+int harness_run(const char *suite, const struct test_case *cases, unsigned n, int argc, char **argv)
+{
+	unsigned passed = 0, failed = 0, i;
+	CU_pSuite s;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	signal(SIGPIPE, SIG_IGN);
+	CU_initialize_registry();
+	s = CU_add_suite(suite, NULL, NULL);
+	for (i = 0; i < n; i++)
+		CU_add_test(s, cases[i].name, cases[i].run);
+	CU_basic_set_mode(CU_BRM_SILENT);
+	for (i = 0; i < n; i++) {
+		unsigned before = CU_get_number_of_failures();
+		int64_t start = test_now_ms();
+
+		if (argc > 1 && !g_strv_contains((const char *const *)argv + 1, cases[i].name))
+			continue;
+		CU_basic_run_test(s, CU_get_test(s, cases[i].name));
+		if (CU_get_number_of_failures() > 0) {
+			CU_basic_show_failures(CU_get_failure_list());
+			printf("\nFAILED: %s\n", cases[i].name);
+			failed++;
+		} else {
+			passed++;
+		}
+		printf("%s: %s, %ld ms\n", cases[i].name,
+		       CU_get_number_of_failures() > 0 ? "failed" : "passed",
+		       (long)(test_now_ms() - start));
+		(void)before;
+	}
+	CU_cleanup_registry();
+	printf("%u passed, %u failed\n", passed, failed);
+	return failed > 0 ? 1 : 0;
+}
+
+int64_t test_now_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+int64_t test_now_ms(void)
+{
+	return test_now_us() / 1000;
+}
+
+void test_sleep_ms(int ms)
+{
+	usleep((useconds_t)ms * 1000);
+}
+
+bool wait_until(bool (*done)(struct test_fleet *f, void *arg), struct test_fleet *f, void *arg,
+		int ms)
+{
+	int64_t until = test_now_ms() + ms;
+
+	while (!done(f, arg)) {
+		if (test_now_ms() > until)
+			return false;
+		test_sleep_ms(20);
+	}
+	return true;
+}
+
+/* Processes */
+
+/** Ports that are free now; all are held until the last is found. */
+static void free_ports(int *ports, int n)
+{
+	int fds[128];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		struct sockaddr_in sin = {.sin_family = AF_INET,
+					  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+		socklen_t len = sizeof(sin);
+
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		bind(fds[i], (struct sockaddr *)&sin, sizeof(sin));
+		getsockname(fds[i], (struct sockaddr *)&sin, &len);
+		ports[i] = ntohs(sin.sin_port);
+	}
+	for (i = 0; i < n; i++)
+		close(fds[i]);
+}
+
+static const char *bin(void)
+{
+	const char *b = getenv("BIN");
+
+	return b != NULL ? b : "build";
+}
+
+/** Start a program of the build folder, its errors in the fleet's folder. */
+static pid_t spawn(struct test_fleet *f, const char *log, char **argv, int in, int out)
+{
+	char *path = g_strdup_printf("%s/%s", bin(), argv[0]);
+	char *err = g_strdup_printf("%s/%s.err", f->dir, log);
+	posix_spawn_file_actions_t actions;
+	pid_t pid = -1;
+
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, 2, err, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	if (in >= 0)
+		posix_spawn_file_actions_adddup2(&actions, in, 0);
+	if (out >= 0)
+		posix_spawn_file_actions_adddup2(&actions, out, 1);
+	if (posix_spawn(&pid, path, &actions, NULL, argv, environ) != 0)
+		printf("cannot start %s\n", path);
+	posix_spawn_file_actions_destroy(&actions);
+	g_free(path);
+	g_free(err);
+	return pid;
+}
+
+static pid_t spawn_words(struct test_fleet *f, const char *log, const char *line)
+{
+	char **argv = g_strsplit(line, " ", -1);
+	pid_t pid = spawn(f, log, argv, -1, -1);
+
+	g_strfreev(argv);
+	return pid;
+}
+
+static void end_process(pid_t *pid)
+{
+	if (*pid <= 0)
+		return;
+	kill(*pid, SIGKILL);
+	waitpid(*pid, NULL, 0);
+	*pid = 0;
+}
+
+/* The fleet's parts */
+
+char *fleet_file(struct test_fleet *f, const char *name, const char *text)
+{
+	char *path = g_strdup_printf("%s/%s", f->dir, name);
+
+	g_file_set_contents(path, text, -1, NULL);
+	return path;
+}
+
+static char *vms_json(struct test_fleet *f, int missing)
+{
+	GString *out = g_string_new("[");
+	int i;
+
+	for (i = 0; i < f->plan.vms; i++) {
+		if (i == missing)
+			continue;
+		g_string_append_printf(
+			out,
+			"%s{\"name\":\"%s\",\"address\":\"127.0.0.1:%d\",\"data_center\":\"%s\","
+			"\"state\":\"live\"}",
+			out->len > 1 ? "," : "", f->vm[i].name, f->vm[i].proxied, f->vm[i].dc);
+	}
+	g_string_append_c(out, ']');
+	return g_string_free(out, FALSE);
+}
+
+/** POST @a body to the platform. */
+static void platform_post(struct test_fleet *f, const char *path, const char *body)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	char *text = g_strdup_printf("POST %s HTTP/1.0\r\nContent-Length: %zu\r\n\r\n%s", path,
+				     strlen(body), body);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char answer[512];
+
+	sin.sin_port = htons((uint16_t)f->platform_port);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    write(fd, text, strlen(text)) < 0 || read(fd, answer, sizeof(answer)) <= 0)
+		printf("the stand-in platform does not answer\n");
+	close(fd);
+	g_free(text);
+}
+
+void fleet_platform(struct test_fleet *f, const char *json)
+{
+	platform_post(f, "/control", json);
+}
+
+void fleet_list_vms(struct test_fleet *f, int missing)
+{
+	char *json = vms_json(f, missing);
+	char *value = g_base64_encode((const guchar *)json, strlen(json));
+	char *key = g_base64_encode((const guchar *)"platform/vms", 12);
+	char *body = g_strdup_printf("{\"compare\":[],\"success\":[{\"request_put\":{\"key\":\"%"
+				     "s\",\"value\":\"%s\"}}]}",
+				     key, value);
+
+	platform_post(f, "/v3/kv/txn", body);
+	g_free(body);
+	g_free(key);
+	g_free(value);
+	g_free(json);
+}
+
+void fleet_fault(struct test_fleet *f, const char *format, ...)
+{
+	char line[256], answer[8];
+	va_list args;
+	int n;
+
+	va_start(args, format);
+	n = vsnprintf(line, sizeof(line) - 1, format, args);
+	va_end(args);
+	line[n] = '\n';
+	if (write(f->proxy_in, line, (size_t)n + 1) < 0 ||
+	    read(f->proxy_out, answer, sizeof(answer)) <= 0)
+		printf("faultproxy does not answer\n");
+}
+
+void fleet_cut(struct test_fleet *f, const char *dc, bool cut)
+{
+	int i, j;
+
+	for (i = 0; i < f->plan.data_centers; i++) {
+		char other[32];
+
+		g_snprintf(other, sizeof(other), "dc%d", i + 1);
+		if (strcmp(other, dc) == 0)
+			continue;
+		/* What comes from outside into the data centre, and from it to outside. */
+		for (j = 0; j < f->plan.vms; j++) {
+			if (strcmp(f->vm[j].dc, dc) == 0)
+				fleet_fault(f, "%s %s %s-", cut ? "hold" : "pass", f->vm[j].name,
+					    other);
+			else if (strcmp(f->vm[j].dc, other) == 0)
+				fleet_fault(f, "%s %s %s-", cut ? "hold" : "pass", f->vm[j].name,
+					    dc);
+		}
+		for (j = 0; j < f->n_members; j++) {
+			if (strcmp(f->member[j].dc, dc) == 0)
+				fleet_fault(f, "%s %s %s-", cut ? "hold" : "pass",
+					    f->member[j].name, other);
+			else if (strcmp(f->member[j].dc, other) == 0)
+				fleet_fault(f, "%s %s %s-", cut ? "hold" : "pass",
+					    f->member[j].name, dc);
+		}
+	}
+}
+
+static void start_proxy(struct test_fleet *f)
+{
+	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
+	int in[2], out[2], i;
+
+	g_ptr_array_add(argv, g_strdup("faultproxy"));
+	for (i = 0; i < f->n_members; i++)
+		g_ptr_array_add(argv, g_strdup_printf("%s=%d:%d", f->member[i].name,
+						      f->member[i].proxied, f->member[i].port));
+	for (i = 0; i < f->plan.vms; i++)
+		g_ptr_array_add(argv, g_strdup_printf("%s=%d:%d", f->vm[i].name, f->vm[i].proxied,
+						      f->vm[i].rpc));
+	g_ptr_array_add(argv, NULL);
+	if (pipe2(in, O_CLOEXEC) != 0 || pipe2(out, O_CLOEXEC) != 0)
+		abort();
+	f->proxy = spawn(f, "faultproxy", (char **)argv->pdata, in[0], out[1]);
+	close(in[0]);
+	close(out[1]);
+	f->proxy_in = in[1];
+	f->proxy_out = out[0];
+	g_ptr_array_unref(argv);
+}
+
+static void start_member(struct test_fleet *f, int i)
+{
+	int leader = i / 3 * 3;
+	char *line = g_strdup_printf("standin-db --name %s --address 127.0.0.1:%d --slots %d "
+				     "--connections %d --work-us %d --lag-ms %d",
+				     f->member[i].name, f->member[i].port, f->plan.slots,
+				     f->plan.connections, f->plan.work_us, f->plan.lag_ms);
+	char *all = i == leader
+			    ? g_strdup_printf("%s --primary", line)
+			    : g_strdup_printf("%s --follow %s --upstream 127.0.0.1:%d", line,
+					      f->member[leader].name, f->member[leader].proxied);
+
+	f->member[i].pid = spawn_words(f, f->member[i].name, all);
+	g_free(line);
+	g_free(all);
+}
+
+void fleet_vm_start(struct test_fleet *f, int i)
+{
+	char *text = g_strdup_printf(
+		"[vm]\nname = \"%s\"\ndata_center = \"%s\"\ncaller_address = \"127.0.0.1:%d\"\n"
+		"rpc_address = \"127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d\"\n"
+		"[platform]\nendpoints = [\"127.0.0.1:%d\"]\ntimeout_ms = 500\n"
+		"[log]\npath = \"%s/%s.log\"\ntrace = \"%s/%s.trace\"\n"
+		"[rpc]\nsecret = \"test\"\nheartbeat_ms = 200\nseeds = [\"127.0.0.1:%d\"]\n%s",
+		f->vm[i].name, f->vm[i].dc, f->vm[i].caller, f->vm[i].rpc, f->vm[i].proxied,
+		f->platform_port, f->dir, f->vm[i].name, f->dir, f->vm[i].name, f->vm[0].proxied,
+		f->plan.settings != NULL ? f->plan.settings : "");
+	char *path = fleet_file(f, f->vm[i].name, text);
+	char *argv[] = {"mangoloomd", "--settings", path, NULL};
+
+	f->vm[i].pid = spawn(f, f->vm[i].name, argv, -1, -1);
+	g_free(path);
+	g_free(text);
+}
+
+void fleet_vm_signal(struct test_fleet *f, int vm, int sig)
+{
+	kill(f->vm[vm].pid, sig);
+	if (sig == SIGKILL)
+		end_process(&f->vm[vm].pid);
+}
+
+int fleet_vm_wait(struct test_fleet *f, int vm)
+{
+	int status = 0;
+
+	waitpid(f->vm[vm].pid, &status, 0);
+	f->vm[vm].pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void fleet_member_signal(struct test_fleet *f, int member, int sig)
+{
+	kill(f->member[member].pid, sig);
+	if (sig == SIGKILL)
+		end_process(&f->member[member].pid);
+}
+
+int fleet_cli(struct test_fleet *f, char **out, const char *args, ...)
+{
+	char *fixed = g_strdup_printf("mangoloom --platform 127.0.0.1:%d --secret-file %s/secret ",
+				      f->platform_port, f->dir);
+	char *words, *line, **argv;
+	GString *text = g_string_new(NULL);
+	char buf[4096];
+	int status, fds[2];
+	va_list ap;
+	ssize_t n;
+	pid_t pid;
+
+	va_start(ap, args);
+	words = g_strdup_vprintf(args, ap);
+	va_end(ap);
+	line = g_strconcat(fixed, words, NULL);
+	argv = g_strsplit(line, " ", -1);
+	if (pipe2(fds, O_CLOEXEC) != 0)
+		abort();
+	pid = spawn(f, "cli", argv, -1, fds[1]);
+	close(fds[1]);
+	while ((n = read(fds[0], buf, sizeof(buf))) > 0)
+		g_string_append_len(text, buf, n);
+	close(fds[0]);
+	waitpid(pid, &status, 0);
+	g_strfreev(argv);
+	g_free(line);
+	g_free(words);
+	g_free(fixed);
+	if (out != NULL)
+		*out = g_string_free(text, FALSE);
+	else
+		g_string_free(text, TRUE);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+char *fleet_key(struct test_fleet *f, const char *team)
+{
+	char *out = NULL;
+
+	fleet_cli(f, &out, "key give %s", team);
+	return g_strstrip(out);
+}
+
+static const char *const default_routes =
+	"[[team]]\nname = \"clerks\"\nrate = 100000\nburst = 100000\n"
+	"[[route]]\nname = \"orders\"\nkind = \"order\"\npool = \"pool1\"\n"
+	"[[route]]\nname = \"own\"\nkind = \"own\"\npool = \"pool1\"\nwrite = false\n"
+	"[[route]]\nname = \"pages\"\nkind = \"page\"\npool = \"pool1\"\nwrite = false\n"
+	"max_age_ms = 5000\n";
+
+static char *pools_toml(struct test_fleet *f)
+{
+	GString *out = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < f->n_members; i++) {
+		if (i % 3 == 0)
+			g_string_append_printf(out,
+					       "[[pool]]\nname = \"pool%d\"\nconfirm = \"%s\"\n",
+					       i / 3 + 1, f->plan.confirm);
+		g_string_append_printf(
+			out,
+			"[[pool.member]]\nname = \"%s\"\naddress = \"127.0.0.1:%d\"\n"
+			"data_center = \"%s\"\nslots = %d\nconnections = %d\n",
+			f->member[i].name, f->member[i].proxied, f->member[i].dc, f->plan.slots,
+			f->plan.connections);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static void plan_defaults(struct fleet_plan *p)
+{
+	p->data_centers = p->data_centers > 0 ? p->data_centers : 3;
+	p->vms = p->vms > 0 ? p->vms : 3;
+	p->pools = p->pools > 0 ? p->pools : 1;
+	p->slots = p->slots > 0 ? p->slots : 2;
+	p->connections = p->connections > 0 ? p->connections : 16;
+	p->confirm = p->confirm != NULL ? p->confirm : "replica";
+	p->routes = p->routes != NULL ? p->routes : default_routes;
+}
+
+static void name_parts(struct test_fleet *f)
+{
+	int ports[128];
+	int i, n = 0;
+
+	free_ports(ports, 1 + f->n_members * 2 + f->plan.vms * 3);
+	f->platform_port = ports[n++];
+	for (i = 0; i < f->n_members; i++) {
+		g_snprintf(f->member[i].dc, 32, "dc%d", (i + i / 3) % f->plan.data_centers + 1);
+		g_snprintf(f->member[i].name, 32, "%s-db%d", f->member[i].dc, i);
+		f->member[i].port = ports[n++];
+		f->member[i].proxied = f->plan.keep_members ? f->member[i].port : ports[n++];
+	}
+	for (i = 0; i < f->plan.vms; i++) {
+		g_snprintf(f->vm[i].dc, 32, "dc%d", i % f->plan.data_centers + 1);
+		g_snprintf(f->vm[i].name, 32, "%s-vm%d", f->vm[i].dc, i);
+		f->vm[i].caller = ports[n++];
+		f->vm[i].rpc = ports[n++];
+		f->vm[i].proxied = f->plan.keep_members ? f->vm[i].rpc : ports[n++];
+	}
+}
+
+static bool orders_served(struct test_fleet *f, void *arg)
+{
+	int i;
+
+	for (i = 0; i < f->plan.vms; i++) {
+		PGconn *c = fleet_connect(f, i, "clerks", f->key,
+					  "-c mangoloom.kind=order -c mangoloom.deadline_ms=2000");
+		bool ok = strcmp(sql(c, NULL, 0, "INSERT INTO warm VALUES ('up', '1')"), "00000") ==
+			  0;
+
+		PQfinish(c);
+		if (!ok)
+			return false;
+	}
+	return true;
+}
+
+static bool applied(struct test_fleet *f, void *arg)
+{
+	return fleet_cli(f, NULL, "apply --routes %s/routes.toml --pools %s/pools.toml", f->dir,
+			 f->dir) == 0;
+}
+
+struct test_fleet *fleet_start_up(const struct fleet_plan *plan)
+{
+	struct test_fleet *f = g_new0(struct test_fleet, 1);
+	char *vms, *line, *key;
+	int i;
+
+	f->plan = *plan;
+	plan_defaults(&f->plan);
+	f->n_members = f->plan.pools * 3;
+	f->dir = g_dir_make_tmp("mangoloom-test-XXXXXX", NULL);
+	name_parts(f);
+	vms = vms_json(f, -1);
+	g_free(fleet_file(f, "vms.json", vms));
+	g_free(fleet_file(f, "secret", "test"));
+	g_free(fleet_file(f, "routes.toml", f->plan.routes));
+	f->pools_toml = pools_toml(f);
+	g_free(fleet_file(f, "pools.toml", f->pools_toml));
+	line = g_strdup_printf("standin-platform --port %d --vms %s/vms.json", f->platform_port,
+			       f->dir);
+	f->platform = spawn_words(f, "platform", line);
+	if (!f->plan.keep_members)
+		start_proxy(f);
+	for (i = 0; i < f->n_members; i++)
+		start_member(f, i);
+	for (i = 0; i < f->plan.vms; i++)
+		fleet_vm_start(f, i);
+	CHECK(wait_until(applied, f, NULL, START_TIMEOUT_MS),
+	      "the tables cannot be applied; see %s", f->dir);
+	key = fleet_key(f, "clerks");
+	g_strlcpy(f->key, key, sizeof(f->key));
+	if (f->plan.routes == default_routes)
+		CHECK(wait_until(orders_served, f, NULL, START_TIMEOUT_MS),
+		      "no orders are served; see %s", f->dir);
+	g_free(key);
+	g_free(line);
+	g_free(vms);
+	return f;
+}
+
+void fleet_tear_down(struct test_fleet *f)
+{
+	bool keep = CU_get_number_of_failures() > 0 || getenv("KEEP") != NULL;
+	int i;
+
+	for (i = 0; i < f->plan.vms; i++)
+		end_process(&f->vm[i].pid);
+	for (i = 0; i < f->n_members; i++)
+		end_process(&f->member[i].pid);
+	end_process(&f->platform);
+	if (!f->plan.keep_members) {
+		end_process(&f->proxy);
+		close(f->proxy_in);
+		close(f->proxy_out);
+	}
+	if (keep) {
+		printf("logs are kept in %s\n", f->dir);
+	} else {
+		char *argv[] = {"/bin/rm", "-rf", f->dir, NULL};
+		pid_t pid;
+
+		if (posix_spawn(&pid, argv[0], NULL, NULL, argv, environ) == 0)
+			waitpid(pid, NULL, 0);
+	}
+	g_free(f->pools_toml);
+	g_free(f->dir);
+	g_free(f);
+}
+
+/* Statements */
+
+PGconn *fleet_connect(struct test_fleet *f, int vm, const char *team, const char *key,
+		      const char *options)
+{
+	char port[16];
+	const char *names[] = {"hostaddr", "port",    "user",	    "password", "dbname",
+			       "options",  "sslmode", "gssencmode", NULL};
+	const char *values[] = {"127.0.0.1", port,	team,	   key, "shop",
+				options,     "disable", "disable", NULL};
+
+	g_snprintf(port, sizeof(port), "%d", f->vm[vm].caller);
+	return PQconnectdbParams(names, values, 0);
+}
+
+PGconn *fleet_orders(struct test_fleet *f, int vm)
+{
+	return fleet_connect(f, vm, "clerks", f->key, "-c mangoloom.kind=order");
+}
+
+PGconn *member_connect(struct test_fleet *f, int member)
+{
+	char *text = g_strdup_printf(
+		"hostaddr=127.0.0.1 port=%d user=test sslmode=disable gssencmode=disable",
+		f->member[member].port);
+	PGconn *c = PQconnectdb(text);
+
+	g_free(text);
+	return c;
+}
+
+static __thread char last_detail[256];
+
+const char *sql_detail(void)
+{
+	return last_detail;
+}
+
+const char *sql(PGconn *c, char *value, size_t size, const char *format, ...)
+{
+	static __thread char state[6];
+	const char *field;
+	va_list args;
+	PGresult *r;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	r = PQexec(c, text);
+	g_free(text);
+	g_strlcpy(state, "00000", sizeof(state));
+	last_detail[0] = '\0';
+	if (PQresultStatus(r) != PGRES_TUPLES_OK && PQresultStatus(r) != PGRES_COMMAND_OK) {
+		field = PQresultErrorField(r, PG_DIAG_SQLSTATE);
+		g_strlcpy(state, field != NULL ? field : "08006", sizeof(state));
+		field = PQresultErrorField(r, PG_DIAG_MESSAGE_DETAIL);
+		g_strlcpy(last_detail, field != NULL ? field : "", sizeof(last_detail));
+	}
+	if (value != NULL)
+		g_strlcpy(value, PQntuples(r) > 0 ? PQgetvalue(r, 0, 0) : "", size);
+	PQclear(r);
+	return state;
+}
+
+int fleet_primary(struct test_fleet *f)
+{
+	unsigned long best = 0;
+	int primary = -1;
+	int i;
+
+	for (i = 0; i < f->n_members && i < 3; i++) {
+		PGconn *c = f->member[i].pid > 0 ? member_connect(f, i) : NULL;
+		char text[512], role[16];
+		unsigned long term;
+
+		if (c == NULL)
+			continue;
+		if (strcmp(sql(c, text, sizeof(text), "SELECT mangoloom_status(0, 0, 0)"),
+			   "00000") == 0 &&
+		    sscanf(text, "%15s %lu", role, &term) == 2 && strcmp(role, "primary") == 0 &&
+		    term > best) {
+			best = term;
+			primary = i;
+		}
+		PQfinish(c);
+	}
+	return primary;
+}
+
+int64_t fleet_status(struct test_fleet *f, int vm, const char *name)
+{
+	char *wanted = g_strdup_printf("\"%s\":", name);
+	int64_t value = -1;
+	char *out, *at;
+
+	fleet_cli(f, &out, "status %s --json", f->vm[vm].name);
+	at = strstr(out, wanted);
+	if (at != NULL)
+		value = strtoll(at + strlen(wanted), NULL, 10);
+	g_free(out);
+	g_free(wanted);
+	return value;
+}
+
+/* Writers */
+
+static void writer_note(struct writer *w, const char *state)
+{
+	enum told told = TOLD_UNKNOWN;
+	int64_t now = test_now_us();
+
+	if (strcmp(state, "00000") == 0) {
+		told = TOLD_ACKED;
+		w->acked++;
+		if (w->last_ack_us != 0 && now - w->last_ack_us > w->gap_us)
+			w->gap_us = now - w->last_ack_us;
+		w->last_ack_us = now;
+	} else if (strcmp(last_detail, "not run") == 0) {
+		told = TOLD_NOT_RUN;
+		w->not_run++;
+		if (strcmp(state, "53300") == 0)
+			w->over_rate++;
+	} else {
+		w->unknown++;
+	}
+	g_array_append_val(w->told, told);
+}
+
+static gpointer writer_run(gpointer data)
+{
+	struct writer *w = data;
+	PGconn *c = NULL;
+	int vm = w->vm;
+
+	while (!w->stop) {
+		int64_t start;
+		const char *state;
+
+		if (c == NULL || PQstatus(c) != CONNECTION_OK) {
+			if (c != NULL) {
+				PQfinish(c);
+				w->lost_conn++;
+				test_sleep_ms(20);
+			}
+			if (w->roam)
+				vm = (vm + 1) % w->f->plan.vms;
+			c = fleet_connect(w->f, vm, w->team, w->key, w->options);
+			if (PQstatus(c) != CONNECTION_OK) {
+				test_sleep_ms(50);
+				continue;
+			}
+		}
+		start = test_now_us();
+		state = sql(c, NULL, 0, "INSERT INTO orders VALUES ('%s-%u', 'x')", w->prefix,
+			    w->told->len);
+		if (test_now_us() - start > w->wait_max_us)
+			w->wait_max_us = test_now_us() - start;
+		writer_note(w, state);
+		if (w->pause_us > 0)
+			usleep((useconds_t)w->pause_us);
+	}
+	if (c != NULL)
+		PQfinish(c);
+	return NULL;
+}
+
+void writer_start(struct writer *w, struct test_fleet *f, int vm, const char *prefix)
+{
+	w->f = f;
+	w->vm = vm;
+	w->team = w->team != NULL ? w->team : "clerks";
+	w->key = w->key != NULL ? w->key : f->key;
+	w->options = w->options != NULL ? w->options : "-c mangoloom.kind=order";
+	g_strlcpy(w->prefix, prefix, sizeof(w->prefix));
+	w->told = g_array_new(FALSE, TRUE, sizeof(enum told));
+	w->thread = g_thread_new("writer", writer_run, w);
+}
+
+void writer_stop(struct writer *w)
+{
+	w->stop = 1;
+	g_thread_join(w->thread);
+}
+
+static bool has_primary(struct test_fleet *f, void *arg)
+{
+	return fleet_primary(f) >= 0;
+}
+
+void writers_verify(struct test_fleet *f, struct writer *w, int n)
+{
+	unsigned lost = 0, doubled = 0, untrue = 0, i;
+	PGconn *c;
+	int k;
+
+	CHECK(wait_until(has_primary, f, NULL, 15000), "nobody leads");
+	c = member_connect(f, fleet_primary(f));
+	for (k = 0; k < n; k++) {
+		for (i = 0; i < w[k].told->len; i++) {
+			enum told told = g_array_index(w[k].told, enum told, i);
+			char count[32];
+
+			sql(c, count, sizeof(count),
+			    "SELECT count(*) FROM orders WHERE key = '%s-%u'", w[k].prefix, i);
+			lost += told == TOLD_ACKED && atoi(count) == 0;
+			untrue += told == TOLD_NOT_RUN && atoi(count) > 0;
+			doubled += atoi(count) > 1;
+		}
+		g_array_unref(w[k].told);
+	}
+	PQfinish(c);
+	CHECK(lost == 0 && doubled == 0 && untrue == 0,
+	      "lost %u, doubled %u, \"not run\" but there %u", lost, doubled, untrue);
+}
--- a/tests/standin-db-log.c
+++ b/tests/standin-db-log.c
@@ -345,6 +345,8 @@
 	pg_put_u32(out, PG_PROTOCOL_3);
 	pg_put_text(out, "user");
 	pg_put_text(out, "replication");
+	pg_put_text(out, "application_name");
+	pg_put_text(out, server.name);
 	pg_put_u8(out, 0);
 	len = GUINT32_TO_BE(out->len);
 	memcpy(out->data, &len, sizeof(len));
--- /dev/null
+++ b/tests/test-conf.c
@@ -0,0 +1,309 @@
+/** @file test-conf.c Versions of the configuration, and the tables' files. */
+#include "conf.h"
+#include "error.h"
+#include "harness.h"
+#include "key.h"
+#include "schema.h"
+#include "settings.h"
+#include "table.h"
+
+#include <sodium.h>
+#include <string.h>
+
+static struct conf_update update(uint64_t base, uint64_t version, bool full)
+{
+	struct conf_update u = {.base = base, .version = version, .full = full};
+
+	u.entries = g_ptr_array_new_with_free_func((GDestroyNotify)conf_entry_unref);
+	return u;
+}
+
+static void add(struct conf_update *u, const char *id, uint64_t version, const char *text)
+{
+	struct conf_entry *e = table_entry_parse(id, version, text, NULL);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e);
+	g_ptr_array_add(u->entries, e);
+}
+
+static enum conf_verdict apply(struct conf *c, struct conf_update u)
+{
+	enum conf_verdict v = conf_apply(c, &u);
+
+	conf_update_clear(&u);
+	return v;
+}
+
+#define TEAM(rate) "{\"name\":\"t\",\"rate\":" rate ",\"burst\":5}"
+
+static struct conf *with_team(void)
+{
+	struct conf *c = conf_create();
+	struct conf_update u = update(0, 3, true);
+
+	add(&u, "team/t", 3, TEAM("10"));
+	CU_ASSERT_EQUAL(apply(c, u), CONF_APPLIED);
+	return c;
+}
+
+/* A VM wakes from a long pause and offers its old version: a withdrawn key or an old rate must not
+ * come back. */
+static void test_never_reverts(void)
+{
+	struct conf *c = with_team();
+	struct conf_update u = update(0, 2, true);
+
+	add(&u, "team/t", 2, TEAM("99"));
+	CU_ASSERT_EQUAL(apply(c, u), CONF_OLD);
+	CU_ASSERT_EQUAL(conf_team(c, "t")->rate, 10);
+	/* An old entry inside a newer update is passed over too. */
+	u = update(3, 4, false);
+	add(&u, "team/t", 2, TEAM("99"));
+	CU_ASSERT_EQUAL(apply(c, u), CONF_APPLIED);
+	CU_ASSERT_EQUAL(conf_team(c, "t")->rate, 10);
+	conf_free(c);
+}
+
+static void test_gap_is_not_applied(void)
+{
+	struct conf *c = with_team();
+	struct conf_update u = update(5, 6, false);
+
+	add(&u, "team/t", 6, TEAM("20"));
+	CU_ASSERT_EQUAL(apply(c, u), CONF_GAP);
+	CU_ASSERT_EQUAL(c->version, 3);
+	conf_free(c);
+}
+
+static void test_difference_brings_a_peer_up(void)
+{
+	struct conf *c = with_team();
+	struct conf *peer = with_team();
+	struct conf_update u = update(3, 4, false);
+
+	add(&u, "team/u", 4, "{\"name\":\"u\",\"rate\":1,\"burst\":1}");
+	apply(c, u);
+	u = update(4, 5, false);
+	add(&u, "team/t", 5, NULL);
+	apply(c, u);
+	conf_since(c, 3, &u);
+	CU_ASSERT_FALSE(u.full);
+	CU_ASSERT_EQUAL(u.entries->len, 2);
+	CU_ASSERT_EQUAL(apply(peer, u), CONF_APPLIED);
+	CU_ASSERT_PTR_NULL(conf_team(peer, "t"));
+	CU_ASSERT_PTR_NOT_NULL(conf_team(peer, "u"));
+	CU_ASSERT_EQUAL(peer->version, 5);
+	/* From before what is remembered, all is told. */
+	conf_since(c, 1, &u);
+	CU_ASSERT_TRUE(u.full);
+	CU_ASSERT_EQUAL(u.entries->len, 1);
+	conf_update_clear(&u);
+	conf_free(c);
+	conf_free(peer);
+}
+
+static void add_route(struct conf_update *u, const char *name, const char *team, const char *kind)
+{
+	char *id = g_strdup_printf("route/%s", name);
+	char *text =
+		g_strdup_printf("{\"name\":\"%s\",\"team\":\"%s\",\"kind\":\"%s\",\"pool\":\"%s\"}",
+				name, team, kind, name);
+
+	add(u, id, u->version, text);
+	g_free(id);
+	g_free(text);
+}
+
+static void test_most_exact_route(void)
+{
+	struct conf *c = conf_create();
+	struct conf_update u = update(0, 1, true);
+
+	add_route(&u, "any", "*", "*");
+	add_route(&u, "kind", "*", "order");
+	add_route(&u, "team", "t", "*");
+	add_route(&u, "both", "t", "order");
+	apply(c, u);
+	CU_ASSERT_STRING_EQUAL(conf_route(c, "t", "order")->name, "both");
+	CU_ASSERT_STRING_EQUAL(conf_route(c, "t", "page")->name, "team");
+	CU_ASSERT_STRING_EQUAL(conf_route(c, "u", "order")->name, "kind");
+	CU_ASSERT_STRING_EQUAL(conf_route(c, "u", "page")->name, "any");
+	u = update(1, 2, false);
+	add(&u, "route/both", 2, NULL);
+	apply(c, u);
+	CU_ASSERT_STRING_EQUAL(conf_route(c, "t", "order")->name, "team");
+	conf_free(c);
+}
+
+/* Each wrong table is refused as a whole, with the file, the key, what was found and what is
+ * allowed. */
+static void test_wrong_tables(void)
+{
+	static const struct {
+		enum table_which which;
+		const char *text, *says;
+	} wrong[] = {
+		{TABLE_ROUTES, "[[route]]\nname = \"a\"", "f: route 1: pool: found nothing"},
+		{TABLE_ROUTES, "[[route]]\nname = \"a b\"\npool = \"p\"",
+		 "name: found \"a b\"; allowed: a name"},
+		{TABLE_ROUTES, "[[route]]\nname = \"a\"\npool = \"p\"\nwriet = true",
+		 "wriet: found an unknown key"},
+		{TABLE_ROUTES, "[[team]]\nname = \"a\"\nrate = -1\nburst = 1",
+		 "rate: found -1; allowed: a number"},
+		{TABLE_ROUTES, "[[team]]\nname = \"a\"\nrate = 1\nburst = \"x\"",
+		 "burst: found \"x\""},
+		{TABLE_ROUTES,
+		 "[[route]]\nname = \"a\"\npool = \"p\"\n[[route]]\nname = \"a\"\npool = "
+		 "\"q\"\nkind = \"k\"",
+		 "found \"a\" twice"},
+		{TABLE_ROUTES,
+		 "[[route]]\nname = \"a\"\npool = \"p\"\n[[route]]\nname = \"b\"\npool = \"q\"",
+		 "found the team and kind of route \"a\" again"},
+		{TABLE_POOLS, "[[pool]]\nname = \"p\"", "member: found 0 members"},
+		{TABLE_POOLS, "[[pool]]\nname = \"p\"\nconfirm = \"none\"",
+		 "confirm: found \"none\"; allowed: one of"},
+		{TABLE_POOLS,
+		 "[[pool]]\nname = \"p\"\n[[pool.member]]\nname = \"m\"\naddress = \"host:1\"\n"
+		 "data_center = \"d\"",
+		 "address: found \"host:1\"; allowed: \"ip:port\""},
+		{TABLE_POOLS, "pool = 3", "pool: found something else"},
+		{TABLE_POOLS, "[[pool]\n", "line 1"},
+	};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		GError *error = NULL;
+		struct table t = {0};
+		gboolean ok = table_parse("f", wrong[i].text, wrong[i].which, &t, &error);
+
+		CHECK(!ok && error != NULL, "accepted: %s", wrong[i].text);
+		if (error != NULL) {
+			CHECK(strstr(error->message, "f: ") == error->message &&
+				      strstr(error->message, wrong[i].says) != NULL,
+			      "%s", error->message);
+			g_error_free(error);
+		}
+		table_clear(&t);
+	}
+}
+
+static void test_table_round_trip(void)
+{
+	static const char *const text =
+		"base_version = 7\n[[pool]]\nname = \"p\"\nconfirm = \"primary\"\n"
+		"[[pool.member]]\nname = \"m\"\naddress = \"10.0.0.1:5432\"\n"
+		"data_center = \"d\"\nslots = 3\nconnections = 9\nleaving = true\n";
+	struct table t = {0}, back = {0};
+	const struct conf_entry *a, *b;
+	char *toml;
+
+	CU_ASSERT_TRUE_FATAL(table_parse("f", text, TABLE_POOLS, &t, NULL));
+	CU_ASSERT_EQUAL(t.base, 7);
+	toml = table_to_toml(t.entries, TABLE_POOLS, 8);
+	CU_ASSERT_TRUE_FATAL(table_parse("g", toml, TABLE_POOLS, &back, NULL));
+	a = g_ptr_array_index(t.entries, 0);
+	b = g_ptr_array_index(back.entries, 0);
+	CU_ASSERT_EQUAL(back.base, 8);
+	CU_ASSERT_STRING_EQUAL(a->text, b->text);
+	CU_ASSERT_EQUAL(b->pool.confirm, CONFIRM_PRIMARY);
+	CU_ASSERT_TRUE(b->pool.member[0].leaving);
+	g_free(toml);
+	table_clear(&t);
+	table_clear(&back);
+}
+
+static void test_routes_need_their_pools(void)
+{
+	struct table routes = {0}, pools = {0};
+	GError *error = NULL;
+
+	table_parse("r", "[[route]]\nname = \"a\"\npool = \"missing\"", TABLE_ROUTES, &routes,
+		    NULL);
+	table_parse("p", "", TABLE_POOLS, &pools, NULL);
+	CU_ASSERT_FALSE(table_check_joined("r", routes.entries, pools.entries, &error));
+	CU_ASSERT_PTR_NOT_NULL(strstr(error->message, "pool: found \"missing\""));
+	g_error_free(error);
+	table_clear(&routes);
+	table_clear(&pools);
+}
+
+static void test_keys(void)
+{
+	struct conf_key key;
+	struct conf_entry *e;
+	char text[KEY_TEXT_SIZE], id[NAME_SIZE];
+	unsigned char hash[KEY_HASH_SIZE];
+
+	CU_ASSERT_TRUE_FATAL(sodium_init() >= 0);
+	key_create("clerks", &key, text);
+	CU_ASSERT_TRUE(key_id(text, id, sizeof(id)));
+	CU_ASSERT_STRING_EQUAL(id, key.id);
+	key_hash(text, hash);
+	CU_ASSERT_TRUE(key_hash_equal(hash, key.hash));
+	e = table_key_entry(&key);
+	/* Neither the key nor its secret part is in what is kept. */
+	CU_ASSERT_PTR_NULL(strstr(e->text, strrchr(text, '_') + 1));
+	conf_entry_unref(e);
+	CU_ASSERT_FALSE(key_id("mlk_", id, sizeof(id)));
+	CU_ASSERT_FALSE(key_id("password", id, sizeof(id)));
+}
+
+static gboolean load_settings(const char *text, char **message)
+{
+	char *path = g_build_filename(g_get_tmp_dir(), "mangoloom-settings-test", NULL);
+	struct settings s;
+	GError *error = NULL;
+	gboolean ok;
+
+	g_file_set_contents(path, text, -1, NULL);
+	ok = settings_load(path, &s, &error);
+	*message = g_strdup(error != NULL ? error->message : "");
+	g_clear_error(&error);
+	remove(path);
+	g_free(path);
+	return ok;
+}
+
+#define VM_PART                                                                                    \
+	"[vm]\nname = \"v\"\ndata_center = \"d\"\ncaller_address = \"127.0.0.1:1\"\nrpc_address "  \
+	"= \"127.0.0.1:2\"\n"
+
+static void test_settings(void)
+{
+	static const struct {
+		const char *text, *says;
+	} wrong[] = {
+		{"[vm]\nname = \"v\"", "[vm]: data_center: found nothing"},
+		{VM_PART, "[platform]: endpoints"},
+		{VM_PART "[platform]\nendpoints = [\"x\"]", "[platform]: endpoints: found \"x\""},
+		{VM_PART "[platform]\nendpoints = [\"1.2.3.4:5\"]\n[rpc]\nheartbeat_ms = 0",
+		 "heartbeat_ms: found 0"},
+		{VM_PART "[platform]\nendpoints = [\"1.2.3.4:5\"]\n[tls]\nkey = \"k\"",
+		 "[tls]: found one of"},
+		{VM_PART "[platfrom]\n", "platfrom: found an unknown key"},
+	};
+	char *message;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		CHECK(!load_settings(wrong[i].text, &message), "accepted: %s", wrong[i].text);
+		CHECK(strstr(message, wrong[i].says) != NULL, "%s", message);
+		g_free(message);
+	}
+	CHECK(load_settings(VM_PART "[platform]\nendpoints = [\"1.2.3.4:5\"]", &message), "%s",
+	      message);
+	g_free(message);
+}
+
+static const struct test_case cases[] = {
+	{"never_reverts", test_never_reverts},
+	{"gap_is_not_applied", test_gap_is_not_applied},
+	{"difference_brings_a_peer_up", test_difference_brings_a_peer_up},
+	{"most_exact_route", test_most_exact_route},
+	{"wrong_tables", test_wrong_tables},
+	{"table_round_trip", test_table_round_trip},
+	{"routes_need_their_pools", test_routes_need_their_pools},
+	{"keys", test_keys},
+	{"settings", test_settings},
+};
+HARNESS_MAIN("conf", cases)
--- /dev/null
+++ b/tests/test-fairq.c
@@ -0,0 +1,149 @@
+/** @file test-fairq.c The queue in front of a member. */
+#include "fairq.h"
+#include "harness.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FAR (1000 * USEC_PER_SEC)
+
+struct waiting {
+	struct fairq_item item;
+	char team[16];
+};
+
+static struct fairq_outcome add(struct fairq *q, const char *team, double weight, int64_t deadline,
+				int64_t now)
+{
+	struct waiting *w = calloc(1, sizeof(*w));
+	struct fairq_outcome o;
+
+	w->item.deadline_us = deadline;
+	strcpy(w->team, team);
+	o = fairq_add(q, &w->item, team, weight, now);
+	if (o.verdict != FAIRQ_QUEUED)
+		free(w);
+	return o;
+}
+
+/** Take the next; @return its team's first letter, or 0. */
+static char next(struct fairq *q)
+{
+	struct waiting *w = (struct waiting *)fairq_next(q);
+	char team;
+
+	if (w == NULL)
+		return 0;
+	team = w->team[0];
+	free(w);
+	return team;
+}
+
+static void drain(struct fairq *q)
+{
+	while (next(q) != 0)
+		;
+	fairq_clear(q);
+}
+
+static void test_served_by_weight(void)
+{
+	unsigned big = 0, small = 0;
+	struct fairq q;
+	int i;
+
+	fairq_init(&q, 1000, 2);
+	for (i = 0; i < 200; i++) {
+		add(&q, "big", 300, FAR, 0);
+		add(&q, "small", 100, FAR, 0);
+	}
+	for (i = 0; i < 200; i++) {
+		if (next(&q) == 'b')
+			big++;
+		else
+			small++;
+	}
+	CHECK(big >= 148 && big <= 152, "big %u small %u", big, small);
+	drain(&q);
+}
+
+static void test_earliest_deadline_first(void)
+{
+	struct fairq_item *first;
+	struct fairq q;
+
+	fairq_init(&q, 10, 1);
+	add(&q, "t", 1, FAR + 30, 0);
+	add(&q, "t", 1, FAR + 10, 0);
+	add(&q, "t", 1, FAR + 20, 0);
+	first = fairq_next(&q);
+	CU_ASSERT_EQUAL(first->deadline_us, FAR + 10);
+	free(first);
+	drain(&q);
+}
+
+/*
+ * Monday: one team sends far more than the queue holds. It is refused as full, at once; another
+ * team that comes later still finds its part of the queue free.
+ */
+static void test_one_team_cannot_fill_the_queue(void)
+{
+	unsigned refused = 0;
+	struct fairq q;
+	int i;
+
+	fairq_init(&q, 100, 2);
+	add(&q, "quiet", 100, FAR, 0);
+	for (i = 0; i < 500; i++)
+		refused += add(&q, "monday", 100, FAR, 0).verdict == FAIRQ_FULL;
+	CHECK(refused >= 450, "%u", refused);
+	for (i = 0; i < 40; i++)
+		CHECK(add(&q, "quiet", 100, FAR, 0).verdict == FAIRQ_QUEUED, "at %d", i);
+	drain(&q);
+}
+
+/* A wait that passes the deadline is refused before it begins, with when to come back. */
+static void test_refused_at_once_when_too_late(void)
+{
+	struct fairq_outcome o;
+	struct fairq q;
+	int i;
+
+	fairq_init(&q, 100, 1);
+	q.service_us = 10000;
+	for (i = 0; i < 20; i++)
+		add(&q, "t", 1, FAR + i, 0);
+	o = add(&q, "t", 1, 100000 + FAR * 0, 0);
+	CU_ASSERT_EQUAL(o.verdict, FAIRQ_QUEUED);
+	q.service_us = 200000;
+	o = add(&q, "t", 1, 100001, 0);
+	CU_ASSERT_EQUAL(o.verdict, FAIRQ_TOO_LATE);
+	CU_ASSERT_TRUE(o.retry_after_us > 100000);
+	drain(&q);
+}
+
+static void test_expired_and_removed(void)
+{
+	struct waiting w = {.item.deadline_us = 50};
+	struct fairq q;
+
+	fairq_init(&q, 10, 1);
+	q.service_us = 1;
+	fairq_add(&q, &w.item, "t", 1, 0);
+	CU_ASSERT_PTR_NULL(fairq_expired(&q, 49));
+	CU_ASSERT_PTR_EQUAL(fairq_expired(&q, 50), &w.item);
+	CU_ASSERT_EQUAL(q.length, 0);
+	fairq_add(&q, &w.item, "t", 1, 0);
+	fairq_remove(&q, &w.item);
+	CU_ASSERT_PTR_NULL(fairq_next(&q));
+	fairq_clear(&q);
+}
+
+static const struct test_case cases[] = {
+	{"served_by_weight", test_served_by_weight},
+	{"earliest_deadline_first", test_earliest_deadline_first},
+	{"one_team_cannot_fill_the_queue", test_one_team_cannot_fill_the_queue},
+	{"refused_at_once_when_too_late", test_refused_at_once_when_too_late},
+	{"expired_and_removed", test_expired_and_removed},
+};
+HARNESS_MAIN("fairq", cases)
--- /dev/null
+++ b/tests/test-share.c
@@ -0,0 +1,241 @@
+/** @file test-share.c Parts of a team's rate: their sum never passes the whole. */
+#include "harness.h"
+#include "share.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define VMS 5
+#define STEP (50 * USEC_PER_MSEC)
+
+static const char *const names[VMS] = {"vm1", "vm2", "vm3", "vm4", "vm5"};
+
+static uint64_t sum(const struct share_holder *h)
+{
+	uint64_t s = 0;
+	int i;
+
+	for (i = 0; i < VMS; i++)
+		s += h[i].units;
+	return s;
+}
+
+static void exchange(struct share_holder *h, struct share_alloc *a, int i, int64_t now)
+{
+	struct share_report r = share_holder_report(h, now);
+	struct share_order o = share_alloc_report(a, names[i], &r, now);
+
+	share_holder_order(h, &o, now);
+}
+
+static void setup(struct share_holder *h, struct share_alloc *a, unsigned n_allocs, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < VMS; i++)
+		share_holder_init(&h[i], i + 1, now);
+	for (i = 0; i < n_allocs; i++) {
+		share_alloc_init(&a[i], i + 1, names[i], 1000, 1000);
+		share_alloc_listed(&a[i], names, VMS, now);
+	}
+}
+
+static void test_whole_is_given_out(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 10; round++) {
+		now += STEP;
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CHECK(sum(h) > SHARE_WHOLE * 0.98 && sum(h) <= SHARE_WHOLE, "%lu", sum(h));
+	share_alloc_clear(&a);
+}
+
+static void test_follows_demand(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i, j;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 40; round++) {
+		now += STEP;
+		for (j = 0; j < 20; j++)
+			share_holder_arrival(&h[round < 20 ? 1 : 3], true, now);
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a, i, now);
+		CHECK(sum(h) <= SHARE_WHOLE, "%lu", sum(h));
+		if (round == 19)
+			CHECK(h[1].units > SHARE_WHOLE * 0.85, "%u", h[1].units);
+	}
+	CHECK(h[3].units > SHARE_WHOLE * 0.85, "%u", h[3].units);
+	share_alloc_clear(&a);
+}
+
+/* One VM is silent from the start: nobody knows what it was given, so nothing is handed out on top
+ * of what is held. */
+static void test_incomplete_census_gives_nothing_new(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 10; round++) {
+		now += STEP;
+		for (i = 0; i < VMS - 1; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CU_ASSERT_EQUAL(sum(h), 0);
+	/* The platform lists it as gone: after the grace, the whole is the others'. */
+	share_alloc_listed(&a, names, VMS - 1, now);
+	now += SHARE_GONE_US + STEP;
+	for (round = 0; round < 10; round++, now += STEP) {
+		for (i = 0; i < VMS - 1; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CHECK(sum(h) > SHARE_WHOLE * 0.98, "%lu", sum(h));
+	share_alloc_clear(&a);
+}
+
+static void test_paused_holder_gives_up(void)
+{
+	struct share_holder h = {.units = 5};
+
+	CU_ASSERT_FALSE(share_holder_paused(&h, SHARE_PAUSE_MAX_US - 1));
+	CU_ASSERT_TRUE(share_holder_paused(&h, SHARE_PAUSE_MAX_US));
+	CU_ASSERT_EQUAL(h.units, 0);
+}
+
+static void test_late_order_is_ignored(void)
+{
+	struct share_holder h = {.epoch = 5, .seq = 7, .units = 100};
+	struct share_order late = {.epoch = 5, .seq = 6, .units = 900};
+	struct share_order former = {.epoch = 4, .seq = 99, .units = 900};
+	struct share_order newer = {.epoch = 6, .seq = 1, .units = 900};
+
+	CU_ASSERT_FALSE(share_holder_order(&h, &late, 0));
+	CU_ASSERT_FALSE(share_holder_order(&h, &former, 0));
+	CU_ASSERT_FALSE(share_holder_order(&h, &newer, 0));
+	CU_ASSERT_EQUAL(h.units, 100);
+	CU_ASSERT_EQUAL(h.epoch, 6);
+}
+
+/* A burst of one token split over five VMs would serve nobody: the allocator's VM keeps it whole.
+ */
+static void test_small_burst_is_kept_whole(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	a.burst = 1;
+	for (round = 0; round < 10; round++, now += STEP) {
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CU_ASSERT_EQUAL(h[0].units, SHARE_WHOLE);
+	share_alloc_clear(&a);
+}
+
+struct flying {
+	int vm;
+	bool answer;
+	int alloc;
+	struct share_report r;
+	struct share_order o;
+};
+
+/*
+ * Two allocators at once, each thought right by some holders; reports and orders are lost, repeated
+ * and come in any order; holders restart. At no moment may the parts pass the whole.
+ */
+static void random_run(unsigned seed)
+{
+	struct flying air[64];
+	unsigned n = 0, step;
+	struct share_holder h[VMS];
+	struct share_alloc a[2];
+	uint64_t next_incarnation = 100;
+	int64_t now = 1;
+
+	srand(seed);
+	setup(h, a, 2, now);
+	for (step = 0; step < 2000; step++) {
+		int vm = rand() % VMS;
+
+		now += 10 * USEC_PER_MSEC;
+		share_holder_arrival(&h[vm], rand() % 2, now);
+		if (n < 60 && rand() % 2) {
+			air[n].vm = vm;
+			air[n].answer = false;
+			air[n].alloc = rand() % 8 == 0 ? rand() % 2 : (int)(step / 500 % 2);
+			air[n].r = share_holder_report(&h[vm], now);
+			n++;
+		}
+		if (rand() % 200 == 0) {
+			/* The process is restarted; its former one's messages may still come, but
+			 * not after new ones. */
+			unsigned i = 0;
+
+			while (i < n) {
+				if (air[i].vm == vm)
+					air[i] = air[--n];
+				else
+					i++;
+			}
+			share_holder_init(&h[vm], next_incarnation++, now);
+		}
+		if (n > 0 && rand() % 4 != 0) {
+			unsigned i = (unsigned)rand() % n;
+			struct flying *fly = &air[i];
+
+			if (rand() % 8 == 0) {
+				*fly = air[--n];
+			} else if (fly->answer) {
+				share_holder_order(&h[fly->vm], &fly->o, now);
+				if (rand() % 4 != 0)
+					*fly = air[--n];
+			} else {
+				fly->o = share_alloc_report(&a[fly->alloc], names[fly->vm], &fly->r,
+							    now);
+				fly->answer = true;
+			}
+		}
+		if (sum(h) > SHARE_WHOLE) {
+			CHECK(false, "seed %u step %u: %lu", seed, step, sum(h));
+			break;
+		}
+	}
+	share_alloc_clear(&a[0]);
+	share_alloc_clear(&a[1]);
+}
+
+static void test_sum_never_passes_the_whole(void)
+{
+	unsigned seed;
+
+	for (seed = 1; seed <= 400 && CU_get_number_of_failures() == 0; seed++)
+		random_run(seed);
+}
+
+static const struct test_case cases[] = {
+	{"whole_is_given_out", test_whole_is_given_out},
+	{"follows_demand", test_follows_demand},
+	{"incomplete_census_gives_nothing_new", test_incomplete_census_gives_nothing_new},
+	{"paused_holder_gives_up", test_paused_holder_gives_up},
+	{"late_order_is_ignored", test_late_order_is_ignored},
+	{"small_burst_is_kept_whole", test_small_burst_is_kept_whole},
+	{"sum_never_passes_the_whole", test_sum_never_passes_the_whole},
+};
+HARNESS_MAIN("share", cases)
