A commit that waits for a member which is down no longer spins between two daemons

Cause: primary_cut_off_with_its_home hung; the daemon on the cut side ran at 99.5% of a core and its trace grew to 7 GB. gdb showed rpc_finish -> ask_done without end: the member's home was this same VM, answered 'down' at once, and the waiting commit asked again at once. Ruled out: the cut itself (the other side had promoted and served). Change: a member that answered without the record is asked again after 50 ms, and answers of calls to this process are handed over one batch a turn of the loop.

--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -30,6 +30,8 @@
 #define SILENT_AFTER_US (400 * USEC_PER_MSEC)
 /** Looks at which the member must show no work on a connection before it counts as silent. */
 #define SILENT_LOOKS 3
+/** Pause before a member is asked again for what it did not have. */
+#define UNMET_PAUSE_US (50 * USEC_PER_MSEC)
 /** Pause before a member that can't be reached is tried again. */
 #define DOWN_PAUSE_US (100 * USEC_PER_MSEC)
 
@@ -66,8 +68,8 @@
 		bool out;
 		int64_t asked_us;
 		int64_t failing_us; /**< since when its homes do not answer; 0 for none */
-		struct pos want;
-		bool again;
+		bool again;	     /**< a commit waits for this member's next answer */
+		int64_t unmet_us;    /**< when it last answered without what a commit waits for */
 	} ask[GROUP_MEMBERS_MAX];
 };
 
@@ -502,6 +504,7 @@
 
 struct ask {
 	struct home_watch *w;
+	struct pos wait_for;
 	char member[NAME_SIZE];
 	char address[ADDRESS_SIZE];
 	int64_t sent_us;
@@ -542,6 +545,9 @@
 	i = group_find(&w->m->view, a->member);
 	if (i >= 0) {
 		w->ask[i].out = false;
+		if (a->wait_for.lsn != 0 &&
+		    (status != RPC_DONE || res->received.term != a->wait_for.term || res->received.lsn < a->wait_for.lsn))
+			w->ask[i].unmet_us = now_us();
 		if (status != RPC_DONE) {
 			fleet_suspect(fleet_of(w->m->home->service.kernel), a->address);
 			ask_failed(w, i, now_us());
@@ -575,6 +581,12 @@
 		w->ask[i].again = w->ask[i].again || wait_us > 0;
 		return;
 	}
+	/*
+	 * A member that is down, or of another term, answers at once and without the record; asked again at once, the
+	 * two VMs would do nothing else until the commit's deadline.
+	 */
+	if (wait_us > 0 && now_us() - w->ask[i].unmet_us < UNMET_PAUSE_US)
+		return;
 	w->ask[i].asked_us = now_us();
 	if (address == NULL) {
 		ask_failed(w, i, now_us());
@@ -582,6 +594,7 @@
 	}
 	a = g_new0(struct ask, 1);
 	a->w = w;
+	a->wait_for = wait_for;
 	a->sent_us = now_us();
 	g_strlcpy(a->member, m->view.member[i].name, sizeof(a->member));
 	g_strlcpy(a->address, address, sizeof(a->address));
@@ -870,6 +883,7 @@
 	wait_check(w, now);
 	work_check(w, now);
 	ask_round(w, now);
+	home_confirm_check(w->m);
 	failover_check(w, now);
 }
 
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -233,14 +233,17 @@
 /** Hand over the answers of calls to this process. */
 static void rpc_finish(evutil_socket_t fd, short what, void *arg)
 {
+	struct rpc_calls batch = TAILQ_HEAD_INITIALIZER(batch);
 	struct rpc *r = arg;
 	struct rpc_call *call;
 
-	while ((call = TAILQ_FIRST(&r->finished)) != NULL) {
+	/* Calls made by these callbacks wait for the next turn of the loop, so that nothing else is kept waiting. */
+	TAILQ_CONCAT(&batch, &r->finished, link);
+	while ((call = TAILQ_FIRST(&batch)) != NULL) {
 		const struct rpc_proc *p = &rpc_procs[call->proc];
 		void *res = call->res;
 
-		TAILQ_REMOVE(&r->finished, call, link);
+		TAILQ_REMOVE(&batch, call, link);
 		rpc_call_end(call, call->status, res);
 		xdr_free(p->res, res);
 		g_free(res);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -129,6 +129,8 @@
 
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(&actions, 2, err, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	/* A process that outlives a stopped test must not hold the test's own output open. */
+	posix_spawn_file_actions_adddup2(&actions, 2, 1);
 	if (in >= 0)
 		posix_spawn_file_actions_adddup2(&actions, in, 0);
 	if (out >= 0)
@@ -312,19 +314,22 @@
 
 void fleet_vm_start(struct test_fleet *f, int i)
 {
+	char *trace = getenv("TRACE") != NULL ? g_strdup_printf("trace = \"%s/%s.trace\"\n", f->dir, f->vm[i].name) :
+						g_strdup("");
 	char *text = g_strdup_printf(
 		"[vm]\nname = \"%s\"\ndata_center = \"%s\"\ncaller_address = \"127.0.0.1:%d\"\n"
 		"rpc_address = \"127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d\"\n"
 		"[platform]\nendpoints = [\"127.0.0.1:%d\"]\ntimeout_ms = 500\n"
-		"[log]\npath = \"%s/%s.log\"\ntrace = \"%s/%s.trace\"\n"
+		"[log]\npath = \"%s/%s.log\"\n%s"
 		"[rpc]\nsecret = \"test\"\nheartbeat_ms = 200\nseeds = [\"127.0.0.1:%d\"]\n%s",
 		f->vm[i].name, f->vm[i].dc, f->vm[i].caller, f->vm[i].rpc, f->vm[i].proxied,
-		f->platform_port, f->dir, f->vm[i].name, f->dir, f->vm[i].name, f->vm[0].proxied,
+		f->platform_port, f->dir, f->vm[i].name, trace, f->vm[0].proxied,
 		f->plan.settings != NULL ? f->plan.settings : "");
 	char *path = fleet_file(f, f->vm[i].name, text);
 	char *argv[] = {"mangoloomd", "--settings", path, NULL};
 
 	f->vm[i].pid = spawn(f, f->vm[i].name, argv, -1, -1);
+	g_free(trace);
 	g_free(path);
 	g_free(text);
 }
