--- a/tests/harness.c
+++ b/tests/harness.c
@@ -314,8 +314,9 @@
 
 void fleet_vm_start(struct test_fleet *f, int i)
 {
-	char *trace = getenv("TRACE") != NULL ? g_strdup_printf("trace = \"%s/%s.trace\"\n", f->dir, f->vm[i].name) :
-						g_strdup("");
+	char *trace = getenv("TRACE") != NULL
+			      ? g_strdup_printf("trace = \"%s/%s.trace\"\n", f->dir, f->vm[i].name)
+			      : g_strdup("");
 	char *text = g_strdup_printf(
 		"[vm]\nname = \"%s\"\ndata_center = \"%s\"\ncaller_address = \"127.0.0.1:%d\"\n"
 		"rpc_address = \"127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d\"\n"
--- /dev/null
+++ b/tests/test-it-once.c
@@ -0,0 +1,280 @@
+/** @file test-it-once.c At most once, true outcomes and whole answers, under broken connections. */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WRITERS 6
+
+static bool served(struct test_fleet *f, void *arg)
+{
+	PGconn *c = fleet_orders(f, *(int *)arg);
+	bool ok = strcmp(sql(c, NULL, 0, "INSERT INTO warm VALUES ('again', '1')"), "00000") == 0;
+
+	PQfinish(c);
+	return ok;
+}
+
+/*
+ * Orders that may not be repeated go on while connections to databases and between VMs are reset,
+ * freeze, and lose either direction, over and over. Whatever each caller was told is compared with
+ * the database's own log: acknowledged is there once, "not run" is not there, and nothing is there
+ * twice.
+ */
+static void test_a_thousand_faulted_requests(void)
+{
+	static const char *const faults[] = {"reset", "freeze", "mute", "deaf", "hold"};
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){
+		.work_us = 2000, .settings = "[callers]\ndeadline_ms = 3000\n"});
+	struct writer w[WRITERS];
+	int i, acked = 0, not_run = 0, unknown = 0, total = 0, round = 0;
+	int64_t until = test_now_ms() + 25000;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < WRITERS; i++) {
+		char prefix[16];
+
+		snprintf(prefix, sizeof(prefix), "w%d", i);
+		w[i].pause_us = 1000;
+		writer_start(&w[i], f, i % 3, prefix);
+	}
+	srand(7);
+	while (test_now_ms() < until && (total < 1500 || round < 40)) {
+		const char *fault = faults[rand() % 5];
+		const char *route =
+			rand() % 2 ? f->member[rand() % 3].name : f->vm[rand() % 3].name;
+
+		fleet_fault(f, "%s %s", fault, route);
+		test_sleep_ms(50 + rand() % 250);
+		fleet_fault(f, "pass %s", route);
+		test_sleep_ms(rand() % 200);
+		round++;
+		for (i = 0, total = 0; i < WRITERS; i++)
+			total += (int)w[i].told->len;
+	}
+	for (i = 0; i < WRITERS; i++) {
+		writer_stop(&w[i]);
+		acked += w[i].acked;
+		not_run += w[i].not_run;
+		unknown += w[i].unknown;
+	}
+	printf("%d faults: %d acknowledged, %d not run, %d unknown\n", round, acked, not_run,
+	       unknown);
+	CHECK(acked + not_run + unknown >= 1000, "%d requests", acked + not_run + unknown);
+	writers_verify(f, w, WRITERS);
+	fleet_tear_down(f);
+}
+
+/* The home dies with statements inside. Callers hear the truth, and the next statements find the
+ * member's next home. */
+static void test_home_dies_under_load(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.vms = 6, .work_us = 2000});
+	struct writer w[2] = {{.pause_us = 1000}, {.pause_us = 1000}};
+	int primary = fleet_primary(f), home = -1, i;
+
+	for (i = 0; i < f->plan.vms; i++) {
+		char *out, *at;
+
+		fleet_cli(f, &out, "status %s", f->vm[i].name);
+		at = strstr(out, f->member[primary].name);
+		if (at != NULL)
+			home = i;
+		g_free(out);
+	}
+	CHECK(home >= 0, "no home found");
+	writer_start(&w[0], f, (home + 1) % 6, "a");
+	writer_start(&w[1], f, (home + 2) % 6, "b");
+	test_sleep_ms(500);
+	fleet_vm_signal(f, home, SIGKILL);
+	test_sleep_ms(2500);
+	writer_stop(&w[0]);
+	writer_stop(&w[1]);
+	printf("home killed: %d acknowledged, %d not run, %d unknown, longest gap %ld ms\n",
+	       w[0].acked + w[1].acked, w[0].not_run + w[1].not_run, w[0].unknown + w[1].unknown,
+	       (long)(MAX(w[0].gap_us, w[1].gap_us) / 1000));
+	CHECK(MAX(w[0].gap_us, w[1].gap_us) < 5000000, "gap");
+	CHECK(w[0].unknown + w[1].unknown <= 4, "%d unknown", w[0].unknown + w[1].unknown);
+	writers_verify(f, w, 2);
+	fleet_tear_down(f);
+}
+
+/*
+ * Open connections to the primary go silent for good while new ones work. Callers that wait on one
+ * are served within a few seconds, over a new connection, and an order whose COMMIT went into the
+ * void is resolved by its fate.
+ */
+static void test_silent_connections_are_replaced(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	PGconn *c = fleet_orders(f, 1);
+	int round;
+
+	for (round = 0; round < 3; round++) {
+		int64_t start;
+		const char *state;
+		char count[16];
+
+		sql(c, NULL, 0, "INSERT INTO orders VALUES ('before', '%d')", round);
+		fleet_fault(f, "freeze %s", f->member[fleet_primary(f)].name);
+		start = test_now_ms();
+		state = sql(c, NULL, 0, "INSERT INTO orders VALUES ('silent-%d', 'x')", round);
+		printf("silent connections: %s after %ld ms\n", state,
+		       (long)(test_now_ms() - start));
+		CHECK(strcmp(state, "00000") == 0, "%s", state);
+		CHECK(test_now_ms() - start < 4000, "%ld ms", (long)(test_now_ms() - start));
+		sql(c, count, sizeof(count), "SELECT count(*) FROM orders WHERE key = 'silent-%d'",
+		    round);
+		CHECK(atoi(count) == 1, "%s times", count);
+	}
+	PQfinish(c);
+	fleet_tear_down(f);
+}
+
+/* The same between two VMs: the RPC connection goes silent, a ping shows it, and the next call
+ * opens a new one. */
+static void test_silent_rpc_is_replaced(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	int i, vm;
+
+	for (i = 0; i < 3; i++)
+		fleet_fault(f, "freeze %s", f->vm[i].name);
+	for (vm = 0; vm < 3; vm++) {
+		int64_t start = test_now_ms();
+
+		CHECK(wait_until(served, f, &vm, 6000), "VM %d does not serve", vm);
+		CHECK(test_now_ms() - start < 6000, "%ld ms", (long)(test_now_ms() - start));
+	}
+	fleet_tear_down(f);
+}
+
+/*
+ * The caller repeats an order under the same once-id after an outcome that it does not know. The
+ * database has seen the id, in the same transaction as the order, so the order is not doubled.
+ */
+static void test_once_id_stops_a_repetition(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	PGconn *c = fleet_orders(f, 0), *d;
+	const char *state;
+	char count[16];
+
+	sql(c, NULL, 0, "SET mangoloom.once = 'order-4711'");
+	state = sql(c, NULL, 0, "INSERT INTO orders VALUES ('o4711', '12 chairs')");
+	CHECK(strcmp(state, "00000") == 0, "%s", state);
+	d = fleet_connect(f, 1, "clerks", f->key,
+			  "-c mangoloom.kind=order -c mangoloom.once=order-4711");
+	state = sql(d, NULL, 0, "INSERT INTO orders VALUES ('o4711', '12 chairs')");
+	CHECK(strcmp(state, "23505") == 0 && strcmp(sql_detail(), "already run") == 0, "%s %s",
+	      state, sql_detail());
+	sql(c, count, sizeof(count), "SELECT count(*) FROM orders WHERE key = 'o4711'");
+	CHECK(atoi(count) == 1, "%s times", count);
+	PQfinish(c);
+	PQfinish(d);
+	fleet_tear_down(f);
+}
+
+/* A large answer is cut while it is on its way from the database: the caller gets all of it, or an
+ * error. */
+static void test_whole_answers_only(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	PGconn *c = fleet_connect(f, 1, "clerks", f->key, "-c mangoloom.kind=own");
+	char *value = g_malloc(3000000);
+	int whole = 0, refused = 0, i;
+
+	for (i = 0; i < 40; i++) {
+		const char *state;
+
+		if (i % 3 == 1)
+			fleet_fault(f, "delay %s 3", f->member[fleet_primary(f)].name);
+		if (i % 3 == 2)
+			fleet_fault(f, "reset %s", i % 2 ? f->member[0].name : f->vm[0].name);
+		state = sql(c, value, 3000000, "SELECT big(%d)", 500000 + i);
+		if (strcmp(state, "00000") == 0) {
+			CHECK(strlen(value) >= 500000, "only %zu bytes", strlen(value));
+			whole++;
+		} else {
+			refused++;
+		}
+		if (PQstatus(c) != CONNECTION_OK)
+			PQreset(c);
+	}
+	printf("%d whole, %d errors\n", whole, refused);
+	CHECK(whole >= 30, "%d", whole);
+	CHECK(strcmp(sql(c, NULL, 0, "SELECT big(20000000)"), "54000") == 0,
+	      "a result over the limit");
+	g_free(value);
+	PQfinish(c);
+	fleet_tear_down(f);
+}
+
+/* Many sessions, each with its own key, share few connections that are delayed and reset: no answer
+ * reaches another. */
+static gpointer ask_own(gpointer data)
+{
+	struct writer *w = data;
+	PGconn *c = fleet_connect(w->f, w->vm, "clerks", w->f->key, "-c mangoloom.kind=own");
+	char value[64];
+
+	while (!w->stop) {
+		const char *state = sql(c, value, sizeof(value),
+					"SELECT value FROM orders WHERE key = '%s'", w->prefix);
+
+		if (strcmp(state, "00000") == 0 && strcmp(value, w->prefix) != 0)
+			w->unknown++;
+		else
+			w->acked++;
+		if (PQstatus(c) != CONNECTION_OK)
+			PQreset(c);
+	}
+	PQfinish(c);
+	return NULL;
+}
+
+static void test_no_crossed_answers(void)
+{
+	struct test_fleet *f =
+		fleet_start_up(&(struct fleet_plan){.connections = 6, .work_us = 300});
+	struct writer w[12];
+	PGconn *c = fleet_orders(f, 0);
+	int crossed = 0, asked = 0, i;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < 12; i++) {
+		snprintf(w[i].prefix, sizeof(w[i].prefix), "session%d", i);
+		sql(c, NULL, 0, "INSERT INTO orders VALUES ('%s', '%s')", w[i].prefix, w[i].prefix);
+		w[i].f = f;
+		w[i].vm = i % 3;
+		w[i].thread = g_thread_new("asker", ask_own, &w[i]);
+	}
+	for (i = 0; i < 15; i++) {
+		fleet_fault(f, "delay %s %d", f->member[i % 3].name, i % 4 * 20);
+		fleet_fault(f, "reset %s", i % 2 ? f->vm[i % 3].name : f->member[i % 3].name);
+		test_sleep_ms(150);
+	}
+	for (i = 0; i < 12; i++) {
+		w[i].stop = 1;
+		g_thread_join(w[i].thread);
+		crossed += w[i].unknown;
+		asked += w[i].acked;
+	}
+	printf("%d answers, %d of another session\n", asked, crossed);
+	CHECK(crossed == 0 && asked > 200, "%d crossed of %d", crossed, asked);
+	PQfinish(c);
+	fleet_tear_down(f);
+}
+
+static const struct test_case cases[] = {
+	{"a_thousand_faulted_requests", test_a_thousand_faulted_requests},
+	{"home_dies_under_load", test_home_dies_under_load},
+	{"silent_connections_are_replaced", test_silent_connections_are_replaced},
+	{"silent_rpc_is_replaced", test_silent_rpc_is_replaced},
+	{"once_id_stops_a_repetition", test_once_id_stops_a_repetition},
+	{"whole_answers_only", test_whole_answers_only},
+	{"no_crossed_answers", test_no_crossed_answers},
+};
+HARNESS_MAIN("once", cases)
