--- a/src/caller-query.c
+++ b/src/caller-query.c
@@ -96,6 +96,9 @@
 	c->request = NULL;
 	c->state = CALLER_READY;
 	note_transaction(c, a);
+	/* A once-id belongs to one statement; it stays for a repetition as long as its outcome is not known. */
+	if (a->outcome == OUTCOME_DONE || a->outcome == OUTCOME_ALREADY_RUN)
+		c->once[0] = '\0';
 	if (answered) {
 		if (a->outcome == OUTCOME_DONE)
 			note_write(c, a, out);
--- a/src/db-libpq.c
+++ b/src/db-libpq.c
@@ -200,17 +200,18 @@
 
 static void put_rows(struct libpq_conn *c, const PGresult *r)
 {
+	size_t max = c->query.result_max;
 	int row;
 
 	if (!c->query.extended || c->query.describe_row)
 		put_row_description(c->res.frames, r);
-	for (row = 0; row < PQntuples(r); row++) {
-		if (c->query.result_max > 0 && c->res.frames->len > c->query.result_max) {
-			c->res.too_large = true;
-			g_byte_array_set_size(c->res.frames, 0);
-			return;
-		}
+	for (row = 0; row < PQntuples(r) && !c->res.too_large; row++) {
 		put_row(c->res.frames, r, row);
+		c->res.too_large = max > 0 && c->res.frames->len > max;
+	}
+	if (c->res.too_large) {
+		g_byte_array_set_size(c->res.frames, 0);
+		return;
 	}
 	pg_put_complete(c->res.frames, PQcmdStatus((PGresult *)r));
 }
--- a/tests/standin-db-log.c
+++ b/tests/standin-db-log.c
@@ -8,6 +8,12 @@
 #include <string.h>
 
 #define RECONNECT_US (50 * USEC_PER_MSEC)
+/** A primary says that it lives this often, and a replica that hears nothing for longer connects
+ * again. */
+#define ALIVE_US (100 * USEC_PER_MSEC)
+#define SILENT_US (600 * USEC_PER_MSEC)
+
+static int64_t up_heard_us;
 
 void ops_free(gpointer data)
 {
@@ -302,6 +308,7 @@
 	struct evbuffer *in = bufferevent_get_input(bev);
 	struct pg_message m;
 
+	up_heard_us = now_us();
 	while (server.up == bev && pg_take(in, false, 64 << 20, &m) == PG_MESSAGE) {
 		struct pg_reader r = pg_reader(&m);
 		const char *head;
@@ -333,6 +340,7 @@
 	uint32_t len;
 
 	up_close();
+	up_heard_us = now_us();
 	if (server.upstream[0] == '\0' || !net_parse(server.upstream_address, &sin)) {
 		g_byte_array_unref(out);
 		return;
@@ -355,6 +363,34 @@
 	bufferevent_socket_connect(server.up, (struct sockaddr *)&sin, sizeof(sin));
 }
 
+/** Both ends of replication: as PostgreSQL's wal_sender and wal_receiver timeouts. */
+static void alive_tick(evutil_socket_t fd, short what, void *arg)
+{
+	GByteArray *out = g_byte_array_new();
+	guint mark = pg_begin(out, 'd');
+	struct db_client *c;
+
+	pg_put_text(out, "alive");
+	pg_end(out, mark);
+	TAILQ_FOREACH (c, &server.clients, link) {
+		if (c->streaming)
+			bufferevent_write(c->bev, out->data, out->len);
+	}
+	g_byte_array_unref(out);
+	if (server.up != NULL && now_us() - up_heard_us > SILENT_US) {
+		up_heard_us = now_us();
+		up_retry();
+	}
+}
+
+void log_start(void)
+{
+	struct timeval tv = {.tv_usec = ALIVE_US};
+	struct event *timer = event_new(server.base, -1, EV_PERSIST, alive_tick, NULL);
+
+	event_add(timer, &tv);
+}
+
 /* Orders */
 
 static void order_answer(GString *out, bool ok)
--- a/tests/standin-db.c
+++ b/tests/standin-db.c
@@ -469,6 +469,7 @@
 		fprintf(stderr, "standin-db: %s\n", error->message);
 		return 1;
 	}
+	log_start();
 	if (primary->count > 0) {
 		server.seen_term = 1;
 		log_promote(1, ignored);
--- a/tests/standin-db.h
+++ b/tests/standin-db.h
@@ -80,6 +80,7 @@
 
 /* standin-db-log.c */
 void log_init(void);
+void log_start(void);
 struct pos log_pos(void);
 /** Append a record of this primary and send it to its replicas. */
 void log_commit(const char *xid, GPtrArray *ops);
--- /dev/null
+++ b/tests/test-it-fleet.c
@@ -0,0 +1,599 @@
+/** @file test-it-fleet.c Many daemons as one: rates, fairness, keys, tables, planned stops, cut
+ * data centres. */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROUTES                                                                                     \
+	"[[route]]\nname = \"orders\"\nkind = \"order\"\npool = \"pool1\"\n"                       \
+	"[[route]]\nname = \"own\"\nkind = \"own\"\npool = \"pool1\"\nwrite = false\n"
+#define TEAM(name, rate, burst)                                                                    \
+	"[[team]]\nname = \"" name "\"\nrate = " rate "\nburst = " burst "\n"
+
+static unsigned count_orders(struct test_fleet *f)
+{
+	PGconn *c = member_connect(f, fleet_primary(f));
+	char value[32];
+
+	sql(c, value, sizeof(value), "SELECT count(*) FROM orders");
+	PQfinish(c);
+	return (unsigned)atoi(value);
+}
+
+static bool share_whole(struct test_fleet *f, void *arg)
+{
+	char *out;
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < f->plan.vms; i++) {
+		char *at;
+
+		fleet_cli(f, &out, "status %s --json", f->vm[i].name);
+		at = strstr(out, "\"part\":");
+		sum += at != NULL ? strtod(at + 7, NULL) : 0;
+		g_free(out);
+	}
+	return sum > 0.95;
+}
+
+static struct test_fleet *limited_fleet(int vms, const char *routes)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.vms = vms, .routes = routes});
+
+	CHECK(wait_until(share_whole, f, NULL, 10000), "the rate is not given out");
+	return f;
+}
+
+/** Hammer from every VM while @a during runs; count at the database against rate and burst. */
+static void hammer(struct test_fleet *f, double rate, double burst,
+		   void (*during)(struct test_fleet *f), const char *what)
+{
+	struct writer w[8];
+	unsigned before = count_orders(f), got;
+	int64_t start = test_now_us();
+	double seconds, allowed;
+	int i;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < f->plan.vms; i++) {
+		char prefix[16];
+
+		snprintf(prefix, sizeof(prefix), "h%d", i);
+		w[i].pause_us = 500;
+		writer_start(&w[i], f, i, prefix);
+	}
+	during(f);
+	for (i = 0; i < f->plan.vms; i++)
+		writer_stop(&w[i]);
+	seconds = (double)(test_now_us() - start) / 1e6;
+	got = count_orders(f) - before;
+	allowed = rate * seconds + burst;
+	printf("%s: %u orders in %.1f s, %.0f allowed (%.0f%%)\n", what, got, seconds, allowed,
+	       100.0 * got / allowed);
+	CHECK((double)got <= allowed, "%u of %.0f", got, allowed);
+	CHECK((double)got >= allowed / 4, "only %u of %.0f", got, allowed);
+}
+
+static void during_nothing(struct test_fleet *f)
+{
+	test_sleep_ms(3000);
+}
+
+static void during_kill(struct test_fleet *f)
+{
+	test_sleep_ms(1000);
+	fleet_vm_signal(f, 4, SIGKILL);
+	test_sleep_ms(1000);
+	fleet_vm_start(f, 4);
+	test_sleep_ms(2000);
+}
+
+/* Stopped for longer than its parts are kept for it, taken off the list meanwhile, and woken. */
+static void during_pause(struct test_fleet *f)
+{
+	test_sleep_ms(500);
+	fleet_vm_signal(f, 5, SIGSTOP);
+	fleet_list_vms(f, 5);
+	test_sleep_ms(7500);
+	fleet_vm_signal(f, 5, SIGCONT);
+	test_sleep_ms(1500);
+	fleet_list_vms(f, -1);
+}
+
+static void during_cut(struct test_fleet *f)
+{
+	test_sleep_ms(500);
+	fleet_cut(f, "dc3", true);
+	test_sleep_ms(3000);
+	fleet_cut(f, "dc3", false);
+	test_sleep_ms(1000);
+}
+
+static void during_platform_down(struct test_fleet *f)
+{
+	fleet_platform(f, "{\"down\":true}");
+	test_sleep_ms(1000);
+	fleet_vm_signal(f, 3, SIGKILL);
+	fleet_vm_start(f, 3);
+	test_sleep_ms(2500);
+	fleet_platform(f, "{\"down\":false}");
+	test_sleep_ms(500);
+}
+
+/*
+ * One team sends all it can through six VMs. Counted at the database it never gets more than its
+ * rate and burst: at rest, while a holder is killed and restarted, paused and woken after its part
+ * was given away, cut off, and while the platform is down.
+ */
+static void test_rate_is_never_passed(void)
+{
+	struct test_fleet *f = limited_fleet(6, TEAM("clerks", "200", "100") ROUTES);
+
+	hammer(f, 200, 100, during_nothing, "at rest");
+	hammer(f, 200, 100, during_kill, "a VM killed and restarted");
+	hammer(f, 200, 100, during_cut, "a data centre cut off");
+	hammer(f, 200, 100, during_platform_down, "platform down, a VM restarted");
+	hammer(f, 200, 100, during_pause, "a VM paused and woken");
+	fleet_tear_down(f);
+}
+
+/* A team within its rate is not refused, wherever its demand is: spread, all at one VM, and moving.
+ */
+static void test_within_rate_nothing_is_refused(void)
+{
+	struct test_fleet *f = limited_fleet(6, TEAM("clerks", "400", "200") ROUTES);
+	struct writer w[6];
+	int refused = 0, acked = 0, round, i;
+
+	for (round = 0; round < 4; round++) {
+		memset(w, 0, sizeof(w));
+		for (i = 0; i < 6; i++) {
+			char prefix[16];
+
+			snprintf(prefix, sizeof(prefix), "r%d-%d", round, i);
+			w[i].pause_us = 24000;
+			writer_start(&w[i], f, round == 0 ? i : round, prefix);
+		}
+		test_sleep_ms(1500);
+		for (i = 0; i < 6; i++) {
+			writer_stop(&w[i]);
+			refused += w[i].not_run;
+			acked += w[i].acked;
+		}
+	}
+	printf("within its rate: %d acknowledged, %d refused\n", acked, refused);
+	CHECK(acked > 800, "%d", acked);
+	CHECK(refused == 0, "%d refused of %d", refused, acked);
+	fleet_tear_down(f);
+}
+
+/* A burst of one, split over six VMs, would serve nobody; it is served wherever the caller
+ * connects. */
+static void test_small_burst_is_served_everywhere(void)
+{
+	struct test_fleet *f = limited_fleet(6, TEAM("clerks", "20", "2") ROUTES);
+	int i;
+
+	for (i = 0; i < 12; i++) {
+		PGconn *c = fleet_orders(f, i % 6);
+		const char *state = sql(c, NULL, 0, "INSERT INTO orders VALUES ('s%d', 'x')", i);
+
+		CHECK(strcmp(state, "00000") == 0, "at VM %d: %s", i % 6, state);
+		PQfinish(c);
+		test_sleep_ms(100);
+	}
+	fleet_tear_down(f);
+}
+
+/*
+ * Monday: one team sends five times its rate at two slots of 2 ms. Another team inside its rate
+ * keeps what it gets alone, and the excess is refused to the first team, at once and with when to
+ * come back.
+ */
+static void test_no_team_crowds_out_another(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){
+		.vms = 3,
+		.work_us = 2000,
+		.routes = TEAM("clerks", "150", "50") TEAM("monday", "300", "100") ROUTES});
+	struct writer quiet = {.pause_us = 10000}, alone = {.pause_us = 10000}, busy[12];
+	char *key = fleet_key(f, "monday");
+	int i, refused = 0, acked = 0;
+
+	CHECK(wait_until(share_whole, f, NULL, 10000), "the rate is not given out");
+	writer_start(&alone, f, 0, "alone");
+	test_sleep_ms(3000);
+	writer_stop(&alone);
+	memset(busy, 0, sizeof(busy));
+	for (i = 0; i < 12; i++) {
+		char prefix[16];
+
+		snprintf(prefix, sizeof(prefix), "b%d", i);
+		busy[i].team = "monday";
+		busy[i].key = key;
+		busy[i].pause_us = 4000;
+		writer_start(&busy[i], f, i % 3, prefix);
+	}
+	test_sleep_ms(1000);
+	writer_start(&quiet, f, 0, "quiet");
+	test_sleep_ms(3000);
+	writer_stop(&quiet);
+	for (i = 0; i < 12; i++) {
+		writer_stop(&busy[i]);
+		refused += busy[i].over_rate;
+		acked += busy[i].acked;
+	}
+	printf("the quiet team: %d alone, %d beside Monday (longest wait %ld ms); Monday: %d "
+	       "served, %d refused\n",
+	       alone.acked, quiet.acked, (long)(quiet.wait_max_us / 1000), acked, refused);
+	CHECK(quiet.acked >= alone.acked * 85 / 100, "%d of %d", quiet.acked, alone.acked);
+	CHECK(quiet.not_run == 0, "%d refused", quiet.not_run);
+	CHECK(refused > 100, "%d", refused);
+	g_free(key);
+	fleet_tear_down(f);
+}
+
+/* A withdrawn key stops on sessions that are connected, idle or not, and at new ones; the team's
+ * other key goes on. */
+static void test_withdrawn_key(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	char *second = fleet_key(f, "clerks"), *id, *end, *out;
+	PGconn *idle[3], *fresh;
+	int64_t start;
+	int i, code;
+
+	for (i = 0; i < 3; i++) {
+		idle[i] = fleet_connect(f, i, "clerks", second, "-c mangoloom.kind=order");
+		CHECK(strcmp(sql(idle[i], NULL, 0, "INSERT INTO orders VALUES ('k', 'x')"),
+			     "00000") == 0,
+		      "VM %d", i);
+	}
+	id = g_strdup(second + strlen("mlk_"));
+	end = strchr(id, '_');
+	*end = '\0';
+	start = test_now_ms();
+	code = fleet_cli(f, NULL, "key withdraw %s", id);
+	CHECK(code == 0, "%d", code);
+	CHECK(test_now_ms() - start < 5000, "%ld ms", (long)(test_now_ms() - start));
+	for (i = 0; i < 3; i++) {
+		const char *state = sql(idle[i], NULL, 0, "INSERT INTO orders VALUES ('k', 'y')");
+
+		CHECK(strcmp(state, "28P01") == 0 || strcmp(state, "08006") == 0, "%s", state);
+		PQfinish(idle[i]);
+	}
+	fresh = fleet_connect(f, 1, "clerks", second, "");
+	CHECK(PQstatus(fresh) != CONNECTION_OK, "a withdrawn key is accepted");
+	PQfinish(fresh);
+	fresh = fleet_orders(f, 1);
+	CHECK(PQstatus(fresh) == CONNECTION_OK, "the other key is refused");
+	PQfinish(fresh);
+	/* A VM that can't be told is named. */
+	fleet_vm_signal(f, 2, SIGSTOP);
+	g_free(second);
+	second = fleet_key(f, "clerks");
+	g_free(second);
+	code = fleet_cli(f, &out, "key list");
+	CHECK(code == 0 && strstr(out, "withdrawn") != NULL, "%s", out);
+	g_free(out);
+	code = fleet_cli(f, NULL, "apply --routes %s/routes.toml --wait-ms 500", f->dir);
+	CHECK(code == 0, "nothing has to change: %d", code);
+	fleet_vm_signal(f, 2, SIGCONT);
+	g_free(id);
+	fleet_tear_down(f);
+}
+
+static char *routes_with_rate(int rate)
+{
+	return g_strdup_printf("[[team]]\nname = \"clerks\"\nrate = %d\nburst = 100000\n" ROUTES,
+			       rate);
+}
+
+struct racer {
+	struct test_fleet *f;
+	int rate, code;
+};
+
+static gpointer race(gpointer data)
+{
+	struct racer *r = data;
+	char *text = routes_with_rate(r->rate), name[32], *path;
+	char *based = g_strdup_printf("base_version = 2\n%s", text);
+
+	snprintf(name, sizeof(name), "race%d.toml", r->rate);
+	path = fleet_file(r->f, name, based);
+	r->code = fleet_cli(r->f, NULL, "apply --routes %s", path);
+	g_free(path);
+	g_free(based);
+	g_free(text);
+	return NULL;
+}
+
+static bool versions_equal(struct test_fleet *f, void *arg)
+{
+	int i;
+
+	for (i = 0; i < f->plan.vms; i++) {
+		if (fleet_status(f, i, "conf_version") != *(int64_t *)arg)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Four operators apply edits that began from the same version: one wins, the others are told of the
+ * conflict and change nothing. Then the answer to an apply is lost after its effect: the command
+ * finds its own change and says so.
+ */
+static void test_operators_race(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	struct racer r[4];
+	GThread *t[4];
+	int won = 0, conflict = 0, i, code;
+	char *text, *path;
+	int64_t version;
+
+	for (i = 0; i < 4; i++) {
+		r[i] = (struct racer){.f = f, .rate = 1000 + i};
+		t[i] = g_thread_new("race", race, &r[i]);
+	}
+	for (i = 0; i < 4; i++) {
+		g_thread_join(t[i]);
+		won += r[i].code == 0;
+		conflict += r[i].code == 4;
+	}
+	CHECK(won == 1 && conflict == 3, "%d won, %d conflicts", won, conflict);
+	text = routes_with_rate(7777);
+	path = fleet_file(f, "lost.toml", text);
+	version = fleet_status(f, 0, "conf_version");
+	fleet_platform(f, "{\"lose_answers\":true}");
+	code = fleet_cli(f, NULL, "apply --routes %s", path);
+	fleet_platform(f, "{\"lose_answers\":false}");
+	CHECK(code == 0, "%d", code);
+	version++;
+	CHECK(wait_until(versions_equal, f, &version, 5000), "not in force as version %ld",
+	      (long)version);
+	g_free(path);
+	g_free(text);
+	fleet_tear_down(f);
+}
+
+/*
+ * A daemon sleeps through a change, and the platform is down when it wakes: it gets the change from
+ * its peers, and its old version reverts nobody. A VM that starts during the outage serves as well.
+ */
+static void test_changes_never_revert(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	char *text = routes_with_rate(4321), *path = fleet_file(f, "next.toml", text);
+	int64_t version = fleet_status(f, 0, "conf_version") + 1;
+	PGconn *c;
+	int code, i;
+
+	fleet_vm_signal(f, 1, SIGSTOP);
+	code = fleet_cli(f, NULL, "apply --routes %s --wait-ms 300", path);
+	CHECK(code == 6, "one VM can't confirm: %d", code);
+	fleet_platform(f, "{\"down\":true}");
+	fleet_vm_signal(f, 2, SIGKILL);
+	fleet_vm_signal(f, 1, SIGCONT);
+	fleet_vm_start(f, 2);
+	/* The command needs the platform for its list of VMs; ask the daemons by serving through
+	 * them. */
+	test_sleep_ms(3000);
+	for (i = 0; i < 3; i++) {
+		const char *state;
+
+		c = fleet_orders(f, i);
+		state = sql(c, NULL, 0, "INSERT INTO orders VALUES ('x', 'x')");
+		CHECK(strcmp(state, "00000") == 0, "VM %d: %s", i, state);
+		PQfinish(c);
+	}
+	fleet_platform(f, "{\"down\":false}");
+	CHECK(wait_until(versions_equal, f, &version, 5000), "not in force everywhere");
+	g_free(path);
+	g_free(text);
+	fleet_tear_down(f);
+}
+
+static bool no_connections(struct test_fleet *f, void *arg)
+{
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		char *out, *at;
+		long n = 0;
+
+		fleet_cli(f, &out, "status %s", f->vm[i].name);
+		at = strstr(out, (const char *)arg);
+		at = at != NULL ? strstr(at, "running, ") : NULL;
+		n = at != NULL ? strtol(at + strlen("running, "), NULL, 10) : 0;
+		g_free(out);
+		if (n > 0)
+			return false;
+	}
+	return true;
+}
+
+/* The operators mark a replica as leaving: within 3 s it gets no new work, and no caller is refused
+ * for it. */
+static void test_leaving_database(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	struct writer w = {.options = "-c mangoloom.kind=page", .pause_us = 2000};
+	int leaving = (fleet_primary(f) + 1) % 3;
+	char *marked, *path, **parts;
+	char wanted[64];
+
+	snprintf(wanted, sizeof(wanted), "name = \"%s\"\n", f->member[leaving].name);
+	parts = g_strsplit(f->pools_toml, wanted, 2);
+	marked = g_strdup_printf("%s%sleaving = true\n%s", parts[0], wanted, parts[1]);
+	path = fleet_file(f, "leaving.toml", marked);
+	writer_start(&w, f, 1, "p");
+	test_sleep_ms(300);
+	CHECK(fleet_cli(f, NULL, "apply --pools %s", path) == 0, "apply");
+	CHECK(wait_until(no_connections, f, f->member[leaving].name, 3000),
+	      "still has connections");
+	test_sleep_ms(300);
+	writer_stop(&w);
+	CHECK(w.not_run == 0 && w.unknown == 0, "%d not run, %d unknown", w.not_run, w.unknown);
+	g_array_unref(w.told);
+	g_strfreev(parts);
+	g_free(marked);
+	g_free(path);
+	fleet_tear_down(f);
+}
+
+/*
+ * One VM after another is stopped with SIGTERM under load. Each hands over and ends by itself; no
+ * order is cut, and callers hear nothing but 57P01 between two statements.
+ */
+static void test_planned_stop_cuts_nothing(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.vms = 6, .work_us = 1000});
+	struct writer w[6];
+	int i, unknown = 0, not_run = 0, acked = 0;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < 6; i++) {
+		char prefix[16];
+
+		snprintf(prefix, sizeof(prefix), "s%d", i);
+		w[i].pause_us = 2000;
+		w[i].roam = true;
+		writer_start(&w[i], f, i, prefix);
+	}
+	test_sleep_ms(500);
+	for (i = 0; i < 3; i++) {
+		int code;
+
+		fleet_vm_signal(f, i, SIGTERM);
+		code = fleet_vm_wait(f, i);
+		CHECK(code == 0, "VM %d ended with %d", i, code);
+		test_sleep_ms(300);
+	}
+	test_sleep_ms(500);
+	for (i = 0; i < 6; i++) {
+		writer_stop(&w[i]);
+		acked += w[i].acked;
+		not_run += w[i].not_run;
+		unknown += w[i].unknown;
+	}
+	printf("three planned stops: %d acknowledged, %d not run, %d unknown\n", acked, not_run,
+	       unknown);
+	CHECK(not_run == 0, "%d not run", not_run);
+	CHECK(unknown == 0, "%d unknown", unknown);
+	writers_verify(f, w, 6);
+	fleet_tear_down(f);
+}
+
+static bool reads_served(struct test_fleet *f, void *arg)
+{
+	PGconn *c = fleet_connect(f, *(int *)arg, "clerks", f->key,
+				  "-c mangoloom.kind=page -c mangoloom.deadline_ms=500");
+	bool ok = strcmp(sql(c, NULL, 0, "SELECT value FROM warm WHERE key = 'up'"), "00000") == 0;
+
+	PQfinish(c);
+	return ok;
+}
+
+/*
+ * A data centre with a replica is cut from the others and from the platform. Inside, pages that
+ * accept data of an hour are served from its replica; outside, orders go on. After the cut heals,
+ * orders pass through its VM again by themselves.
+ */
+static void test_cut_data_center_serves_what_it_can(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	PGconn *page, *order;
+	const char *state;
+	int i, served_pages = 0, vm = 2;
+
+	CHECK(fleet_primary(f) == 0, "the primary is in dc1");
+	page = fleet_connect(f, 2, "clerks", f->key,
+			     "-c mangoloom.kind=page -c mangoloom.max_age_ms=3600000 -c "
+			     "mangoloom.deadline_ms=3000");
+	sql(page, NULL, 0, "SELECT value FROM warm WHERE key = 'up'");
+	fleet_cut(f, "dc3", true);
+	fleet_platform(f, "{\"down\":true}");
+	test_sleep_ms(500);
+	for (i = 0; i < 10; i++) {
+		state = sql(page, NULL, 0, "SELECT value FROM warm WHERE key = 'up'");
+		served_pages += strcmp(state, "00000") == 0;
+		test_sleep_ms(100);
+	}
+	CHECK(served_pages >= 9, "%d of 10 pages", served_pages);
+	order = fleet_orders(f, 0);
+	state = sql(order, NULL, 0, "INSERT INTO orders VALUES ('outside', 'x')");
+	CHECK(strcmp(state, "00000") == 0, "%s", state);
+	PQfinish(order);
+	fleet_cut(f, "dc3", false);
+	fleet_platform(f, "{\"down\":false}");
+	CHECK(wait_until(reads_served, f, &vm, 8000), "reads are not served after the cut");
+	order = fleet_orders(f, 2);
+	state = sql(order, NULL, 0, "INSERT INTO orders VALUES ('healed', 'x')");
+	CHECK(strcmp(state, "00000") == 0, "%s", state);
+	PQfinish(order);
+	PQfinish(page);
+	fleet_tear_down(f);
+}
+
+/* Homes move while every VM sends; no member ever has more connections than it accepts, nor are
+ * callers refused. */
+static void test_connections_stay_within_the_limit(void)
+{
+	struct test_fleet *f =
+		fleet_start_up(&(struct fleet_plan){.vms = 6, .connections = 8, .work_us = 1000});
+	struct writer w[6];
+	int i, not_run = 0;
+
+	memset(w, 0, sizeof(w));
+	for (i = 0; i < 6; i++) {
+		char prefix[16];
+
+		snprintf(prefix, sizeof(prefix), "c%d", i);
+		writer_start(&w[i], f, i, prefix);
+	}
+	for (i = 0; i < 3; i++) {
+		fleet_list_vms(f, i);
+		test_sleep_ms(700);
+	}
+	fleet_list_vms(f, -1);
+	test_sleep_ms(500);
+	for (i = 0; i < 6; i++) {
+		writer_stop(&w[i]);
+		not_run += w[i].not_run;
+	}
+	for (i = 0; i < 3; i++) {
+		PGconn *c = member_connect(f, i);
+		char value[64];
+		int peak = 99;
+
+		sql(c, value, sizeof(value), "SELECT mangoloom_peak()");
+		sscanf(value, "%d", &peak);
+		CHECK(peak <= 8, "%s had %d connections", f->member[i].name, peak);
+		PQfinish(c);
+	}
+	CHECK(not_run == 0, "%d not run", not_run);
+	writers_verify(f, w, 6);
+	fleet_tear_down(f);
+}
+
+static const struct test_case cases[] = {
+	{"rate_is_never_passed", test_rate_is_never_passed},
+	{"within_rate_nothing_is_refused", test_within_rate_nothing_is_refused},
+	{"small_burst_is_served_everywhere", test_small_burst_is_served_everywhere},
+	{"no_team_crowds_out_another", test_no_team_crowds_out_another},
+	{"withdrawn_key", test_withdrawn_key},
+	{"operators_race", test_operators_race},
+	{"changes_never_revert", test_changes_never_revert},
+	{"leaving_database", test_leaving_database},
+	{"planned_stop_cuts_nothing", test_planned_stop_cuts_nothing},
+	{"cut_data_center_serves_what_it_can", test_cut_data_center_serves_what_it_can},
+	{"connections_stay_within_the_limit", test_connections_stay_within_the_limit},
+};
+HARNESS_MAIN("fleet", cases)
