Planned stops hand over the parts of rates; last messages reach callers; leaving members lose their connections

Cause: test-it-fleet planned_stop_cuts_nothing. (1) A VM that left took its part of each rate with it: the next allocator's census waited for a VM that was gone but still listed, and up to 24 requests were refused with 53300 although the team was far inside its rate. (2) Closing a caller's connection with unread input resets it, and the last message was lost. (3) The unused connections to a leaving member were kept for 10 s. (4) A write sent as a kind that reads was retried until its deadline; it is the caller's error now. Change: services drain in reverse order; shares are given up before leaving is told, and a VM that told so is not counted by any allocator; callers linger for up to 1 s.

--- a/decide/peers.c
+++ b/decide/peers.c
@@ -157,6 +157,7 @@
 		vm->news_seq = 0;
 		vm->conf_version = conf_version;
 		vm->leaving = false;
+		vm->left = false;
 		vm->dead = false;
 		vm->spread = NEWS_SPREAD;
 		return;
@@ -186,6 +187,7 @@
 void peers_leave(struct peers *p)
 {
 	p->self->leaving = true;
+	p->self->left = true;
 	vm_changed(p->self);
 }
 
@@ -199,7 +201,7 @@
 		/* Others think that this VM is dead, or know less than it does: newer news goes
 		 * out. */
 		if (news->incarnation == vm->incarnation && news->seq >= vm->news_seq &&
-		    (news->dead || news->leaving != vm->leaving)) {
+		    (news->dead || news->leaving != vm->left)) {
 			vm->news_seq = news->seq;
 			vm_changed(vm);
 		}
@@ -215,6 +217,7 @@
 	vm->news_seq = news->seq;
 	vm->dead = news->dead;
 	vm->leaving = news->leaving;
+	vm->left = news->leaving;
 	vm->spread = NEWS_SPREAD;
 	if (!vm->dead)
 		vm->misses = 0;
@@ -235,7 +238,7 @@
 		news->incarnation = vm->incarnation;
 		news->seq = vm->news_seq;
 		news->dead = vm->dead;
-		news->leaving = vm->leaving;
+		news->leaving = vm->left;
 		if (++n == PEERS_NEWS_MAX)
 			break;
 	}
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -28,6 +28,7 @@
 	char data_center[NAME_SIZE];
 	bool listed;
 	bool leaving;
+	bool left; /**< it said itself that it leaves, after it had given up what it held */
 	bool dead;
 	uint64_t incarnation; /**< of its process; 0 when never heard */
 	uint64_t news_seq;    /**< version of @a dead and @a leaving within the incarnation */
--- a/decide/share.c
+++ b/decide/share.c
@@ -106,7 +106,7 @@
 	if (o->seq <= h->seq)
 		return false;
 	h->seq = o->seq;
-	h->units = o->units;
+	h->units = h->leaving ? 0 : o->units;
 	if (h->units < before) {
 		/* Others wait for what was lowered here; tell the allocator soon. */
 		h->reported_us = now_us - SHARE_REPORT_SLOW_US;
@@ -128,6 +128,13 @@
 	return true;
 }
 
+void share_holder_leave(struct share_holder *h)
+{
+	h->leaving = true;
+	h->units = 0;
+	h->short_now = true;
+}
+
 bool share_holder_hopeful(const struct share_holder *h)
 {
 	return !h->over;
@@ -232,6 +239,19 @@
 	alloc_census(a, now_us);
 }
 
+void share_alloc_left(struct share_alloc *a, const char *vm, int64_t now_us)
+{
+	struct share_entry *e = alloc_find(a, vm);
+
+	if (e == NULL)
+		return;
+	if (e->bound && !a->whole)
+		a->budget -= e->held < a->budget ? e->held : a->budget;
+	TAILQ_REMOVE(&a->entries, e, link);
+	free(e);
+	alloc_census(a, now_us);
+}
+
 /** Another allocator of a higher epoch has been heard of: begin again above it. */
 static void alloc_restart(struct share_alloc *a, uint64_t above)
 {
--- a/decide/share.h
+++ b/decide/share.h
@@ -55,6 +55,7 @@
 	int64_t reported_us; /**< last report sent */
 	int64_t ordered_us;  /**< last order received */
 	bool pending;	     /**< a report is out */
+	bool leaving;	     /**< takes no units any more */
 	bool short_now;	     /**< a request found too few tokens since the last report */
 };
 
@@ -67,6 +68,8 @@
 struct share_report share_holder_report(struct share_holder *h, int64_t now_us);
 /** Carry out @a o. @return whether the units changed. */
 bool share_holder_order(struct share_holder *h, const struct share_order *o, int64_t now_us);
+/** The VM leaves: give up all units. */
+void share_holder_leave(struct share_holder *h);
 /** The loop stood still for @a gap_us. @return whether the units were given up. */
 bool share_holder_paused(struct share_holder *h, int64_t gap_us);
 /**
@@ -109,6 +112,8 @@
 void share_alloc_clear(struct share_alloc *a);
 /** Take in the platform's list of VMs. */
 void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us);
+/** @a vm said that it leaves, after it had given up its units: nothing of it has to be counted any more. */
+void share_alloc_left(struct share_alloc *a, const char *vm, int64_t now_us);
 /** Answer a holder's report. */
 struct share_order share_alloc_report(struct share_alloc *a, const char *vm,
 				      const struct share_report *r, int64_t now_us);
--- a/src/caller-query.c
+++ b/src/caller-query.c
@@ -96,7 +96,8 @@
 	c->request = NULL;
 	c->state = CALLER_READY;
 	note_transaction(c, a);
-	/* A once-id belongs to one statement; it stays for a repetition as long as its outcome is not known. */
+	/* A once-id belongs to one statement; it stays for a repetition as long as its outcome is
+	 * not known. */
 	if (a->outcome == OUTCOME_DONE || a->outcome == OUTCOME_ALREADY_RUN)
 		c->once[0] = '\0';
 	if (answered) {
@@ -116,7 +117,7 @@
 	g_free(c->sql);
 	c->sql = NULL;
 	if (c->callers->draining && c->tx.id == 0)
-		caller_error(c, true, "57P01", "this VM is being stopped", NULL,
+		caller_error(c, true, "57P01", "this VM is being stopped", "not run",
 			     "Connect again; another VM serves you.");
 	else if (!caller_key_holds(c))
 		caller_error(c, true, "28P01", "the key has been withdrawn", "not run", NULL);
--- a/src/caller.c
+++ b/src/caller.c
@@ -10,9 +10,12 @@
 #include <event2/bufferevent_ssl.h>
 #include <event2/listener.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /** Answers that a slow caller leaves unread, before its next statement is taken. */
 #define CALLER_UNREAD_MAX (4U * 1024 * 1024)
+/** Time for a caller to read the last message and close. */
+#define LINGER_US (1 * USEC_PER_SEC)
 
 struct callers *callers_of(struct kernel *k)
 {
@@ -131,6 +134,23 @@
 	return true;
 }
 
+/**
+ * All has been written. Closing while something of the caller's is unread would reset the
+ * connection and take the last message with it, so that the caller could not tell that its
+ * statement did not run. It closes first, or time is up.
+ */
+static void caller_linger(struct caller *c)
+{
+	evutil_socket_t fd = bufferevent_getfd(c->bev);
+
+	if (c->lingering)
+		return;
+	c->lingering = true;
+	if (fd >= 0 && bufferevent_get_underlying(c->bev) == NULL)
+		shutdown(fd, SHUT_WR);
+	kernel_arm(c->timer, LINGER_US);
+}
+
 void caller_process(struct caller *c)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -141,8 +161,11 @@
 			break;
 	}
 	c->partial = evbuffer_get_length(bufferevent_get_input(c->bev)) > 0;
-	if (c->closing && evbuffer_get_length(bufferevent_get_output(c->bev)) == 0) {
-		caller_close(c);
+	if (c->closing) {
+		if (evbuffer_get_length(bufferevent_get_output(c->bev)) == 0)
+			caller_linger(c);
+		else
+			kernel_arm(c->timer, LINGER_US);
 		return;
 	}
 	/* A caller that sends ahead of its answers waits: its input is not read past one longest
@@ -159,7 +182,10 @@
 	struct caller *c = arg;
 
 	c->heard_us = now_us();
-	if (c->state != CALLER_BUSY && !c->closing)
+	if (c->closing)
+		evbuffer_drain(bufferevent_get_input(bev),
+			       evbuffer_get_length(bufferevent_get_input(bev)));
+	else if (c->state != CALLER_BUSY)
 		caller_process(c);
 }
 
@@ -168,7 +194,7 @@
 	struct caller *c = arg;
 
 	if (c->closing)
-		caller_close(c);
+		caller_linger(c);
 	else if (c->state != CALLER_BUSY)
 		caller_process(c);
 }
--- a/src/caller.h
+++ b/src/caller.h
@@ -76,6 +76,7 @@
 	bool simple;	    /**< the running statement came as a simple query */
 	bool skip_to_sync;  /**< an error was told; messages up to Sync are passed over */
 	bool closing;	    /**< to be closed once what was written has left */
+	bool lingering;	    /**< all was written; waits for the caller to close */
 	ml_control control; /**< of the running statement */
 	char *sql;	    /**< of the running simple query */
 	struct portal *running_portal;
--- a/src/home-job.c
+++ b/src/home-job.c
@@ -16,7 +16,8 @@
 #define BEHIND_FRESH_US (20 * USEC_PER_MSEC)
 
 /** States of the database that mean: this member takes no writes. */
-static const char *const not_primary_states[] = {"25006", "57P01", "57P02", "57P03"};
+#define READ_ONLY_STATE "25006"
+static const char *const not_primary_states[] = {READ_ONLY_STATE, "57P01", "57P02", "57P03"};
 
 static void job_step(struct home_job *job, enum job_step step);
 
@@ -173,9 +174,13 @@
 /** Outcome of a statement that the member answered with an error. */
 static enum outcome error_outcome(const struct home_job *job, const struct db_result *res)
 {
-	if (means_not_primary(res->sqlstate))
-		return job->tx != NULL ? OUTCOME_TX_LOST : OUTCOME_NOT_PRIMARY;
-	return OUTCOME_SQL_ERROR;
+	if (!means_not_primary(res->sqlstate))
+		return OUTCOME_SQL_ERROR;
+	/* A write sent as a kind that reads is the caller's error; no other member would take it
+	 * either. */
+	if (!job->args->write && strcmp(res->sqlstate, READ_ONLY_STATE) == 0)
+		return OUTCOME_SQL_ERROR;
+	return job->tx != NULL ? OUTCOME_TX_LOST : OUTCOME_NOT_PRIMARY;
 }
 
 /** Begin keeping the connection for the caller's transaction. */
--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -68,8 +68,8 @@
 		bool out;
 		int64_t asked_us;
 		int64_t failing_us; /**< since when its homes do not answer; 0 for none */
-		bool again;	     /**< a commit waits for this member's next answer */
-		int64_t unmet_us;    /**< when it last answered without what a commit waits for */
+		bool again;	    /**< a commit waits for this member's next answer */
+		int64_t unmet_us;   /**< when it last answered without what a commit waits for */
 	} ask[GROUP_MEMBERS_MAX];
 };
 
@@ -546,7 +546,8 @@
 	if (i >= 0) {
 		w->ask[i].out = false;
 		if (a->wait_for.lsn != 0 &&
-		    (status != RPC_DONE || res->received.term != a->wait_for.term || res->received.lsn < a->wait_for.lsn))
+		    (status != RPC_DONE || res->received.term != a->wait_for.term ||
+		     res->received.lsn < a->wait_for.lsn))
 			w->ask[i].unmet_us = now_us();
 		if (status != RPC_DONE) {
 			fleet_suspect(fleet_of(w->m->home->service.kernel), a->address);
@@ -582,8 +583,8 @@
 		return;
 	}
 	/*
-	 * A member that is down, or of another term, answers at once and without the record; asked again at once, the
-	 * two VMs would do nothing else until the commit's deadline.
+	 * A member that is down, or of another term, answers at once and without the record; asked
+	 * again at once, the two VMs would do nothing else until the commit's deadline.
 	 */
 	if (wait_us > 0 && now_us() - w->ask[i].unmet_us < UNMET_PAUSE_US)
 		return;
--- a/src/home.c
+++ b/src/home.c
@@ -189,7 +189,8 @@
 		home_tx_expire(m, now);
 		/* Connections to a member that another VM is home to now are given up as soon as
 		 * they are unused. */
-		home_conn_trim(m, m->placed && m->configured ? now - hold : now);
+		home_conn_trim(m,
+			       m->placed && m->configured && !m->conf.leaving ? now - hold : now);
 		home_dispatch(m);
 		if (!m->placed && member_unused(m, now))
 			member_free(m);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -19,7 +19,7 @@
 	const char *name;
 	/** Open what the service needs. Services start in the order in which they were added. */
 	gboolean (*start)(struct service *s, GError **error);
-	/** Take no new work. May be NULL. */
+	/** Take no new work. May be NULL. Called in the reverse order of starting: callers first, the fleet last. */
 	void (*drain)(struct service *s);
 	/** Whether all work has ended after drain(). May be NULL for always. */
 	bool (*drained)(struct service *s);
@@ -52,7 +52,7 @@
 gboolean kernel_start(struct kernel *k, GError **error);
 /** Run until kernel_drain() has ended. */
 void kernel_run(struct kernel *k);
-/** Begin the graceful shutdown: drain services in order, then leave the loop. */
+/** Begin the graceful shutdown: drain the services, then leave the loop. */
 void kernel_drain(struct kernel *k);
 void kernel_free(struct kernel *k);
 
--- a/src/shares.c
+++ b/src/shares.c
@@ -101,10 +101,14 @@
 
 	TAILQ_FOREACH (vm, &f->peers.vms, link) {
 		/* This VM counts itself as listed only when the platform does. */
-		if (vm->listed && (vm != f->peers.self || f->peers.revision > 0))
+		if (vm->listed && !vm->left && (vm != f->peers.self || f->peers.revision > 0))
 			names[n++] = vm->name;
 	}
 	share_alloc_listed(alloc, names, n, now_us());
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		if (vm->left)
+			share_alloc_left(alloc, vm->name, now_us());
+	}
 	g_free(names);
 }
 
@@ -292,7 +296,7 @@
 			stat_add(STAT_SHARE_ORDERS, 1);
 			team_resize(t, now);
 		}
-		log_debug("share", LOG_STR("team", t->name), LOG_NUM("units", t->holder.units),
+		log_info("share", LOG_STR("team", t->name), LOG_NUM("units", t->holder.units),
 			  LOG_NUM("epoch", t->holder.epoch));
 		team_admit_waiting(t, now);
 	}
@@ -452,6 +456,18 @@
 	return TRUE;
 }
 
+/** Give up all parts; this comes before the fleet is told of leaving, and lets others have them at once. */
+static void shares_drain(struct service *service)
+{
+	struct shares *s = (struct shares *)service;
+	struct shares_team *t;
+
+	TAILQ_FOREACH(t, &s->teams, link) {
+		share_holder_leave(&t->holder);
+		team_resize(t, now_us());
+	}
+}
+
 static void shares_stop(struct service *service)
 {
 	struct shares *s = (struct shares *)service;
@@ -468,6 +484,7 @@
 static const struct service_ops shares_ops = {
 	.name = "shares",
 	.start = shares_start,
+	.drain = shares_drain,
 	.stop = shares_stop,
 };
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -139,6 +139,7 @@
 	GArray *told;		     /**< of enum told, by number of the order */
 	int64_t last_ack_us, gap_us; /**< longest time between two acknowledged writes */
 	int acked, not_run, unknown, over_rate, lost_conn;
+	int stopped; /**< told by 57P01, as a planned stop does between two statements */
 	int64_t wait_max_us;
 };
 
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -129,6 +129,32 @@
 	CU_ASSERT_EQUAL(h.epoch, 6);
 }
 
+/*
+ * A VM that leaves gives up its units first and tells then. A new allocator needs no report of it, although the platform
+ * still lists it.
+ */
+static void test_leaving_holder_hands_over(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a[2];
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, a, 2, now);
+	for (round = 0; round < 20; round++, now += STEP) {
+		if (round == 10) {
+			share_holder_leave(&h[0]);
+			share_alloc_left(&a[1], names[0], now);
+		}
+		for (i = round < 10 ? 0 : 1; i < VMS; i++)
+			exchange(&h[i], &a[round < 10 ? 0 : 1], i, now);
+	}
+	CU_ASSERT_EQUAL(h[0].units, 0);
+	CHECK(sum(h) > SHARE_WHOLE * 0.98 && sum(h) <= SHARE_WHOLE, "%lu", sum(h));
+	share_alloc_clear(&a[0]);
+	share_alloc_clear(&a[1]);
+}
+
 /* A burst of one token split over five VMs would serve nobody: the allocator's VM keeps it whole.
  */
 static void test_small_burst_is_kept_whole(void)
@@ -235,6 +261,7 @@
 	{"incomplete_census_gives_nothing_new", test_incomplete_census_gives_nothing_new},
 	{"paused_holder_gives_up", test_paused_holder_gives_up},
 	{"late_order_is_ignored", test_late_order_is_ignored},
+	{"leaving_holder_hands_over", test_leaving_holder_hands_over},
 	{"small_burst_is_kept_whole", test_small_burst_is_kept_whole},
 	{"sum_never_passes_the_whole", test_sum_never_passes_the_whole},
 };
