The allocator asks holders for a report when others wait for their units

Cause: the log of a small fleet showed one VM with 83% of a rate and three with none for up to a second. A holder at rest reports once a second, so it heard late that others had demand. Ruled out: the census (all six were bound). Change: a poke from the allocator to holders above their target while an order could not be filled.

--- a/decide/share.c
+++ b/decide/share.c
@@ -128,6 +128,11 @@
 	return true;
 }
 
+void share_holder_poked(struct share_holder *h)
+{
+	h->reported_us -= SHARE_REPORT_SLOW_US;
+}
+
 void share_holder_leave(struct share_holder *h)
 {
 	h->leaving = true;
@@ -350,6 +355,7 @@
 	uint32_t held = alloc_held(a);
 	uint32_t spare = a->budget > held ? a->budget - held : 0;
 
+	a->wanting = target > e->held + SHARE_STEP && target - e->held > spare;
 	if (e->acked != e->seq)
 		return;
 	if (target > e->held && target - e->held > spare)
@@ -367,6 +373,26 @@
 		e->held = target;
 }
 
+unsigned share_alloc_overfull(struct share_alloc *a, const char **vms, unsigned max, int64_t now_us)
+{
+	struct share_entry *e;
+	unsigned n = 0;
+
+	if (!a->wanting)
+		return 0;
+	TAILQ_FOREACH (e, &a->entries, link) {
+		if (n == max)
+			break;
+		if (!e->bound || e->held < alloc_target(a, e, now_us) + SHARE_STEP)
+			continue;
+		if (now_us - e->poked_us < SHARE_REPORT_FAST_US)
+			continue;
+		e->poked_us = now_us;
+		vms[n++] = e->vm;
+	}
+	return n;
+}
+
 /**
  * Note which process of the VM reports. A restarted one holds nothing.
  * @return false for a late report of a process that has ended.
--- a/decide/share.h
+++ b/decide/share.h
@@ -93,6 +93,7 @@
 	uint32_t ordered;
 	double demand;
 	int64_t heard_us;
+	int64_t poked_us;
 };
 TAILQ_HEAD(share_entries, share_entry);
 
@@ -104,6 +105,7 @@
 	double rate;	 /**< the team's, a second */
 	double burst;
 	char self[NAME_SIZE]; /**< the allocator's own VM */
+	bool wanting;	      /**< the last order was smaller than its target */
 	struct share_entries entries;
 };
 
@@ -112,8 +114,19 @@
 void share_alloc_clear(struct share_alloc *a);
 /** Take in the platform's list of VMs. */
 void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us);
-/** @a vm said that it leaves, after it had given up its units: nothing of it has to be counted any more. */
+/** @a vm said that it leaves, after it had given up its units: nothing of it has to be counted any
+ * more. */
 void share_alloc_left(struct share_alloc *a, const char *vm, int64_t now_us);
+/**
+ * Holders that are to give up units which others wait for, and were not asked to report lately. A
+ * holder at rest reports seldom; without being asked, it would keep others short for up to
+ * SHARE_REPORT_SLOW_US.
+ * @return how many names were put in @a vms
+ */
+unsigned share_alloc_overfull(struct share_alloc *a, const char **vms, unsigned max,
+			      int64_t now_us);
+/** The allocator asks for a report now. */
+void share_holder_poked(struct share_holder *h);
 /** Answer a holder's report. */
 struct share_order share_alloc_report(struct share_alloc *a, const char *vm,
 				      const struct share_report *r, int64_t now_us);
--- a/src/mango.h
+++ b/src/mango.h
@@ -228,6 +228,16 @@
 };
 typedef struct ml_share_res ml_share_res;
 
+struct ml_poke {
+	ml_name team;
+};
+typedef struct ml_poke ml_poke;
+
+struct ml_none {
+	bool_t ok;
+};
+typedef struct ml_none ml_none;
+
 struct ml_fate_args {
 	ml_name pool;
 	ml_name member;
@@ -279,6 +289,9 @@
 #define ML_STOP 9
 extern  ml_status_res * ml_stop_1(void *, CLIENT *);
 extern  ml_status_res * ml_stop_1_svc(void *, struct svc_req *);
+#define ML_POKE 10
+extern  ml_none * ml_poke_1(ml_poke *, CLIENT *);
+extern  ml_none * ml_poke_1_svc(ml_poke *, struct svc_req *);
 extern int mangoloom_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -309,6 +322,9 @@
 #define ML_STOP 9
 extern  ml_status_res * ml_stop_1();
 extern  ml_status_res * ml_stop_1_svc();
+#define ML_POKE 10
+extern  ml_none * ml_poke_1();
+extern  ml_none * ml_poke_1_svc();
 extern int mangoloom_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -336,6 +352,8 @@
 extern  bool_t xdr_ml_share_args (XDR *, ml_share_args*);
 extern  bool_t xdr_ml_share_order (XDR *, ml_share_order*);
 extern  bool_t xdr_ml_share_res (XDR *, ml_share_res*);
+extern  bool_t xdr_ml_poke (XDR *, ml_poke*);
+extern  bool_t xdr_ml_none (XDR *, ml_none*);
 extern  bool_t xdr_ml_fate_args (XDR *, ml_fate_args*);
 extern  bool_t xdr_ml_fate_res (XDR *, ml_fate_res*);
 extern  bool_t xdr_ml_status_res (XDR *, ml_status_res*);
@@ -362,6 +380,8 @@
 extern bool_t xdr_ml_share_args ();
 extern bool_t xdr_ml_share_order ();
 extern bool_t xdr_ml_share_res ();
+extern bool_t xdr_ml_poke ();
+extern bool_t xdr_ml_none ();
 extern bool_t xdr_ml_fate_args ();
 extern bool_t xdr_ml_fate_res ();
 extern bool_t xdr_ml_status_res ();
--- a/src/mango.x
+++ b/src/mango.x
@@ -171,6 +171,14 @@
 	ml_share_order orders<ML_TEAMS_MAX>;
 };
 
+struct ml_poke {
+	ml_name team;
+};
+
+struct ml_none {
+	bool ok;
+};
+
 struct ml_fate_args {
 	ml_name pool;
 	ml_name member;
@@ -199,5 +207,6 @@
 		ml_fate_res ML_FATE(ml_fate_args) = 7;
 		ml_status_res ML_STATUS(void) = 8;
 		ml_status_res ML_STOP(void) = 9;
+		ml_none ML_POKE(ml_poke) = 10;
 	} = 1;
 } = 0x20004d4c;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -414,6 +414,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ml_poke (XDR *xdrs, ml_poke *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->team))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_none (XDR *xdrs, ml_none *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ok))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ml_fate_args (XDR *xdrs, ml_fate_args *objp)
 {
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -30,6 +30,7 @@
 	PROC(ML_ORDER, "order", ml_order_args, ml_order_res, true),
 	PROC(ML_CONF, "conf", ml_conf_args, ml_conf_res, true),
 	PROC(ML_SHARE, "share", ml_share_args, ml_share_res, true),
+	PROC(ML_POKE, "poke", ml_poke, ml_none, true),
 	PROC(ML_FATE, "fate", ml_fate_args, ml_fate_res, false),
 	[ML_STATUS] = {"status", rpc_xdr_none, 0, (xdrproc_t)xdr_ml_status_res,
 		       sizeof(ml_status_res), false},
@@ -237,7 +238,8 @@
 	struct rpc *r = arg;
 	struct rpc_call *call;
 
-	/* Calls made by these callbacks wait for the next turn of the loop, so that nothing else is kept waiting. */
+	/* Calls made by these callbacks wait for the next turn of the loop, so that nothing else is
+	 * kept waiting. */
 	TAILQ_CONCAT(&batch, &r->finished, link);
 	while ((call = TAILQ_FIRST(&batch)) != NULL) {
 		const struct rpc_proc *p = &rpc_procs[call->proc];
--- a/src/shares.c
+++ b/src/shares.c
@@ -105,7 +105,7 @@
 			names[n++] = vm->name;
 	}
 	share_alloc_listed(alloc, names, n, now_us());
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+	TAILQ_FOREACH (vm, &f->peers.vms, link) {
 		if (vm->left)
 			share_alloc_left(alloc, vm->name, now_us());
 	}
@@ -295,9 +295,10 @@
 		if (share_holder_order(&t->holder, &o, now)) {
 			stat_add(STAT_SHARE_ORDERS, 1);
 			team_resize(t, now);
+			log_debug("share", LOG_STR("team", t->name),
+				  LOG_NUM("units", t->holder.units),
+				  LOG_NUM("epoch", t->holder.epoch));
 		}
-		log_info("share", LOG_STR("team", t->name), LOG_NUM("units", t->holder.units),
-			  LOG_NUM("epoch", t->holder.epoch));
 		team_admit_waiting(t, now);
 	}
 	g_free(r);
@@ -380,6 +381,42 @@
 	return t->alloc;
 }
 
+/** Most holders asked for a report at a time. */
+#define POKES_MAX 16
+
+static void poked(enum rpc_status status, const void *res, void *arg)
+{
+}
+
+/** Ask holders for a report whose units others wait for. */
+static void poke_overfull(struct shares_team *t, int64_t now)
+{
+	struct kernel *k = t->s->service.kernel;
+	const char *vms[POKES_MAX];
+	unsigned n = share_alloc_overfull(t->alloc, vms, POKES_MAX, now);
+	ml_poke args = {.team = t->name};
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		const struct vm *vm = peers_find(&fleet_of(k)->peers, vms[i]);
+
+		if (vm != NULL)
+			rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, poked,
+				  NULL);
+	}
+}
+
+static void poke_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_poke *a = args;
+	struct shares_team *t = team_find(owner, a->team);
+	ml_none res = {.ok = t != NULL};
+
+	if (t != NULL)
+		share_holder_poked(&t->holder);
+	rpc_reply(rq, &res);
+}
+
 /** Single tokens for another VM's waiting requests, out of this VM's own part. */
 static u_int grant_tokens(struct shares_team *t, u_int want, int64_t now)
 {
@@ -421,6 +458,7 @@
 								 .seq = o.seq,
 								 .units = o.units,
 								 .over = o.over};
+		poke_overfull(t, now);
 		if (strcmp(a->vm, s->service.kernel->settings->name) != 0)
 			orders[res.orders.orders_len].granted = grant_tokens(t, wire->want, now);
 		res.orders.orders_len++;
@@ -450,19 +488,21 @@
 	struct shares *s = (struct shares *)service;
 
 	rpc_serve(rpc_of(service->kernel), ML_SHARE, share_serve, s);
+	rpc_serve(rpc_of(service->kernel), ML_POKE, poke_serve, s);
 	fleet_listen(fleet_of(service->kernel), shares_changed, s);
 	s->ticked_us = now_us();
 	s->tick = kernel_every(service->kernel, TICK_US, shares_tick, s);
 	return TRUE;
 }
 
-/** Give up all parts; this comes before the fleet is told of leaving, and lets others have them at once. */
+/** Give up all parts; this comes before the fleet is told of leaving, and lets others have them at
+ * once. */
 static void shares_drain(struct service *service)
 {
 	struct shares *s = (struct shares *)service;
 	struct shares_team *t;
 
-	TAILQ_FOREACH(t, &s->teams, link) {
+	TAILQ_FOREACH (t, &s->teams, link) {
 		share_holder_leave(&t->holder);
 		team_resize(t, now_us());
 	}
--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -225,6 +225,8 @@
 	writer_start(&quiet, f, 0, "quiet");
 	test_sleep_ms(3000);
 	writer_stop(&quiet);
+	for (i = 0; i < BUSY; i++)
+		busy[i].stop = 1;
 	for (i = 0; i < BUSY; i++) {
 		writer_stop(&busy[i]);
 		refused += busy[i].over_rate;
