--- a/decide/fairq.c
+++ b/decide/fairq.c
@@ -24,7 +24,7 @@
 {
 	struct fairq_team *t, *next;
 
-	TAILQ_FOREACH_SAFE (t, teams, link, next) {
+	TAILQ_FOREACH_SAFE(t, teams, link, next) {
 		TAILQ_REMOVE(teams, t, link);
 		free(t);
 	}
@@ -41,7 +41,7 @@
 {
 	struct fairq_team *t;
 
-	TAILQ_FOREACH (t, teams, link) {
+	TAILQ_FOREACH(t, teams, link) {
 		if (strcmp(t->name, name) == 0)
 			return t;
 	}
@@ -70,7 +70,7 @@
 	struct fairq_team *t;
 	double sum = with->active ? 0 : with->weight;
 
-	TAILQ_FOREACH (t, &q->active, link)
+	TAILQ_FOREACH(t, &q->active, link)
 		sum += t->weight;
 	return sum;
 }
@@ -112,7 +112,7 @@
 	struct fairq_item *at;
 	unsigned ahead = 0;
 
-	TAILQ_FOREACH (at, &t->items, link) {
+	TAILQ_FOREACH(at, &t->items, link) {
 		if (at->deadline_us > deadline_us)
 			break;
 		ahead++;
@@ -178,7 +178,7 @@
 	struct fairq_team *t;
 	double largest = 1;
 
-	TAILQ_FOREACH (t, &q->active, link) {
+	TAILQ_FOREACH(t, &q->active, link) {
 		if (t->weight > largest)
 			largest = t->weight;
 	}
@@ -220,7 +220,7 @@
 {
 	struct fairq_team *t;
 
-	TAILQ_FOREACH (t, &q->active, link) {
+	TAILQ_FOREACH(t, &q->active, link) {
 		struct fairq_item *first = TAILQ_FIRST(&t->items);
 
 		if (first->deadline_us <= now_us) {
--- a/decide/peers.c
+++ b/decide/peers.c
@@ -18,7 +18,7 @@
 		abort();
 	snprintf(vm->name, sizeof(vm->name), "%s", name);
 	p->n++;
-	TAILQ_FOREACH (at, &p->vms, link) {
+	TAILQ_FOREACH(at, &p->vms, link) {
 		if (strcmp(at->name, name) > 0) {
 			TAILQ_INSERT_BEFORE(at, vm, link);
 			return vm;
@@ -44,7 +44,7 @@
 {
 	struct vm *vm, *next;
 
-	TAILQ_FOREACH_SAFE (vm, &p->vms, link, next) {
+	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		TAILQ_REMOVE(&p->vms, vm, link);
 		free(vm);
 	}
@@ -56,7 +56,7 @@
 {
 	struct vm *vm;
 
-	TAILQ_FOREACH (vm, &p->vms, link) {
+	TAILQ_FOREACH(vm, &p->vms, link) {
 		if (strcmp(vm->name, name) == 0)
 			return vm;
 	}
@@ -71,7 +71,7 @@
 	if (revision <= p->revision)
 		return false;
 	p->revision = revision;
-	TAILQ_FOREACH (vm, &p->vms, link)
+	TAILQ_FOREACH(vm, &p->vms, link)
 		vm->listed = vm == p->self;
 	for (i = 0; i < n; i++) {
 		vm = peers_find(p, l[i].name);
@@ -84,7 +84,7 @@
 		snprintf(vm->data_center, sizeof(vm->data_center), "%s", l[i].data_center);
 		vm->leaving = vm->leaving || l[i].leaving;
 	}
-	TAILQ_FOREACH_SAFE (vm, &p->vms, link, next) {
+	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		if (vm->listed)
 			continue;
 		TAILQ_REMOVE(&p->vms, vm, link);
@@ -130,7 +130,7 @@
 	if (p->n < 2)
 		return n;
 	suspects = n;
-	TAILQ_FOREACH (vm, &p->vms, link) {
+	TAILQ_FOREACH(vm, &p->vms, link) {
 		if (vm->suspect && !vm->dead && n - suspects < PEERS_SUSPECTS)
 			n = add_target(out, n, vm);
 	}
@@ -228,7 +228,7 @@
 	struct vm *vm;
 	unsigned n = 0;
 
-	TAILQ_FOREACH (vm, &p->vms, link) {
+	TAILQ_FOREACH(vm, &p->vms, link) {
 		struct vm_news *news = &out[n];
 
 		if (vm->spread == 0)
@@ -257,7 +257,7 @@
 	uint64_t best_weight = 0;
 	bool best_near = false;
 
-	TAILQ_FOREACH (vm, &p->vms, link) {
+	TAILQ_FOREACH(vm, &p->vms, link) {
 		uint64_t weight;
 		bool near;
 
@@ -282,7 +282,7 @@
 	unsigned place = 0;
 	struct vm *vm;
 
-	TAILQ_FOREACH (vm, &p->vms, link) {
+	TAILQ_FOREACH(vm, &p->vms, link) {
 		if (vm == p->self || !peers_usable(vm))
 			continue;
 		if (strcmp(vm->data_center, p->self->data_center) != 0)
--- a/decide/share.c
+++ b/decide/share.c
@@ -161,7 +161,7 @@
 {
 	struct share_entry *e, *next;
 
-	TAILQ_FOREACH_SAFE (e, &a->entries, link, next) {
+	TAILQ_FOREACH_SAFE(e, &a->entries, link, next) {
 		TAILQ_REMOVE(&a->entries, e, link);
 		free(e);
 	}
@@ -171,7 +171,7 @@
 {
 	struct share_entry *e;
 
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		if (strcmp(e->vm, vm) == 0)
 			return e;
 	}
@@ -203,7 +203,7 @@
 {
 	struct share_entry *e, *next;
 
-	TAILQ_FOREACH_SAFE (e, &a->entries, link, next) {
+	TAILQ_FOREACH_SAFE(e, &a->entries, link, next) {
 		if (entry_counts(e, now_us))
 			continue;
 		if (e->bound && !a->whole)
@@ -213,7 +213,7 @@
 	}
 	if (a->whole)
 		return;
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		if (!e->bound)
 			return;
 	}
@@ -228,7 +228,7 @@
 	struct share_entry *e;
 	unsigned i;
 
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		bool found = false;
 
 		for (i = 0; i < n && !found; i++)
@@ -265,7 +265,7 @@
 	a->epoch = (((above >> 32) + 1) << 32) | a->salt;
 	a->whole = false;
 	a->budget = 0;
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		e->bound = false;
 		e->held = 0;
 		e->ordered = 0;
@@ -279,7 +279,7 @@
 	const struct share_entry *e;
 	uint64_t sum = 0;
 
-	TAILQ_FOREACH (e, &a->entries, link)
+	TAILQ_FOREACH(e, &a->entries, link)
 		sum += e->held;
 	return (uint32_t)sum;
 }
@@ -295,7 +295,7 @@
 	double sum = 0;
 
 	*bound = 0;
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		if (!e->bound)
 			continue;
 		(*bound)++;
@@ -380,7 +380,7 @@
 
 	if (!a->wanting)
 		return 0;
-	TAILQ_FOREACH (e, &a->entries, link) {
+	TAILQ_FOREACH(e, &a->entries, link) {
 		if (n == max)
 			break;
 		if (!e->bound || e->held < alloc_target(a, e, now_us) + SHARE_STEP)
--- a/src/caller-auth.c
+++ b/src/caller-auth.c
@@ -69,7 +69,7 @@
 	uint32_t key = pg_read_u32(r);
 	struct caller *other;
 
-	TAILQ_FOREACH (other, &c->callers->list, link) {
+	TAILQ_FOREACH(other, &c->callers->list, link) {
 		if (other->pid == pid && other->cancel_key == key && other->request != NULL)
 			break;
 	}
--- a/src/caller.c
+++ b/src/caller.c
@@ -254,7 +254,7 @@
 	struct callers *cs = owner;
 	struct caller *c, *next;
 
-	TAILQ_FOREACH_SAFE (c, &cs->list, link, next) {
+	TAILQ_FOREACH_SAFE(c, &cs->list, link, next) {
 		if (c->state != CALLER_READY || c->closing || caller_key_holds(c))
 			continue;
 		log_info("key-withdrawn", LOG_STR("team", c->team), LOG_STR("key", c->key_id));
@@ -271,7 +271,7 @@
 
 	cs->draining = true;
 	evconnlistener_disable(cs->listener);
-	TAILQ_FOREACH_SAFE (c, &cs->list, link, next) {
+	TAILQ_FOREACH_SAFE(c, &cs->list, link, next) {
 		if (c->state == CALLER_BUSY || c->tx.id != 0 || c->partial || c->closing)
 			continue;
 		caller_error(c, true, "57P01", "this VM is being stopped", "not run",
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -72,7 +72,7 @@
 {
 	struct vm *vm;
 
-	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		if (strcmp(vm->address, address) != 0 || vm->suspect)
 			continue;
 		log_info("vm-suspect", LOG_STR("peer", vm->name));
@@ -282,7 +282,7 @@
 	json_builder_add_int_value(b, fleet_news_age_us(f) / USEC_PER_MSEC);
 	json_builder_set_member_name(b, "vms");
 	json_builder_begin_array(b);
-	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		const char *state = "live";
 
 		if (vm->leaving)
--- a/src/home-confirm.c
+++ b/src/home-confirm.c
@@ -96,7 +96,7 @@
 {
 	struct home_job *job, *next;
 
-	TAILQ_FOREACH_SAFE (job, &m->unconfirmed, link, next)
+	TAILQ_FOREACH_SAFE(job, &m->unconfirmed, link, next)
 		confirm_judge(job);
 	confirm_ask(m);
 }
@@ -105,7 +105,7 @@
 {
 	struct home_job *job, *next;
 
-	TAILQ_FOREACH_SAFE (job, &m->unconfirmed, link, next) {
+	TAILQ_FOREACH_SAFE(job, &m->unconfirmed, link, next) {
 		if (now >= job->deadline_us || now - job->started_us > CONFIRM_WAIT_MAX_US)
 			confirm_end(job, OUTCOME_NOT_CONFIRMED);
 	}
--- a/src/home-conn.c
+++ b/src/home-conn.c
@@ -23,7 +23,7 @@
 {
 	struct home_conn *c;
 
-	TAILQ_FOREACH (c, &m->conns, link) {
+	TAILQ_FOREACH(c, &m->conns, link) {
 		if (c->open && c->job == NULL && c->tx == NULL)
 			return c;
 	}
@@ -100,7 +100,7 @@
 {
 	struct home_conn *c, *next;
 
-	TAILQ_FOREACH_SAFE (c, &m->conns, link, next) {
+	TAILQ_FOREACH_SAFE(c, &m->conns, link, next) {
 		if (c->open && c->job == NULL && c->tx == NULL && c->idle_us <= idle_before_us)
 			home_conn_close(c);
 	}
--- a/src/home-job.c
+++ b/src/home-job.c
@@ -226,7 +226,7 @@
 {
 	struct home_tx *tx, *next;
 
-	TAILQ_FOREACH_SAFE (tx, &m->txs, link, next) {
+	TAILQ_FOREACH_SAFE(tx, &m->txs, link, next) {
 		if (tx->conn->job == NULL && (tx->orphan || now - tx->used_us > TX_IDLE_US))
 			home_tx_end(m, tx);
 	}
@@ -566,7 +566,7 @@
 
 	while ((item = fairq_expired(&m->queue, now)) != NULL)
 		home_job_end((struct home_job *)item, OUTCOME_TOO_LATE, retry);
-	TAILQ_FOREACH_SAFE (job, &m->waiting_begin, link, next) {
+	TAILQ_FOREACH_SAFE(job, &m->waiting_begin, link, next) {
 		if (job->deadline_us > now)
 			continue;
 		TAILQ_REMOVE(&m->waiting_begin, job, link);
@@ -578,7 +578,7 @@
 {
 	struct home_tx *tx;
 
-	TAILQ_FOREACH (tx, &m->txs, link) {
+	TAILQ_FOREACH(tx, &m->txs, link) {
 		if (tx->id == id)
 			return tx;
 	}
--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -168,7 +168,7 @@
 	struct watch_waiter *waiter, *next;
 	int64_t now = now_us();
 
-	TAILQ_FOREACH_SAFE (waiter, &w->waiters, link, next) {
+	TAILQ_FOREACH_SAFE(waiter, &w->waiters, link, next) {
 		if (!waiter_served(w, waiter, now))
 			continue;
 		TAILQ_REMOVE(&w->waiters, waiter, link);
@@ -437,7 +437,7 @@
 		link_close(l);
 		return;
 	}
-	TAILQ_FOREACH_SAFE (c, &m->conns, link, next) {
+	TAILQ_FOREACH_SAFE(c, &m->conns, link, next) {
 		if (c->job == NULL || now_us() - c->job->started_us < SILENT_AFTER_US)
 			continue;
 		if (pid_listed(res->value, c->db->ops->backend_pid(c->db))) {
@@ -468,7 +468,7 @@
 {
 	struct home_conn *c;
 
-	TAILQ_FOREACH (c, &m->conns, link) {
+	TAILQ_FOREACH(c, &m->conns, link) {
 		if (c->job != NULL && now - c->job->started_us > SILENT_AFTER_US)
 			return true;
 	}
--- a/src/home.c
+++ b/src/home.c
@@ -144,7 +144,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	TAILQ_FOREACH (m, &h->members, link) {
+	TAILQ_FOREACH(m, &h->members, link) {
 		const struct conf_pool *pool = conf_pool(f->conf, m->pool);
 		int i = pool_member(pool, m->conf.name);
 
@@ -183,7 +183,7 @@
 	struct home_member *m, *next;
 	int64_t now = now_us();
 
-	TAILQ_FOREACH_SAFE (m, &h->members, link, next) {
+	TAILQ_FOREACH_SAFE(m, &h->members, link, next) {
 		home_expire(m, now);
 		home_confirm_expire(m, now);
 		home_tx_expire(m, now);
@@ -204,8 +204,8 @@
 	struct home_member *m;
 	struct home_tx *tx, *next;
 
-	TAILQ_FOREACH (m, &h->members, link) {
-		TAILQ_FOREACH_SAFE (tx, &m->txs, link, next) {
+	TAILQ_FOREACH(m, &h->members, link) {
+		TAILQ_FOREACH_SAFE(tx, &m->txs, link, next) {
 			if (tx->rpc_conn != conn)
 				continue;
 			tx->orphan = true;
@@ -247,7 +247,7 @@
 	struct home *h = (struct home *)s;
 	struct home_member *m;
 
-	TAILQ_FOREACH (m, &h->members, link) {
+	TAILQ_FOREACH(m, &h->members, link) {
 		if (!TAILQ_EMPTY(&m->txs))
 			return false;
 	}
@@ -306,7 +306,7 @@
 
 	json_builder_set_member_name(b, "members");
 	json_builder_begin_array(b);
-	TAILQ_FOREACH (m, &h->members, link) {
+	TAILQ_FOREACH(m, &h->members, link) {
 		const struct member_view *v = &m->view.member[m->self];
 		uint64_t term;
 
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -49,7 +49,7 @@
 {
 	struct service *s;
 
-	TAILQ_FOREACH (s, &k->services, link) {
+	TAILQ_FOREACH(s, &k->services, link) {
 		if (strcmp(s->ops->name, name) == 0)
 			return s;
 	}
@@ -60,7 +60,7 @@
 {
 	struct service *s;
 
-	TAILQ_FOREACH (s, &k->services, link) {
+	TAILQ_FOREACH(s, &k->services, link) {
 		if (s->ops->start != NULL && !s->ops->start(s, error))
 			return FALSE;
 	}
@@ -76,7 +76,7 @@
 {
 	struct service *s;
 
-	TAILQ_FOREACH (s, &k->services, link) {
+	TAILQ_FOREACH(s, &k->services, link) {
 		if (s->ops->drained != NULL && !s->ops->drained(s))
 			return false;
 	}
@@ -101,7 +101,7 @@
 		return;
 	k->draining = true;
 	log_info("draining", LOG_NUM("limit_ms", k->settings->drain_ms));
-	TAILQ_FOREACH (s, &k->services, link) {
+	TAILQ_FOREACH(s, &k->services, link) {
 		if (s->ops->drain != NULL)
 			s->ops->drain(s);
 	}
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -302,7 +302,7 @@
 	 * nobody. */
 	if (h->incarnation != c->rpc->kernel->incarnation)
 		return;
-	TAILQ_FOREACH (call, &c->calls, link) {
+	TAILQ_FOREACH(call, &c->calls, link) {
 		if (call->xid == h->xid)
 			break;
 	}
@@ -390,7 +390,7 @@
 		c->heard_us = now_us();
 		net_set_nodelay(bufferevent_getfd(bev));
 		/* What was written while connecting leaves now. */
-		TAILQ_FOREACH (call, &c->calls, link)
+		TAILQ_FOREACH(call, &c->calls, link)
 			call->sent_us = c->heard_us;
 		return;
 	}
@@ -427,7 +427,7 @@
 	if (c->address[0] != '\0' && g_hash_table_lookup(r->by_address, c->address) == c)
 		g_hash_table_remove(r->by_address, c->address);
 	bufferevent_free(c->bev);
-	TAILQ_FOREACH_SAFE (rq, &c->requests, link, next) {
+	TAILQ_FOREACH_SAFE(rq, &c->requests, link, next) {
 		TAILQ_REMOVE(&c->requests, rq, link);
 		rq->conn = NULL;
 	}
@@ -537,7 +537,7 @@
 	int64_t now = now_us();
 	struct rpc_conn *c, *next;
 
-	TAILQ_FOREACH_SAFE (c, &r->conns, link, next) {
+	TAILQ_FOREACH_SAFE(c, &r->conns, link, next) {
 		struct rpc_call *ping;
 
 		if (c->address[0] == '\0' || TAILQ_EMPTY(&c->calls))
@@ -621,7 +621,7 @@
 	while ((c = TAILQ_FIRST(&r->conns)) != NULL) {
 		struct rpc_call *call;
 
-		TAILQ_FOREACH (call, &c->calls, link)
+		TAILQ_FOREACH(call, &c->calls, link)
 			call->cb = NULL;
 		rpc_conn_close(c);
 	}
--- a/src/shares.c
+++ b/src/shares.c
@@ -99,13 +99,13 @@
 	struct vm *vm;
 	unsigned n = 0;
 
-	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		/* This VM counts itself as listed only when the platform does. */
 		if (vm->listed && !vm->left && (vm != f->peers.self || f->peers.revision > 0))
 			names[n++] = vm->name;
 	}
 	share_alloc_listed(alloc, names, n, now_us());
-	TAILQ_FOREACH (vm, &f->peers.vms, link) {
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		if (vm->left)
 			share_alloc_left(alloc, vm->name, now_us());
 	}
@@ -121,7 +121,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	TAILQ_FOREACH (t, &s->teams, link)
+	TAILQ_FOREACH(t, &s->teams, link)
 		t->configured = false;
 	g_hash_table_iter_init(&iter, f->conf->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -137,7 +137,7 @@
 		t->burst = e->team.burst;
 		team_resize(t, now);
 	}
-	TAILQ_FOREACH_SAFE (t, &s->teams, link, next) {
+	TAILQ_FOREACH_SAFE(t, &s->teams, link, next) {
 		if (t->alloc != NULL) {
 			t->alloc->rate = t->rate;
 			t->alloc->burst = t->burst;
@@ -158,7 +158,7 @@
 	if (gap < SHARE_PAUSE_MAX_US)
 		return;
 	s->ticked_us = now;
-	TAILQ_FOREACH (t, &s->teams, link) {
+	TAILQ_FOREACH(t, &s->teams, link) {
 		if (!share_holder_paused(&t->holder, gap))
 			continue;
 		log_warn("share-dropped", LOG_STR("team", t->name),
@@ -344,7 +344,7 @@
 	ml_share_report reports[REPORT_TEAMS];
 	struct shares_team *t, *other;
 
-	TAILQ_FOREACH (t, &s->teams, link) {
+	TAILQ_FOREACH(t, &s->teams, link) {
 		char role[NAME_SIZE + 8];
 		const char *address;
 		unsigned n = 0;
@@ -478,7 +478,7 @@
 
 	check_pause(s, now);
 	s->ticked_us = now;
-	TAILQ_FOREACH (t, &s->teams, link)
+	TAILQ_FOREACH(t, &s->teams, link)
 		team_admit_waiting(t, now);
 	reports_send(s, now);
 }
@@ -502,7 +502,7 @@
 	struct shares *s = (struct shares *)service;
 	struct shares_team *t;
 
-	TAILQ_FOREACH (t, &s->teams, link) {
+	TAILQ_FOREACH(t, &s->teams, link) {
 		share_holder_leave(&t->holder);
 		team_resize(t, now_us());
 	}
@@ -545,7 +545,7 @@
 
 	json_builder_set_member_name(b, "teams");
 	json_builder_begin_array(b);
-	TAILQ_FOREACH (t, &s->teams, link) {
+	TAILQ_FOREACH(t, &s->teams, link) {
 		json_builder_begin_object(b);
 		json_builder_set_member_name(b, "team");
 		json_builder_add_string_value(b, t->name);
--- a/tests/faultproxy.c
+++ b/tests/faultproxy.c
@@ -221,7 +221,7 @@
 {
 	struct link *l, *next;
 
-	TAILQ_FOREACH_SAFE (l, &r->links, entry, next) {
+	TAILQ_FOREACH_SAFE(l, &r->links, entry, next) {
 		l->frozen = l->frozen || freeze;
 		if (reset || link_mode(l) == MODE_CUT)
 			link_close(l);
@@ -244,7 +244,7 @@
 	unsigned i;
 
 	sscanf(line, "%31s %31s %31s", word, name, arg);
-	TAILQ_FOREACH (r, &routes, entry) {
+	TAILQ_FOREACH(r, &routes, entry) {
 		if (strcmp(r->name, name) == 0)
 			break;
 	}
--- a/tests/standin-db-log.c
+++ b/tests/standin-db-log.c
@@ -148,7 +148,7 @@
 	r->xid = g_strdup(xid);
 	r->ops = ops;
 	append(r);
-	TAILQ_FOREACH (c, &server.clients, link) {
+	TAILQ_FOREACH(c, &server.clients, link) {
 		if (c->streaming)
 			log_send(c);
 	}
@@ -372,7 +372,7 @@
 
 	pg_put_text(out, "alive");
 	pg_end(out, mark);
-	TAILQ_FOREACH (c, &server.clients, link) {
+	TAILQ_FOREACH(c, &server.clients, link) {
 		if (c->streaming)
 			bufferevent_write(c->bev, out->data, out->len);
 	}
@@ -407,7 +407,7 @@
 	struct db_client *c, *next;
 
 	server.primary = false;
-	TAILQ_FOREACH_SAFE (c, &server.clients, link, next) {
+	TAILQ_FOREACH_SAFE(c, &server.clients, link, next) {
 		if (c->streaming)
 			client_close(c);
 	}
--- a/tests/standin-db-sql.c
+++ b/tests/standin-db-sql.c
@@ -233,7 +233,7 @@
 
 		g_string_append(text, g_hash_table_contains(server.committed, xid) ? "committed"
 										   : "aborted");
-		TAILQ_FOREACH (o, &server.clients, link) {
+		TAILQ_FOREACH(o, &server.clients, link) {
 			if (strcmp(o->xid, xid) == 0)
 				g_string_assign(text, "in progress");
 		}
--- a/tests/standin-db.c
+++ b/tests/standin-db.c
@@ -56,7 +56,7 @@
 {
 	struct db_client *c;
 
-	TAILQ_FOREACH (c, &server.clients, link) {
+	TAILQ_FOREACH(c, &server.clients, link) {
 		if (c->pid == pid)
 			return c;
 	}
@@ -67,7 +67,7 @@
 {
 	struct db_client *c;
 
-	TAILQ_FOREACH (c, &server.clients, link) {
+	TAILQ_FOREACH(c, &server.clients, link) {
 		if (c->in_slot || c->wants_slot)
 			g_string_append_printf(out, "%s%d", out->len > 0 ? "," : "", c->pid);
 	}
@@ -142,7 +142,7 @@
 {
 	struct db_client *c, *next;
 
-	TAILQ_FOREACH_SAFE (c, &server.clients, link, next) {
+	TAILQ_FOREACH_SAFE(c, &server.clients, link, next) {
 		if (c->wants_pos && wait_over(c))
 			arm(c, 0);
 	}
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -189,7 +189,7 @@
 		g_free(key);
 	}
 	if (holds && !db.down) {
-		TAILQ_FOREACH (w, &db.watches, link)
+		TAILQ_FOREACH(w, &db.watches, link)
 			watch_tell(w, first);
 	}
 	return g_strdup_printf("{\"header\":{\"revision\":\"%ld\"},\"succeeded\":%s}",
@@ -273,7 +273,7 @@
 {
 	struct watch *w, *next;
 
-	TAILQ_FOREACH_SAFE (w, &db.watches, link, next) {
+	TAILQ_FOREACH_SAFE(w, &db.watches, link, next) {
 		struct evhttp_request *req = w->req;
 
 		evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL, NULL);
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -130,8 +130,8 @@
 }
 
 /*
- * A VM that leaves gives up its units first and tells then. A new allocator needs no report of it, although the platform
- * still lists it.
+ * A VM that leaves gives up its units first and tells then. A new allocator needs no report of it,
+ * although the platform still lists it.
  */
 static void test_leaving_holder_hands_over(void)
 {
