--- /dev/null
+++ b/tests/test-it-caller.c
@@ -0,0 +1,256 @@
+/** @file test-it-caller.c What callers meet: psql, libpq's two protocols, slow and broken callers,
+ * refusals. */
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static struct test_fleet *fleet;
+
+static struct test_fleet *shared(void)
+{
+	if (fleet == NULL)
+		fleet = fleet_start_up(
+			&(struct fleet_plan){.settings = "[callers]\nmessage_ms = 400\nidle_ms = "
+							 "1500\nmax = 40\nmessage_max = 65536\n"});
+	return fleet;
+}
+
+static void test_extended_protocol(void)
+{
+	PGconn *c = fleet_orders(shared(), 0);
+	const char *values[] = {"ext", "it is"};
+	PGresult *r;
+
+	r = PQexecParams(c, "INSERT INTO orders VALUES ($1, $2)", 2, NULL, values, NULL, NULL, 0);
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK, "%s", PQresultErrorMessage(r));
+	CHECK(strcmp(PQcmdStatus(r), "INSERT 0 1") == 0, "%s", PQcmdStatus(r));
+	PQclear(r);
+	r = PQprepare(c, "named", "SELECT value FROM orders WHERE key = $1", 0, NULL);
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK, "%s", PQresultErrorMessage(r));
+	PQclear(r);
+	r = PQdescribePrepared(c, "named");
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK && PQnparams(r) == 1 && PQnfields(r) == 1,
+	      "%s, %d, %d", PQresultErrorMessage(r), PQnparams(r), PQnfields(r));
+	PQclear(r);
+	r = PQexecPrepared(c, "named", 1, values, NULL, NULL, 0);
+	CHECK(PQntuples(r) == 1 && strcmp(PQgetvalue(r, 0, 0), "it is") == 0, "%s",
+	      PQresultErrorMessage(r));
+	PQclear(r);
+	r = PQexecParams(c, "BEGIN", 0, NULL, NULL, NULL, NULL, 0);
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK && PQtransactionStatus(c) == PQTRANS_INTRANS,
+	      "BEGIN");
+	PQclear(r);
+	r = PQexecParams(c, "COMMIT", 0, NULL, NULL, NULL, NULL, 0);
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK && PQtransactionStatus(c) == PQTRANS_IDLE,
+	      "COMMIT");
+	PQclear(r);
+	r = PQexecParams(c, "SET mangoloom.kind = 'page'", 0, NULL, NULL, NULL, NULL, 0);
+	CHECK(PQresultStatus(r) == PGRES_COMMAND_OK, "%s", PQresultErrorMessage(r));
+	PQclear(r);
+	/* An error in the extended protocol is told once, and the session goes on after Sync. */
+	r = PQexecPrepared(c, "unknown", 0, NULL, NULL, NULL, 0);
+	CHECK(strcmp(PQresultErrorField(r, PG_DIAG_SQLSTATE), "26000") == 0, "%s",
+	      PQresultErrorMessage(r));
+	PQclear(r);
+	CHECK(strcmp(sql(c, NULL, 0, "SELECT 1"), "00000") == 0, "after an error");
+	PQfinish(c);
+}
+
+static void test_refusals_before_anything_runs(void)
+{
+	static const struct {
+		const char *text, *state;
+	} refused[] = {
+		{"COPY orders FROM stdin", "0A000"},
+		{"LISTEN x", "0A000"},
+		{"SET work_mem = '1GB'", "22023"},
+		{"SET mangoloom.max_age_ms = 'soon'", "22023"},
+		{"SHOW nothing", "42704"},
+		{"SET mangoloom.session = 'nonsense'", "22023"},
+		{"SELECT 1; BEGIN; SELECT 2", "0A000"},
+		{"SET mangoloom.once = 'a''b'", "22023"},
+	};
+	PGconn *c = fleet_orders(shared(), 0);
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(refused); i++) {
+		const char *state = sql(c, NULL, 0, "%s", refused[i].text);
+
+		CHECK(strcmp(state, refused[i].state) == 0, "%s: %s", refused[i].text, state);
+	}
+	CHECK(strcmp(sql(c, NULL, 0, "SET mangoloom.kind = 'unheard'"), "00000") == 0, "kind");
+	CHECK(strcmp(sql(c, NULL, 0, "SELECT 1"), "42501") == 0 &&
+		      strcmp(sql_detail(), "not run") == 0,
+	      "no route");
+	PQfinish(c);
+}
+
+static void test_wrong_keys(void)
+{
+	struct test_fleet *f = shared();
+	static const char *const keys[] = {"", "mlk_", "mlk_000000000000_00",
+					   "a'; DROP TABLE keys"};
+	PGconn *c;
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(keys); i++) {
+		c = fleet_connect(f, 0, "clerks", keys[i], "");
+		CHECK(PQstatus(c) != CONNECTION_OK, "accepted: %s", keys[i]);
+		PQfinish(c);
+	}
+	/* A key of one team does not open another's sessions. */
+	c = fleet_connect(f, 0, "others", f->key, "");
+	CHECK(PQstatus(c) != CONNECTION_OK, "another team's key is accepted");
+	PQfinish(c);
+}
+
+static int raw_connect(struct test_fleet *f)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_port = htons((uint16_t)f->vm[0].caller);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+		printf("cannot connect\n");
+	return fd;
+}
+
+/** Read until the end. @return milliseconds until it came, or -1 after 5 s */
+static int64_t read_end(int fd)
+{
+	struct timeval tv = {.tv_sec = 5};
+	int64_t start = test_now_ms();
+	char buf[4096];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		;
+	close(fd);
+	return n == 0 ? test_now_ms() - start : -1;
+}
+
+/* Callers that say nothing, send half a message, or bytes of no protocol are let go after the time
+ * that is set. */
+static void test_slow_and_broken_callers(void)
+{
+	struct test_fleet *f = shared();
+	uint8_t noise[2000];
+	int fd, i;
+
+	fd = raw_connect(f);
+	CHECK(read_end(fd) >= 0, "a caller that says nothing");
+	fd = raw_connect(f);
+	CHECK(write(fd, "\0\0\0\x20\0\3", 6) == 6, "write");
+	CHECK(read_end(fd) >= 0, "a caller that sends half a message");
+	fd = raw_connect(f);
+	CHECK(write(fd, "GET / HTTP/1.0\r\n\r\n", 18) == 18, "write");
+	CHECK(read_end(fd) >= 0, "a caller of another protocol");
+	srand(3);
+	for (i = 0; i < 60; i++) {
+		size_t len = 1 + (size_t)rand() % sizeof(noise), j;
+
+		for (j = 0; j < len; j++)
+			noise[j] = (uint8_t)rand();
+		if (i % 2)
+			memcpy(noise, "\0\0\0\x09\0\3\0\0\0", 9);
+		fd = raw_connect(f);
+		if (write(fd, noise, len) < 0)
+			printf("closed early\n");
+		close(fd);
+	}
+	CHECK(fleet_status(f, 0, "requests") >= 0, "the daemon does not answer after noise");
+}
+
+static void test_idle_and_too_many_callers(void)
+{
+	struct test_fleet *f = shared();
+	PGconn *c[45];
+	int i, refused = 0;
+
+	for (i = 0; i < 45; i++) {
+		c[i] = fleet_orders(f, 0);
+		refused += PQstatus(c[i]) != CONNECTION_OK;
+	}
+	CHECK(refused >= 5 && refused < 12, "%d of 45 refused", refused);
+	test_sleep_ms(1800);
+	for (i = 0; i < 45; i++) {
+		if (i == 0)
+			CHECK(strcmp(sql(c[0], NULL, 0, "SELECT 1"), "57P05") == 0,
+			      "an idle caller");
+		PQfinish(c[i]);
+	}
+}
+
+static void test_message_over_the_limit(void)
+{
+	PGconn *c = fleet_orders(shared(), 0);
+	char *big = g_strnfill(100000, 'x');
+	const char *state = sql(c, NULL, 0, "SELECT '%s'", big);
+
+	CHECK(strcmp(state, "08P01") == 0, "%s", state);
+	g_free(big);
+	PQfinish(c);
+}
+
+static void test_psql(void)
+{
+	struct test_fleet *f = shared();
+	char *line = g_strdup_printf(
+		"PGOPTIONS='-c mangoloom.kind=order' PGPASSWORD=%s psql -X -q -t -A -h 127.0.0.1 "
+		"-p %d "
+		"-U clerks -d shop -c \"INSERT INTO orders VALUES ('psql', 'works')\" "
+		"-c \"SELECT value FROM orders WHERE key = 'psql'\"",
+		f->key, f->vm[1].caller);
+	char text[256] = "";
+	FILE *p = popen(line, "r");
+
+	CHECK(p != NULL && fgets(text, sizeof(text), p) != NULL, "psql said nothing");
+	CHECK(strcmp(text, "works\n") == 0, "%s", text);
+	CHECK(pclose(p) == 0, "psql failed");
+	g_free(line);
+}
+
+/* The log tells each decision, and neither a key nor a statement's values. */
+static void test_log_has_no_secrets(void)
+{
+	struct test_fleet *f = shared();
+	PGconn *c = fleet_orders(f, 0);
+	char *path = g_strdup_printf("%s/%s.log", f->dir, f->vm[0].name), *text = NULL;
+
+	sql(c, NULL, 0, "INSERT INTO orders VALUES ('secret-key', 'secret-value')");
+	PQfinish(c);
+	test_sleep_ms(300);
+	CHECK(g_file_get_contents(path, &text, NULL, NULL), "no log");
+	CHECK(strstr(text, "event=route") != NULL && strstr(text, "event=answer") != NULL,
+	      "no decisions in the log");
+	CHECK(strstr(text, "secret-") == NULL, "a value is in the log");
+	CHECK(strstr(text, strrchr(f->key, '_') + 1) == NULL, "a key is in the log");
+	g_free(text);
+	g_free(path);
+}
+
+static void test_end(void)
+{
+	fleet_tear_down(shared());
+	fleet = NULL;
+}
+
+static const struct test_case cases[] = {
+	{"extended_protocol", test_extended_protocol},
+	{"refusals_before_anything_runs", test_refusals_before_anything_runs},
+	{"wrong_keys", test_wrong_keys},
+	{"slow_and_broken_callers", test_slow_and_broken_callers},
+	{"idle_and_too_many_callers", test_idle_and_too_many_callers},
+	{"message_over_the_limit", test_message_over_the_limit},
+	{"psql", test_psql},
+	{"log_has_no_secrets", test_log_has_no_secrets},
+	{"end", test_end},
+};
+HARNESS_MAIN("caller", cases)
