--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 SRC = $(filter-out src/mango_xdr.c,$(wildcard src/*.c))
 LIB_OBJ = $(DECIDE_SRC:%.c=$(B)/%.o) $(SRC:%.c=$(B)/%.o) $(B)/src/mango_xdr.o $(B)/src/toml-shim.o
 LIB = $(B)/libmangoloom.a
-PROGS = $(B)/mangoloomd $(B)/mangoloom
+PROGS = $(B)/mangoloomd $(B)/mangoloom $(B)/mangoload
 STANDINS = $(B)/standin-platform $(B)/standin-db $(B)/faultproxy
 TEST_SRC = $(wildcard tests/test-*.c)
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
--- a/decide/share.c
+++ b/decide/share.c
@@ -9,6 +9,8 @@
 #define DEMAND_WINDOW_US (100 * USEC_PER_MSEC)
 /** Weight of the newest window in the moving average when demand falls; a rise counts at once. */
 #define DEMAND_FALL_ALPHA 0.3
+/** Weight of each window in the longer average: about a second. */
+#define AVERAGE_ALPHA 0.1
 /** Part of an even split that a holder keeps without any demand, so that a first request finds a
  * token. */
 #define SHARE_FLOOR 0.05
@@ -30,18 +32,20 @@
 static void holder_roll(struct share_holder *h, int64_t now_us)
 {
 	int64_t span = now_us - h->window_us;
+	int64_t windows;
 	double rate;
 
 	if (span < DEMAND_WINDOW_US)
 		return;
+	windows = span / DEMAND_WINDOW_US;
 	rate = (double)h->arrivals * (double)USEC_PER_SEC / (double)span;
-	if (rate > h->demand) {
+	if (rate > h->demand)
 		h->demand = rate;
-	} else {
-		int64_t windows = span / DEMAND_WINDOW_US;
-
-		while (windows-- > 0 && h->demand > 0.01)
-			h->demand += DEMAND_FALL_ALPHA * (rate - h->demand);
+	for (; windows > 0; windows--) {
+		h->demand += DEMAND_FALL_ALPHA * (rate - h->demand);
+		h->average += AVERAGE_ALPHA * (rate - h->average);
+		if (h->demand < 0.01 && h->average < 0.01)
+			break;
 	}
 	h->arrivals = 0;
 	h->window_us = now_us;
@@ -74,6 +78,7 @@
 	r.seq = h->seq;
 	r.units = h->units;
 	r.demand = h->demand;
+	r.average = h->average;
 	/* A holder that is short has demand, even when its window has not closed yet. */
 	if (h->short_now && r.demand < 1)
 		r.demand = 1;
@@ -304,6 +309,23 @@
 	return sum;
 }
 
+/**
+ * What the team asks for as a whole. The parts follow each VM's latest peak, but the sum of peaks
+ * at different moments is more than the team ever sends, and would have requests refused that are
+ * within its rate.
+ */
+static double alloc_average(const struct share_alloc *a, int64_t now_us)
+{
+	const struct share_entry *e;
+	double sum = 0;
+
+	TAILQ_FOREACH(e, &a->entries, link) {
+		if (e->bound && now_us - e->heard_us <= DEMAND_STALE_US)
+			sum += e->average;
+	}
+	return sum;
+}
+
 /** What @a e should hold: its part of the budget by demand, above a floor. */
 static uint32_t alloc_target(const struct share_alloc *a, const struct share_entry *e,
 			     int64_t now_us)
@@ -418,12 +440,12 @@
 {
 	struct share_order o = {0};
 	struct share_entry *e = alloc_get(a, vm);
-	unsigned bound;
 
 	if (!entry_incarnation(e, r))
 		return o;
 	e->heard_us = now_us;
 	e->demand = r->demand;
+	e->average = r->average;
 	if (!e->listed)
 		e->gone_us = now_us;
 	if (r->epoch > a->epoch)
@@ -439,6 +461,6 @@
 	entry_order(a, e, now_us);
 	o.seq = e->seq;
 	o.units = e->ordered;
-	o.over = alloc_demand(a, now_us, &bound) > a->rate;
+	o.over = alloc_average(a, now_us) > a->rate;
 	return o;
 }
--- a/decide/share.h
+++ b/decide/share.h
@@ -32,7 +32,8 @@
 	uint64_t epoch;	      /**< allocator that the holder obeys */
 	uint64_t seq;	      /**< last order of that allocator that was carried out */
 	uint32_t units;
-	double demand; /**< requests a second that arrived */
+	double demand;	/**< requests a second that arrived, lately at most */
+	double average; /**< requests a second that arrived, over a longer time */
 };
 
 /** The allocator's order, in answer to a report. */
@@ -50,6 +51,7 @@
 	uint32_t units;
 	bool over;
 	double demand;
+	double average;
 	unsigned arrivals; /**< since @a window_us */
 	int64_t window_us;
 	int64_t reported_us; /**< last report sent */
@@ -92,6 +94,7 @@
 	uint32_t held;	 /**< most that it may hold now */
 	uint32_t ordered;
 	double demand;
+	double average;
 	int64_t heard_us;
 	int64_t poked_us;
 };
--- a/src/mango.h
+++ b/src/mango.h
@@ -196,6 +196,7 @@
 	u_quad_t seq;
 	u_int units;
 	double demand;
+	double average;
 	u_int want;
 };
 typedef struct ml_share_report ml_share_report;
--- a/src/mango.x
+++ b/src/mango.x
@@ -149,6 +149,7 @@
 	unsigned hyper seq;
 	unsigned int units;
 	double demand;
+	double average;
 	unsigned int want;
 };
 
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -363,6 +363,8 @@
 		 return FALSE;
 	 if (!xdr_double (xdrs, &objp->demand))
 		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->average))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->want))
 		 return FALSE;
 	return TRUE;
--- a/src/shares.c
+++ b/src/shares.c
@@ -334,6 +334,7 @@
 	wire->seq = r.seq;
 	wire->units = r.units;
 	wire->demand = r.demand;
+	wire->average = r.average;
 	wire->want = t->n_waiting;
 }
 
@@ -452,6 +453,7 @@
 			continue;
 		r.units = wire->units;
 		r.demand = wire->demand;
+		r.average = wire->average;
 		o = share_alloc_report(team_alloc(t), a->vm, &r, now);
 		orders[res.orders.orders_len] = (ml_share_order){.team = wire->team,
 								 .epoch = o.epoch,
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -106,6 +106,28 @@
 	share_alloc_clear(&a);
 }
 
+/* Five VMs see a few requests each, at different moments: the peaks add up to more than the rate,
+ * the team does not. */
+static void test_peaks_are_not_the_team(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	a.rate = 40;
+	for (round = 0; round < 200; round++, now += STEP) {
+		if (round % 2 == 0)
+			share_holder_arrival(&h[round / 2 % VMS], true, now);
+		for (i = 0; i < VMS; i++) {
+			exchange(&h[i], &a, i, now);
+			CHECK(share_holder_hopeful(&h[i]), "over at round %d", round);
+		}
+	}
+	share_alloc_clear(&a);
+}
+
 static void test_paused_holder_gives_up(void)
 {
 	struct share_holder h = {.units = 5};
@@ -259,6 +281,7 @@
 	{"whole_is_given_out", test_whole_is_given_out},
 	{"follows_demand", test_follows_demand},
 	{"incomplete_census_gives_nothing_new", test_incomplete_census_gives_nothing_new},
+	{"peaks_are_not_the_team", test_peaks_are_not_the_team},
 	{"paused_holder_gives_up", test_paused_holder_gives_up},
 	{"late_order_is_ignored", test_late_order_is_ignored},
 	{"leaving_holder_hands_over", test_leaving_holder_hands_over},
