The smallest RPC records are no longer rejected

The logs had 657 rpc-rejected: a reply of less than 56 bytes (the answers to a poke and to a ping) was taken for malformed, its connection closed, and all calls that were out on it were lost. Ruled out: the keyed hash (all rejected records were of 48 or 52 bytes), silent connections (no rpc-silent). Change: the smallest sizes are computed for calls and replies; test smallest_records failed before.

--- a/src/rpc-msg.c
+++ b/src/rpc-msg.c
@@ -13,6 +13,11 @@
 #define RPC_CALL_AUTH_MAX (RPC_AUTH_SIZE + NAME_SIZE)
 /** Room for any header of ours. */
 #define RPC_HEADER_MAX 256
+/** A reply without a body: xid, direction, status, the authentication's flavour, length and body,
+ * and a status. */
+#define RPC_SMALLEST (6 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE)
+/** A call without a body has two words more before the hash, and an empty verifier after it. */
+#define RPC_SMALLEST_CALL (10 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE)
 #define RPC_MARK_LAST 0x80000000U
 #define RPC_MARK_SIZE 4
 #define RPC_VERSION 1
@@ -160,10 +165,12 @@
 	bool ok;
 	XDR x;
 
-	if (len < 2 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE + 6 * BYTES_PER_XDR_UNIT)
+	if (len < RPC_SMALLEST)
 		return 0;
 	memcpy(&direction, record + BYTES_PER_XDR_UNIT, sizeof(direction));
 	h->call = ntohl(direction) == CALL;
+	if (h->call && len < RPC_SMALLEST_CALL)
+		return 0;
 	if (!check_hash(record, len, h->call, secret))
 		return 0;
 	xdrmem_create(&x, record, (u_int)len, XDR_DECODE);
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -157,6 +157,27 @@
 	g_free(record);
 }
 
+/* The answer to a ping has no body. Rejecting it closes a good connection, with every call that is
+ * out on it. */
+static void test_smallest_records(void)
+{
+	struct rpc_header h = {.xid = 5, .incarnation = 9, .vm = ""};
+	struct rpc_header back;
+	size_t len;
+	char *record;
+	int call;
+
+	for (call = 0; call < 2; call++) {
+		h.call = call;
+		record = rpc_msg_encode(&h, rpc_xdr_none, NULL, "secret", &len);
+		memset(&back, 0, sizeof(back));
+		CHECK(rpc_msg_header(record + 4, len - 4, "secret", &back) == len - 4,
+		      "call %d, %zu bytes", call, len);
+		CU_ASSERT_EQUAL(back.xid, 5);
+		g_free(record);
+	}
+}
+
 static void test_random_records(void)
 {
 	size_t len, at;
@@ -193,6 +214,7 @@
 	{"too_long", test_too_long},
 	{"random_messages", test_random_messages},
 	{"rpc_round_trip", test_rpc_round_trip},
+	{"smallest_records", test_smallest_records},
 	{"random_records", test_random_records},
 };
 HARNESS_MAIN("wire", cases)
