--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,8 @@
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
 $(B)/faultproxy: $(B)/tests/faultproxy.o $(LIB)
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
+$(B)/measure: $(B)/tests/measure.o $(HARNESS_OBJ) $(LIB)
+	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS) -lcunit
 $(B)/tests/test-%: $(B)/tests/test-%.o $(HARNESS_OBJ) $(LIB)
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS) -lcunit
 
@@ -95,9 +97,13 @@
 generate:
 	cd src && rpcgen -h -o mango.h mango.x && rpcgen -c -o mango_xdr.c mango.x
 
+# Figures for docs/: `make measure`, or one of them by `build/measure latency`.
+measure: all $(B)/measure
+	BIN=$(B) $(B)/measure
+
 clean:
 	rm -rf $(B)
 
-.PHONY: all help tests unit it check deps demo format lint generate clean
+.PHONY: all help tests unit it check deps demo format lint generate measure clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/tests/measure.c
@@ -0,0 +1,325 @@
+/**
+ * @file measure.c
+ * Measurements on one machine, with real processes on loopback. Arguments: which ones; see
+ * docs/CAPACITY.md and docs/DESIGN.md for the figures of the runs that are quoted there.
+ */
+#include "harness.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static int by_value(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void print_times(const char *what, double *us, int n)
+{
+	qsort(us, (size_t)n, sizeof(*us), by_value);
+	printf("%-44s median %8.0f us  p99 %8.0f us  (n %d)\n", what, us[n / 2], us[n * 99 / 100],
+	       n);
+}
+
+static void time_statements(const char *what, PGconn *c, const char *text, int n)
+{
+	double *us = g_new0(double, (gsize)n);
+	int i;
+
+	for (i = -200; i < n; i++) {
+		int64_t start = test_now_us();
+
+		sql(c, NULL, 0, "%s", text);
+		if (i >= 0)
+			us[i] = (double)(test_now_us() - start);
+	}
+	print_times(what, us, n);
+	g_free(us);
+}
+
+/** What the way through a daemon adds: straight to the member, through its home, through another
+ * VM. */
+static void measure_latency(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.keep_members = true});
+	PGconn *direct = member_connect(f, 0);
+	PGconn *home = fleet_connect(f, 0, "clerks", f->key, "-c mangoloom.kind=own");
+	PGconn *away = fleet_connect(f, 1, "clerks", f->key, "-c mangoloom.kind=own");
+	PGconn *w_home = fleet_orders(f, 0), *w_away = fleet_orders(f, 1);
+
+	time_statements("read, straight to the member", direct,
+			"SELECT value FROM warm WHERE key = 'up'", 5000);
+	time_statements("read, through the member's home", home,
+			"SELECT value FROM warm WHERE key = 'up'", 5000);
+	time_statements("read, through another VM", away, "SELECT value FROM warm WHERE key = 'up'",
+			5000);
+	time_statements("write, straight to the member", direct, "INSERT INTO m VALUES ('k', 'v')",
+			5000);
+	time_statements("write, through the home, confirm=replica", w_home,
+			"INSERT INTO m VALUES ('k', 'v')", 5000);
+	time_statements("write, through another VM, confirm=replica", w_away,
+			"INSERT INTO m VALUES ('k', 'v')", 5000);
+	PQfinish(direct);
+	PQfinish(home);
+	PQfinish(away);
+	PQfinish(w_home);
+	PQfinish(w_away);
+	fleet_tear_down(f);
+	f = fleet_start_up(&(struct fleet_plan){.keep_members = true, .confirm = "primary"});
+	w_home = fleet_orders(f, 0);
+	time_statements("write, through the home, confirm=primary", w_home,
+			"INSERT INTO m VALUES ('k', 'v')", 5000);
+	PQfinish(w_home);
+	fleet_tear_down(f);
+}
+
+struct asker {
+	struct test_fleet *f;
+	volatile int stop;
+	int n;
+};
+
+static gpointer ask(gpointer data)
+{
+	struct asker *a = data;
+	PGconn *c = fleet_connect(a->f, 0, "clerks", a->f->key, "-c mangoloom.kind=own");
+
+	while (!a->stop)
+		a->n += strcmp(sql(c, NULL, 0, "SELECT 1"), "00000") == 0;
+	PQfinish(c);
+	return NULL;
+}
+
+/** Statements a second and a core of one daemon that is entry and home; and memory of idle callers.
+ */
+static void measure_throughput(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.vms = 1,
+								   .data_centers = 1,
+								   .slots = 64,
+								   .connections = 128,
+								   .keep_members = true});
+	struct asker a[16];
+	GThread *t[16];
+	PGconn *idle[2000];
+	int64_t cpu, start, memory;
+	int i, n = 0;
+
+	memset(a, 0, sizeof(a));
+	for (i = 0; i < 16; i++) {
+		a[i].f = f;
+		t[i] = g_thread_new("ask", ask, &a[i]);
+	}
+	test_sleep_ms(500);
+	cpu = fleet_status(f, 0, "cpu_us");
+	for (i = 0; i < 16; i++)
+		a[i].n = 0;
+	start = test_now_us();
+	test_sleep_ms(4000);
+	for (i = 0; i < 16; i++)
+		n += a[i].n;
+	cpu = fleet_status(f, 0, "cpu_us") - cpu;
+	printf("%d statements in %.2f s with %.2f s of processor: %.0f a second, %.0f a second and "
+	       "core\n",
+	       n, (double)(test_now_us() - start) / 1e6, (double)cpu / 1e6,
+	       n / ((double)(test_now_us() - start) / 1e6), n / ((double)cpu / 1e6));
+	for (i = 0; i < 16; i++) {
+		a[i].stop = 1;
+		g_thread_join(t[i]);
+	}
+	memory = fleet_status(f, 0, "memory_kb");
+	for (i = 0; i < 2000; i++)
+		idle[i] = fleet_orders(f, 0);
+	test_sleep_ms(500);
+	printf("2000 idle callers: %.2f KB each\n",
+	       (double)(fleet_status(f, 0, "memory_kb") - memory) / 2000);
+	for (i = 0; i < 2000; i++)
+		PQfinish(idle[i]);
+	fleet_tear_down(f);
+}
+
+/** The gap in acknowledged writes when the primary is killed, frozen, or cut off; @a rounds fleets
+ * each. */
+static void measure_gap(const char *how, int rounds)
+{
+	double *gap = g_new0(double, (gsize)rounds);
+	int i, k, unknown = 0;
+
+	for (i = 0; i < rounds; i++) {
+		struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+		struct writer w[2] = {{.pause_us = 1000}, {.pause_us = 1000}};
+		int primary = fleet_primary(f);
+
+		writer_start(&w[0], f, 1, "a");
+		writer_start(&w[1], f, 2, "b");
+		test_sleep_ms(400);
+		if (strcmp(how, "kill") == 0)
+			fleet_member_signal(f, primary, SIGKILL);
+		else if (strcmp(how, "freeze") == 0)
+			fleet_member_signal(f, primary, SIGSTOP);
+		else
+			fleet_cut(f, "dc1", true);
+		test_sleep_ms(3500);
+		for (k = 0; k < 2; k++) {
+			writer_stop(&w[k]);
+			gap[i] = MAX(gap[i], (double)w[k].gap_us);
+			unknown += w[k].unknown;
+			g_array_unref(w[k].told);
+		}
+		fleet_tear_down(f);
+	}
+	qsort(gap, (size_t)rounds, sizeof(*gap), by_value);
+	printf("primary %s: gap in writes median %.0f ms, worst %.0f ms, least %.0f ms (n %d); %d "
+	       "outcomes not known\n",
+	       how, gap[rounds / 2] / 1000, gap[rounds - 1] / 1000, gap[0] / 1000, rounds, unknown);
+	g_free(gap);
+}
+
+/** Share of reads that replicas serve, for sessions that write now and then, at a replication lag.
+ */
+static void measure_replicas(int lag_ms)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.lag_ms = lag_ms});
+	PGconn *c = fleet_connect(f, 0, "clerks", f->key, "-c mangoloom.kind=order");
+	double by_replica = 0, by_primary = 0;
+	const char *kinds[] = {"own", "page"};
+	int k, i, v;
+
+	for (k = 0; k < 2; k++) {
+		by_replica = by_primary = 0;
+		for (v = 0; v < 3; v++) {
+			by_replica -= (double)fleet_status(f, v, "reads_by_replica");
+			by_primary -= (double)fleet_status(f, v, "reads_by_primary");
+		}
+		for (i = 0; i < 20; i++) {
+			int j;
+
+			sql(c, NULL, 0, "SET mangoloom.kind = 'order'");
+			sql(c, NULL, 0, "INSERT INTO orders VALUES ('r', '%d')", i);
+			sql(c, NULL, 0, "SET mangoloom.kind = '%s'", kinds[k]);
+			for (j = 0; j < 10; j++) {
+				test_sleep_ms(10);
+				sql(c, NULL, 0, "SELECT value FROM orders WHERE key = 'r'");
+			}
+		}
+		for (v = 0; v < 3; v++) {
+			by_replica += (double)fleet_status(f, v, "reads_by_replica");
+			by_primary += (double)fleet_status(f, v, "reads_by_primary");
+		}
+		printf("lag %4d ms, session's own reads, kind %-4s: replicas served %.0f%% of "
+		       "%.0f\n",
+		       lag_ms, kinds[k], 100 * by_replica / (by_replica + by_primary),
+		       by_replica + by_primary);
+	}
+	PQfinish(c);
+	fleet_tear_down(f);
+}
+
+/** Acknowledged writes that a promotion loses, under load, over @a rounds promotions. */
+static void measure_lost(const char *confirm, int rounds)
+{
+	unsigned lost = 0, acked = 0;
+	int i;
+
+	for (i = 0; i < rounds; i++) {
+		struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.confirm = confirm});
+		struct writer w = {0};
+		char count[32];
+		PGconn *c;
+		guint k;
+		int primary = fleet_primary(f), j;
+
+		for (j = 0; j < 3; j++)
+			fleet_fault(f, "delay %s 5", f->member[j].name);
+		writer_start(&w, f, 1, "a");
+		test_sleep_ms(500);
+		fleet_member_signal(f, primary, SIGKILL);
+		test_sleep_ms(1500);
+		writer_stop(&w);
+		c = member_connect(f, fleet_primary(f));
+		for (k = 0; k < w.told->len; k++) {
+			if (g_array_index(w.told, enum told, k) != TOLD_ACKED)
+				continue;
+			acked++;
+			sql(c, count, sizeof(count),
+			    "SELECT count(*) FROM orders WHERE key = 'a-%u'", k);
+			lost += atoi(count) == 0;
+		}
+		PQfinish(c);
+		g_array_unref(w.told);
+		fleet_tear_down(f);
+	}
+	printf("confirm=%s: %u of %u acknowledged writes lost over %d promotions\n", confirm, lost,
+	       acked, rounds);
+}
+
+/** Control traffic, processor and memory of a daemon at rest, by the size of the fleet. */
+static void measure_slopes(void)
+{
+	static const int sizes[] = {2, 4, 8, 16, 32};
+	unsigned s;
+
+	printf("%6s %14s %14s %12s %12s %14s\n", "VMs", "out B/s", "in B/s", "cpu %", "memory KB",
+	       "platform /s");
+	for (s = 0; s < G_N_ELEMENTS(sizes); s++) {
+		int n = sizes[s], i;
+		struct test_fleet *f = fleet_start_up(
+			&(struct fleet_plan){.vms = n,
+					     .data_centers = 2,
+					     .keep_members = true,
+					     .settings = "[databases]\nprobe_ms = 150\n"});
+		int64_t out = 0, in = 0, cpu = 0, memory = 0, calls = 0;
+		double seconds = 6;
+
+		test_sleep_ms(3000);
+		for (i = 0; i < n; i++) {
+			out -= fleet_status(f, i, "control_bytes_out");
+			in -= fleet_status(f, i, "control_bytes_in");
+			cpu -= fleet_status(f, i, "cpu_us");
+			calls -= fleet_status(f, i, "platform_calls");
+		}
+		test_sleep_ms((int)(seconds * 1000));
+		for (i = 0; i < n; i++) {
+			out += fleet_status(f, i, "control_bytes_out");
+			in += fleet_status(f, i, "control_bytes_in");
+			cpu += fleet_status(f, i, "cpu_us");
+			calls += fleet_status(f, i, "platform_calls");
+			memory += fleet_status(f, i, "memory_kb");
+		}
+		printf("%6d %14.0f %14.0f %12.3f %12.0f %14.3f\n", n, (double)out / n / seconds,
+		       (double)in / n / seconds, (double)cpu / n / seconds / 1e4,
+		       (double)memory / n, (double)calls / n / seconds);
+		fleet_tear_down(f);
+	}
+}
+
+static void run_gaps(void)
+{
+	measure_gap("kill", 20);
+	measure_gap("freeze", 20);
+	measure_gap("cut", 20);
+}
+
+static void run_replicas(void)
+{
+	measure_replicas(10);
+	measure_replicas(200);
+	measure_replicas(5000);
+}
+
+static void run_lost(void)
+{
+	measure_lost("replica", 20);
+	measure_lost("primary", 20);
+}
+
+static const struct test_case cases[] = {
+	{"latency", measure_latency}, {"throughput", measure_throughput},
+	{"gaps", run_gaps},	      {"replicas", run_replicas},
+	{"lost", run_lost},	      {"slopes", measure_slopes},
+};
+HARNESS_MAIN("measure", cases)
