TLS works: the callbacks were taken off the wrong bufferevent

Cause: the first test over TLS crashed the daemon (connection refused afterwards). The callbacks were read back from the plain bufferevent after the filter had put its own there, so the filter called itself. Ruled out: certificate and settings (the daemon accepted both). Change: caller_attach() sets the callbacks on whichever bufferevent the session has; test tls covers offered, required and refused. The stand-in's commits take time like statements, so that faults hit them.

--- a/src/caller-auth.c
+++ b/src/caller-auth.c
@@ -47,19 +47,7 @@
 	c->bev = bufferevent_openssl_filter_new(cs->service.kernel->base, plain, SSL_new(cs->tls),
 						BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_openssl_set_allow_dirty_shutdown(c->bev, 1);
-}
-
-static void move_callbacks(struct caller *c, struct bufferevent *plain)
-{
-	bufferevent_data_cb read_cb, write_cb;
-	bufferevent_event_cb event_cb;
-	void *arg;
-
-	if (c->bev == plain)
-		return;
-	bufferevent_getcb(plain, &read_cb, &write_cb, &event_cb, &arg);
-	bufferevent_setcb(c->bev, read_cb, write_cb, event_cb, arg);
-	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	caller_attach(c);
 }
 
 /** A cancel request names another session; it gets no answer. */
@@ -154,13 +142,11 @@
 void caller_startup(struct caller *c, struct pg_message *m)
 {
 	struct pg_reader r = pg_reader(m);
-	struct bufferevent *plain = c->bev;
 	uint32_t code = pg_read_u32(&r);
 
 	switch (code) {
 	case PG_SSL_REQUEST:
 		start_tls(c);
-		move_callbacks(c, plain);
 		return;
 	case PG_GSS_REQUEST:
 		bufferevent_write(c->bev, "N", 1);
--- a/src/caller.c
+++ b/src/caller.c
@@ -220,6 +220,12 @@
 	caller_arm(c);
 }
 
+void caller_attach(struct caller *c)
+{
+	bufferevent_setcb(c->bev, caller_read, caller_written, caller_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
 static void caller_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
 			  int len, void *arg)
 {
@@ -235,8 +241,7 @@
 	c->cancel_key = (uint32_t)random_bits();
 	c->bev = bufferevent_socket_new(k->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	c->timer = event_new(k->base, -1, 0, caller_timeout, c);
-	bufferevent_setcb(c->bev, caller_read, caller_written, caller_event, c);
-	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	caller_attach(c);
 	TAILQ_INSERT_TAIL(&cs->list, c, link);
 	cs->n++;
 	stat_add(STAT_CALLERS_OPENED, 1);
--- a/src/caller.h
+++ b/src/caller.h
@@ -100,6 +100,8 @@
 unsigned callers_count(struct callers *cs);
 
 /* caller.c */
+/** Have the session's connection, plain or under TLS, call back here. */
+void caller_attach(struct caller *c);
 /** Send @a out, and free it. */
 void caller_send(struct caller *c, GByteArray *out);
 /** Tell an error; @a fatal closes the connection once it is written. */
--- a/tests/standin-db-sql.c
+++ b/tests/standin-db-sql.c
@@ -69,6 +69,9 @@
 		c->wait_for = (struct pos){term, lsn};
 		return WORK_WAIT;
 	}
+	/* A commit that writes takes its time too, so that faults find it under way. */
+	if (is(sql, "COMMIT") && c->ops != NULL)
+		return WORK_SLOT;
 	if (is(sql, "INSERT") || is(sql, "SELECT value") || is(sql, "SELECT work") ||
 	    is(sql, "SELECT big"))
 		return WORK_SLOT;
--- a/tests/test-it-caller.c
+++ b/tests/test-it-caller.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -236,6 +237,70 @@
 	g_free(path);
 }
 
+/** Connect with TLS, or without it, to the first VM. */
+static ConnStatusType tls_connect(struct test_fleet *f, const char *sslmode, char *value,
+				  size_t size)
+{
+	char *text = g_strdup_printf(
+		"hostaddr=127.0.0.1 port=%d user=clerks password=%s dbname=shop sslmode=%s "
+		"gssencmode=disable options='-c mangoloom.kind=order'",
+		f->vm[0].caller, f->key, sslmode);
+	PGconn *c = PQconnectdb(text);
+	ConnStatusType status = PQstatus(c);
+
+	if (status != CONNECTION_OK)
+		printf("sslmode=%s: %s", sslmode, PQerrorMessage(c));
+
+	if (status == CONNECTION_OK) {
+		sql(c, NULL, 0, "INSERT INTO orders VALUES ('tls', 'sealed')");
+		sql(c, value, size, "SELECT value FROM orders WHERE key = 'tls'");
+	}
+	PQfinish(c);
+	g_free(text);
+	return status;
+}
+
+/* A VM that requires TLS serves a caller that speaks it, and refuses one that would send its key in
+ * clear. */
+static void test_tls(void)
+{
+	char *dir = g_dir_make_tmp("mangoloom-tls-XXXXXX", NULL);
+	char *make = g_strdup_printf(
+		"openssl req -x509 -newkey rsa:2048 -nodes -subj /CN=vm -days 2 -keyout %s/key "
+		"-out %s/certificate >/dev/null 2>&1",
+		dir, dir);
+	char *settings = g_strdup_printf(
+		"[tls]\ncertificate = \"%s/certificate\"\nkey = \"%s/key\"\n", dir, dir);
+	char *clean = g_strdup_printf("rm -rf %s", dir), value[64] = "", *big;
+	struct test_fleet *f;
+	PGconn *c;
+
+	CU_ASSERT_EQUAL_FATAL(system(make), 0);
+	f = fleet_start_up(&(struct fleet_plan){.settings = settings});
+	CHECK(tls_connect(f, "require", value, sizeof(value)) == CONNECTION_OK, "TLS");
+	CHECK(strcmp(value, "sealed") == 0, "read %s", value);
+	CHECK(tls_connect(f, "disable", value, sizeof(value)) == CONNECTION_OK,
+	      "TLS is offered, not required");
+	big = g_strdup_printf("%srequired = true\n", settings);
+	f->plan.settings = big;
+	fleet_vm_signal(f, 0, SIGKILL);
+	fleet_vm_start(f, 0);
+	test_sleep_ms(1500);
+	CHECK(tls_connect(f, "require", value, sizeof(value)) == CONNECTION_OK, "TLS, required");
+	CHECK(tls_connect(f, "disable", value, sizeof(value)) != CONNECTION_OK,
+	      "a key in clear is accepted");
+	c = fleet_orders(f, 1);
+	CHECK(PQstatus(c) == CONNECTION_OK, "another VM");
+	PQfinish(c);
+	fleet_tear_down(f);
+	CHECK(system(clean) == 0, "clean");
+	g_free(big);
+	g_free(clean);
+	g_free(settings);
+	g_free(make);
+	g_free(dir);
+}
+
 static void test_end(void)
 {
 	fleet_tear_down(shared());
@@ -251,6 +316,7 @@
 	{"message_over_the_limit", test_message_over_the_limit},
 	{"psql", test_psql},
 	{"log_has_no_secrets", test_log_has_no_secrets},
+	{"tls", test_tls},
 	{"end", test_end},
 };
 HARNESS_MAIN("caller", cases)
--- a/tests/test-it-once.c
+++ b/tests/test-it-once.c
@@ -76,12 +76,12 @@
 	int primary = fleet_primary(f), home = -1, i;
 
 	for (i = 0; i < f->plan.vms; i++) {
-		char *out, *at;
+		char *out, *line = g_strdup_printf("/%s ", f->member[primary].name);
 
 		fleet_cli(f, &out, "status %s", f->vm[i].name);
-		at = strstr(out, f->member[primary].name);
-		if (at != NULL)
+		if (strstr(out, line) != NULL)
 			home = i;
+		g_free(line);
 		g_free(out);
 	}
 	CHECK(home >= 0, "no home found");
