Placement at thousands of databases: roles are ranked once a change of the membership, own data centre only

Change: a role's holder is kept until the membership changes; a change of the configuration ranks nothing again; members of a data centre that has VMs are ranked by these alone.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -76,7 +76,7 @@
 		g_free(f->vms_text);
 		f->vms_text = g_strdup(text);
 		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len));
-		fleet_notify(f);
+		fleet_members_changed(f);
 		fleet_beat(f);
 	}
 	g_array_unref(listings);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -28,6 +28,23 @@
 		f->listeners[i].cb(f->listeners[i].owner);
 }
 
+void fleet_members_changed(struct fleet *f)
+{
+	g_hash_table_remove_all(f->holders);
+	fleet_notify(f);
+}
+
+bool fleet_serves(struct fleet *f, const char *data_center)
+{
+	struct vm *vm;
+
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		if (peers_usable(vm) && strcmp(vm->data_center, data_center) == 0)
+			return true;
+	}
+	return false;
+}
+
 static const struct conf_member *member_conf(struct fleet *f, const char *pool, const char *member)
 {
 	const struct conf_pool *p = conf_pool(f->conf, pool);
@@ -40,12 +57,28 @@
 	return NULL;
 }
 
+/**
+ * The holder of @a role. Ranking thousands of VMs for each request would cost more than the
+ * request; the result is kept until fleet_notify(), which follows each change that can move a role.
+ */
+static struct vm *role_holder(struct fleet *f, const char *role, const char *data_center)
+{
+	struct vm *vm = g_hash_table_lookup(f->holders, role);
+
+	if (vm != NULL)
+		return vm;
+	vm = peers_holder(&f->peers, role, data_center);
+	if (vm != NULL)
+		g_hash_table_insert(f->holders, g_strdup(role), vm);
+	return vm;
+}
+
 static struct vm *home_vm(struct fleet *f, const char *pool, const struct conf_member *m)
 {
-	char role[2 * NAME_SIZE + 8];
+	char role[3 * NAME_SIZE + 8];
 
-	snprintf(role, sizeof(role), "home %s %s", pool, m->name);
-	return peers_holder(&f->peers, role, m->data_center);
+	snprintf(role, sizeof(role), "home %s %s %s", m->data_center, pool, m->name);
+	return role_holder(f, role, m->data_center);
 }
 
 const char *fleet_home_address(struct fleet *f, const char *pool, const char *member)
@@ -63,7 +96,7 @@
 
 const char *fleet_holder_address(struct fleet *f, const char *role)
 {
-	struct vm *vm = peers_holder(&f->peers, role, NULL);
+	struct vm *vm = role_holder(f, role, NULL);
 
 	return vm != NULL ? vm->address : NULL;
 }
@@ -77,7 +110,7 @@
 			continue;
 		log_info("vm-suspect", LOG_STR("peer", vm->name));
 		peers_suspect(&f->peers, vm);
-		fleet_notify(f);
+		fleet_members_changed(f);
 		return;
 	}
 }
@@ -144,7 +177,7 @@
 			f->news_us = now_us();
 	}
 	if (changed)
-		fleet_notify(f);
+		fleet_members_changed(f);
 }
 
 static void beat_done(enum rpc_status status, const void *res, void *arg)
@@ -161,7 +194,7 @@
 		if (peers_missed(&f->peers, vm))
 			log_warn("vm-dead", LOG_STR("peer", vm->name));
 		if (usable != peers_usable(vm))
-			fleet_notify(f);
+			fleet_members_changed(f);
 	}
 	g_free(b);
 }
@@ -237,7 +270,7 @@
 	peers_leave(&f->peers);
 	for (i = 0; i < LEAVE_ROUNDS; i++)
 		fleet_beat(f);
-	fleet_notify(f);
+	fleet_members_changed(f);
 }
 
 static void fleet_stop(struct service *s)
@@ -249,6 +282,7 @@
 	fleet_conf_stop(f);
 	peers_clear(&f->peers);
 	conf_free(f->conf);
+	g_hash_table_destroy(f->holders);
 	g_free(f->vms_text);
 	g_free(f);
 }
@@ -266,6 +300,7 @@
 
 	f->service.ops = &fleet_ops;
 	f->conf = conf_create();
+	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
 		   k->incarnation);
 	kernel_add(k, &f->service);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -29,6 +29,7 @@
 	struct conf *conf;
 	char *vms_text; /**< the platform's list, as it came, for peers */
 	struct platform *platform;
+	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
 	int64_t beat_us; /**< when the last round of heartbeats began */
 	bool fetching;	 /**< a peer or the platform is being asked for the configuration */
@@ -46,6 +47,8 @@
 void fleet_listen(struct fleet *f, fleet_changed cb, void *owner);
 /** RPC address of the member's home; NULL when none is known. */
 const char *fleet_home_address(struct fleet *f, const char *pool, const char *member);
+/** Whether @a data_center has a VM that can be home to its members. */
+bool fleet_serves(struct fleet *f, const char *data_center);
 bool fleet_home_is_self(struct fleet *f, const char *pool, const struct conf_member *m);
 /** RPC address of the holder of @a role in the whole fleet; NULL when none is known. */
 const char *fleet_holder_address(struct fleet *f, const char *role);
@@ -64,6 +67,8 @@
 void fleet_conf_behind(struct fleet *f, const char *address);
 /** Tell the listeners. */
 void fleet_notify(struct fleet *f);
+/** The same after a change of the membership: roles may have moved. */
+void fleet_members_changed(struct fleet *f);
 /** Send a round of heartbeats now, to spread what is new. */
 void fleet_beat(struct fleet *f);
 
--- a/src/home.c
+++ b/src/home.c
@@ -137,8 +137,28 @@
 	return m;
 }
 
+/**
+ * Whether a member in @a data_center may have its home here. Members of a data centre that has VMs
+ * of its own need not be ranked: at thousands of databases, ranking them all would stop the loop
+ * for a quarter of a second at each change.
+ */
+static bool may_be_home(struct home *h, GHashTable *served, const char *data_center)
+{
+	struct fleet *f = fleet_of(h->service.kernel);
+	gpointer known;
+
+	if (strcmp(data_center, h->service.kernel->settings->data_center) == 0)
+		return true;
+	if (!g_hash_table_lookup_extended(served, data_center, NULL, &known)) {
+		known = GINT_TO_POINTER(fleet_serves(f, data_center));
+		g_hash_table_insert(served, (gpointer)data_center, known);
+	}
+	return !GPOINTER_TO_INT(known);
+}
+
 void home_place(struct home *h)
 {
+	GHashTable *served = g_hash_table_new(g_str_hash, g_str_equal);
 	struct fleet *f = fleet_of(h->service.kernel);
 	struct home_member *m;
 	GHashTableIter iter;
@@ -154,20 +174,20 @@
 		else
 			m->configured = false;
 	}
-	if (h->draining)
-		return;
 	g_hash_table_iter_init(&iter, f->conf->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (!h->draining && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct conf_entry *e = value;
 		unsigned i;
 
 		for (i = 0; e->kind == CONF_POOL && i < e->pool.n; i++) {
-			if (!fleet_home_is_self(f, e->pool.name, &e->pool.member[i]))
+			if (!may_be_home(h, served, e->pool.member[i].data_center) ||
+			    !fleet_home_is_self(f, e->pool.name, &e->pool.member[i]))
 				continue;
 			m = home_member_get(h, e->pool.name, e->pool.member[i].name);
 			m->placed = true;
 		}
 	}
+	g_hash_table_destroy(served);
 }
 
 static bool member_unused(const struct home_member *m, int64_t now)
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -3,7 +3,10 @@
  * Measurements on one machine, with real processes on loopback. Arguments: which ones; see
  * docs/CAPACITY.md and docs/DESIGN.md for the figures of the runs that are quoted there.
  */
+#include "conf.h"
 #include "harness.h"
+#include "peers.h"
+#include "table.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -322,6 +325,112 @@
 		measure_rest(fleets[i].vms, fleets[i].pools);
 }
 
+static long memory_kb(void)
+{
+	char *text = NULL, *at;
+	long kb = 0;
+
+	if (g_file_get_contents("/proc/self/status", &text, NULL, NULL)) {
+		at = strstr(text, "VmRSS:");
+		kb = at != NULL ? strtol(at + strlen("VmRSS:"), NULL, 10) : 0;
+	}
+	g_free(text);
+	return kb;
+}
+
+static struct conf_entry *pool_entry(unsigned i, uint64_t version)
+{
+	GString *text = g_string_new(NULL);
+	struct conf_entry *e;
+	char *id = g_strdup_printf("pool/orders-%u", i);
+	unsigned m;
+
+	g_string_append_printf(text, "{\"name\":\"orders-%u\",\"confirm\":\"replica\",\"member\":[",
+			       i);
+	for (m = 0; m < 3; m++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"orders-%u-%u\",\"address\":\"10.%u.%u.%u:"
+				       "5432\",\"data_center\":"
+				       "\"dc%u\",\"slots\":2,\"connections\":16,\"leaving\":false}",
+				       m > 0 ? "," : "", i, m, m, i / 250, i % 250, (i + m) % 8);
+	g_string_append(text, "]}");
+	e = table_entry_parse(id, version, text->str, NULL);
+	g_string_free(text, TRUE);
+	g_free(id);
+	return e;
+}
+
+/** The configuration and the membership at the size of letter 1: 3,700 databases, 3,100 VMs. */
+static void measure_sizes(void)
+{
+	struct conf_update u = {.full = true, .version = 1};
+	struct conf *c = conf_create();
+	struct vm_listing *l = g_new0(struct vm_listing, 3100);
+	size_t bytes = 0;
+	struct peers p;
+	long before = memory_kb();
+	int64_t start;
+	unsigned i;
+
+	u.entries = g_ptr_array_new_with_free_func((GDestroyNotify)conf_entry_unref);
+	start = test_now_us();
+	for (i = 0; i < 3700; i++) {
+		struct conf_entry *e = pool_entry(i, 1);
+
+		bytes += strlen(e->id) + strlen(e->text);
+		g_ptr_array_add(u.entries, e);
+	}
+	printf("3700 pools: parsed in %.1f ms, %zu KB of text",
+	       (double)(test_now_us() - start) / 1000, bytes / 1024);
+	start = test_now_us();
+	conf_apply(c, &u);
+	printf(", applied whole in %.1f ms, %ld KB of memory\n",
+	       (double)(test_now_us() - start) / 1000, memory_kb() - before);
+	conf_update_clear(&u);
+	u = (struct conf_update){.base = 1, .version = 2};
+	u.entries = g_ptr_array_new_with_free_func((GDestroyNotify)conf_entry_unref);
+	start = test_now_us();
+	g_ptr_array_add(u.entries, pool_entry(7, 2));
+	conf_apply(c, &u);
+	printf("one changed pool: parsed and applied in %.0f us\n",
+	       (double)(test_now_us() - start));
+	conf_update_clear(&u);
+	start = test_now_us();
+	conf_since(c, 1, &u);
+	printf("told to a peer as %u entry, found in %.0f us\n", u.entries->len,
+	       (double)(test_now_us() - start));
+	conf_update_clear(&u);
+	before = memory_kb();
+	for (i = 0; i < 3100; i++) {
+		l[i].name = g_strdup_printf("vm-%u", i);
+		l[i].address = g_strdup_printf("10.1.%u.%u:6532", i / 250, i % 250);
+		l[i].data_center = g_strdup_printf("dc%u", i % 8);
+	}
+	start = test_now_us();
+	peers_init(&p, "vm-0", l[0].address, l[0].data_center, 1);
+	peers_list(&p, 1, l, 3100);
+	printf("3100 VMs: list taken in in %.1f ms, %ld KB of memory\n",
+	       (double)(test_now_us() - start) / 1000, memory_kb() - before);
+	start = test_now_us();
+	for (i = 0; i < 1000; i++) {
+		char role[64];
+
+		snprintf(role, sizeof(role), "home orders-%u 0", i);
+		peers_holder(&p, role, "dc3");
+	}
+	printf("home of a member: %.1f us; of all 11100 members %.0f ms, of the own data centre's "
+	       "1388 %.0f ms\n",
+	       (double)(test_now_us() - start) / 1000,
+	       (double)(test_now_us() - start) * 11.1 / 1000,
+	       (double)(test_now_us() - start) * 1.388 / 1000);
+	start = test_now_us();
+	for (i = 0; i < 1000; i++)
+		peers_find(&p, "vm-999");
+	printf("a VM by its name: %.1f us\n", (double)(test_now_us() - start) / 1000);
+	peers_clear(&p);
+	conf_free(c);
+}
+
 static void run_gaps(void)
 {
 	measure_gap("kill", 20);
@@ -329,6 +438,11 @@
 	measure_gap("cut", 20);
 }
 
+static void run_freeze(void)
+{
+	measure_gap("freeze", 20);
+}
+
 static void run_replicas(void)
 {
 	measure_replicas(10);
@@ -346,5 +460,6 @@
 	{"latency", measure_latency}, {"throughput", measure_throughput},
 	{"gaps", run_gaps},	      {"replicas", run_replicas},
 	{"lost", run_lost},	      {"slopes", measure_slopes},
+	{"sizes", measure_sizes},     {"freeze", run_freeze},
 };
 HARNESS_MAIN("measure", cases)
