--- a/cmd/mangoload-plan.c
+++ b/cmd/mangoload-plan.c
@@ -129,14 +129,10 @@
 	const char *known[G_N_ELEMENTS(lists) + 1] = {NULL};
 	JsonObject *root;
 	gboolean ok;
-	char *text;
 	unsigned i;
 
 	memset(plan, 0, sizeof(*plan));
-	if (!g_file_get_contents(path, &text, NULL, error))
-		return FALSE;
-	root = schema_parse(path, text, error);
-	g_free(text);
+	root = schema_load(path, error);
 	if (root == NULL)
 		return FALSE;
 	for (i = 0; i < G_N_ELEMENTS(lists); i++)
--- a/src/schema.c
+++ b/src/schema.c
@@ -31,6 +31,18 @@
 	return o;
 }
 
+JsonObject *schema_load(const char *path, GError **error)
+{
+	JsonObject *o;
+	char *text;
+
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return NULL;
+	o = schema_parse(path, text, error);
+	g_free(text);
+	return o;
+}
+
 static gboolean wrong(GError **error, const char *where, const char *key, const char *found,
 		      const char *allowed)
 {
--- a/src/schema.h
+++ b/src/schema.h
@@ -38,6 +38,8 @@
 
 /** Parse the TOML text of @a file. @return the document's object; free with json_object_unref(). */
 JsonObject *schema_parse(const char *file, const char *text, GError **error);
+/** Read and parse the TOML file at @a path. */
+JsonObject *schema_load(const char *path, GError **error);
 /**
  * Read @a o into @a out by @a fields. Keys that no field names, but for those in @a others (ends
  * with NULL), are errors.
--- a/src/settings.c
+++ b/src/settings.c
@@ -175,14 +175,10 @@
 	const char *known[G_N_ELEMENTS(sections) + 1] = {NULL};
 	JsonObject *root;
 	gboolean ok;
-	char *text;
 	unsigned i;
 
 	memset(s, 0, sizeof(*s));
-	if (!g_file_get_contents(path, &text, NULL, error))
-		return FALSE;
-	root = schema_parse(path, text, error);
-	g_free(text);
+	root = schema_load(path, error);
 	if (root == NULL)
 		return FALSE;
 	for (i = 0; i < G_N_ELEMENTS(sections); i++)
