--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -242,6 +242,16 @@
 	fleet_tear_down(f);
 }
 
+static bool reads_served(struct test_fleet *f, void *arg)
+{
+	PGconn *c = fleet_connect(f, *(int *)arg, "clerks", f->key,
+				  "-c mangoloom.kind=page -c mangoloom.deadline_ms=500");
+	bool ok = strcmp(sql(c, NULL, 0, "SELECT value FROM warm WHERE key = 'up'"), "00000") == 0;
+
+	PQfinish(c);
+	return ok;
+}
+
 /* A withdrawn key stops on sessions that are connected, idle or not, and at new ones; the team's
  * other key goes on. */
 static void test_withdrawn_key(void)
@@ -277,21 +287,100 @@
 	fresh = fleet_orders(f, 1);
 	CHECK(PQstatus(fresh) == CONNECTION_OK, "the other key is refused");
 	PQfinish(fresh);
-	/* A VM that can't be told is named. */
+	/* A VM that can't be told is named, and hears of it as soon as it can. */
+	g_free(id);
+	id = fleet_key(f, "clerks");
+	end = strchr(id + strlen("mlk_"), '_');
+	idle[0] = fleet_connect(f, 2, "clerks", id, "-c mangoloom.kind=order");
+	*end = '\0';
 	fleet_vm_signal(f, 2, SIGSTOP);
+	code = fleet_cli(f, NULL, "key withdraw %s --wait-ms 500", id + strlen("mlk_"));
+	CHECK(code == 6, "%d", code);
+	out = g_strdup_printf("%s/cli.err", f->dir);
 	g_free(second);
-	second = fleet_key(f, "clerks");
-	g_free(second);
+	CHECK(g_file_get_contents(out, &second, NULL, NULL) &&
+		      strstr(second, f->vm[2].name) != NULL,
+	      "%s", second);
+	g_free(out);
+	fleet_vm_signal(f, 2, SIGCONT);
+	test_sleep_ms(1500);
+	CHECK(strcmp(sql(idle[0], NULL, 0, "SELECT 1"), "28P01") == 0,
+	      "the key holds after the pause");
+	PQfinish(idle[0]);
 	code = fleet_cli(f, &out, "key list");
 	CHECK(code == 0 && strstr(out, "withdrawn") != NULL, "%s", out);
 	g_free(out);
-	code = fleet_cli(f, NULL, "apply --routes %s/routes.toml --wait-ms 500", f->dir);
-	CHECK(code == 0, "nothing has to change: %d", code);
-	fleet_vm_signal(f, 2, SIGCONT);
+	g_free(second);
 	g_free(id);
 	fleet_tear_down(f);
 }
 
+/*
+ * With trust_without_news_ms, a data centre that is cut off from the platform and the others stops
+ * accepting keys, since it could not hear of a withdrawal; after the cut heals it serves again.
+ */
+static void test_cut_off_keys_are_not_trusted_for_ever(void)
+{
+	struct test_fleet *f = fleet_start_up(
+		&(struct fleet_plan){.settings = "[keys]\ntrust_without_news_ms = 1200\n"});
+	PGconn *c = fleet_orders(f, 2);
+	const char *state;
+	int vm = 2;
+
+	CHECK(strcmp(sql(c, NULL, 0, "INSERT INTO orders VALUES ('before', 'x')"), "00000") == 0,
+	      "before the cut");
+	fleet_cut(f, "dc3", true);
+	fleet_platform(f, "{\"down\":true}");
+	test_sleep_ms(2500);
+	state = sql(c, NULL, 0, "SELECT 1");
+	CHECK(strcmp(state, "28P01") == 0, "%s", state);
+	PQfinish(c);
+	fleet_cut(f, "dc3", false);
+	fleet_platform(f, "{\"down\":false}");
+	CHECK(wait_until(reads_served, f, &vm, 8000), "not served after the cut");
+	fleet_tear_down(f);
+}
+
+/* The command line, as a script uses it: exit codes, and that a wrong table changes nothing. */
+static void test_command_line(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	char *out, *path;
+	int64_t version = fleet_status(f, 0, "conf_version");
+
+	CHECK(fleet_cli(f, &out, "get routes") == 0 && strstr(out, "base_version = ") != NULL, "%s",
+	      out);
+	path = fleet_file(f, "got.toml", out);
+	g_free(out);
+	CHECK(fleet_cli(f, &out, "apply --routes %s", path) == 0 &&
+		      strstr(out, "no change") != NULL,
+	      "%s", out);
+	g_free(out);
+	CHECK(fleet_cli(f, &out, "diff --routes %s", path) == 0 && out[0] == '\0', "%s", out);
+	g_free(out);
+	g_free(path);
+	path = fleet_file(f, "wrong.toml", "[[route]]\nname = \"x\"\npool = \"missing\"\n");
+	CHECK(fleet_cli(f, NULL, "apply --routes %s", path) == 3, "a route without its pool");
+	g_free(path);
+	path = fleet_file(f, "wrong.toml", "[[route]]\nname = 7\n");
+	CHECK(fleet_cli(f, NULL, "check --routes %s", path) == 3, "a name that is no text");
+	CHECK(fleet_cli(f, NULL, "apply --routes %s", path) == 3, "a name that is no text");
+	g_free(path);
+	CHECK(fleet_cli(f, NULL, "frobnicate") == 2, "an unknown command");
+	CHECK(fleet_cli(f, NULL, "key withdraw 000000") == 1, "an unknown key");
+	CHECK(fleet_status(f, 0, "conf_version") == version, "something was changed");
+	CHECK(fleet_cli(f, &out, "history") == 0 && strstr(out, "key given to clerks") != NULL,
+	      "%s", out);
+	g_free(out);
+	fleet_platform(f, "{\"down\":true}");
+	CHECK(fleet_cli(f, NULL, "get routes") == 1, "without the platform");
+	CHECK(fleet_cli(f, NULL, "key give clerks") == 1, "without the platform");
+	fleet_platform(f, "{\"down\":false}");
+	CHECK(fleet_cli(f, NULL, "stop %s", f->vm[2].name) == 0, "stop");
+	CHECK(fleet_vm_wait(f, 2) == 0, "ended");
+	fleet_tear_down(f);
+}
+
 static char *routes_with_rate(int rate)
 {
 	return g_strdup_printf("[[team]]\nname = \"clerks\"\nrate = %d\nburst = 100000\n" ROUTES,
@@ -500,16 +589,6 @@
 	fleet_tear_down(f);
 }
 
-static bool reads_served(struct test_fleet *f, void *arg)
-{
-	PGconn *c = fleet_connect(f, *(int *)arg, "clerks", f->key,
-				  "-c mangoloom.kind=page -c mangoloom.deadline_ms=500");
-	bool ok = strcmp(sql(c, NULL, 0, "SELECT value FROM warm WHERE key = 'up'"), "00000") == 0;
-
-	PQfinish(c);
-	return ok;
-}
-
 /*
  * A data centre with a replica is cut from the others and from the platform. Inside, pages that
  * accept data of an hour are served from its replica; outside, orders go on. After the cut heals,
@@ -598,6 +677,8 @@
 	{"small_burst_is_served_everywhere", test_small_burst_is_served_everywhere},
 	{"no_team_crowds_out_another", test_no_team_crowds_out_another},
 	{"withdrawn_key", test_withdrawn_key},
+	{"cut_off_keys_are_not_trusted_for_ever", test_cut_off_keys_are_not_trusted_for_ever},
+	{"command_line", test_command_line},
 	{"operators_race", test_operators_race},
 	{"changes_never_revert", test_changes_never_revert},
 	{"leaving_database", test_leaving_database},
