A watch that falls silent is noticed within two seconds

Cause: a watch on the platform is one long answer on one connection; when that falls silent without an error, the VMs of a data centre that watch hear of no change any more, and others only by rereading after 30 s. The key's age also counted as fresh while a watch was merely open. Change: VMs that watch compare the head, and the revision of the list of VMs, every 2 s on a new connection: at 16 such VMs 16 reads a second of the 2,000.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -22,12 +22,15 @@
 /** A VM that does not watch reads the whole configuration this often, against anything that
  * heartbeats missed. */
 #define REREAD_US (30 * USEC_PER_SEC)
+/** A VM that watches compares what it has with the platform this often. */
+#define WATCH_CHECK_US (2 * USEC_PER_SEC)
 
 struct fleet_source {
 	struct fleet *f;
 	struct platform_watch *conf_watch;
 	struct platform_watch *vms_watch;
 	bool reading;
+	int64_t checked_us; /**< when the watches were last compared with what the platform has */
 	int64_t read_us;
 	bool ever_read;
 };
@@ -235,6 +238,67 @@
 						   vms_changed, f);
 }
 
+static void watches_stop(void)
+{
+	if (source->conf_watch != NULL)
+		platform_watch_stop(source->conf_watch);
+	if (source->vms_watch != NULL)
+		platform_watch_stop(source->vms_watch);
+	source->conf_watch = NULL;
+	source->vms_watch = NULL;
+}
+
+/** The watches have missed something: read all, and watch anew. */
+static void watches_missed(const char *what)
+{
+	log_warn("watch-silent", LOG_STR("what", what));
+	watches_stop();
+	source->read_us = 0;
+}
+
+static void head_checked(const struct platform_answer *a, void *arg)
+{
+	struct fleet *f = arg;
+	const struct platform_kv *kv;
+
+	if (!a->ok)
+		return;
+	if (a->kvs->len > 0) {
+		kv = g_ptr_array_index(a->kvs, 0);
+		if (head_version(kv->value) > f->conf->version) {
+			watches_missed("conf");
+			return;
+		}
+	}
+	f->news_us = now_us();
+}
+
+static void vms_checked(const struct platform_answer *a, void *arg)
+{
+	struct fleet *f = arg;
+	const struct platform_kv *kv;
+
+	if (!a->ok || a->kvs->len == 0)
+		return;
+	kv = g_ptr_array_index(a->kvs, 0);
+	if ((uint64_t)kv->mod_revision > f->peers.revision)
+		watches_missed("vms");
+}
+
+/**
+ * A watch is one long answer; when something between the two ends loses track of its connection, it
+ * falls silent without an error, and a withdrawn key would go on working here. A look at the head,
+ * on a new connection, shows what it missed.
+ */
+static void watches_check(struct fleet *f, int64_t now)
+{
+	if (now - source->checked_us < WATCH_CHECK_US)
+		return;
+	source->checked_us = now;
+	platform_range(f->platform, PLATFORM_HEAD, NULL, head_checked, f);
+	platform_revision(f->platform, PLATFORM_VMS, vms_checked, f);
+}
+
 /** Read all, and watch from there if this VM is to watch. */
 static void source_check(evutil_socket_t fd, short what, void *arg)
 {
@@ -243,16 +307,10 @@
 	bool watching = source->conf_watch != NULL && source->vms_watch != NULL;
 	int64_t now = now_us();
 
-	if (!watch && source->conf_watch != NULL)
-		platform_watch_stop(source->conf_watch);
-	if (!watch && source->vms_watch != NULL)
-		platform_watch_stop(source->vms_watch);
-	if (!watch) {
-		source->conf_watch = NULL;
-		source->vms_watch = NULL;
-	}
-	if (watching)
-		f->news_us = now;
+	if (!watch)
+		watches_stop();
+	else if (watching)
+		watches_check(f, now);
 	if (source->reading || (watch && watching && source->read_us != 0))
 		return;
 	if (!watch && source->ever_read && source->read_us != 0 &&
--- a/src/platform.c
+++ b/src/platform.c
@@ -239,6 +239,18 @@
 	json_object_unref(o);
 }
 
+void platform_revision(struct platform *p, const char *key, platform_done cb, void *arg)
+{
+	JsonObject *o = range_object(key, NULL);
+	char *body;
+
+	json_object_set_boolean_member(o, "keys_only", TRUE);
+	body = object_text(o);
+	platform_post(p, "/v3/kv/range", body, cb, arg);
+	g_free(body);
+	json_object_unref(o);
+}
+
 static JsonObject *write_object(const struct platform_write *w)
 {
 	JsonObject *op = json_object_new();
--- a/src/platform.h
+++ b/src/platform.h
@@ -52,6 +52,8 @@
 /** Read the keys from @a key up to @a end, or just @a key when @a end is NULL. */
 void platform_range(struct platform *p, const char *key, const char *end, platform_done cb,
 		    void *arg);
+/** Read the revision of @a key alone, not its value. */
+void platform_revision(struct platform *p, const char *key, platform_done cb, void *arg);
 /** Carry out @a writes if @a key still has @a mod_revision (0: does not exist). */
 void platform_cas(struct platform *p, const char *key, int64_t mod_revision,
 		  const struct platform_write *writes, unsigned n, platform_done cb, void *arg);
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -2,7 +2,8 @@
  * @file standin-platform.c
  * Stand-in for the platform's key-value service: the part of etcd's JSON gateway that mangoloom
  * uses, in memory. Faults are switched by POST /control with {"delay_ms": N, "down": bool,
- * "silent": bool, "lose_answers": bool}; GET /stats tells how many calls came.
+ * "silent": bool, "lose_answers": bool,
+ * "mute_watches": bool}; GET /stats tells how many calls came.
  */
 #include "kernel.h"
 
@@ -35,7 +36,7 @@
 	int64_t revision;
 	struct watches watches;
 	int64_t delay_ms;
-	bool down, silent, lose_answers;
+	bool down, silent, lose_answers, mute_watches;
 	int64_t ranges, txns, watched;
 } db = {.watches = TAILQ_HEAD_INITIALIZER(db.watches)};
 
@@ -140,7 +141,7 @@
 	g_string_append(out, "]}}\n");
 	buf = evbuffer_new();
 	evbuffer_add(buf, out->str, out->len);
-	if (n > 0)
+	if (n > 0 && !db.mute_watches)
 		evhttp_send_reply_chunk(w->req, buf);
 	evbuffer_free(buf);
 	g_string_free(out, TRUE);
@@ -289,6 +290,8 @@
 	db.silent = json_object_get_boolean_member_with_default(o, "silent", db.silent);
 	db.lose_answers =
 		json_object_get_boolean_member_with_default(o, "lose_answers", db.lose_answers);
+	db.mute_watches =
+		json_object_get_boolean_member_with_default(o, "mute_watches", db.mute_watches);
 	if (db.down)
 		end_watches();
 }
--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -494,6 +494,26 @@
 	fleet_tear_down(f);
 }
 
+/*
+ * The connections on which the platform tells of changes go silent, as connections can; new calls
+ * work. A change is in force everywhere within 5 s all the same.
+ */
+static void test_silent_watches_are_noticed(void)
+{
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
+	char *text = routes_with_rate(1234), *path = fleet_file(f, "silent.toml", text);
+	int64_t version = fleet_status(f, 0, "conf_version") + 1;
+	int code;
+
+	fleet_platform(f, "{\"mute_watches\":true}");
+	code = fleet_cli(f, NULL, "apply --routes %s --wait-ms 5000", path);
+	CHECK(code == 0, "%d", code);
+	CHECK(versions_equal(f, &version), "not in force everywhere");
+	g_free(path);
+	g_free(text);
+	fleet_tear_down(f);
+}
+
 static bool no_connections(struct test_fleet *f, void *arg)
 {
 	int i;
@@ -681,6 +701,7 @@
 	{"command_line", test_command_line},
 	{"operators_race", test_operators_race},
 	{"changes_never_revert", test_changes_never_revert},
+	{"silent_watches_are_noticed", test_silent_watches_are_noticed},
 	{"leaving_database", test_leaving_database},
 	{"planned_stop_cuts_nothing", test_planned_stop_cuts_nothing},
 	{"cut_data_center_serves_what_it_can", test_cut_data_center_serves_what_it_can},
