VMs that are cut off together do not assure each other that their keys are current

Cause: with trust_without_news_ms, any heartbeat of a peer with the same version counted as news; two VMs in one cut-off data centre kept each other's keys alive for ever, and a configuration taken from a peer counted as news from the platform. Change: heartbeats carry the age of what is known; only the platform's answers begin it anew. The test now has two VMs inside the cut. After: cut_off_keys_are_not_trusted_for_ever passes.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -92,8 +92,6 @@
 {
 	enum conf_verdict v = conf_apply(f->conf, u);
 
-	if (v != CONF_OLD || u->version == f->conf->version)
-		f->news_us = now_us();
 	if (v == CONF_GAP)
 		source->read_us = 0;
 	if (v != CONF_APPLIED)
@@ -212,6 +210,7 @@
 	if (!a->ok)
 		return;
 	source->ever_read = true;
+	f->news_us = now_us();
 	update_from_kvs(a, &u);
 	u.full = true;
 	if (u.version > 0)
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -138,6 +138,7 @@
 	h->incarnation = f->peers.self->incarnation;
 	h->conf_version = f->conf->version;
 	h->vms_revision = f->peers.revision;
+	h->news_age_us = (u_quad_t)fleet_news_age_us(f);
 	for (i = 0; i < n; i++) {
 		wire[i].vm = news[i].vm;
 		wire[i].incarnation = news[i].incarnation;
@@ -149,6 +150,18 @@
 	h->news.news_len = n;
 }
 
+/**
+ * A peer has the same version, and knew @a age_us ago that it is current. Two VMs that are cut off
+ * together must not assure each other for ever, so the age travels along and does not begin anew.
+ */
+static void heard_news(struct fleet *f, int64_t age_us)
+{
+	int64_t known_us = now_us() - age_us;
+
+	if (age_us >= 0 && known_us > f->news_us)
+		f->news_us = known_us;
+}
+
 static void heartbeat_take(struct fleet *f, const ml_heartbeat *h)
 {
 	struct vm *vm = peers_find(&f->peers, h->vm);
@@ -174,7 +187,7 @@
 		if (h->conf_version > f->conf->version || h->vms_revision > f->peers.revision)
 			fleet_conf_behind(f, vm->address);
 		else if (h->conf_version == f->conf->version && f->conf->version > 0)
-			f->news_us = now_us();
+			heard_news(f, (int64_t)h->news_age_us);
 	}
 	if (changed)
 		fleet_members_changed(f);
--- a/src/mango.h
+++ b/src/mango.h
@@ -46,6 +46,7 @@
 	u_quad_t incarnation;
 	u_quad_t conf_version;
 	u_quad_t vms_revision;
+	u_quad_t news_age_us;
 	struct {
 		u_int news_len;
 		ml_news *news_val;
--- a/src/mango.x
+++ b/src/mango.x
@@ -30,6 +30,7 @@
 	unsigned hyper incarnation;
 	unsigned hyper conf_version;
 	unsigned hyper vms_revision;
+	unsigned hyper news_age_us;
 	ml_news news<ML_NEWS_MAX>;
 };
 
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -68,6 +68,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->vms_revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->news_age_us))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, ML_NEWS_MAX,
 		sizeof (ml_news), (xdrproc_t) xdr_ml_news))
 		 return FALSE;
--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -321,8 +321,8 @@
  */
 static void test_cut_off_keys_are_not_trusted_for_ever(void)
 {
-	struct test_fleet *f = fleet_start_up(
-		&(struct fleet_plan){.settings = "[keys]\ntrust_without_news_ms = 1200\n"});
+	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){
+		.vms = 6, .settings = "[keys]\ntrust_without_news_ms = 5000\n"});
 	PGconn *c = fleet_orders(f, 2);
 	const char *state;
 	int vm = 2;
@@ -331,7 +331,8 @@
 	      "before the cut");
 	fleet_cut(f, "dc3", true);
 	fleet_platform(f, "{\"down\":true}");
-	test_sleep_ms(2500);
+	/* Two VMs are in there and hear each other: they must not assure each other for ever. */
+	test_sleep_ms(7500);
 	state = sql(c, NULL, 0, "SELECT 1");
 	CHECK(strcmp(state, "28P01") == 0, "%s", state);
 	PQfinish(c);
