--- a/cmd/mangoload-report.c
+++ b/cmd/mangoload-report.c
@@ -1,5 +1,7 @@
-/** @file mangoload-report.c The measures of a run, and the comparison with the databases' own
- * records. */
+/**
+ * @file mangoload-report.c The measures of a run, and the comparison with the databases' own
+ * records.
+ */
 #include "mangoload.h"
 
 #include <gsl/gsl_sort.h>
--- a/cmd/mangoload.h
+++ b/cmd/mangoload.h
@@ -97,8 +97,10 @@
 /** Sum of a counter over the daemons, by RPC; -1 when none answers. */
 int64_t load_counter(struct load *l, const char *name);
 
-/** Print measures, compare with the databases, write @a csv when it is not NULL. @return whether
- * all checks held */
+/**
+ * Print measures, compare with the databases, write @a csv when it is not NULL. @return whether
+ * all checks held
+ */
 bool load_report(struct load *l, const char *csv, bool json);
 
 #endif
--- a/cmd/mangoloom-key.c
+++ b/cmd/mangoloom-key.c
@@ -8,8 +8,10 @@
 
 #define KEY_TRIES 20
 
-/** Put @a e in force on top of whatever else changes meanwhile. @return the version, or 0 with @a
- * error */
+/**
+ * Put @a e in force on top of whatever else changes meanwhile. @return the version, or 0 with @a
+ * error
+ */
 static uint64_t put_entry(struct cli *cli, struct conf_entry *e, const char *summary,
 			  GError **error)
 {
--- a/cmd/mangoloom-store.c
+++ b/cmd/mangoloom-store.c
@@ -1,5 +1,7 @@
-/** @file mangoloom-store.c The tables as the platform keeps them, and changes to them by
- * compare-and-swap. */
+/**
+ * @file mangoloom-store.c The tables as the platform keeps them, and changes to them by
+ * compare-and-swap.
+ */
 #include "error.h"
 #include "mangoloom-cli.h"
 
--- a/cmd/mangoloom-table.c
+++ b/cmd/mangoloom-table.c
@@ -158,8 +158,10 @@
 	return g_string_free(out, FALSE);
 }
 
-/** One try. @return the new version, 0 with @a error, or the version in force when nothing has to
- * change */
+/**
+ * One try. @return the new version, 0 with @a error, or the version in force when nothing has to
+ * change
+ */
 static uint64_t apply_once(struct cli *cli, const struct tables *t, uint64_t seen[TABLES],
 			   bool first, bool *changed, GError **error)
 {
--- a/decide/failover.h
+++ b/decide/failover.h
@@ -54,8 +54,10 @@
 struct failover_order failover_tick(struct failover *f, const struct group_view *g, unsigned rank,
 				    uint64_t random, int64_t now_us);
 
-/** @a member answered follow(@a term, none): pledged with its log at @a received, or refused having
- * @a seen_term. */
+/**
+ * @a member answered follow(@a term, none): pledged with its log at @a received, or refused having
+ * @a seen_term.
+ */
 struct failover_order failover_fenced(struct failover *f, const struct group_view *g, int member,
 				      uint64_t term, bool pledged, struct pos received,
 				      int64_t now_us);
--- a/decide/group.h
+++ b/decide/group.h
@@ -57,15 +57,19 @@
 void group_set_members(struct group_view *g, const char *const *names, unsigned n);
 /** @return index of the member, or -1. */
 int group_find(const struct group_view *g, const char *member);
-/** Take in a report for which the request was sent at @a asked_us. A report asked for earlier
- * changes nothing. */
+/**
+ * Take in a report for which the request was sent at @a asked_us. A report asked for earlier
+ * changes nothing.
+ */
 void group_report(struct group_view *g, int member, const struct member_report *r,
 		  int64_t asked_us);
 /** Note that @a member cannot be used; @a state is MEMBER_DOWN or MEMBER_CUT. */
 void group_unreachable(struct group_view *g, int member, enum member_state state, int64_t now_us);
 
-/** The member that leads the highest term known, or -1. A leader that a member has seen a higher
- * term after is none. */
+/**
+ * The member that leads the highest term known, or -1. A leader that a member has seen a higher
+ * term after is none.
+ */
 int group_primary(const struct group_view *g);
 /**
  * The primary whose term cannot be undone any more: a majority has a record of it, so that no later
--- a/decide/outcome.h
+++ b/decide/outcome.h
@@ -50,8 +50,10 @@
 	int64_t after_us;
 };
 
-/** Decide what follows the try that ended with @a o. @a hint_us is the database side's own advice,
- * or 0. */
+/**
+ * Decide what follows the try that ended with @a o. @a hint_us is the database side's own advice,
+ * or 0.
+ */
 struct retry_decision outcome_next(enum outcome o, const struct retry_state *r, int64_t hint_us,
 				   int64_t now_us);
 
--- a/decide/peers.c
+++ b/decide/peers.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Heartbeats that carry one piece of news: enough to reach a fleet of thousands several times
- * over. */
+/**
+ * Heartbeats that carry one piece of news: enough to reach a fleet of thousands several times
+ * over.
+ */
 #define NEWS_SPREAD 12
 
 static struct vm *peers_add(struct peers *p, const char *name)
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -69,11 +69,15 @@
 		uint64_t incarnation);
 void peers_clear(struct peers *p);
 struct vm *peers_find(const struct peers *p, const char *name);
-/** Take in the platform's list of @a revision; an older one changes nothing. @return whether it was
- * taken. */
+/**
+ * Take in the platform's list of @a revision; an older one changes nothing. @return whether it was
+ * taken.
+ */
 bool peers_list(struct peers *p, uint64_t revision, const struct vm_listing *l, unsigned n);
-/** Choose the VMs for this round's heartbeats: neighbours, and one at random from the fleet.
- * @return how many. */
+/**
+ * Choose the VMs for this round's heartbeats: neighbours, and one at random from the fleet.
+ * @return how many.
+ */
 unsigned peers_targets(struct peers *p, uint64_t random, struct vm *out[PEERS_TARGETS_MAX]);
 /** @a vm answered. */
 void peers_heard(struct vm *vm, uint64_t incarnation, uint64_t conf_version);
@@ -93,8 +97,10 @@
  * @return NULL when no VM is usable.
  */
 struct vm *peers_holder(const struct peers *p, const char *key, const char *data_center);
-/** This VM's place among the usable VMs of its own data centre for @a key, by rendezvous order: 0
- * is first. */
+/**
+ * This VM's place among the usable VMs of its own data centre for @a key, by rendezvous order: 0
+ * is first.
+ */
 unsigned peers_place(const struct peers *p, const char *key);
 
 #endif
--- a/decide/share.c
+++ b/decide/share.c
@@ -17,8 +17,10 @@
 #define HEADROOM 1.3
 /** Part of the whole that the allocator's own VM keeps to grant single tokens from. */
 #define SHARE_RESERVE 0.1
-/** Part of an even split that a holder keeps without any demand, so that a first request finds a
- * token. */
+/**
+ * Part of an even split that a holder keeps without any demand, so that a first request finds a
+ * token.
+ */
 #define SHARE_FLOOR 0.05
 /** Changes smaller than this part of the whole are not ordered. */
 #define SHARE_STEP (SHARE_WHOLE / 200)
@@ -317,8 +319,10 @@
 	return sum;
 }
 
-/** A VM's weight: what it asked for over a second, or, when that is more, a part of its latest
- * peak. */
+/**
+ * A VM's weight: what it asked for over a second, or, when that is more, a part of its latest
+ * peak.
+ */
 static double entry_weight(const struct share_entry *e, int64_t now_us)
 {
 	double peak = entry_demand(e, now_us) * PEAK_PART;
--- a/decide/share.h
+++ b/decide/share.h
@@ -16,11 +16,14 @@
 
 /** A team's whole rate and burst, in units. */
 #define SHARE_WHOLE 1048576U
-/** A holder whose loop stood still for longer gives up its units: others may have been given them.
+/**
+ * A holder whose loop stood still for longer gives up its units: others may have been given them.
  */
 #define SHARE_PAUSE_MAX_US (2 * USEC_PER_SEC)
-/** How long after a VM left the platform's list its units are given to others. Above the pause by a
- * wide margin. */
+/**
+ * How long after a VM left the platform's list its units are given to others. Above the pause by a
+ * wide margin.
+ */
 #define SHARE_GONE_US (6 * USEC_PER_SEC)
 /** Shortest and longest time between two reports of a holder. */
 #define SHARE_REPORT_FAST_US (50 * USEC_PER_MSEC)
@@ -117,8 +120,10 @@
 void share_alloc_clear(struct share_alloc *a);
 /** Take in the platform's list of VMs. */
 void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us);
-/** @a vm said that it leaves, after it had given up its units: nothing of it has to be counted any
- * more. */
+/**
+ * @a vm said that it leaves, after it had given up its units: nothing of it has to be counted any
+ * more.
+ */
 void share_alloc_left(struct share_alloc *a, const char *vm, int64_t now_us);
 /**
  * Holders that are to give up units which others wait for, and were not asked to report lately. A
--- a/decide/sqlscan.c
+++ b/decide/sqlscan.c
@@ -62,8 +62,10 @@
 	}
 }
 
-/** Skip a quoted string or identifier that opens at @a p. A backslash escapes only in an E''
- * string. */
+/**
+ * Skip a quoted string or identifier that opens at @a p. A backslash escapes only in an E''
+ * string.
+ */
 static const char *skip_quoted(const char *p, bool escapes)
 {
 	char quote = *p++;
--- a/decide/token.h
+++ b/decide/token.h
@@ -15,12 +15,15 @@
 	struct pos pos;
 };
 
-/** Most past terms that a member reports. An older token is answered by the primary's oldest entry.
+/**
+ * Most past terms that a member reports. An older token is answered by the primary's oldest entry.
  */
 #define TERM_HISTORY_MAX 8
 
-/** Where each term began: the first record of @a term is the one after @a start_lsn. Ascending by
- * term. */
+/**
+ * Where each term began: the first record of @a term is the one after @a start_lsn. Ascending by
+ * term.
+ */
 struct term_history {
 	unsigned n;
 	struct pos start[TERM_HISTORY_MAX];
@@ -35,16 +38,20 @@
 #define TOKEN_SET_MAX 16
 #define TOKEN_SET_SIZE (TOKEN_SET_MAX * TOKEN_SIZE + 2)
 
-/** A session's writes in several pools. Text form: tokens joined by ",", and "+" at the end for
- * writes left out. */
+/**
+ * A session's writes in several pools. Text form: tokens joined by ",", and "+" at the end for
+ * writes left out.
+ */
 struct token_set {
 	unsigned n;
 	bool overflow; /**< the session wrote to more pools than are named */
 	struct token token[TOKEN_SET_MAX];
 };
 
-/** Parse a token's text; an empty one is the set without tokens. @return false, with @a s
- * untouched, for another text. */
+/**
+ * Parse a token's text; an empty one is the set without tokens. @return false, with @a s
+ * untouched, for another text.
+ */
 bool token_set_parse(const char *text, struct token_set *s);
 /** Write a set's text to @a buf of TOKEN_SET_SIZE bytes. */
 void token_set_format(const struct token_set *s, char *buf);
--- a/src/caller-extended.c
+++ b/src/caller-extended.c
@@ -1,5 +1,7 @@
-/** @file caller-extended.c Prepared statements and portals: they live here, not on a database
- * connection. */
+/**
+ * @file caller-extended.c Prepared statements and portals: they live here, not on a database
+ * connection.
+ */
 #include "caller.h"
 
 #include <string.h>
--- a/src/caller-query.c
+++ b/src/caller-query.c
@@ -11,8 +11,10 @@
 
 static const struct token_set no_tokens;
 
-/** Errors told by the proxy leave a simple query ready for the next, and an extended one waiting
- * for Sync. */
+/**
+ * Errors told by the proxy leave a simple query ready for the next, and an extended one waiting
+ * for Sync.
+ */
 static void told_error(struct caller *c)
 {
 	GByteArray *out;
@@ -185,8 +187,10 @@
 	return false;
 }
 
-/** A transaction that is gone ends with the caller's COMMIT or ROLLBACK; COMMIT is answered as
- * PostgreSQL does. */
+/**
+ * A transaction that is gone ends with the caller's COMMIT or ROLLBACK; COMMIT is answered as
+ * PostgreSQL does.
+ */
 static bool run_end_of_nothing(struct caller *c)
 {
 	GByteArray *out = g_byte_array_new();
--- a/src/caller-setting.c
+++ b/src/caller-setting.c
@@ -1,5 +1,7 @@
-/** @file caller-setting.c A session's settings: mangoloom.* ones act, a few of PostgreSQL's are
- * accepted as they are. */
+/**
+ * @file caller-setting.c A session's settings: mangoloom.* ones act, a few of PostgreSQL's are
+ * accepted as they are.
+ */
 #include "caller.h"
 
 #include <stdlib.h>
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,4 +1,5 @@
-/** @file caller.c Callers' connections: accepting, timeouts, closing, and the loop over messages.
+/**
+ * @file caller.c Callers' connections: accepting, timeouts, closing, and the loop over messages.
  */
 #include "caller.h"
 
--- a/src/caller.h
+++ b/src/caller.h
@@ -121,7 +121,8 @@
 void caller_password(struct caller *c, struct pg_message *m);
 
 /* caller-setting.c */
-/** Set @a name. @return false when the value is wrong or the setting is not served; @a why tells.
+/**
+ * Set @a name. @return false when the value is wrong or the setting is not served; @a why tells.
  */
 bool caller_set(struct caller *c, const char *name, const char *value, const char **why);
 /** The setting's value in @a buf of CALLER_VALUE_SIZE bytes. @return false for an unknown one. */
--- a/src/entry.h
+++ b/src/entry.h
@@ -65,8 +65,10 @@
 				void *arg);
 /** The caller is gone: @a cb is not called. What runs at a home ends there. */
 void entry_forget(struct entry_request *r);
-/** The caller asks to cancel: refused at once when it has not been sent to a home. @return whether
- * it was refused. */
+/**
+ * The caller asks to cancel: refused at once when it has not been sent to a home. @return whether
+ * it was refused.
+ */
 bool entry_cancel(struct entry_request *r);
 /** Roll back a transaction whose caller is gone. */
 void entry_abandon(struct entry *e, const struct entry_tx *tx);
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -19,8 +19,10 @@
 #define FETCH_TIMEOUT_US (2 * USEC_PER_SEC)
 /** Look at the watch, and whether this VM should have one. */
 #define CHECK_US (500 * USEC_PER_MSEC)
-/** A VM that does not watch reads the whole configuration this often, against anything that
- * heartbeats missed. */
+/**
+ * A VM that does not watch reads the whole configuration this often, against anything that
+ * heartbeats missed.
+ */
 #define REREAD_US (30 * USEC_PER_SEC)
 /** A VM that watches compares what it has with the platform this often. */
 #define WATCH_CHECK_US (2 * USEC_PER_SEC)
--- a/src/home-ask.c
+++ b/src/home-ask.c
@@ -9,8 +9,10 @@
 #include <stdio.h>
 #include <string.h>
 
-/** How often the primary's home is asked by the homes of replicas; its positions also date the
- * replicas' data. */
+/**
+ * How often the primary's home is asked by the homes of replicas; its positions also date the
+ * replicas' data.
+ */
 #define ASK_PRIMARY_US (200 * USEC_PER_MSEC)
 /** How often the others are asked. */
 #define ASK_OTHER_US (1000 * USEC_PER_MSEC)
--- a/src/home-confirm.c
+++ b/src/home-confirm.c
@@ -9,8 +9,10 @@
 
 /** How long a replica's home is asked to wait for the record in one call. */
 #define CONFIRM_CALL_US (200 * USEC_PER_MSEC)
-/** A commit that no majority has after this long is told as not confirmed, even when the deadline
- * is later. */
+/**
+ * A commit that no majority has after this long is told as not confirmed, even when the deadline
+ * is later.
+ */
 #define CONFIRM_WAIT_MAX_US (10 * USEC_PER_SEC)
 /** A replica whose last report is older than this is not counted on for new commits. */
 #define CONFIRM_FRESH_US (3 * USEC_PER_SEC)
--- a/src/home-failover.c
+++ b/src/home-failover.c
@@ -135,8 +135,10 @@
 		   m->view.member[primary].name);
 }
 
-/** Promoters in order: the failed primary's own home knows first, then the homes of the next
- * members. */
+/**
+ * Promoters in order: the failed primary's own home knows first, then the homes of the next
+ * members.
+ */
 static unsigned promoter_rank(const struct home_member *m)
 {
 	int primary = group_primary(&m->view);
--- /dev/null
+++ b/src/home-queue.c
@@ -0,0 +1,198 @@
+/** @file home-queue.c Statements that come to a member's home: refused, queued, or started. */
+#include "home.h"
+
+#include "stat.h"
+
+/** When a member is known to be behind, how old that knowledge may be to refuse on it alone. */
+#define BEHIND_FRESH_US (20 * USEC_PER_MSEC)
+
+/** Answer without a job. */
+static void exec_refuse(struct rpc_request *rq, const struct home_member *m, enum outcome o,
+			int64_t retry_after_us)
+{
+	ml_exec_res res = {.outcome = (int)o, .sqlstate = "", .message = "", .primary = ""};
+
+	res.retry_after_us = (u_quad_t)retry_after_us;
+	if (m != NULL)
+		res.primary = (char *)home_primary(m, &res.primary_term);
+	rpc_reply(rq, &res);
+}
+
+static struct home_job *next_job(struct home_member *m)
+{
+	struct home_job *job = TAILQ_FIRST(&m->waiting_begin);
+	struct fairq_item *item;
+
+	if (job != NULL && home_tx_may_begin(m)) {
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		return job;
+	}
+	while ((item = fairq_next(&m->queue)) != NULL) {
+		job = (struct home_job *)item;
+		if (job->args->control != ML_CONTROL_BEGIN || home_tx_may_begin(m))
+			return job;
+		TAILQ_INSERT_TAIL(&m->waiting_begin, job, link);
+	}
+	return NULL;
+}
+
+void home_dispatch(struct home_member *m)
+{
+	while (m->running < m->conf.slots) {
+		bool waiting = m->queue.length > 0 ||
+			       (!TAILQ_EMPTY(&m->waiting_begin) && home_tx_may_begin(m));
+		struct home_conn *c = home_conn_idle(m);
+		struct home_job *job;
+
+		if (!waiting)
+			return;
+		if (c == NULL) {
+			if (m->n_opening < m->conf.slots)
+				home_conn_open(m);
+			return;
+		}
+		job = next_job(m);
+		if (job == NULL)
+			return;
+		job->started_us = now_us();
+		home_job_start(job, c);
+	}
+}
+
+void home_refuse_waiting(struct home_member *m, enum outcome o)
+{
+	struct fairq_item *item;
+	struct home_job *job;
+
+	while ((item = fairq_next(&m->queue)) != NULL)
+		home_job_end((struct home_job *)item, o, 0);
+	while ((job = TAILQ_FIRST(&m->waiting_begin)) != NULL) {
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		home_job_end(job, o, 0);
+	}
+}
+
+void home_expire(struct home_member *m, int64_t now)
+{
+	int64_t retry = (int64_t)(m->queue.service_us * m->queue.length / m->queue.slots);
+	struct fairq_item *item;
+	struct home_job *job, *next;
+
+	while ((item = fairq_expired(&m->queue, now)) != NULL)
+		home_job_end((struct home_job *)item, OUTCOME_TOO_LATE, retry);
+	TAILQ_FOREACH_SAFE(job, &m->waiting_begin, link, next) {
+		if (job->deadline_us > now)
+			continue;
+		TAILQ_REMOVE(&m->waiting_begin, job, link);
+		home_job_end(job, OUTCOME_TOO_LATE, retry);
+	}
+}
+
+/** Whether the member is known to lack what a read asks for, by what was seen a moment ago. */
+static bool known_behind(const struct home_member *m, const ml_exec_args *a, int64_t now)
+{
+	const struct member_view *v = &m->view.member[m->self];
+
+	if (!a->as_replica || v->state != MEMBER_UP || now - v->reported_us > BEHIND_FRESH_US)
+		return false;
+	if (a->token.lsn > v->report.applied_lsn)
+		return true;
+	return a->max_age_us > 0 &&
+	       group_age_us(&m->view, v->report.applied_lsn, now) > (int64_t)a->max_age_us;
+}
+
+/** What must be refused before it is queued; OUTCOME_DONE for nothing. */
+static enum outcome exec_check(const struct home_member *m, const ml_exec_args *a)
+{
+	if (m->conf.leaving || !m->configured || m->home->draining)
+		return OUTCOME_LEAVING;
+	if (m->view.member[m->self].state == MEMBER_DOWN)
+		return OUTCOME_NO_CONNECTION;
+	if (a->as_replica)
+		return known_behind(m, a, now_us()) ? OUTCOME_BEHIND : OUTCOME_DONE;
+	if (!home_leads(m))
+		return OUTCOME_NOT_PRIMARY;
+	if (a->token.term != 0) {
+		struct pos token = {a->token.term, a->token.lsn};
+
+		if (token_fate(token, &m->view.member[m->self].report.terms) == TOKEN_LOST)
+			return OUTCOME_TOKEN_LOST;
+	}
+	/* A write that no replica could confirm would end with an outcome that nobody knows; better
+	 * not begun. */
+	if (a->write && !home_confirmable(m))
+		return OUTCOME_NO_CONNECTION;
+	return OUTCOME_DONE;
+}
+
+static struct home_job *job_create(struct home_member *m, struct rpc_request *rq,
+				   const ml_exec_args *a)
+{
+	struct home_job *job = g_new0(struct home_job, 1);
+
+	job->m = m;
+	job->rq = rq;
+	job->args = a;
+	job->started_us = now_us();
+	job->deadline_us = job->started_us + (int64_t)a->deadline_us;
+	job->item.deadline_us = job->deadline_us;
+	m->jobs++;
+	m->home->jobs++;
+	return job;
+}
+
+/** A statement of an open transaction: its connection waits for it alone. */
+static void exec_in_tx(struct home_member *m, struct rpc_request *rq, const ml_exec_args *a)
+{
+	struct home_tx *tx = home_tx_find(m, a->transaction);
+	struct home_job *job;
+
+	if (tx == NULL || tx->conn->job != NULL) {
+		exec_refuse(rq, m, OUTCOME_TX_LOST, 0);
+		return;
+	}
+	if (a->op == ML_ABANDON) {
+		home_tx_end(m, tx);
+		exec_refuse(rq, m, OUTCOME_DONE, 0);
+		return;
+	}
+	job = job_create(m, rq, a);
+	job->tx = tx;
+	g_strlcpy(job->xid, tx->xid, sizeof(job->xid));
+	home_job_start(job, tx->conn);
+}
+
+void home_exec(struct rpc_request *rq, const void *args, void *owner)
+{
+	struct home *h = owner;
+	const ml_exec_args *a = args;
+	struct home_member *m = home_member_get(h, a->pool, a->member);
+	struct fairq_outcome queued;
+	struct home_job *job;
+	enum outcome o;
+
+	if (m == NULL) {
+		exec_refuse(rq, NULL, OUTCOME_LEAVING, 0);
+		return;
+	}
+	if (a->transaction != 0) {
+		exec_in_tx(m, rq, a);
+		return;
+	}
+	o = exec_check(m, a);
+	if (o != OUTCOME_DONE) {
+		exec_refuse(rq, m, o, 0);
+		return;
+	}
+	job = job_create(m, rq, a);
+	queued = fairq_add(&m->queue, &job->item, a->team, a->weight, job->started_us);
+	if (queued.verdict != FAIRQ_QUEUED) {
+		home_job_end(job,
+			     queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
+			     queued.retry_after_us);
+		return;
+	}
+	if (m->running >= m->conf.slots)
+		stat_add(STAT_HOME_QUEUED, 1);
+	home_dispatch(m);
+}
--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -37,8 +37,10 @@
 
 /* Reports */
 
-/** Parse "role seen term lsn applied upstream term:lsn,..." as the member's status function tells
- * it. */
+/**
+ * Parse "role seen term lsn applied upstream term:lsn,..." as the member's status function tells
+ * it.
+ */
 static bool report_parse(const char *text, struct member_report *r)
 {
 	char role[16];
--- a/src/home.h
+++ b/src/home.h
@@ -6,7 +6,9 @@
  *
  * home.c         members and the RPC procedures
  * home-conn.c    connections of one member
+ * home-queue.c   statements that come: refused, queued, started
  * home-job.c     one statement, step by step
+ * home-tx.c      callers' open transactions
  * home-confirm.c acknowledgement by a majority
  * home-fate.c    what became of a commit whose answer was lost
  * home-watch.c   watching the member; see home-watch.h
@@ -158,10 +160,18 @@
 /** Close connections that were not used for long, or all unused ones. */
 void home_conn_trim(struct home_member *m, int64_t idle_before_us);
 
-/* home-job.c */
+/* home-queue.c */
 void home_exec(struct rpc_request *rq, const void *args, void *owner);
 /** Start what can be started. */
 void home_dispatch(struct home_member *m);
+/** Refuse all that waits, with @a o. */
+void home_refuse_waiting(struct home_member *m, enum outcome o);
+/** Refuse what waited past its deadline. */
+void home_expire(struct home_member *m, int64_t now);
+
+/* home-job.c */
+/** Start @a job on @a c. */
+void home_job_start(struct home_job *job, struct home_conn *c);
 /** End a job: answer with @a o and free it. */
 void home_job_end(struct home_job *job, enum outcome o, int64_t retry_after_us);
 /** The job's connection was found silent. */
@@ -172,12 +182,18 @@
  * asked for by their fate.
  */
 void home_drop_running(struct home_member *m);
-/** Refuse all that waits, with @a o. */
-void home_refuse_waiting(struct home_member *m, enum outcome o);
-/** Refuse what waited past its deadline. */
-void home_expire(struct home_member *m, int64_t now);
+
+/* home-tx.c */
+/** Keep the job's connection for the caller's transaction that it has begun. */
+void home_tx_begin(struct home_job *job);
+/** The job has ended its transaction: the connection serves others again. */
+void home_tx_release(struct home_job *job);
+struct home_tx *home_tx_find(struct home_member *m, uint64_t id);
+/** Whether one more transaction may keep a connection: the last one stays for single statements. */
+bool home_tx_may_begin(const struct home_member *m);
 /** Roll back the transaction and forget it. */
 void home_tx_end(struct home_member *m, struct home_tx *tx);
+/** Roll back transactions that were left alone for long, or whose entry VM is gone. */
 void home_tx_expire(struct home_member *m, int64_t now);
 
 /* home-confirm.c */
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -19,8 +19,10 @@
 	const char *name;
 	/** Open what the service needs. Services start in the order in which they were added. */
 	gboolean (*start)(struct service *s, GError **error);
-	/** Take no new work. May be NULL. Called in the reverse order of starting: callers first,
-	 * the fleet last. */
+	/**
+	 * Take no new work. May be NULL. Called in the reverse order of starting: callers first,
+	 * the fleet last.
+	 */
 	void (*drain)(struct service *s);
 	/** Whether all work has ended after drain(). May be NULL for always. */
 	bool (*drained)(struct service *s);
--- a/src/log.c
+++ b/src/log.c
@@ -93,7 +93,8 @@
 	*first = false;
 }
 
-/** GLib's writer: also messages of the libraries come here. A number is told by its field's length.
+/**
+ * GLib's writer: also messages of the libraries come here. A number is told by its field's length.
  */
 static GLogWriterOutput log_write(GLogLevelFlags level, const GLogField *fields, gsize n,
 				  gpointer data)
--- a/src/rpc-msg.c
+++ b/src/rpc-msg.c
@@ -5,16 +5,20 @@
 #include <sodium.h>
 #include <string.h>
 
-/** Our own authentication flavour: the body holds the calling process's incarnation and the keyed
- * hash. */
+/**
+ * Our own authentication flavour: the body holds the calling process's incarnation and the keyed
+ * hash.
+ */
 #define RPC_FLAVOR 0x4d4c
 #define RPC_AUTH_SIZE (8 + RPC_MAC_SIZE)
 /** A call also names the calling VM. */
 #define RPC_CALL_AUTH_MAX (RPC_AUTH_SIZE + NAME_SIZE)
 /** Room for any header of ours. */
 #define RPC_HEADER_MAX 256
-/** A reply without a body: xid, direction, status, the authentication's flavour, length and body,
- * and a status. */
+/**
+ * A reply without a body: xid, direction, status, the authentication's flavour, length and body,
+ * and a status.
+ */
 #define RPC_SMALLEST (6 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE)
 /** A call without a body has two words more before the hash, and an empty verifier after it. */
 #define RPC_SMALLEST_CALL (10 * BYTES_PER_XDR_UNIT + RPC_AUTH_SIZE)
@@ -72,8 +76,10 @@
 	crypto_generichash(out, RPC_MAC_SIZE, (const unsigned char *)record, len, key, sizeof(key));
 }
 
-/** Where the hash stands in a record: after the incarnation, which is unique enough to be found by
- * its offset. */
+/**
+ * Where the hash stands in a record: after the incarnation, which is unique enough to be found by
+ * its offset.
+ */
 static char *mac_at(char *record, bool call)
 {
 	/* Call: xid, direction, versions (4 words), flavour, length. Reply: xid, direction, status,
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -321,8 +321,10 @@
 	g_free(res);
 }
 
-/** Take one whole record off @a in. @return its length, 0 when it is not whole yet, or -1 when it
- * is malformed. */
+/**
+ * Take one whole record off @a in. @return its length, 0 when it is not whole yet, or -1 when it
+ * is malformed.
+ */
 static ssize_t rpc_record(struct evbuffer *in)
 {
 	uint32_t mark;
@@ -528,8 +530,10 @@
 	return call;
 }
 
-/** Find connections that went silent: a ping goes out where an answer is awaited, and must come
- * back. */
+/**
+ * Find connections that went silent: a ping goes out where an answer is awaited, and must come
+ * back.
+ */
 static void rpc_look(evutil_socket_t fd, short what, void *arg)
 {
 	struct rpc *r = arg;
--- a/src/schema.h
+++ b/src/schema.h
@@ -50,8 +50,10 @@
 /** Write @a in as TOML lines, or as a JSON object when @a json. */
 void schema_write(const struct schema_field *fields, unsigned n, const void *in, bool json,
 		  GString *out);
-/** The array of tables named @a key, or NULL when there is none. @return false when it is of
- * another type. */
+/**
+ * The array of tables named @a key, or NULL when there is none. @return false when it is of
+ * another type.
+ */
 gboolean schema_tables(JsonObject *o, const char *where, const char *key, JsonArray **tables,
 		       GError **error);
 /** The table named @a key; an empty one when it is left out. The result is owned by the caller. */
--- a/src/shares.c
+++ b/src/shares.c
@@ -148,8 +148,10 @@
 	}
 }
 
-/** A loop that stood still may hold parts that others have by now: give them up before any request
- * takes a token. */
+/**
+ * A loop that stood still may hold parts that others have by now: give them up before any request
+ * takes a token.
+ */
 static void check_pause(struct shares *s, int64_t now)
 {
 	int64_t gap = now - s->ticked_us;
@@ -497,8 +499,10 @@
 	return TRUE;
 }
 
-/** Give up all parts; this comes before the fleet is told of leaving, and lets others have them at
- * once. */
+/**
+ * Give up all parts; this comes before the fleet is told of leaving, and lets others have them at
+ * once.
+ */
 static void shares_drain(struct service *service)
 {
 	struct shares *s = (struct shares *)service;
--- a/src/table.h
+++ b/src/table.h
@@ -30,8 +30,10 @@
 /** Check that each route's pool is among the pools. */
 gboolean table_check_joined(const char *file, const GPtrArray *routes, const GPtrArray *pools,
 			    GError **error);
-/** The table's entries of @a entries (conf_entry) as TOML, with the base version that an edit
- * starts from. */
+/**
+ * The table's entries of @a entries (conf_entry) as TOML, with the base version that an edit
+ * starts from.
+ */
 char *table_to_toml(const GPtrArray *entries, enum table_which which, uint64_t base);
 
 /** Make an entry from its text. @return NULL with @a error when the text is wrong. */
--- a/tests/harness-sql.c
+++ b/tests/harness-sql.c
@@ -1,5 +1,7 @@
-/** @file harness-sql.c Statements of the tests, and threads that write orders and compare them with
- * the databases. */
+/**
+ * @file harness-sql.c Statements of the tests, and threads that write orders and compare them with
+ * the databases.
+ */
 #include "harness.h"
 
 #include <poll.h>
@@ -13,8 +15,10 @@
 
 static __thread char noted_state[6], noted_detail[256];
 
-/** libpq takes a FATAL that comes between two statements as a notice, and fails the next statement
- * without a state. */
+/**
+ * libpq takes a FATAL that comes between two statements as a notice, and fails the next statement
+ * without a state.
+ */
 static void note_fatal(void *arg, const PGresult *r)
 {
 	const char *state = PQresultErrorField(r, PG_DIAG_SQLSTATE);
@@ -73,8 +77,10 @@
 	return last_detail;
 }
 
-/** As PQexec(), but the first error counts: a FATAL, and not the end of the connection that follows
- * it. */
+/**
+ * As PQexec(), but the first error counts: a FATAL, and not the end of the connection that follows
+ * it.
+ */
 static PGresult *run_statement(PGconn *c, const char *text)
 {
 	PGresult *kept = NULL, *r;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -94,8 +94,10 @@
 void fleet_fault(struct test_fleet *f, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /** Cut @a dc from all others, or join it again. */
 void fleet_cut(struct test_fleet *f, const char *dc, bool cut);
-/** Run the mangoloom command. @param out its standard output, to g_free(); may be NULL. @return its
- * exit code */
+/**
+ * Run the mangoloom command. @param out its standard output, to g_free(); may be NULL. @return its
+ * exit code
+ */
 int fleet_cli(struct test_fleet *f, char **out, const char *args, ...) G_GNUC_PRINTF(3, 4);
 /** Write @a text to a file of the fleet. @return its path, to g_free() */
 char *fleet_file(struct test_fleet *f, const char *name, const char *text);
@@ -124,8 +126,10 @@
 /** How one write ended, as its caller was told. */
 enum told { TOLD_ACKED, TOLD_NOT_RUN, TOLD_UNKNOWN };
 
-/** A thread that writes orders one after another, each under a key of its own, and notes how each
- * ended. */
+/**
+ * A thread that writes orders one after another, each under a key of its own, and notes how each
+ * ended.
+ */
 struct writer {
 	struct test_fleet *f;
 	GThread *thread;
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -44,8 +44,10 @@
 	g_free(us);
 }
 
-/** What the way through a daemon adds: straight to the member, through its home, through another
- * VM. */
+/**
+ * What the way through a daemon adds: straight to the member, through its home, through another
+ * VM.
+ */
 static void measure_latency(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.keep_members = true});
@@ -97,7 +99,8 @@
 	return NULL;
 }
 
-/** Statements a second and a core of one daemon that is entry and home; and memory of idle callers.
+/**
+ * Statements a second and a core of one daemon that is entry and home; and memory of idle callers.
  */
 static void measure_throughput(void)
 {
@@ -145,8 +148,10 @@
 	fleet_tear_down(f);
 }
 
-/** The gap in acknowledged writes when the primary is killed, frozen, or cut off; @a rounds fleets
- * each. */
+/**
+ * The gap in acknowledged writes when the primary is killed, frozen, or cut off; @a rounds fleets
+ * each.
+ */
 static void measure_gap(const char *how, int rounds)
 {
 	double *gap = g_new0(double, (gsize)rounds);
@@ -182,7 +187,8 @@
 	g_free(gap);
 }
 
-/** Share of reads that replicas serve, for sessions that write now and then, at a replication lag.
+/**
+ * Share of reads that replicas serve, for sessions that write now and then, at a replication lag.
  */
 static void measure_replicas(int lag_ms)
 {
@@ -310,8 +316,10 @@
 	fleet_tear_down(f);
 }
 
-/** By the size of the fleet, and by the members that a daemon is home to. Heartbeats are every 200
- * ms here. */
+/**
+ * By the size of the fleet, and by the members that a daemon is home to. Heartbeats are every 200
+ * ms here.
+ */
 static void measure_slopes(void)
 {
 	static const struct {
--- a/tests/standin-db-log.c
+++ b/tests/standin-db-log.c
@@ -8,8 +8,10 @@
 #include <string.h>
 
 #define RECONNECT_US (50 * USEC_PER_MSEC)
-/** A primary says that it lives this often, and a replica that hears nothing for longer connects
- * again. */
+/**
+ * A primary says that it lives this often, and a replica that hears nothing for longer connects
+ * again.
+ */
 #define ALIVE_US (100 * USEC_PER_MSEC)
 #define SILENT_US (600 * USEC_PER_MSEC)
 
--- a/tests/test-failover.c
+++ b/tests/test-failover.c
@@ -1,4 +1,5 @@
-/** @file test-failover.c The promoter, alone and against another one, with lost orders and answers.
+/**
+ * @file test-failover.c The promoter, alone and against another one, with lost orders and answers.
  */
 #include "failover.h"
 #include "harness.h"
--- a/tests/test-it-caller.c
+++ b/tests/test-it-caller.c
@@ -1,5 +1,7 @@
-/** @file test-it-caller.c What callers meet: psql, libpq's two protocols, slow and broken callers,
- * refusals. */
+/**
+ * @file test-it-caller.c What callers meet: psql, libpq's two protocols, slow and broken callers,
+ * refusals.
+ */
 #include "harness.h"
 
 #include <arpa/inet.h>
--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -1,5 +1,7 @@
-/** @file test-it-fleet.c Many daemons as one: rates, fairness, keys, tables, planned stops, cut
- * data centres. */
+/**
+ * @file test-it-fleet.c Many daemons as one: rates, fairness, keys, tables, planned stops, cut
+ * data centres.
+ */
 #include "harness.h"
 
 #include <signal.h>
--- a/tests/test-it-session.c
+++ b/tests/test-it-session.c
@@ -1,5 +1,7 @@
-/** @file test-it-session.c What a session sees: its own writes, through any VM, with replicas
- * behind; transactions. */
+/**
+ * @file test-it-session.c What a session sees: its own writes, through any VM, with replicas
+ * behind; transactions.
+ */
 #include "harness.h"
 
 #include <signal.h>
@@ -14,8 +16,10 @@
 	return t != NULL ? t : "";
 }
 
-/** Write through one VM and read through another with the token. @return how many reads lacked the
- * write */
+/**
+ * Write through one VM and read through another with the token. @return how many reads lacked the
+ * write
+ */
 static int roam(struct test_fleet *f, const char *kind, int n, const char *prefix)
 {
 	char options[128], value[64], wanted[64];
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -1,5 +1,7 @@
-/** @file test-wire.c The codecs take any bytes: PostgreSQL messages and RPC records, random and
- * mutated. */
+/**
+ * @file test-wire.c The codecs take any bytes: PostgreSQL messages and RPC records, random and
+ * mutated.
+ */
 #include "harness.h"
 #include "pgwire.h"
 #include "rpc-msg.h"
