VMs that do not watch compare the head, and no longer read the whole configuration every 30 s

Cause: docs/CAPACITY.md worked out 1.5 MB every 30 s, 50 KB a second, for each of 3,100 daemons; the limit is 16 KB. Change: they compare head and revision as watchers do, every 30 s, and read only when something was missed.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -19,13 +19,11 @@
 #define FETCH_TIMEOUT_US (2 * USEC_PER_SEC)
 /** Look at the watch, and whether this VM should have one. */
 #define CHECK_US (500 * USEC_PER_MSEC)
-/**
- * A VM that does not watch reads the whole configuration this often, against anything that
- * heartbeats missed.
- */
-#define REREAD_US (30 * USEC_PER_SEC)
 /** A VM that watches compares what it has with the platform this often. */
 #define WATCH_CHECK_US (2 * USEC_PER_SEC)
+/** The others compare this often, against anything that heartbeats missed; it costs a few hundred
+ * bytes. */
+#define OTHER_CHECK_US (30 * USEC_PER_SEC)
 
 struct fleet_source {
 	struct fleet *f;
@@ -209,8 +207,10 @@
 	struct conf_update u;
 
 	source->reading = false;
-	if (!a->ok)
+	if (!a->ok) {
+		source->read_us = 0;
 		return;
+	}
 	source->ever_read = true;
 	f->news_us = now_us();
 	update_from_kvs(a, &u);
@@ -291,9 +291,9 @@
  * falls silent without an error, and a withdrawn key would go on working here. A look at the head,
  * on a new connection, shows what it missed.
  */
-static void watches_check(struct fleet *f, int64_t now)
+static void source_compare(struct fleet *f, int64_t now, int64_t period_us)
 {
-	if (now - source->checked_us < WATCH_CHECK_US)
+	if (now - source->checked_us < period_us)
 		return;
 	source->checked_us = now;
 	platform_range(f->platform, PLATFORM_HEAD, NULL, head_checked, f);
@@ -310,12 +310,9 @@
 
 	if (!watch)
 		watches_stop();
-	else if (watching)
-		watches_check(f, now);
-	if (source->reading || (watch && watching && source->read_us != 0))
-		return;
-	if (!watch && source->ever_read && source->read_us != 0 &&
-	    now - source->read_us < REREAD_US)
+	if (source->ever_read && (watching || !watch))
+		source_compare(f, now, watch ? WATCH_CHECK_US : OTHER_CHECK_US);
+	if (source->reading || (source->read_us != 0 && source->ever_read && (watching || !watch)))
 		return;
 	/*
 	 * A VM that starts while the platform is down knows no peer either. The seeds of its
