--- a/src/entry.c
+++ b/src/entry.c
@@ -33,6 +33,7 @@
 	struct admission admission;
 	struct entry *e;
 	ml_exec_args args;
+	char kind[NAME_SIZE]; /**< for the log */
 	char pool[NAME_SIZE];
 	char member[NAME_SIZE];
 	char address[ADDRESS_SIZE];
@@ -149,8 +150,9 @@
 		a.tx.write = r->route_write;
 	}
 	log_info("answer", LOG_NUM("request", r->args.request), LOG_STR("team", r->args.team),
-		 LOG_STR("pool", r->pool), LOG_STR("outcome", outcome_text(o)->name),
-		 LOG_NUM("attempts", r->retry.attempts), LOG_NUM("us", now_us() - r->started_us),
+		 LOG_STR("kind", r->kind), LOG_STR("pool", r->pool),
+		 LOG_STR("outcome", outcome_text(o)->name), LOG_NUM("attempts", r->retry.attempts),
+		 LOG_NUM("us", now_us() - r->started_us),
 		 LOG_NUM("retry_after_us", retry_after_us));
 	r->call = NULL;
 	if (cb != NULL)
@@ -336,7 +338,7 @@
 	r->as_replica = out.as_replica;
 	address = fleet_home_address(entry_fleet(r->e), r->pool, r->member);
 	log_info("route", LOG_NUM("request", r->args.request), LOG_STR("team", r->args.team),
-		 LOG_STR("pool", r->pool), LOG_STR("member", r->member),
+		 LOG_STR("kind", r->kind), LOG_STR("pool", r->pool), LOG_STR("member", r->member),
 		 LOG_STR("cause", route_cause_name(out.cause)), LOG_STR("home", address),
 		 LOG_NUM("attempt", r->retry.attempts));
 	if (address == NULL) {
@@ -446,6 +448,7 @@
 	r->timer = event_new(e->service.kernel->base, -1, 0, request_timer, r);
 	r->args.request = ++e->next_request;
 	r->args.team = (char *)ask->team;
+	g_strlcpy(r->kind, ask->kind, sizeof(r->kind));
 	r->tx = *ask->tx;
 	e->open++;
 	stat_add(STAT_REQUESTS, 1);
