--- a/decide/peers.c
+++ b/decide/peers.c
@@ -19,6 +19,7 @@
 	if (vm == NULL)
 		abort();
 	snprintf(vm->name, sizeof(vm->name), "%s", name);
+	g_hash_table_insert(p->by_name, vm->name, vm);
 	p->n++;
 	TAILQ_FOREACH(at, &p->vms, link) {
 		if (strcmp(at->name, name) > 0) {
@@ -35,6 +36,7 @@
 {
 	memset(p, 0, sizeof(*p));
 	TAILQ_INIT(&p->vms);
+	p->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	p->self = peers_add(p, self);
 	snprintf(p->self->address, sizeof(p->self->address), "%s", address);
 	snprintf(p->self->data_center, sizeof(p->self->data_center), "%s", data_center);
@@ -46,6 +48,7 @@
 {
 	struct vm *vm, *next;
 
+	g_hash_table_destroy(p->by_name);
 	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		TAILQ_REMOVE(&p->vms, vm, link);
 		free(vm);
@@ -56,13 +59,7 @@
 
 struct vm *peers_find(const struct peers *p, const char *name)
 {
-	struct vm *vm;
-
-	TAILQ_FOREACH(vm, &p->vms, link) {
-		if (strcmp(vm->name, name) == 0)
-			return vm;
-	}
-	return NULL;
+	return g_hash_table_lookup(p->by_name, name);
 }
 
 bool peers_list(struct peers *p, uint64_t revision, const struct vm_listing *l, unsigned n)
@@ -90,6 +87,7 @@
 		if (vm->listed)
 			continue;
 		TAILQ_REMOVE(&p->vms, vm, link);
+		g_hash_table_remove(p->by_name, vm->name);
 		free(vm);
 		p->n--;
 	}
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -10,6 +10,8 @@
 #include "rank.h"
 #include "types.h"
 
+#include <glib.h>
+
 /** Neighbours in the ring of the own data centre that a VM sends heartbeats to. */
 #define PEERS_NEIGHBOURS 2
 /** Suspects that one round of heartbeats also asks. */
@@ -50,7 +52,8 @@
 };
 
 struct peers {
-	struct vms vms; /**< by name */
+	struct vms vms; /**< in order of their names: the ring */
+	GHashTable *by_name;
 	unsigned n;
 	uint64_t revision; /**< of the platform's list */
 	struct vm *self;
