A leaving VM ends only when its answers have left and no statement comes any more

Cause: planned_stop_cuts_nothing under ASan, where processes are slow: 1 to 3 outcomes not known in three stops. The process could end while an answer to another VM was still in a buffer, or while a statement was under way to it from a VM that had not heard of its leaving. Ruled out: the callers' last messages (no caller was connected any more). Change: draining waits until RPC buffers are empty and no statement has come for 200 ms; a VM that is told 'leaving' asks the other and uses another one meanwhile. Watches are freed at the end (LeakSanitizer).

--- a/src/entry.c
+++ b/src/entry.c
@@ -279,6 +279,10 @@
 		return;
 	}
 	if (status == RPC_DONE && res->outcome >= 0 && res->outcome < OUTCOMES) {
+		/* The home leaves and the news of it has not come here yet: ask it, and use another
+		 * VM meanwhile. */
+		if (res->outcome == OUTCOME_LEAVING && r->tx.id == 0)
+			fleet_suspect(entry_fleet(r->e), r->address);
 		request_ended(r, (enum outcome)res->outcome, res);
 		return;
 	}
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -417,6 +417,8 @@
 {
 	if (f->fetch != NULL)
 		event_free(f->fetch);
+	if (source != NULL)
+		watches_stop();
 	if (f->platform != NULL)
 		platform_free(f->platform);
 	g_free(source);
--- a/src/home-queue.c
+++ b/src/home-queue.c
@@ -171,6 +171,7 @@
 	struct home_job *job;
 	enum outcome o;
 
+	h->asked_us = now_us();
 	if (m == NULL) {
 		exec_refuse(rq, NULL, OUTCOME_LEAVING, 0);
 		return;
--- a/src/home.c
+++ b/src/home.c
@@ -10,6 +10,8 @@
 #define TICK_US (50 * USEC_PER_MSEC)
 /** A member that is neither placed here nor used is let go after this. */
 #define UNUSED_US (10 * USEC_PER_SEC)
+/** A home that is leaving ends when no statement has come for this long. */
+#define QUIET_US (200 * USEC_PER_MSEC)
 
 struct home *home_of(struct kernel *k)
 {
@@ -271,7 +273,12 @@
 		if (!TAILQ_EMPTY(&m->txs))
 			return false;
 	}
-	return h->jobs == 0;
+	/*
+	 * A statement that is on its way here when the process ends has an outcome that nobody
+	 * knows. The other VMs are refused with "leaving" until they have all heard and none asks
+	 * any more.
+	 */
+	return h->jobs == 0 && now_us() - h->asked_us > QUIET_US;
 }
 
 static void home_stop(struct service *s)
--- a/src/home.h
+++ b/src/home.h
@@ -133,6 +133,7 @@
 	uint64_t next_tx;
 	unsigned jobs;
 	struct event *tick;
+	int64_t asked_us; /**< when a statement last came */
 	bool draining;
 };
 
--- a/src/platform.c
+++ b/src/platform.c
@@ -25,8 +25,8 @@
 
 struct platform_watch {
 	struct platform *p;
-	struct evhttp_connection *conn;
-	platform_event cb; /**< NULL once stopped */
+	struct evhttp_request *req;
+	platform_event cb;
 	void *arg;
 	GString *line;
 };
@@ -337,13 +337,9 @@
 	size_t len = evbuffer_get_length(in);
 	char *end;
 
-	if (w->cb == NULL) {
-		evbuffer_drain(in, len);
-		return;
-	}
 	g_string_append_len(w->line, (const char *)evbuffer_pullup(in, -1), (gssize)len);
 	evbuffer_drain(in, len);
-	while (w->cb != NULL && (end = strchr(w->line->str, '\n')) != NULL) {
+	while ((end = strchr(w->line->str, '\n')) != NULL) {
 		char *line = g_strndup(w->line->str, (gsize)(end - w->line->str));
 
 		g_string_erase(w->line, 0, end - w->line->str + 1);
@@ -352,18 +348,21 @@
 	}
 }
 
+static void watch_free(struct platform_watch *w)
+{
+	g_string_free(w->line, TRUE);
+	g_free(w);
+}
+
 static void watch_done(struct evhttp_request *req, void *arg)
 {
 	struct platform_watch *w = arg;
 	platform_event cb = w->cb;
 	void *cb_arg = w->arg;
 
-	if (cb != NULL)
-		w->p->next = (w->p->next + 1) % w->p->n;
-	g_string_free(w->line, TRUE);
-	g_free(w);
-	if (cb != NULL)
-		cb(NULL, cb_arg);
+	w->p->next = (w->p->next + 1) % w->p->n;
+	watch_free(w);
+	cb(NULL, cb_arg);
 }
 
 struct platform_watch *platform_watch(struct platform *p, const char *key, const char *end,
@@ -373,23 +372,23 @@
 	JsonObject *o = json_object_new();
 	JsonObject *create = range_object(key, end);
 	char *start = g_strdup_printf("%ld", (long)revision);
-	struct evhttp_request *req;
+	struct evhttp_connection *conn;
 	char *body;
 
 	w->p = p;
 	w->cb = cb;
 	w->arg = arg;
 	w->line = g_string_new(NULL);
-	w->conn = open_endpoint(p);
-	evhttp_connection_set_timeout(w->conn, G_MAXINT32 / 1000);
-	evhttp_connection_free_on_completion(w->conn);
+	conn = open_endpoint(p);
+	evhttp_connection_set_timeout(conn, G_MAXINT32 / 1000);
+	evhttp_connection_free_on_completion(conn);
 	json_object_set_string_member(create, "start_revision", start);
 	json_object_set_object_member(o, "create_request", create);
 	body = object_text(o);
-	req = evhttp_request_new(watch_done, w);
-	evhttp_request_set_chunked_cb(req, watch_chunk);
+	w->req = evhttp_request_new(watch_done, w);
+	evhttp_request_set_chunked_cb(w->req, watch_chunk);
 	stat_add(STAT_PLATFORM_WATCHES, 1);
-	post(w->conn, req, "/v3/watch", body);
+	post(conn, w->req, "/v3/watch", body);
 	g_free(body);
 	g_free(start);
 	json_object_unref(o);
@@ -398,6 +397,7 @@
 
 void platform_watch_stop(struct platform_watch *w)
 {
-	w->cb = NULL;
-	evhttp_connection_set_timeout(w->conn, 1);
+	/* Ends the connection, without calling watch_done(). */
+	evhttp_cancel_request(w->req);
+	watch_free(w);
 }
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -101,7 +101,6 @@
 		rpc_closed cb;
 		void *owner;
 	} closed;
-	unsigned open; /**< calls and requests, but for pings */
 };
 
 static void rpc_conn_close(struct rpc_conn *c);
@@ -134,8 +133,6 @@
 		TAILQ_REMOVE(&call->conn->calls, call, link);
 	if (call->timer != NULL)
 		event_free(call->timer);
-	if (call->proc != NULLPROC)
-		call->rpc->open--;
 	if (status != RPC_DONE)
 		stat_add(STAT_RPC_LOST, 1);
 	g_free(call);
@@ -189,8 +186,6 @@
 		xdr_free(p->args, rq->args);
 		g_free(rq->args);
 	}
-	if (rq->proc != NULLPROC)
-		rq->rpc->open--;
 	g_free(rq);
 }
 
@@ -283,7 +278,6 @@
 	rq->incarnation = h->incarnation;
 	rq->args = g_malloc0(p->args_size + 1);
 	TAILQ_INSERT_TAIL(&c->requests, rq, link);
-	c->rpc->open++;
 	if (!rpc_msg_body(body, len, p->args, rq->args)) {
 		log_warn("rpc-malformed", LOG_STR("proc", p->name));
 		rpc_request_free(rq);
@@ -473,8 +467,6 @@
 	call->proc = proc;
 	call->cb = cb;
 	call->arg = arg;
-	if (proc != NULLPROC)
-		r->open++;
 	return call;
 }
 
@@ -490,7 +482,6 @@
 	rq->local = call;
 	rq->proc = proc;
 	rq->args = rpc_copy(p->args, p->args_size, args);
-	r->open++;
 	rpc_handle(r, rq);
 	return call;
 }
@@ -595,9 +586,15 @@
 	r->closed.owner = owner;
 }
 
-bool rpc_idle(const struct rpc *r)
+bool rpc_flushed(const struct rpc *r)
 {
-	return r->open == 0;
+	const struct rpc_conn *c;
+
+	TAILQ_FOREACH(c, &r->conns, link) {
+		if (c->up && evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+			return false;
+	}
+	return TAILQ_EMPTY(&r->finished);
 }
 
 struct rpc *rpc_create(struct kernel *k)
@@ -647,6 +644,12 @@
 	return rpc_listen(rs->rpc, s->kernel->settings->rpc_address, error);
 }
 
+/** An answer that is still in a buffer when the process ends is lost, and its caller told 08007. */
+static bool rpc_service_drained(struct service *s)
+{
+	return rpc_flushed(((struct rpc_service *)s)->rpc);
+}
+
 static void rpc_service_stop(struct service *s)
 {
 	struct rpc_service *rs = (struct rpc_service *)s;
@@ -658,6 +661,7 @@
 static const struct service_ops rpc_service_ops = {
 	.name = "rpc",
 	.start = rpc_service_start,
+	.drained = rpc_service_drained,
 	.stop = rpc_service_stop,
 };
 
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -57,8 +57,8 @@
 void rpc_reply(struct rpc_request *rq, const void *res);
 /** Number of the connection that @a rq came on; 0 for this process itself. */
 uint64_t rpc_request_conn(const struct rpc_request *rq);
-/** Whether no call and no request is open. */
-bool rpc_idle(const struct rpc *r);
+/** Whether all that was written has left this VM. */
+bool rpc_flushed(const struct rpc *r);
 
 /** The service that owns the daemon's rpc; found by the name "rpc". */
 struct service *rpc_service_create(struct kernel *k);
