A team with nothing waiting goes next when an item of it comes

Change: a team that was idle for a whole round goes first with its next item; test sparse_team_goes_next, which also bounds what a team gains by emptying its queue again and again.

--- a/decide/fairq.c
+++ b/decide/fairq.c
@@ -120,6 +120,35 @@
 	return ahead;
 }
 
+static unsigned fairq_active_teams(const struct fairq *q)
+{
+	struct fairq_team *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &q->active, link)
+		n++;
+	return n;
+}
+
+/**
+ * A team that had nothing waiting for a whole round is below its part: its first item goes next,
+ * and does not wait for the round that teams with a backlog are in. One that was idle for less
+ * takes its place at the end, so that emptying its queue again and again brings it no more than its
+ * part.
+ */
+static void fairq_activate(struct fairq *q, struct fairq_team *t)
+{
+	bool rested = q->turns - t->idle_turn >= fairq_active_teams(q);
+
+	TAILQ_REMOVE(&q->idle, t, link);
+	t->active = true;
+	t->deficit = rested ? 1 : 0;
+	if (rested)
+		TAILQ_INSERT_HEAD(&q->active, t, link);
+	else
+		TAILQ_INSERT_TAIL(&q->active, t, link);
+}
+
 struct fairq_outcome fairq_add(struct fairq *q, struct fairq_item *item, const char *team,
 			       double weight, int64_t now_us)
 {
@@ -148,12 +177,8 @@
 	fairq_insert(t, item);
 	t->length++;
 	q->length++;
-	if (!t->active) {
-		TAILQ_REMOVE(&q->idle, t, link);
-		TAILQ_INSERT_TAIL(&q->active, t, link);
-		t->active = true;
-		t->deficit = 0;
-	}
+	if (!t->active)
+		fairq_activate(q, t);
 	return out;
 }
 
@@ -171,6 +196,7 @@
 	TAILQ_INSERT_TAIL(&q->idle, t, link);
 	t->active = false;
 	t->deficit = 0;
+	t->idle_turn = q->turns;
 }
 
 static double fairq_largest_weight(const struct fairq *q)
@@ -199,6 +225,7 @@
 			/* A team's turn ends here; it is credited for the next round, so every
 			 * round ends. */
 			t->deficit += t->weight / quantum;
+			q->turns++;
 			TAILQ_REMOVE(&q->active, t, link);
 			TAILQ_INSERT_TAIL(&q->active, t, link);
 			continue;
--- a/decide/fairq.h
+++ b/decide/fairq.h
@@ -26,6 +26,7 @@
 	double weight;
 	double deficit;
 	unsigned length;
+	uint64_t idle_turn; /**< fairq.turns when it last became idle */
 	bool active;
 	struct fairq_items items; /**< by deadline */
 };
@@ -34,6 +35,7 @@
 struct fairq {
 	struct fairq_teams active; /**< teams with items, in turn */
 	struct fairq_teams idle;
+	uint64_t turns; /**< turns that have ended */
 	unsigned length;
 	unsigned limit;	   /**< most items in all */
 	double service_us; /**< moving average of one item's time in a slot */
--- a/tests/test-fairq.c
+++ b/tests/test-fairq.c
@@ -102,6 +102,34 @@
 	drain(&q);
 }
 
+/*
+ * A desk sends one tally now and then while another team has a backlog. Its tally goes next; but a
+ * team that empties its queue again and again gets no more than its part by it.
+ */
+static void test_sparse_team_goes_next(void)
+{
+	unsigned often = 0;
+	struct fairq q;
+	int i;
+
+	fairq_init(&q, 1000, 2);
+	for (i = 0; i < 400; i++)
+		add(&q, "monday", 300, FAR, 0);
+	for (i = 0; i < 10; i++) {
+		next(&q);
+		next(&q);
+		next(&q);
+		add(&q, "desk", 10, FAR, 0);
+		CHECK(next(&q) == 'd', "round %d", i);
+	}
+	for (i = 0; i < 200; i++) {
+		add(&q, "often", 100, FAR, 0);
+		often += next(&q) == 'o';
+	}
+	CHECK(often <= 105, "%u of 200", often);
+	drain(&q);
+}
+
 /* A wait that passes the deadline is refused before it begins, with when to come back. */
 static void test_refused_at_once_when_too_late(void)
 {
@@ -144,6 +172,7 @@
 	{"earliest_deadline_first", test_earliest_deadline_first},
 	{"one_team_cannot_fill_the_queue", test_one_team_cannot_fill_the_queue},
 	{"refused_at_once_when_too_late", test_refused_at_once_when_too_late},
+	{"sparse_team_goes_next", test_sparse_team_goes_next},
 	{"expired_and_removed", test_expired_and_removed},
 };
 HARNESS_MAIN("fairq", cases)
