--- a/decide/share.c
+++ b/decide/share.c
@@ -13,6 +13,12 @@
 #define AVERAGE_ALPHA 0.1
 /** Part of a peak that counts as lasting demand. */
 #define PEAK_PART 1.0
+/**
+ * Part of the burst (of a second of the rate, at most) that a team may ask for above its rate
+ * before it counts as over: random arrivals at three quarters of a rate of 40 pass it for a second
+ * now and then, and the burst is there for that.
+ */
+#define OVER_SLACK 0.5
 /** Demand is given room to grow before the rest is split evenly. */
 #define HEADROOM 1.3
 /** Part of the whole that the allocator's own VM keeps to grant single tokens from. */
@@ -481,6 +487,7 @@
 	entry_order(a, e, now_us);
 	o.seq = e->seq;
 	o.units = e->ordered;
-	o.over = alloc_average(a, now_us) > a->rate;
+	o.over = alloc_average(a, now_us) >
+		 a->rate + OVER_SLACK * (a->burst < a->rate ? a->burst : a->rate);
 	return o;
 }
--- a/tests/standin-db-sql.c
+++ b/tests/standin-db-sql.c
@@ -254,7 +254,9 @@
 		server.lag_us = pid * USEC_PER_MSEC;
 	} else if (sscanf(sql, "SELECT big(%u", &size) == 1) {
 		while (text->len < size)
-			g_string_append(text, "a large answer comes in many of these texts, one after another; ");
+			g_string_append(
+				text,
+				"a large answer comes in many of these texts, one after another; ");
 	} else {
 		g_string_append(text, "1");
 	}
