--- a/cmd/mangoload-report.c
+++ b/cmd/mangoload-report.c
@@ -53,25 +53,36 @@
 	return x < y ? -1 : x > y;
 }
 
-/** Longest time between two acknowledged writes, of any team. */
-static double write_gap_ms(struct load *l)
+/** Longest time that a team went without an acknowledged write. */
+static double team_gap_ms(const struct load *l, unsigned team)
 {
-	int64_t last = -1, gap = 0;
+	int64_t last = 0, gap = 0;
 	guint i;
 
-	qsort(l->requests->data, l->requests->len, sizeof(struct load_request), by_done);
 	for (i = 0; i < l->requests->len; i++) {
 		const struct load_request *r = &g_array_index(l->requests, struct load_request, i);
 
-		if (r->told != LOAD_ACKED || !l->plan.kind[r->kind].write)
+		if (r->team != team || r->told != LOAD_ACKED || !l->plan.kind[r->kind].write)
 			continue;
-		if (last >= 0 && r->done_us - last > gap)
-			gap = r->done_us - last;
+		gap = MAX(gap, r->done_us - last);
 		last = r->done_us;
 	}
 	return (double)gap / 1000.0;
 }
 
+/** The same of the team that went without one for longest. Puts the requests in order of their
+ * ends. */
+static double write_gap_ms(struct load *l)
+{
+	double gap = 0;
+	unsigned i;
+
+	qsort(l->requests->data, l->requests->len, sizeof(struct load_request), by_done);
+	for (i = 0; i < l->plan.n_teams; i++)
+		gap = MAX(gap, team_gap_ms(l, i));
+	return gap;
+}
+
 /**
  * Most that a team's acknowledged requests passed its rate and burst by, over any window: a bucket
  * that is drained by each acknowledgement, in the order in which they came.
