--- a/cmd/mangoload-run.c
+++ b/cmd/mangoload-run.c
@@ -315,8 +315,10 @@
 		session_send(s, s->sql);
 		return;
 	}
-	/* The kind is a setting of the session; it is sent ahead, in a statement that the proxy
-	 * carries out itself. */
+	/*
+	 * The kind is a setting of the session; it is sent ahead, in a statement that the proxy
+	 * carries out itself.
+	 */
 	s->setting = true;
 	snprintf(sql, sizeof(sql), "SET mangoloom.kind = '%s'", kind->name);
 	session_send(s, sql);
--- a/cmd/mangoloom-table.c
+++ b/cmd/mangoloom-table.c
@@ -205,8 +205,10 @@
 	for (try = 0; try < APPLY_TRIES; try++) {
 		g_clear_error(&error);
 		version = apply_once(cli, &t, seen, try == 0, &changed, &error);
-		/* A change of something else, a key say, is no conflict: the next try sees whether
-		 * the table moved. */
+		/*
+		 * A change of something else, a key say, is no conflict: the next try sees whether
+		 * the table moved.
+		 */
 		if (error == NULL || error->domain != ML_ERROR ||
 		    error->code != ML_ERROR_CONFLICT ||
 		    strstr(error->message, "began from") != NULL)
--- a/decide/failover.c
+++ b/decide/failover.c
@@ -27,8 +27,10 @@
 {
 	int primary = group_primary(g);
 
-	/* Just started: until a first report from each reachable member, silence is ignorance and
-	 * not a failure. */
+	/*
+	 * Just started: until a first report from each reachable member, silence is ignorance and
+	 * not a failure.
+	 */
 	if (group_highest_term(g) == 0)
 		return INT64_MAX;
 	if (primary < 0 || g->member[primary].state == MEMBER_UP)
--- a/decide/fairq.c
+++ b/decide/fairq.c
@@ -172,7 +172,6 @@
 		out.verdict = FAIRQ_TOO_LATE;
 		return out;
 	}
-	item->enqueued_us = now_us;
 	item->team = t;
 	fairq_insert(t, item);
 	t->length++;
@@ -222,8 +221,10 @@
 		if (t == NULL)
 			return NULL;
 		if (t->deficit < 1) {
-			/* A team's turn ends here; it is credited for the next round, so every
-			 * round ends. */
+			/*
+			 * A team's turn ends here; it is credited for the next round, so every
+			 * round ends.
+			 */
 			t->deficit += t->weight / quantum;
 			q->turns++;
 			TAILQ_REMOVE(&q->active, t, link);
--- a/decide/fairq.h
+++ b/decide/fairq.h
@@ -15,7 +15,6 @@
 struct fairq_item {
 	TAILQ_ENTRY(fairq_item) link;
 	int64_t deadline_us;
-	int64_t enqueued_us;
 	struct fairq_team *team;
 };
 TAILQ_HEAD(fairq_items, fairq_item);
--- a/decide/outcome.c
+++ b/decide/outcome.c
@@ -106,8 +106,10 @@
 	 */
 	if (rules[o].rule == RETRY_READ && r->write)
 		return refuse;
-	/* A statement inside a transaction belongs to one connection; elsewhere its earlier
-	 * statements are missing. */
+	/*
+	 * A statement inside a transaction belongs to one connection; elsewhere its earlier
+	 * statements are missing.
+	 */
 	if (r->in_transaction)
 		return refuse;
 	if (rules[o].pause) {
--- a/decide/peers.c
+++ b/decide/peers.c
@@ -121,8 +121,10 @@
 	unsigned skip;
 
 	for (vm = vm_next(p, p->self); vm != p->self && n < PEERS_NEIGHBOURS; vm = vm_next(p, vm)) {
-		/* The dead ones are left to the random choice, so that a ring of dead VMs can't
-		 * hide the live ones. */
+		/*
+		 * The dead ones are left to the random choice, so that a ring of dead VMs can't
+		 * hide the live ones.
+		 */
 		if (vm->dead || strcmp(vm->data_center, p->self->data_center) != 0)
 			continue;
 		out[n++] = vm;
@@ -198,8 +200,10 @@
 	if (vm == NULL)
 		return;
 	if (vm == p->self) {
-		/* Others think that this VM is dead, or know less than it does: newer news goes
-		 * out. */
+		/*
+		 * Others think that this VM is dead, or know less than it does: newer news goes
+		 * out.
+		 */
 		if (news->incarnation == vm->incarnation && news->seq >= vm->news_seq &&
 		    (news->dead || news->leaving != vm->left)) {
 			vm->news_seq = news->seq;
@@ -209,8 +213,10 @@
 	}
 	if (news->incarnation == vm->incarnation && news->seq <= vm->news_seq)
 		return;
-	/* Incarnations are random and have no order; only the VM itself, when it is heard, changes
-	 * a known one. */
+	/*
+	 * Incarnations are random and have no order; only the VM itself, when it is heard, changes
+	 * a known one.
+	 */
 	if (vm->incarnation != 0 && news->incarnation != vm->incarnation)
 		return;
 	vm->incarnation = news->incarnation;
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -57,7 +57,6 @@
 	unsigned n;
 	uint64_t revision; /**< of the platform's list */
 	struct vm *self;
-	unsigned turn;
 };
 
 /** A line of the platform's list. */
--- a/decide/route.h
+++ b/decide/route.h
@@ -15,7 +15,6 @@
 	bool leaving;		 /**< gets no new work */
 	int64_t avoid_until_us;	 /**< it could not serve lately */
 	struct pos applied;	 /**< last position seen in an answer */
-	int64_t applied_us;	 /**< when that answer came */
 	int64_t behind_until_us; /**< it lacked what a session needed; not asked again before */
 	bool near;		 /**< in this VM's data centre */
 };
--- a/decide/share.c
+++ b/decide/share.c
@@ -98,7 +98,6 @@
 		r.demand = 1;
 	h->reported_us = now_us;
 	h->short_now = false;
-	h->pending = true;
 	return r;
 }
 
@@ -106,12 +105,11 @@
 {
 	uint32_t before = h->units;
 
-	h->pending = false;
 	if (o->epoch < h->epoch)
 		return false;
-	h->ordered_us = now_us;
 	if (o->epoch > h->epoch) {
-		/* Binding alone moves nothing: the new allocator must first hear what is held here.
+		/*
+		 * Binding alone moves nothing: the new allocator must first hear what is held here.
 		 */
 		h->epoch = o->epoch;
 		h->seq = 0;
@@ -120,8 +118,10 @@
 		return false;
 	}
 	h->over = o->over;
-	/* An order that comes late, after a newer one, would bring units back that were given to
-	 * others. */
+	/*
+	 * An order that comes late, after a newer one, would bring units back that were given to
+	 * others.
+	 */
 	if (o->seq <= h->seq)
 		return false;
 	h->seq = o->seq;
@@ -389,8 +389,10 @@
 
 static void entry_ack(struct share_entry *e, const struct share_report *r)
 {
-	/* A holder that paused may hold less than it was ordered to; it never holds more than it
-	 * says. */
+	/*
+	 * A holder that paused may hold less than it was ordered to; it never holds more than it
+	 * says.
+	 */
 	if (r->seq == e->seq) {
 		e->acked = r->seq;
 		e->held = r->units;
@@ -415,8 +417,10 @@
 		return;
 	e->seq++;
 	e->ordered = target;
-	/* Raised units count from the order on; lowered ones are free only when the holder says
-	 * that it obeyed. */
+	/*
+	 * Raised units count from the order on; lowered ones are free only when the holder says
+	 * that it obeyed.
+	 */
 	if (target > e->held)
 		e->held = target;
 }
--- a/decide/share.h
+++ b/decide/share.h
@@ -58,8 +58,6 @@
 	unsigned arrivals; /**< since @a window_us */
 	int64_t window_us;
 	int64_t reported_us; /**< last report sent */
-	int64_t ordered_us;  /**< last order received */
-	bool pending;	     /**< a report is out */
 	bool leaving;	     /**< takes no units any more */
 	bool short_now;	     /**< a request found too few tokens since the last report */
 };
--- a/decide/token.c
+++ b/decide/token.c
@@ -110,8 +110,10 @@
 		return;
 	}
 	if (s->n == TOKEN_SET_MAX) {
-		/* The session's reads elsewhere must not miss the write that is left out here: see
-		 * overflow. */
+		/*
+		 * The session's reads elsewhere must not miss the write that is left out here: see
+		 * overflow.
+		 */
 		token_set_remove(s, s->token[0].pool);
 		s->overflow = true;
 	}
--- a/src/caller-extended.c
+++ b/src/caller-extended.c
@@ -197,8 +197,10 @@
 	struct stmt_scan scan = sqlscan(p->sql);
 	unsigned i;
 
-	/* Statements that the proxy carries out itself have no parameters and no rows, but for
-	 * SHOW. */
+	/*
+	 * Statements that the proxy carries out itself have no parameters and no rows, but for
+	 * SHOW.
+	 */
 	if (scan.class != STMT_OTHER) {
 		GByteArray *out = g_byte_array_new();
 		guint mark = pg_begin(out, 't');
@@ -236,8 +238,10 @@
 		return;
 	}
 	if (what == 'P' && portal != NULL) {
-		/* The shape is told together with the rows: Execute follows, and one round trip
-		 * serves both. */
+		/*
+		 * The shape is told together with the rows: Execute follows, and one round trip
+		 * serves both.
+		 */
 		portal->describe = true;
 		return;
 	}
@@ -265,8 +269,10 @@
 			       0);
 		return;
 	}
-	/* A portal runs once: a second Execute would run the statement again, which the caller did
-	 * not mean. */
+	/*
+	 * A portal runs once: a second Execute would run the statement again, which the caller did
+	 * not mean.
+	 */
 	g_hash_table_steal_extended(c->portals, name, &key, &value);
 	g_free(key);
 	c->running_portal = portal;
--- a/src/caller-query.c
+++ b/src/caller-query.c
@@ -83,8 +83,10 @@
 
 	c->tx = a->tx;
 	c->tx_failed = a->tx.id != 0 && a->tx_failed;
-	/* After a lost transaction the caller still believes to be in one; all but its end is
-	 * refused until then. */
+	/*
+	 * After a lost transaction the caller still believes to be in one; all but its end is
+	 * refused until then.
+	 */
 	if (was_open && a->tx.id == 0 && c->control == ML_CONTROL_NONE)
 		c->tx_failed = true;
 }
@@ -98,8 +100,10 @@
 	c->request = NULL;
 	c->state = CALLER_READY;
 	note_transaction(c, a);
-	/* A once-id belongs to one statement; it stays for a repetition as long as its outcome is
-	 * not known. */
+	/*
+	 * A once-id belongs to one statement; it stays for a repetition as long as its outcome is
+	 * not known.
+	 */
 	if (a->outcome == OUTCOME_DONE || a->outcome == OUTCOME_ALREADY_RUN)
 		c->once[0] = '\0';
 	if (answered) {
--- a/src/caller-setting.c
+++ b/src/caller-setting.c
@@ -23,8 +23,10 @@
 
 	if (len >= sizeof(c->once))
 		return false;
-	/* The id becomes a literal of a statement of ours; only harmless characters are let
-	 * through. */
+	/*
+	 * The id becomes a literal of a statement of ours; only harmless characters are let
+	 * through.
+	 */
 	if (strspn(value, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:") !=
 	    len)
 		return false;
--- a/src/caller.c
+++ b/src/caller.c
@@ -89,8 +89,10 @@
 
 	if (key == NULL || key->withdrawn || strcmp(key->team, c->team) != 0)
 		return false;
-	/* A VM that is cut off can't hear of a withdrawn key; how long it goes on trusting is the
-	 * operators' choice. */
+	/*
+	 * A VM that is cut off can't hear of a withdrawn key; how long it goes on trusting is the
+	 * operators' choice.
+	 */
 	return trust == 0 || fleet_news_age_us(f) <= trust;
 }
 
@@ -169,8 +171,10 @@
 			kernel_arm(c->timer, LINGER_US);
 		return;
 	}
-	/* A caller that sends ahead of its answers waits: its input is not read past one longest
-	 * message. */
+	/*
+	 * A caller that sends ahead of its answers waits: its input is not read past one longest
+	 * message.
+	 */
 	bufferevent_setwatermark(c->bev, EV_READ, 0, caller_settings(c)->message_max + 64);
 	if (c->state == CALLER_BUSY)
 		event_del(c->timer);
--- a/src/entry.c
+++ b/src/entry.c
@@ -201,17 +201,17 @@
 	m = &p->view.member[i];
 	switch (o) {
 	case OUTCOME_DONE:
-		if (res != NULL && res->pos.term != 0) {
+		if (res != NULL && res->pos.term != 0)
 			m->applied = (struct pos){res->pos.term, res->pos.lsn};
-			m->applied_us = now;
-		}
 		break;
 	case OUTCOME_BEHIND:
 		m->behind_until_us = now + BEHIND_US;
 		break;
 	case OUTCOME_NOT_PRIMARY:
-		/* The member says itself that it does not lead, and names nobody else: ask the
-		 * others. */
+		/*
+		 * The member says itself that it does not lead, and names nobody else: ask the
+		 * others.
+		 */
 		if (p->view.primary == i &&
 		    (res == NULL || res->primary_term <= p->view.primary_term))
 			p->view.primary = -1;
@@ -265,8 +265,10 @@
 
 	r->call = NULL;
 	if (r->cb == NULL) {
-		/* The caller is gone; a transaction that was begun for it must not keep its
-		 * connection. */
+		/*
+		 * The caller is gone; a transaction that was begun for it must not keep its
+		 * connection.
+		 */
 		if (status == RPC_DONE && res->transaction != 0) {
 			struct entry_tx tx = {.id = res->transaction};
 
@@ -279,8 +281,10 @@
 		return;
 	}
 	if (status == RPC_DONE && res->outcome >= 0 && res->outcome < OUTCOMES) {
-		/* The home leaves and the news of it has not come here yet: ask it, and use another
-		 * VM meanwhile. */
+		/*
+		 * The home leaves and the news of it has not come here yet: ask it, and use another
+		 * VM meanwhile.
+		 */
 		if (res->outcome == OUTCOME_LEAVING && r->tx.id == 0)
 			fleet_suspect(entry_fleet(r->e), r->address);
 		request_ended(r, (enum outcome)res->outcome, res);
@@ -288,8 +292,10 @@
 	}
 	fleet_suspect(entry_fleet(r->e), r->address);
 	o = status == RPC_NOT_SENT ? OUTCOME_NOT_SENT : OUTCOME_LOST;
-	/* A transaction's home is gone: its connection closed, so all before its COMMIT was rolled
-	 * back. */
+	/*
+	 * A transaction's home is gone: its connection closed, so all before its COMMIT was rolled
+	 * back.
+	 */
 	if (r->tx.id != 0 && (r->args.control != ML_CONTROL_COMMIT || status == RPC_NOT_SENT))
 		o = OUTCOME_TX_LOST;
 	request_ended(r, o, NULL);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -241,7 +241,6 @@
 {
 	struct fleet *f = arg;
 
-	f->beat_us = now_us();
 	fleet_beat(f);
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -31,8 +31,7 @@
 	struct platform *platform;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
-	int64_t beat_us; /**< when the last round of heartbeats began */
-	bool fetching;	 /**< a peer or the platform is being asked for the configuration */
+	bool fetching; /**< a peer or the platform is being asked for the configuration */
 	struct event *fetch;
 	int64_t news_us; /**< when the configuration was last known to be current */
 	struct {
--- a/src/home-ask.c
+++ b/src/home-ask.c
@@ -37,8 +37,10 @@
 
 	if (w->ask[i].failing_us == 0)
 		w->ask[i].failing_us = now;
-	/* The member's next home is asked at once; only when none answers for a while is the member
-	 * cut off. */
+	/*
+	 * The member's next home is asked at once; only when none answers for a while is the member
+	 * cut off.
+	 */
 	w->ask[i].asked_us = 0;
 	if (now - w->ask[i].failing_us < CUT_AFTER_US || m->view.member[i].state == MEMBER_CUT)
 		return;
@@ -73,8 +75,10 @@
 		} else if (res->state == MEMBER_UP) {
 			w->ask[i].failing_us = 0;
 			home_report_from_res(res, &r);
-			/* The report is of the time when that home looked, not of the time when it
-			 * was asked. */
+			/*
+			 * The report is of the time when that home looked, not of the time when it
+			 * was asked.
+			 */
 			watch_report(w, i, &r, a->sent_us - (int64_t)res->age_us);
 			home_confirm_check(w->m);
 		} else if (res->state == MEMBER_DOWN) {
--- a/src/home-conn.c
+++ b/src/home-conn.c
@@ -12,8 +12,10 @@
 
 unsigned home_conn_limit(const struct home_member *m)
 {
-	/* The member's own limit is the bound also while two homes serve it; this one leaves room
-	 * for watching. */
+	/*
+	 * The member's own limit is the bound also while two homes serve it; this one leaves room
+	 * for watching.
+	 */
 	return m->conf.connections > HOME_CONTROL_CONNECTIONS
 		       ? m->conf.connections - HOME_CONTROL_CONNECTIONS
 		       : 1;
@@ -84,14 +86,17 @@
 	c->job = NULL;
 	c->idle_looks = 0;
 	c->idle_us = now_us();
-	/* A connection that some statement left inside a transaction must reach no other session.
+	/*
+	 * A connection that some statement left inside a transaction must reach no other session.
 	 */
 	if (!c->db->ops->at_rest(c->db)) {
 		home_conn_close(c);
 		return;
 	}
-	/* The most recently used goes first, so that the others can be closed when the rush is
-	 * over. */
+	/*
+	 * The most recently used goes first, so that the others can be closed when the rush is
+	 * over.
+	 */
 	TAILQ_REMOVE(&m->conns, c, link);
 	TAILQ_INSERT_HEAD(&m->conns, c, link);
 }
--- a/src/home-fate.c
+++ b/src/home-fate.c
@@ -147,8 +147,10 @@
 	int fate = status == RPC_DONE ? told->fate : FATE_UNKNOWN;
 
 	if (fate == FATE_COMMITTED) {
-		/* Where it stands in the log is not known; the leader's position, taken later,
-		 * covers it. */
+		/*
+		 * Where it stands in the log is not known; the leader's position, taken later,
+		 * covers it.
+		 */
 		job->pos = (struct pos){told->pos.term, told->pos.lsn};
 		fate_ask_end(a, OUTCOME_DONE);
 		return;
--- a/src/home-job.c
+++ b/src/home-job.c
@@ -123,8 +123,10 @@
 		home_fate_start(job);
 		return;
 	}
-	/* Before its COMMIT was sent a transaction can't have been committed; a lost connection
-	 * rolls it back. */
+	/*
+	 * Before its COMMIT was sent a transaction can't have been committed; a lost connection
+	 * rolls it back.
+	 */
 	if (step == JOB_ROLLBACK)
 		home_job_end(job, job->outcome, 0);
 	else if (in_tx)
@@ -158,8 +160,10 @@
 {
 	if (!means_not_primary(res->sqlstate))
 		return OUTCOME_SQL_ERROR;
-	/* A write sent as a kind that reads is the caller's error; no other member would take it
-	 * either. */
+	/*
+	 * A write sent as a kind that reads is the caller's error; no other member would take it
+	 * either.
+	 */
 	if (!job->args->write && strcmp(res->sqlstate, READ_ONLY_STATE) == 0)
 		return OUTCOME_SQL_ERROR;
 	return job->tx != NULL ? OUTCOME_TX_LOST : OUTCOME_NOT_PRIMARY;
@@ -197,8 +201,10 @@
 		return OUTCOME_DONE;
 	job->age_us = group_age_us(&m->view, res->pos.lsn, now_us());
 	if (token.term != 0) {
-		/* The position in the answer itself is checked: what the last probe saw may be
-		 * older or newer. */
+		/*
+		 * The position in the answer itself is checked: what the last probe saw may be
+		 * older or newer.
+		 */
 		if (res->pos.term < token.term || res->pos.lsn < token.lsn)
 			return OUTCOME_BEHIND;
 		if (token_fate(token, &own->terms) == TOKEN_LOST)
--- a/src/home-queue.c
+++ b/src/home-queue.c
@@ -118,8 +118,10 @@
 		if (token_fate(token, &m->view.member[m->self].report.terms) == TOKEN_LOST)
 			return OUTCOME_TOKEN_LOST;
 	}
-	/* A write that no replica could confirm would end with an outcome that nobody knows; better
-	 * not begun. */
+	/*
+	 * A write that no replica could confirm would end with an outcome that nobody knows; better
+	 * not begun.
+	 */
 	if (a->write && !home_confirmable(m))
 		return OUTCOME_NO_CONNECTION;
 	return OUTCOME_DONE;
--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -266,8 +266,10 @@
 {
 	struct watch_link *f = &w->fresh;
 
-	/* Both looks run side by side from here on: one after the other would take twice as long to
-	 * find a dead member. */
+	/*
+	 * Both looks run side by side from here on: one after the other would take twice as long to
+	 * find a dead member.
+	 */
 	if (w->probe.busy && now - w->probe.asked_us > watch_timeout_us(w) / FRESH_PART)
 		fresh_open(w);
 	/* A silent member accepts the connection and says nothing on it. */
--- a/src/home.c
+++ b/src/home.c
@@ -209,8 +209,10 @@
 		home_expire(m, now);
 		home_confirm_expire(m, now);
 		home_tx_expire(m, now);
-		/* Connections to a member that another VM is home to now are given up as soon as
-		 * they are unused. */
+		/*
+		 * Connections to a member that another VM is home to now are given up as soon as
+		 * they are unused.
+		 */
 		home_conn_trim(m,
 			       m->placed && m->configured && !m->conf.leaving ? now - hold : now);
 		home_dispatch(m);
--- a/src/rpc-msg.c
+++ b/src/rpc-msg.c
@@ -82,8 +82,10 @@
  */
 static char *mac_at(char *record, bool call)
 {
-	/* Call: xid, direction, versions (4 words), flavour, length. Reply: xid, direction, status,
-	 * flavour, length. */
+	/*
+	 * Call: xid, direction, versions (4 words), flavour, length. Reply: xid, direction, status,
+	 * flavour, length.
+	 */
 	size_t words = call ? 8 : 5;
 
 	return record + words * BYTES_PER_XDR_UNIT + sizeof(uint64_t);
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -233,8 +233,10 @@
 	struct rpc *r = arg;
 	struct rpc_call *call;
 
-	/* Calls made by these callbacks wait for the next turn of the loop, so that nothing else is
-	 * kept waiting. */
+	/*
+	 * Calls made by these callbacks wait for the next turn of the loop, so that nothing else is
+	 * kept waiting.
+	 */
 	TAILQ_CONCAT(&batch, &r->finished, link);
 	while ((call = TAILQ_FIRST(&batch)) != NULL) {
 		const struct rpc_proc *p = &rpc_procs[call->proc];
@@ -292,8 +294,10 @@
 	struct rpc_call *call;
 	void *res;
 
-	/* An answer to an earlier process on this VM, or to a call that was given up on, reaches
-	 * nobody. */
+	/*
+	 * An answer to an earlier process on this VM, or to a call that was given up on, reaches
+	 * nobody.
+	 */
 	if (h->incarnation != c->rpc->kernel->incarnation)
 		return;
 	TAILQ_FOREACH(call, &c->calls, link) {
--- a/src/shares.c
+++ b/src/shares.c
@@ -290,8 +290,10 @@
 		o.over = wire->over;
 		if (t == NULL)
 			continue;
-		/* Tokens that were long under way would come on top of a burst that has filled up
-		 * again since. */
+		/*
+		 * Tokens that were long under way would come on top of a burst that has filled up
+		 * again since.
+		 */
 		t->granted = now - t->out_us < GRANT_FRESH_US ? wire->granted : 0;
 		t->out_us = 0;
 		if (share_holder_order(&t->holder, &o, now)) {
--- a/src/stat.c
+++ b/src/stat.c
@@ -44,11 +44,6 @@
 	counters[id] += n;
 }
 
-uint64_t stat_get(enum stat_id id)
-{
-	return counters[id];
-}
-
 void stat_outcome(enum outcome o)
 {
 	outcomes[o]++;
--- a/src/stat.h
+++ b/src/stat.h
@@ -47,7 +47,6 @@
 };
 
 void stat_add(enum stat_id id, uint64_t n);
-uint64_t stat_get(enum stat_id id);
 /** Count one request's final outcome. */
 void stat_outcome(enum outcome o);
 /** Write all counters as members of the open JSON object of @a b. */
--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -46,8 +46,10 @@
 	return c;
 }
 
-/* A VM wakes from a long pause and offers its old version: a withdrawn key or an old rate must not
- * come back. */
+/*
+ * A VM wakes from a long pause and offers its old version: a withdrawn key or an old rate must not
+ * come back.
+ */
 static void test_never_reverts(void)
 {
 	struct conf *c = with_team();
@@ -135,8 +137,10 @@
 	conf_free(c);
 }
 
-/* Each wrong table is refused as a whole, with the file, the key, what was found and what is
- * allowed. */
+/*
+ * Each wrong table is refused as a whole, with the file, the key, what was found and what is
+ * allowed.
+ */
 static void test_wrong_tables(void)
 {
 	static const struct {
--- a/tests/test-failover.c
+++ b/tests/test-failover.c
@@ -78,8 +78,10 @@
 	CU_ASSERT_EQUAL(o.member, 2);
 }
 
-/* Its view still shows the dead primary: the promoter must not depose the one that it has just
- * made. */
+/*
+ * Its view still shows the dead primary: the promoter must not depose the one that it has just
+ * made.
+ */
 static void test_rests_after_a_change(void)
 {
 	struct group_view g = led_by_a();
@@ -237,8 +239,10 @@
 			for (j = 0; highest && j < n_acked; j++) {
 				const struct pos *at = &m[i].log[acked[j].lsn - 1];
 
-				/* A leader of an earlier term, not fenced yet, acknowledges nothing
-				 * any more. */
+				/*
+				 * A leader of an earlier term, not fenced yet, acknowledges nothing
+				 * any more.
+				 */
 				if (acked[j].term > m[i].seen ||
 				    (acked[j].lsn <= m[i].len && at->term == acked[j].term))
 					continue;
--- a/tests/test-group.c
+++ b/tests/test-group.c
@@ -50,8 +50,10 @@
 	CU_ASSERT_EQUAL(group_primary(&g), -1);
 }
 
-/* The age is measured from when the primary was asked; a replica that has what it had then is no
- * older. */
+/*
+ * The age is measured from when the primary was asked; a replica that has what it had then is no
+ * older.
+ */
 static void test_age(void)
 {
 	struct group_view g = three();
--- a/tests/test-it-caller.c
+++ b/tests/test-it-caller.c
@@ -139,8 +139,10 @@
 	return n == 0 ? test_now_ms() - start : -1;
 }
 
-/* Callers that say nothing, send half a message, or bytes of no protocol are let go after the time
- * that is set. */
+/*
+ * Callers that say nothing, send half a message, or bytes of no protocol are let go after the time
+ * that is set.
+ */
 static void test_slow_and_broken_callers(void)
 {
 	struct test_fleet *f = shared();
@@ -262,8 +264,10 @@
 	return status;
 }
 
-/* A VM that requires TLS serves a caller that speaks it, and refuses one that would send its key in
- * clear. */
+/*
+ * A VM that requires TLS serves a caller that speaks it, and refuses one that would send its key in
+ * clear.
+ */
 static void test_tls(void)
 {
 	char *dir = g_dir_make_tmp("mangoloom-tls-XXXXXX", NULL);
--- a/tests/test-it-failover.c
+++ b/tests/test-it-failover.c
@@ -149,8 +149,10 @@
 	fleet_tear_down(f);
 }
 
-/* Each of the members is killed in turn but the last: with one left of three, nothing is
- * acknowledged, and it is said. */
+/*
+ * Each of the members is killed in turn but the last: with one left of three, nothing is
+ * acknowledged, and it is said.
+ */
 static void test_no_majority_no_acknowledgement(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
--- a/tests/test-it-fleet.c
+++ b/tests/test-it-fleet.c
@@ -146,7 +146,8 @@
 	fleet_tear_down(f);
 }
 
-/* A team within its rate is not refused, wherever its demand is: spread, all at one VM, and moving.
+/*
+ * A team within its rate is not refused, wherever its demand is: spread, all at one VM, and moving.
  */
 static void test_within_rate_nothing_is_refused(void)
 {
@@ -176,8 +177,10 @@
 	fleet_tear_down(f);
 }
 
-/* A burst of one, split over six VMs, would serve nobody; it is served wherever the caller
- * connects. */
+/*
+ * A burst of one, split over six VMs, would serve nobody; it is served wherever the caller
+ * connects.
+ */
 static void test_small_burst_is_served_everywhere(void)
 {
 	struct test_fleet *f = limited_fleet(6, TEAM("clerks", "20", "2") ROUTES);
@@ -254,8 +257,10 @@
 	return ok;
 }
 
-/* A withdrawn key stops on sessions that are connected, idle or not, and at new ones; the team's
- * other key goes on. */
+/*
+ * A withdrawn key stops on sessions that are connected, idle or not, and at new ones; the team's
+ * other key goes on.
+ */
 static void test_withdrawn_key(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
@@ -479,8 +484,10 @@
 	fleet_vm_signal(f, 2, SIGKILL);
 	fleet_vm_signal(f, 1, SIGCONT);
 	fleet_vm_start(f, 2);
-	/* The command needs the platform for its list of VMs; ask the daemons by serving through
-	 * them. */
+	/*
+	 * The command needs the platform for its list of VMs; ask the daemons by serving through
+	 * them.
+	 */
 	test_sleep_ms(3000);
 	for (i = 0; i < 3; i++) {
 		const char *state;
@@ -536,8 +543,10 @@
 	return true;
 }
 
-/* The operators mark a replica as leaving: within 3 s it gets no new work, and no caller is refused
- * for it. */
+/*
+ * The operators mark a replica as leaving: within 3 s it gets no new work, and no caller is refused
+ * for it.
+ */
 static void test_leaving_database(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
@@ -653,8 +662,10 @@
 	fleet_tear_down(f);
 }
 
-/* Homes move while every VM sends; no member ever has more connections than it accepts, nor are
- * callers refused. */
+/*
+ * Homes move while every VM sends; no member ever has more connections than it accepts, nor are
+ * callers refused.
+ */
 static void test_connections_stay_within_the_limit(void)
 {
 	struct test_fleet *f =
--- a/tests/test-it-once.c
+++ b/tests/test-it-once.c
@@ -70,8 +70,10 @@
 	fleet_tear_down(f);
 }
 
-/* The home dies with statements inside. Callers hear the truth, and the next statements find the
- * member's next home. */
+/*
+ * The home dies with statements inside. Callers hear the truth, and the next statements find the
+ * member's next home.
+ */
 static void test_home_dies_under_load(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.vms = 6, .work_us = 2000});
@@ -136,8 +138,10 @@
 	fleet_tear_down(f);
 }
 
-/* The same between two VMs: the RPC connection goes silent, a ping shows it, and the next call
- * opens a new one. */
+/*
+ * The same between two VMs: the RPC connection goes silent, a ping shows it, and the next call
+ * opens a new one.
+ */
 static void test_silent_rpc_is_replaced(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
@@ -180,8 +184,10 @@
 	fleet_tear_down(f);
 }
 
-/* A large answer is cut while it is on its way from the database: the caller gets all of it, or an
- * error. */
+/*
+ * A large answer is cut while it is on its way from the database: the caller gets all of it, or an
+ * error.
+ */
 static void test_whole_answers_only(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){0});
@@ -215,8 +221,10 @@
 	fleet_tear_down(f);
 }
 
-/* Many sessions, each with its own key, share few connections that are delayed and reset: no answer
- * reaches another. */
+/*
+ * Many sessions, each with its own key, share few connections that are delayed and reset: no answer
+ * reaches another.
+ */
 static gpointer ask_own(gpointer data)
 {
 	struct writer *w = data;
--- a/tests/test-it-session.c
+++ b/tests/test-it-session.c
@@ -32,8 +32,10 @@
 		const char *state;
 
 		snprintf(wanted, sizeof(wanted), "value-%d", i);
-		/* Now and then the home's last look at the replica is old, and only the answer
-		 * itself can tell. */
+		/*
+		 * Now and then the home's last look at the replica is old, and only the answer
+		 * itself can tell.
+		 */
 		if (i % 5 == 4)
 			test_sleep_ms(170);
 		state = sql(w, NULL, 0, "INSERT INTO orders VALUES ('%s-%d', '%s')", prefix, i,
@@ -96,8 +98,10 @@
 	fleet_tear_down(f);
 }
 
-/* A page accepts data of 500 ms; replicas are three seconds behind. The age is measured, so none of
- * them may serve. */
+/*
+ * A page accepts data of 500 ms; replicas are three seconds behind. The age is measured, so none of
+ * them may serve.
+ */
 static void test_age_is_measured(void)
 {
 	struct test_fleet *f = fleet_start_up(&(struct fleet_plan){.lag_ms = 3000});
@@ -216,7 +220,8 @@
 	      "aborted");
 	sql(a, NULL, 0, "COMMIT");
 	CHECK(PQtransactionStatus(a) == PQTRANS_IDLE, "status");
-	/* Control inside a query of several statements would run the rest outside any transaction.
+	/*
+	 * Control inside a query of several statements would run the rest outside any transaction.
 	 */
 	CHECK(strcmp(sql(a, NULL, 0, "INSERT INTO orders VALUES ('t4', 'a'); COMMIT; SELECT 1"),
 		     "0A000") == 0,
--- a/tests/test-outcome.c
+++ b/tests/test-outcome.c
@@ -38,8 +38,10 @@
 	}
 }
 
-/* "not run" may be said only of outcomes after which the statement has no effect; each outcome has
- * its own words. */
+/*
+ * "not run" may be said only of outcomes after which the statement has no effect; each outcome has
+ * its own words.
+ */
 static void test_every_outcome_is_told(void)
 {
 	int o;
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -47,8 +47,10 @@
 	v.member[1].behind_until_us = NOW + 1;
 	v.member[2].behind_until_us = NOW + 1;
 	CU_ASSERT_EQUAL(route_choose(&v, &req, NOW).member, 0);
-	/* Known to have passed the token since: worth asking although it was behind for another
-	 * session. */
+	/*
+	 * Known to have passed the token since: worth asking although it was behind for another
+	 * session.
+	 */
 	v.member[2].applied = (struct pos){4, 10};
 	CU_ASSERT_EQUAL(route_choose(&v, &req, NOW).member, 2);
 }
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -81,22 +81,27 @@
 	share_alloc_clear(&a);
 }
 
-/* Above the rate the parts follow demand, but for the floor (5%) and the allocator's reserve (10%).
+/*
+ * Above the rate the parts follow demand, but for the floor (5%) and the allocator's reserve (10%).
  */
 static void test_follows_demand(void)
 {
 	demand_moves(300, (uint32_t)(SHARE_WHOLE * 0.75));
 }
 
-/* Below the rate, the VM that has all the demand has at least what it asks for, and the others
- * something left. */
+/*
+ * Below the rate, the VM that has all the demand has at least what it asks for, and the others
+ * something left.
+ */
 static void test_has_what_it_asks_for(void)
 {
 	demand_moves(1000, (uint32_t)(SHARE_WHOLE * 0.4));
 }
 
-/* One VM is silent from the start: nobody knows what it was given, so nothing is handed out on top
- * of what is held. */
+/*
+ * One VM is silent from the start: nobody knows what it was given, so nothing is handed out on top
+ * of what is held.
+ */
 static void test_incomplete_census_gives_nothing_new(void)
 {
 	struct share_holder h[VMS];
@@ -122,8 +127,10 @@
 	share_alloc_clear(&a);
 }
 
-/* Five VMs see a few requests each, at different moments: the peaks add up to more than the rate,
- * the team does not. */
+/*
+ * Five VMs see a few requests each, at different moments: the peaks add up to more than the rate,
+ * the team does not.
+ */
 static void test_peaks_are_not_the_team(void)
 {
 	struct share_holder h[VMS];
@@ -193,7 +200,8 @@
 	share_alloc_clear(&a[1]);
 }
 
-/* A burst of one token split over five VMs would serve nobody: the allocator's VM keeps it whole.
+/*
+ * A burst of one token split over five VMs would serve nobody: the allocator's VM keeps it whole.
  */
 static void test_small_burst_is_kept_whole(void)
 {
@@ -248,8 +256,10 @@
 			n++;
 		}
 		if (rand() % 200 == 0) {
-			/* The process is restarted; its former one's messages may still come, but
-			 * not after new ones. */
+			/*
+			 * The process is restarted; its former one's messages may still come, but
+			 * not after new ones.
+			 */
 			unsigned i = 0;
 
 			while (i < n) {
--- a/tests/test-token.c
+++ b/tests/test-token.c
@@ -46,8 +46,10 @@
 	CU_ASSERT_EQUAL(token_set_find(&s, "a").term, 3);
 }
 
-/* A session that writes to more pools than its token names must be told apart: its reads elsewhere
- * go to the primary. */
+/*
+ * A session that writes to more pools than its token names must be told apart: its reads elsewhere
+ * go to the primary.
+ */
 static void test_too_many_pools(void)
 {
 	struct token_set s = {0};
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -159,8 +159,10 @@
 	g_free(record);
 }
 
-/* The answer to a ping has no body. Rejecting it closes a good connection, with every call that is
- * out on it. */
+/*
+ * The answer to a ping has no body. Rejecting it closes a good connection, with every call that is
+ * out on it.
+ */
 static void test_smallest_records(void)
 {
 	struct rpc_header h = {.xid = 5, .incarnation = 9, .vm = ""};
