--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -125,7 +125,7 @@
 KEY=$REAL
 step "a wrong key is refused: $(echo "$BAD" | head -1 | sed 's/.*FATAL/FATAL/')" grep -q "not a key" <<< "$BAD"
 
-kill -9 "$PRIMARY"
+{ kill -9 "$PRIMARY"; wait "$PRIMARY"; } 2>/dev/null
 T0=$(date +%s%N)
 OUT=$(order "${PORT[6]}" o-3 "2 chairs")
 T1=$(date +%s%N)
--- a/src/home-ask.c
+++ b/src/home-ask.c
@@ -49,42 +49,50 @@
 	home_confirm_check(m);
 }
 
-static void ask_done(enum rpc_status status, const void *arg_res, void *arg)
+/** Take in what the home of member @a i told, or that it did not answer. */
+static void ask_take(struct home_watch *w, int i, const struct ask *a, const ml_member_res *res)
 {
-	const ml_member_res *res = arg_res;
-	struct ask *a = arg;
-	struct home_watch *w = a->w;
 	struct member_report r;
-	int i;
 
-	watch_call_in(a);
-	if (w == NULL) {
-		g_free(a);
+	if (res == NULL) {
+		fleet_suspect(fleet_of(w->m->home->service.kernel), a->address);
+		ask_failed(w, i, now_us());
 		return;
 	}
-	i = group_find(&w->m->view, a->member);
+	if (res->state == MEMBER_DOWN) {
+		w->ask[i].failing_us = 0;
+		watch_unreachable(w, i, MEMBER_DOWN);
+	}
+	if (res->state != MEMBER_UP)
+		return;
+	w->ask[i].failing_us = 0;
+	home_report_from_res(res, &r);
+	/* The report is of the time when that home looked, not of the time when it was asked. */
+	watch_report(w, i, &r, a->sent_us - (int64_t)res->age_us);
+	home_confirm_check(w->m);
+}
+
+/** Whether the answer lacks what a commit waits for. */
+static bool ask_unmet(const struct ask *a, const ml_member_res *res)
+{
+	if (a->wait_for.lsn == 0)
+		return false;
+	return res == NULL || res->received.term != a->wait_for.term ||
+	       res->received.lsn < a->wait_for.lsn;
+}
+
+static void ask_done(enum rpc_status status, const void *res, void *arg)
+{
+	struct ask *a = arg;
+	struct home_watch *w = a->w;
+	int i = w != NULL ? group_find(&w->m->view, a->member) : -1;
+
+	watch_call_in(a);
 	if (i >= 0) {
 		w->ask[i].out = false;
-		if (a->wait_for.lsn != 0 &&
-		    (status != RPC_DONE || res->received.term != a->wait_for.term ||
-		     res->received.lsn < a->wait_for.lsn))
+		if (ask_unmet(a, res))
 			w->ask[i].unmet_us = now_us();
-		if (status != RPC_DONE) {
-			fleet_suspect(fleet_of(w->m->home->service.kernel), a->address);
-			ask_failed(w, i, now_us());
-		} else if (res->state == MEMBER_UP) {
-			w->ask[i].failing_us = 0;
-			home_report_from_res(res, &r);
-			/*
-			 * The report is of the time when that home looked, not of the time when it
-			 * was asked.
-			 */
-			watch_report(w, i, &r, a->sent_us - (int64_t)res->age_us);
-			home_confirm_check(w->m);
-		} else if (res->state == MEMBER_DOWN) {
-			w->ask[i].failing_us = 0;
-			watch_unreachable(w, i, MEMBER_DOWN);
-		}
+		ask_take(w, i, a, res);
 		if (w->ask[i].again) {
 			w->ask[i].again = false;
 			home_confirm_check(w->m);
--- a/src/home-failover.c
+++ b/src/home-failover.c
@@ -166,40 +166,44 @@
 
 /** An order from a promoter to a member of this home, on a connection of its own. */
 struct order_query {
+	struct home *home;
 	struct rpc_request *rq;
 	const ml_order_args *args;
-	struct home_member *m;
 	struct db_conn *db;
+	struct event *timer; /**< a member that froze would keep the connection for ever */
 };
 
 static void order_query_end(struct order_query *q, const ml_order_res *res)
 {
+	event_free(q->timer);
 	if (q->db != NULL)
 		q->db->ops->close(q->db);
 	rpc_reply(q->rq, res);
 	g_free(q);
 }
 
+static void order_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	ml_order_res none = {0};
+
+	order_query_end(arg, &none);
+}
+
 static void order_answered(struct db_conn *db, const struct db_result *r, void *arg)
 {
 	struct order_query *q = arg;
+	struct home_member *m = home_member_get(q->home, q->args->pool, q->args->member);
 	ml_order_res res = {0};
 	char verdict[16];
-	struct home *h = q->m->home;
-	char pool[NAME_SIZE], member[NAME_SIZE];
-	struct home_member *m;
 
-	g_strlcpy(pool, q->m->pool, sizeof(pool));
-	g_strlcpy(member, q->m->conf.name, sizeof(member));
 	if (r->status == DB_OK && sscanf(r->value, "%15s %lu %lu %lu", verdict, &res.seen_term,
 					 &res.received.term, &res.received.lsn) == 4) {
 		res.reached = true;
 		res.ok = strcmp(verdict, "ok") == 0;
 	}
-	order_query_end(q, &res);
-	m = home_member_get(h, pool, member);
 	if (m != NULL)
 		home_watch_hint(m);
+	order_query_end(q, &res);
 }
 
 static const char *upstream_address(struct home *h, const char *pool, const char *member)
@@ -230,7 +234,7 @@
 		snprintf(sql, sizeof(sql), "SELECT mangoloom_promote(%lu)", a->term);
 	else
 		snprintf(sql, sizeof(sql), "SELECT mangoloom_follow(%lu, '%s', '%s')", a->term,
-			 a->upstream, upstream_address(q->m->home, a->pool, a->upstream));
+			 a->upstream, upstream_address(q->home, a->pool, a->upstream));
 	query.sql = sql;
 	db->ops->query(db, &query, order_answered, q);
 }
@@ -238,16 +242,20 @@
 void home_order_serve(struct rpc_request *rq, const void *args, void *owner)
 {
 	struct home *h = owner;
+	struct kernel *k = h->service.kernel;
 	struct order_query *q = g_new0(struct order_query, 1);
 	ml_order_res none = {0};
+	struct home_member *m;
 
+	q->home = h;
 	q->rq = rq;
 	q->args = args;
-	q->m = home_member_get(h, q->args->pool, q->args->member);
-	if (q->m == NULL) {
+	q->timer = event_new(k->base, -1, 0, order_timeout, q);
+	m = home_member_get(h, q->args->pool, q->args->member);
+	if (m == NULL) {
 		order_query_end(q, &none);
 		return;
 	}
-	q->db = db_libpq_ops.open(h->service.kernel, q->m->conf.address, q->m->pool,
-				  FAILOVER_PHASE_US, order_opened, q);
+	kernel_arm(q->timer, FAILOVER_PHASE_US);
+	q->db = db_libpq_ops.open(k, m->conf.address, m->pool, FAILOVER_PHASE_US, order_opened, q);
 }
--- a/src/home-fate.c
+++ b/src/home-fate.c
@@ -23,8 +23,8 @@
 struct fate_query {
 	struct rpc_request *rq;
 	const ml_fate_args *args;
-	struct home_member *m;
 	struct db_conn *db;
+	struct event *timer; /**< a member that froze would keep the connection for ever */
 	bool terminated;
 };
 
@@ -32,12 +32,18 @@
 {
 	ml_fate_res res = {.fate = fate, .pos = {pos.term, pos.lsn}};
 
+	event_free(q->timer);
 	if (q->db != NULL)
 		q->db->ops->close(q->db);
 	rpc_reply(q->rq, &res);
 	g_free(q);
 }
 
+static void fate_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	fate_query_end(arg, FATE_UNKNOWN, (struct pos){0});
+}
+
 static void fate_ask_status(struct fate_query *q);
 
 static void fate_answered(struct db_conn *db, const struct db_result *res, void *arg)
@@ -96,22 +102,24 @@
 {
 	struct home *h = owner;
 	struct fate_query *q = g_new0(struct fate_query, 1);
+	struct home_member *m;
 
 	q->rq = rq;
 	q->args = args;
-	q->m = home_member_get(h, q->args->pool, q->args->member);
+	q->timer = event_new(h->service.kernel->base, -1, 0, fate_timeout, q);
+	m = home_member_get(h, q->args->pool, q->args->member);
 	/*
 	 * A new primary that does not know the transaction has not settled its fate: were it
 	 * replaced before its term is on a majority, the former primary's log could be chosen, and
 	 * the "not run" would turn out untrue.
 	 */
-	if (q->m == NULL || !home_leads(q->m) ||
-	    (strcmp(q->args->former, q->args->member) != 0 &&
-	     group_settled(&q->m->view) != q->m->self)) {
+	if (m == NULL || !home_leads(m) ||
+	    (strcmp(q->args->former, q->args->member) != 0 && group_settled(&m->view) != m->self)) {
 		fate_query_end(q, FATE_UNKNOWN, (struct pos){0});
 		return;
 	}
-	q->db = db_libpq_ops.open(h->service.kernel, q->m->conf.address, q->m->pool, FATE_OPEN_US,
+	kernel_arm(q->timer, FATE_CALL_US);
+	q->db = db_libpq_ops.open(h->service.kernel, m->conf.address, m->pool, FATE_OPEN_US,
 				  fate_opened, q);
 }
 
