--- a/tests/harness.h
+++ b/tests/harness.h
@@ -39,6 +39,11 @@
 		CU_ASSERT(check_ok);                                                               \
 	} while (0)
 
+/** Routes to the first pool, for tables with teams of their own. */
+#define HARNESS_ROUTES                                                                             \
+	"[[route]]\nname = \"orders\"\nkind = \"order\"\npool = \"pool1\"\n"                       \
+	"[[route]]\nname = \"own\"\nkind = \"own\"\npool = \"pool1\"\nwrite = false\n"
+
 #define FLEET_VMS_MAX 32
 #define FLEET_MEMBERS_MAX 9
 
