Logic that stood several times stands once

Read again as a whole: a member of a pool was looked for in three files (conf_pool_find serves them), configuration entries were let go by four copies of one function (conf_entry_destroy), the platform's keys by two, and the allocator reset and forgot a holder in two places each (entry_unbind, alloc_remove). Behaviour is as it was.

--- a/cmd/mangoloom-call.c
+++ b/cmd/mangoloom-call.c
@@ -39,15 +39,6 @@
 	return to;
 }
 
-static void free_kv(gpointer data)
-{
-	struct platform_kv *kv = data;
-
-	g_free(kv->key);
-	g_free(kv->value);
-	g_free(kv);
-}
-
 static void platform_answered(const struct platform_answer *a, void *arg)
 {
 	struct waiting *w = arg;
@@ -55,7 +46,7 @@
 	w->answer = g_new0(struct platform_answer, 1);
 	*w->answer = *a;
 	w->answer->kvs = g_ptr_array_copy(a->kvs, copy_kv, NULL);
-	g_ptr_array_set_free_func(w->answer->kvs, free_kv);
+	g_ptr_array_set_free_func(w->answer->kvs, platform_kv_free);
 	event_base_loopbreak(w->base);
 }
 
--- a/cmd/mangoloom-store.c
+++ b/cmd/mangoloom-store.c
@@ -15,11 +15,6 @@
 /** Changes kept in the history. */
 #define HISTORY_MAX 200
 
-static void entry_unref(gpointer e)
-{
-	conf_entry_unref(e);
-}
-
 void store_free(struct store *s)
 {
 	g_ptr_array_unref(s->entries);
@@ -71,7 +66,7 @@
 		return NULL;
 	}
 	s = g_new0(struct store, 1);
-	s->entries = g_ptr_array_new_with_free_func(entry_unref);
+	s->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	for (i = 0; i < a->kvs->len; i++) {
 		const struct platform_kv *kv = g_ptr_array_index(a->kvs, i);
 
--- a/decide/conf.c
+++ b/decide/conf.c
@@ -30,7 +30,7 @@
 	g_free(e);
 }
 
-static void entry_unref(gpointer e)
+void conf_entry_destroy(gpointer e)
 {
 	conf_entry_unref(e);
 }
@@ -39,7 +39,7 @@
 {
 	struct conf *c = g_new0(struct conf, 1);
 
-	c->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_unref);
+	c->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, conf_entry_destroy);
 	c->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&c->tombstones);
 	return c;
@@ -47,7 +47,7 @@
 
 void conf_free(struct conf *c)
 {
-	g_queue_clear_full(&c->tombstones, entry_unref);
+	g_queue_clear_full(&c->tombstones, conf_entry_destroy);
 	g_hash_table_destroy(c->routes);
 	g_hash_table_destroy(c->entries);
 	g_free(c);
@@ -126,7 +126,7 @@
 	}
 	g_list_free(ids);
 	g_hash_table_destroy(named);
-	g_queue_clear_full(&c->tombstones, entry_unref);
+	g_queue_clear_full(&c->tombstones, conf_entry_destroy);
 	c->oldest = u->version;
 }
 
@@ -159,7 +159,7 @@
 	u->full = base < c->oldest || base == 0;
 	u->base = base;
 	u->version = c->version;
-	u->entries = g_ptr_array_new_with_free_func(entry_unref);
+	u->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	g_hash_table_iter_init(&iter, c->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct conf_entry *e = value;
@@ -197,6 +197,17 @@
 	return e != NULL ? &e->pool : NULL;
 }
 
+int conf_pool_find(const struct conf_pool *pool, const char *member)
+{
+	unsigned i;
+
+	for (i = 0; pool != NULL && i < pool->n; i++) {
+		if (strcmp(pool->member[i].name, member) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
 const struct conf_team *conf_team(const struct conf *c, const char *name)
 {
 	const struct conf_entry *e = conf_find(c, "team", name);
--- a/decide/conf.h
+++ b/decide/conf.h
@@ -78,6 +78,8 @@
 struct conf_entry *conf_entry_create(const char *id, uint64_t version, const char *text);
 struct conf_entry *conf_entry_add_ref(struct conf_entry *e);
 void conf_entry_unref(struct conf_entry *e);
+/** The same for GLib's containers. */
+void conf_entry_destroy(gpointer e);
 
 struct conf {
 	uint64_t version;
@@ -109,6 +111,8 @@
 void conf_update_clear(struct conf_update *u);
 
 const struct conf_pool *conf_pool(const struct conf *c, const char *name);
+/** Index of a member of @a pool, which may be NULL; -1 when it has none of that name. */
+int conf_pool_find(const struct conf_pool *pool, const char *member);
 const struct conf_team *conf_team(const struct conf *c, const char *name);
 const struct conf_key *conf_key(const struct conf *c, const char *id);
 /** The most exact route for @a team and @a kind, or NULL. A named team goes before a named kind. */
--- a/decide/share.c
+++ b/decide/share.c
@@ -211,6 +211,25 @@
 	return e;
 }
 
+/** Nothing that this holder has is known any more. */
+static void entry_unbind(struct share_entry *e)
+{
+	e->bound = false;
+	e->held = 0;
+	e->ordered = 0;
+	e->seq = 0;
+	e->acked = 0;
+}
+
+/** Forget a holder; before the census is complete, what it had is not this allocator's to give. */
+static void alloc_remove(struct share_alloc *a, struct share_entry *e)
+{
+	if (e->bound && !a->whole)
+		a->budget -= e->held < a->budget ? e->held : a->budget;
+	TAILQ_REMOVE(&a->entries, e, link);
+	free(e);
+}
+
 /** Whether units that this VM may hold must still be counted. */
 static bool entry_counts(const struct share_entry *e, int64_t now_us)
 {
@@ -225,10 +244,7 @@
 	TAILQ_FOREACH_SAFE(e, &a->entries, link, next) {
 		if (entry_counts(e, now_us))
 			continue;
-		if (e->bound && !a->whole)
-			a->budget -= e->held < a->budget ? e->held : a->budget;
-		TAILQ_REMOVE(&a->entries, e, link);
-		free(e);
+		alloc_remove(a, e);
 	}
 	if (a->whole)
 		return;
@@ -269,10 +285,7 @@
 
 	if (e == NULL)
 		return;
-	if (e->bound && !a->whole)
-		a->budget -= e->held < a->budget ? e->held : a->budget;
-	TAILQ_REMOVE(&a->entries, e, link);
-	free(e);
+	alloc_remove(a, e);
 	alloc_census(a, now_us);
 }
 
@@ -285,11 +298,7 @@
 	a->whole = false;
 	a->budget = 0;
 	TAILQ_FOREACH(e, &a->entries, link) {
-		e->bound = false;
-		e->held = 0;
-		e->ordered = 0;
-		e->seq = 0;
-		e->acked = 0;
+		entry_unbind(e);
 	}
 }
 
@@ -457,11 +466,7 @@
 		return false;
 	e->former = e->incarnation;
 	e->incarnation = r->incarnation;
-	e->bound = false;
-	e->held = 0;
-	e->ordered = 0;
-	e->seq = 0;
-	e->acked = 0;
+	entry_unbind(e);
 	return true;
 }
 
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -103,11 +103,6 @@
 	fleet_beat(f);
 }
 
-static void entry_unref(gpointer e)
-{
-	conf_entry_unref(e);
-}
-
 /** The version in the head key's value; 0 when it has none. */
 static uint64_t head_version(const char *value)
 {
@@ -146,7 +141,7 @@
 	guint i;
 
 	memset(u, 0, sizeof(*u));
-	u->entries = g_ptr_array_new_with_free_func(entry_unref);
+	u->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	for (i = 0; i < a->kvs->len; i++) {
 		const struct platform_kv *kv = g_ptr_array_index(a->kvs, i);
 
@@ -345,7 +340,7 @@
 	u.base = res->base;
 	u.version = res->conf_version;
 	u.full = res->full;
-	u.entries = g_ptr_array_new_with_free_func(entry_unref);
+	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	for (i = 0; i < res->entries.entries_len; i++) {
 		const ml_entry *wire = &res->entries.entries_val[i];
 		struct conf_entry *e = table_entry_parse(wire->id, wire->conf_version,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -48,13 +48,9 @@
 static const struct conf_member *member_conf(struct fleet *f, const char *pool, const char *member)
 {
 	const struct conf_pool *p = conf_pool(f->conf, pool);
-	unsigned i;
+	int i = conf_pool_find(p, member);
 
-	for (i = 0; p != NULL && i < p->n; i++) {
-		if (strcmp(p->member[i].name, member) == 0)
-			return &p->member[i];
-	}
-	return NULL;
+	return i >= 0 ? &p->member[i] : NULL;
 }
 
 /**
--- a/src/home-failover.c
+++ b/src/home-failover.c
@@ -209,13 +209,9 @@
 static const char *upstream_address(struct home *h, const char *pool, const char *member)
 {
 	const struct conf_pool *p = conf_pool(fleet_of(h->service.kernel)->conf, pool);
-	unsigned i;
+	int i = conf_pool_find(p, member);
 
-	for (i = 0; p != NULL && i < p->n; i++) {
-		if (strcmp(p->member[i].name, member) == 0)
-			return p->member[i].address;
-	}
-	return "";
+	return i >= 0 ? p->member[i].address : "";
 }
 
 static void order_opened(struct db_conn *db, bool ok, const char *why, void *arg)
--- a/src/home.c
+++ b/src/home.c
@@ -103,17 +103,6 @@
 	g_free(m);
 }
 
-static int pool_member(const struct conf_pool *pool, const char *member)
-{
-	unsigned i;
-
-	for (i = 0; pool != NULL && i < pool->n; i++) {
-		if (strcmp(pool->member[i].name, member) == 0)
-			return (int)i;
-	}
-	return -1;
-}
-
 static struct home_member *member_find(struct home *h, const char *pool, const char *member)
 {
 	char key[2 * NAME_SIZE];
@@ -130,7 +119,7 @@
 
 	if (m == NULL) {
 		p = conf_pool(fleet_of(h->service.kernel)->conf, pool);
-		i = pool_member(p, member);
+		i = conf_pool_find(p, member);
 		if (i < 0)
 			return NULL;
 		m = member_create(h, p, (unsigned)i);
@@ -168,7 +157,7 @@
 
 	TAILQ_FOREACH(m, &h->members, link) {
 		const struct conf_pool *pool = conf_pool(f->conf, m->pool);
-		int i = pool_member(pool, m->conf.name);
+		int i = conf_pool_find(pool, m->conf.name);
 
 		m->placed = false;
 		if (i >= 0)
--- a/src/platform.c
+++ b/src/platform.c
@@ -94,7 +94,7 @@
 	return text;
 }
 
-static void kv_free(gpointer data)
+void platform_kv_free(gpointer data)
 {
 	struct platform_kv *kv = data;
 
@@ -106,7 +106,7 @@
 static void answer_init(struct platform_answer *a)
 {
 	memset(a, 0, sizeof(*a));
-	a->kvs = g_ptr_array_new_with_free_func(kv_free);
+	a->kvs = g_ptr_array_new_with_free_func(platform_kv_free);
 }
 
 static void answer_clear(struct platform_answer *a)
--- a/src/platform.h
+++ b/src/platform.h
@@ -29,6 +29,9 @@
 	int64_t mod_revision;
 };
 
+/** For GLib's containers. */
+void platform_kv_free(gpointer kv);
+
 struct platform_answer {
 	bool ok;	  /**< an answer came */
 	bool succeeded;	  /**< of a transaction: the comparison held */
--- a/src/table.c
+++ b/src/table.c
@@ -261,11 +261,6 @@
 	return e;
 }
 
-static void entry_unref(gpointer e)
-{
-	conf_entry_unref(e);
-}
-
 static gboolean add_entry(struct table *t, const char *file, enum conf_kind kind, JsonObject *o,
 			  guint at, GError **error)
 {
@@ -338,7 +333,7 @@
 	int kind;
 
 	t->which = which;
-	t->entries = g_ptr_array_new_with_free_func(entry_unref);
+	t->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	if (root == NULL)
 		return FALSE;
 	for (kind = 0; kind < CONF_KINDS; kind++) {
