--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,13 @@
 OPT ?= -O2 -g
 SAN ?=
 WARN = -Wall -Wextra -Wno-unused-parameter -Wmissing-prototypes -Wshadow -Werror
-CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) $(SAN) $(WARN) -Isrc -Idecide -Itests $(PKG_CFLAGS) -MMD -MP
+CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) $(SAN) $(WARN) -Isrc -Idecide -Iplatform -Itests $(PKG_CFLAGS) -MMD -MP
 GEN_CFLAGS = $(filter-out -W%,$(CFLAGS_ALL)) -w
 
 DECIDE_SRC = $(wildcard decide/*.c)
 SRC = $(filter-out src/mango_xdr.c,$(wildcard src/*.c))
-LIB_OBJ = $(DECIDE_SRC:%.c=$(B)/%.o) $(SRC:%.c=$(B)/%.o) $(B)/src/mango_xdr.o $(B)/src/toml-shim.o
+PLATFORM_SRC = $(wildcard platform/*.c)
+LIB_OBJ = $(PLATFORM_SRC:%.c=$(B)/%.o) $(DECIDE_SRC:%.c=$(B)/%.o) $(SRC:%.c=$(B)/%.o) $(B)/src/mango_xdr.o $(B)/src/toml-shim.o
 LIB = $(B)/libmangoloom.a
 PROGS = $(B)/mangoloomd $(B)/mangoloom $(B)/mangoload
 STANDINS = $(B)/standin-platform $(B)/standin-db $(B)/faultproxy
@@ -80,7 +81,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@BIN=$(B) examples/demo.sh
 
-FORMATTED = $(filter-out src/mango_xdr.c src/mango.h,$(wildcard decide/*.[ch] src/*.[ch] cmd/*.[ch] tests/*.[ch])) src/toml-shim.cc
+FORMATTED = $(filter-out src/mango_xdr.c src/mango.h,$(wildcard decide/*.[ch] platform/*.[ch] src/*.[ch] cmd/*.[ch] tests/*.[ch])) src/toml-shim.cc
 
 format:
 	@clang-format -i $(FORMATTED)
@@ -95,7 +96,7 @@
 		$(filter %.c,$(FORMATTED))
 
 generate:
-	cd src && rpcgen -h -o mango.h mango.x && rpcgen -c -o mango_xdr.c mango.x
+	cd src && rm -f mango.h mango_xdr.c && rpcgen -h -o mango.h mango.x && rpcgen -c -o mango_xdr.c mango.x
 
 # Figures for docs/: `make measure`, or one of them by `build/measure latency`.
 measure: all $(B)/measure
--- a/cmd/mangoloomd.c
+++ b/cmd/mangoloomd.c
@@ -1,11 +1,15 @@
 /** @file mangoloomd.c The daemon: reads its settings, makes the services, runs the loop. */
 #include "caller.h"
+#include "endpoint.h"
 #include "entry.h"
 #include "fleet.h"
 #include "home.h"
 #include "kernel.h"
 #include "log.h"
+#include "owner.h"
+#include "platform-adapter.h"
 #include "rpc.h"
+#include "session.h"
 #include "shares.h"
 #include "status.h"
 #include "trace.h"
@@ -40,6 +44,26 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/** The services, in the order in which they start; they stop in the other. */
+static void services_create(struct kernel *k)
+{
+	rpc_service_create(k);
+	fleet_service_create(k);
+	shares_service_create(k);
+	if (k->settings->platform_kind == PLATFORM_PREPARED) {
+		owner_service_create(k);
+		session_service_create(k);
+		k->adapter->callers(k);
+		endpoint_service_create(k);
+		return;
+	}
+	home_service_create(k);
+	entry_service_create(k);
+	caller_service_create(k);
+	status_service_create(k);
+	endpoint_service_create(k);
+}
+
 static int run(const struct settings *settings)
 {
 	struct kernel *k = kernel_create(settings);
@@ -49,17 +73,13 @@
 	GError *error = NULL;
 	int code = EXIT_OK;
 
+	if (settings->platform_kind == PLATFORM_PREPARED)
+		k->adapter = &platform_adapter;
 	signal(SIGPIPE, SIG_IGN);
 	raise_file_limit();
 	event_add(term, NULL);
 	event_add(interrupt, NULL);
-	rpc_service_create(k);
-	fleet_service_create(k);
-	shares_service_create(k);
-	home_service_create(k);
-	entry_service_create(k);
-	caller_service_create(k);
-	status_service_create(k);
+	services_create(k);
 	if (kernel_start(k, &error)) {
 		log_info("started", LOG_STR("version", MANGOLOOM_VERSION),
 			 LOG_STR("callers", settings->caller_address),
--- /dev/null
+++ b/decide/marks.c
@@ -0,0 +1,76 @@
+/** @file marks.c What is known of the newest acknowledged write. */
+#include "marks.h"
+
+#include <string.h>
+
+void marks_clear(struct marks *m)
+{
+	memset(m, 0, sizeof(*m));
+}
+
+static struct mark *mark_at(struct marks *m, unsigned i)
+{
+	return &m->mark[(m->first + i) % MARKS_MAX];
+}
+
+void marks_add(struct marks *m, struct pos pos, int64_t asked_us)
+{
+	struct mark *last;
+
+	if (pos.term == 0)
+		return;
+	if (m->term_start.term == 0)
+		m->term_start = pos;
+	/* Answers may come in another order than their statements were sent. */
+	if (pos_cmp(pos, m->newest.pos) < 0)
+		pos = m->newest.pos;
+	if (asked_us > m->newest.asked_us)
+		m->newest.asked_us = asked_us;
+	m->newest.pos = pos;
+	last = m->n > 0 ? mark_at(m, m->n - 1) : NULL;
+	if (last != NULL && asked_us - last->asked_us < MARKS_STEP_US)
+		return;
+	if (m->n == MARKS_MAX) {
+		m->first = (m->first + 1) % MARKS_MAX;
+		m->n--;
+	}
+	m->n++;
+	*mark_at(m, m->n - 1) = (struct mark){.asked_us = asked_us, .pos = pos};
+}
+
+void marks_new_term(struct marks *m, struct pos start, int64_t asked_us)
+{
+	marks_clear(m);
+	marks_add(m, start, asked_us);
+}
+
+bool marks_need(const struct marks *m, int64_t since_us, struct pos *need)
+{
+	unsigned low = 0, high = m->n;
+
+	while (low < high) {
+		unsigned middle = (low + high) / 2;
+
+		if (m->mark[(m->first + middle) % MARKS_MAX].asked_us >= since_us)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	if (low < m->n) {
+		*need = m->mark[(m->first + low) % MARKS_MAX].pos;
+		return true;
+	}
+	*need = m->newest.pos;
+	return m->newest.pos.term != 0 && m->newest.asked_us >= since_us;
+}
+
+struct pos marks_own(const struct marks *m, struct pos own)
+{
+	/*
+	 * A write of an earlier term may have been discarded by the promotion, and no member would
+	 * ever have its position. What the new primary began with holds all that was kept of it.
+	 */
+	if (own.term != 0 && own.term < m->term_start.term)
+		return m->term_start;
+	return own;
+}
--- a/decide/outcome.c
+++ b/decide/outcome.c
@@ -76,6 +76,22 @@
 			       true},
 			      RETRY_NEVER,
 			      false},
+	[OUTCOME_NO_KEY] = {{"no-key", "28000", "the key is unknown or was withdrawn", true},
+			    RETRY_NEVER,
+			    false},
+	[OUTCOME_MALFORMED] = {{"malformed", "42601", "no statement that is served here", true},
+			       RETRY_NEVER,
+			       false},
+	[OUTCOME_NO_NAME] = {{"no-name", "26000", "no prepared statement has this name", true},
+			     RETRY_NEVER,
+			     false},
+	[OUTCOME_TIMED_OUT] = {{"timed-out", "57014", "the database ended it at a time limit",
+				false},
+			       RETRY_NEVER,
+			       false},
+	[OUTCOME_READ_ONLY] = {{"read-only", "25006", "a write where only reads are served", true},
+			       RETRY_NEVER,
+			       false},
 };
 
 const struct outcome_text *outcome_text(enum outcome o)
--- a/decide/outcome.h
+++ b/decide/outcome.h
@@ -27,6 +27,11 @@
 	OUTCOME_ALREADY_RUN, /**< a request with this once-id was committed earlier */
 	OUTCOME_OVER_RATE,   /**< not run: the team is over its rate */
 	OUTCOME_NO_ROUTE,    /**< not run: no route for this team and kind */
+	OUTCOME_NO_KEY,	     /**< not run: the key is unknown, or was withdrawn */
+	OUTCOME_MALFORMED,   /**< not run: no statement that is served, or not in this state */
+	OUTCOME_NO_NAME,     /**< not run: no prepared statement has the name */
+	OUTCOME_TIMED_OUT,   /**< the database ran it and ended it at a time limit */
+	OUTCOME_READ_ONLY,   /**< not run: a write where only reads are served */
 	OUTCOMES
 };
 
--- a/decide/peers.c
+++ b/decide/peers.c
@@ -282,6 +282,20 @@
 	return best;
 }
 
+struct vm *peers_next_holder(const struct peers *p, const char *key)
+{
+	struct vm *best = NULL;
+	struct vm *vm;
+
+	TAILQ_FOREACH(vm, &p->vms, link) {
+		if (vm == p->self || !peers_usable(vm))
+			continue;
+		if (best == NULL || rank_weight(key, vm->name) > rank_weight(key, best->name))
+			best = vm;
+	}
+	return best;
+}
+
 unsigned peers_place(const struct peers *p, const char *key)
 {
 	uint64_t own = rank_weight(key, p->self->name);
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -99,6 +99,8 @@
  * @return NULL when no VM is usable.
  */
 struct vm *peers_holder(const struct peers *p, const char *key, const char *data_center);
+/** The same among the other VMs, for a VM that leaves. */
+struct vm *peers_next_holder(const struct peers *p, const char *key);
 /**
  * This VM's place among the usable VMs of its own data centre for @a key, by rendezvous order: 0
  * is first.
--- /dev/null
+++ b/src/fleet-store.h
@@ -0,0 +1,34 @@
+/**
+ * @file fleet-store.h
+ * The store as the fleet uses it: this VM's lease, and news of keys that others keep there.
+ */
+#ifndef FLEET_STORE_H
+#define FLEET_STORE_H
+
+#include "fleet.h"
+#include "store.h"
+
+/** All keys of ours begin with this. */
+#define FLEET_STORE_PREFIX "mangoloom/"
+/** One key a VM, under its lease. */
+#define FLEET_STORE_VMS FLEET_STORE_PREFIX "vm/"
+
+/** A key changed, or was read for the first time; its value is NULL when it is gone. */
+typedef void (*fleet_store_news)(const struct store_item *item, void *owner);
+
+struct store *fleet_store(struct fleet *f);
+/** Hear of keys that begin with @a prefix, which is one of FLEET_STORE_PREFIX. */
+void fleet_store_listen(struct fleet *f, const char *prefix, fleet_store_news cb, void *owner);
+/**
+ * Until when this VM surely holds its lease, in now_us() time; 0 when it has none. The time counts
+ * from before the renewal was sent, so the store ends the lease later than that.
+ */
+int64_t fleet_store_lease_until_us(struct fleet *f);
+/** The lease itself; 0 when this VM is not listed under one. */
+uint64_t fleet_store_lease(struct fleet *f);
+/** Give the lease up, for a VM that has stopped sending. @return whether it is given up */
+bool fleet_store_release(struct fleet *f);
+/** The VM that the key's value names, and its process. @return false for a malformed value. */
+bool fleet_store_vm_parse(const char *value, char name[NAME_SIZE], uint64_t *incarnation);
+
+#endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -263,7 +263,7 @@
 	rpc_serve(rpc_of(s->kernel), ML_CONF, fleet_conf_serve, f);
 	f->heartbeat =
 		kernel_every(s->kernel, (int64_t)set->heartbeat_ms * USEC_PER_MSEC, beat_tick, f);
-	fleet_conf_start(f);
+	f->source->start(f);
 	return TRUE;
 }
 
@@ -278,6 +278,8 @@
 	peers_leave(&f->peers);
 	for (i = 0; i < LEAVE_ROUNDS; i++)
 		fleet_beat(f);
+	if (f->source->leave != NULL)
+		f->source->leave(f);
 	fleet_members_changed(f);
 }
 
@@ -287,7 +289,7 @@
 
 	if (f->heartbeat != NULL)
 		event_free(f->heartbeat);
-	fleet_conf_stop(f);
+	f->source->stop(f);
 	peers_clear(&f->peers);
 	conf_free(f->conf);
 	g_hash_table_destroy(f->holders);
@@ -308,6 +310,8 @@
 
 	f->service.ops = &fleet_ops;
 	f->conf = conf_create();
+	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
+								    : &fleet_etcd_ops;
 	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
 		   k->incarnation);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -4,7 +4,9 @@
  * Decisions are in decide/peers.c and decide/conf.c.
  *
  * fleet.c       heartbeats, membership, who is home to what
- * fleet-conf.c  the configuration: from the platform, from peers, to peers
+ * fleet-conf.c  the configuration in force, from peers and to peers
+ * fleet-etcd.c  configuration and list of VMs from etcd's gateway
+ * fleet-store.c the same from a store with leases, with what others keep there
  */
 #ifndef FLEET_H
 #define FLEET_H
@@ -16,7 +18,22 @@
 
 #include <json-glib/json-glib.h>
 
-struct platform;
+struct fleet;
+
+/** Where the configuration and the list of VMs come from. */
+struct fleet_source_ops {
+	void (*start)(struct fleet *f);
+	/** This VM leaves: take it off the list of VMs. May be NULL. */
+	void (*leave)(struct fleet *f);
+	void (*stop)(struct fleet *f);
+	/** What is known here misses changes: read all anew. */
+	void (*behind)(struct fleet *f);
+};
+
+/** etcd's gateway. */
+extern const struct fleet_source_ops fleet_etcd_ops;
+/** A store of store.h; the VM lists itself there under a lease. */
+extern const struct fleet_source_ops fleet_store_ops;
 
 /** Something changed: the membership or the configuration. */
 typedef void (*fleet_changed)(void *owner);
@@ -28,11 +45,10 @@
 	struct peers peers;
 	struct conf *conf;
 	char *vms_text; /**< the platform's list, as it came, for peers */
-	struct platform *platform;
+	const struct fleet_source_ops *source;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
 	bool fetching; /**< a peer or the platform is being asked for the configuration */
-	struct event *fetch;
 	int64_t news_us; /**< when the configuration was last known to be current */
 	struct {
 		fleet_changed cb;
@@ -59,8 +75,14 @@
 void fleet_json(struct fleet *f, JsonBuilder *b);
 
 /* fleet-conf.c */
-void fleet_conf_start(struct fleet *f);
-void fleet_conf_stop(struct fleet *f);
+/** Whether this VM is one of those in its data centre that watch the store. */
+bool fleet_is_watcher(const struct fleet *f);
+/** Ask a seed of the settings for the configuration, while none is known here. */
+void fleet_ask_seed(struct fleet *f);
+/** Take in a list of VMs, as text in JSON; an older one changes nothing. */
+void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text);
+/** Take in a configuration; an older one changes nothing. */
+void fleet_take_conf(struct fleet *f, const struct conf_update *u, const char *from);
 void fleet_conf_serve(struct rpc_request *rq, const void *args, void *owner);
 /** A peer at @a address has a newer version, or a newer list of VMs. */
 void fleet_conf_behind(struct fleet *f, const char *address);
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+struct adapter;
 struct kernel;
 struct service;
 
@@ -41,6 +42,7 @@
 struct kernel {
 	struct event_base *base;
 	const struct settings *settings;
+	const struct adapter *adapter; /**< NULL with etcd and PostgreSQL */
 	uint64_t incarnation; /**< random; tells this process from earlier ones on the VM */
 	struct services services;
 	bool draining;
@@ -59,7 +61,7 @@
 void kernel_drain(struct kernel *k);
 void kernel_free(struct kernel *k);
 
-/** Monotonic microseconds. */
+/** Monotonic microseconds, which also pass while the VM is suspended. */
 int64_t now_us(void);
 /** 64 random bits. */
 uint64_t random_bits(void);
--- a/src/key.c
+++ b/src/key.c
@@ -6,6 +6,8 @@
 
 #define KEY_PREFIX "mlk_"
 #define KEY_ID_BYTES 6
+/** Of a key that carries no id: the first bytes of its hash. */
+#define KEY_ID_OF_HASH_BYTES 16
 #define KEY_SECRET_BYTES 24
 
 void key_create(const char *team, struct conf_key *key, char *text)
@@ -40,6 +42,14 @@
 	return true;
 }
 
+void key_from_text(const char *text, const char *team, struct conf_key *key)
+{
+	memset(key, 0, sizeof(*key));
+	g_strlcpy(key->team, team, sizeof(key->team));
+	key_hash(text, key->hash);
+	sodium_bin2hex(key->id, sizeof(key->id), key->hash, KEY_ID_OF_HASH_BYTES);
+}
+
 void key_hash(const char *text, unsigned char hash[KEY_HASH_SIZE])
 {
 	crypto_generichash(hash, KEY_HASH_SIZE, (const unsigned char *)text, strlen(text), NULL, 0);
--- a/src/key.h
+++ b/src/key.h
@@ -14,6 +14,8 @@
 void key_create(const char *team, struct conf_key *key, char *text);
 /** The id inside a key's text. @return false when the text is no key. */
 bool key_id(const char *text, char *id, size_t size);
+/** The entry of a key that was made elsewhere and carries no id: its id comes from its hash. */
+void key_from_text(const char *text, const char *team, struct conf_key *key);
 /** BLAKE2b of the whole text. */
 void key_hash(const char *text, unsigned char hash[KEY_HASH_SIZE]);
 /** Compare in constant time. */
--- a/src/log.c
+++ b/src/log.c
@@ -134,7 +134,10 @@
 	}
 	log_state.format = format;
 	g_strlcpy(log_state.vm, vm, sizeof(log_state.vm));
-	log_state.file = path[0] != '\0' ? fopen(path, "a") : stderr;
+	if (strcmp(path, "-") == 0)
+		log_state.file = stdout;
+	else
+		log_state.file = path[0] != '\0' ? fopen(path, "a") : stderr;
 	if (log_state.file == NULL)
 		return false;
 	setvbuf(log_state.file, NULL, _IOFBF, LOG_BUFFER_SIZE);
--- a/src/mango.h
+++ b/src/mango.h
@@ -255,6 +255,78 @@
 };
 typedef struct ml_fate_res ml_fate_res;
 
+struct ml_value {
+	ml_text name;
+	ml_text value;
+};
+typedef struct ml_value ml_value;
+
+struct ml_run_args {
+	ml_text request;
+	ml_name team;
+	double weight;
+	u_int priority;
+	ml_name pool;
+	int op;
+	bool_t write;
+	ml_text text;
+	ml_text operand;
+	ml_text shape;
+	int mode;
+	u_quad_t max_age_us;
+	ml_pos session;
+	u_quad_t deadline_us;
+	u_quad_t idle_tx_us;
+	u_quad_t transaction;
+	int begin;
+	struct {
+		u_int values_len;
+		ml_value *values_val;
+	} values;
+};
+typedef struct ml_run_args ml_run_args;
+
+struct ml_run_res {
+	int outcome;
+	ml_text message;
+	ml_text signature;
+	struct {
+		u_int rows_len;
+		char *rows_val;
+	} rows;
+	int state;
+	ml_pos pos;
+	u_quad_t transaction;
+	u_quad_t retry_after_us;
+	ml_name member;
+	ml_name owner;
+	ml_name owner_address;
+	u_quad_t owner_revision;
+};
+typedef struct ml_run_res ml_run_res;
+
+struct ml_owner {
+	ml_name pool;
+	ml_name vm;
+	ml_name address;
+	u_quad_t revision;
+	bool_t serving;
+};
+typedef struct ml_owner ml_owner;
+
+struct ml_yield_args {
+	ml_name pool;
+	u_quad_t revision;
+	ml_name vm;
+};
+typedef struct ml_yield_args ml_yield_args;
+
+struct ml_reach_args {
+	ml_name pool;
+	ml_name member;
+};
+typedef struct ml_reach_args ml_reach_args;
+
 struct ml_status_res {
 	ml_text json;
 };
@@ -294,6 +366,18 @@
 #define ML_POKE 10
 extern  ml_none * ml_poke_1(ml_poke *, CLIENT *);
 extern  ml_none * ml_poke_1_svc(ml_poke *, struct svc_req *);
+#define ML_RUN 11
+extern  ml_run_res * ml_run_1(ml_run_args *, CLIENT *);
+extern  ml_run_res * ml_run_1_svc(ml_run_args *, struct svc_req *);
+#define ML_OWNER 12
+extern  ml_owner * ml_owner_1(ml_owner *, CLIENT *);
+extern  ml_owner * ml_owner_1_svc(ml_owner *, struct svc_req *);
+#define ML_YIELD 13
+extern  ml_none * ml_yield_1(ml_yield_args *, CLIENT *);
+extern  ml_none * ml_yield_1_svc(ml_yield_args *, struct svc_req *);
+#define ML_REACH 14
+extern  ml_none * ml_reach_1(ml_reach_args *, CLIENT *);
+extern  ml_none * ml_reach_1_svc(ml_reach_args *, struct svc_req *);
 extern int mangoloom_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -327,6 +411,18 @@
 #define ML_POKE 10
 extern  ml_none * ml_poke_1();
 extern  ml_none * ml_poke_1_svc();
+#define ML_RUN 11
+extern  ml_run_res * ml_run_1();
+extern  ml_run_res * ml_run_1_svc();
+#define ML_OWNER 12
+extern  ml_owner * ml_owner_1();
+extern  ml_owner * ml_owner_1_svc();
+#define ML_YIELD 13
+extern  ml_none * ml_yield_1();
+extern  ml_none * ml_yield_1_svc();
+#define ML_REACH 14
+extern  ml_none * ml_reach_1();
+extern  ml_none * ml_reach_1_svc();
 extern int mangoloom_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -358,6 +454,12 @@
 extern  bool_t xdr_ml_none (XDR *, ml_none*);
 extern  bool_t xdr_ml_fate_args (XDR *, ml_fate_args*);
 extern  bool_t xdr_ml_fate_res (XDR *, ml_fate_res*);
+extern  bool_t xdr_ml_value (XDR *, ml_value*);
+extern  bool_t xdr_ml_run_args (XDR *, ml_run_args*);
+extern  bool_t xdr_ml_run_res (XDR *, ml_run_res*);
+extern  bool_t xdr_ml_owner (XDR *, ml_owner*);
+extern  bool_t xdr_ml_yield_args (XDR *, ml_yield_args*);
+extern  bool_t xdr_ml_reach_args (XDR *, ml_reach_args*);
 extern  bool_t xdr_ml_status_res (XDR *, ml_status_res*);
 
 #else /* K&R C */
@@ -386,6 +488,12 @@
 extern bool_t xdr_ml_none ();
 extern bool_t xdr_ml_fate_args ();
 extern bool_t xdr_ml_fate_res ();
+extern bool_t xdr_ml_value ();
+extern bool_t xdr_ml_run_args ();
+extern bool_t xdr_ml_run_res ();
+extern bool_t xdr_ml_owner ();
+extern bool_t xdr_ml_yield_args ();
+extern bool_t xdr_ml_reach_args ();
 extern bool_t xdr_ml_status_res ();
 
 #endif /* K&R C */
--- a/src/mango.x
+++ b/src/mango.x
@@ -194,6 +194,66 @@
 	ml_pos pos;
 };
 
+struct ml_value {
+	ml_text name;
+	ml_text value;
+};
+
+struct ml_run_args {
+	ml_text request;
+	ml_name team;
+	double weight;
+	unsigned int priority;
+	ml_name pool;
+	int op;
+	bool write;
+	ml_text text;
+	ml_text operand;
+	ml_text shape;
+	int mode;
+	unsigned hyper max_age_us;
+	ml_pos session;
+	unsigned hyper deadline_us;
+	unsigned hyper idle_tx_us;
+	unsigned hyper transaction;
+	int begin;
+	ml_value values<ML_PARAMS_MAX>;
+};
+
+struct ml_run_res {
+	int outcome;
+	ml_text message;
+	ml_text signature;
+	opaque rows<ML_RESULT_MAX>;
+	int state;
+	ml_pos pos;
+	unsigned hyper transaction;
+	unsigned hyper retry_after_us;
+	ml_name member;
+	ml_name owner;
+	ml_name owner_address;
+	unsigned hyper owner_revision;
+};
+
+struct ml_owner {
+	ml_name pool;
+	ml_name vm;
+	ml_name address;
+	unsigned hyper revision;
+	bool serving;
+};
+
+struct ml_yield_args {
+	ml_name pool;
+	unsigned hyper revision;
+	ml_name vm;
+};
+
+struct ml_reach_args {
+	ml_name pool;
+	ml_name member;
+};
+
 struct ml_status_res {
 	ml_text json;
 };
@@ -210,5 +270,9 @@
 		ml_status_res ML_STATUS(void) = 8;
 		ml_status_res ML_STOP(void) = 9;
 		ml_none ML_POKE(ml_poke) = 10;
+		ml_run_res ML_RUN(ml_run_args) = 11;
+		ml_owner ML_OWNER(ml_owner) = 12;
+		ml_none ML_YIELD(ml_yield_args) = 13;
+		ml_none ML_REACH(ml_reach_args) = 14;
 	} = 1;
 } = 0x20004d4c;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -468,6 +468,139 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ml_value (XDR *xdrs, ml_value *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_text (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->value))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_run_args (XDR *xdrs, ml_run_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_text (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->op))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->write))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->text))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->operand))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->shape))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->mode))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->max_age_us))
+		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->deadline_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->idle_tx_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->begin))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, ML_PARAMS_MAX,
+		sizeof (ml_value), (xdrproc_t) xdr_ml_value))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_run_res (XDR *xdrs, ml_run_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->message))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->signature))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, ML_RESULT_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->pos))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->retry_after_us))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->owner_address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->owner_revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_owner (XDR *xdrs, ml_owner *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_yield_args (XDR *xdrs, ml_yield_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->vm))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_reach_args (XDR *xdrs, ml_reach_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ml_status_res (XDR *xdrs, ml_status_res *objp)
 {
--- a/src/net.c
+++ b/src/net.c
@@ -10,6 +10,12 @@
 #include <string.h>
 
 #define LISTEN_BACKLOG 1024
+/** An idle connection is probed after this; two probes without an answer end it. */
+#define KEEPALIVE_IDLE_S 3
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+/** Bytes that stay unacknowledged for this long end the connection. */
+#define UNACKED_MS 5000
 
 bool net_parse(const char *address, struct sockaddr_in *sin)
 {
@@ -32,6 +38,19 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void net_set_keepalive(evutil_socket_t fd)
+{
+	int on = 1, idle_s = KEEPALIVE_IDLE_S, interval_s = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+	unsigned unacked_ms = UNACKED_MS;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof(unacked_ms));
+}
+
 struct evconnlistener *net_listen(struct event_base *base, const char *address,
 				  evconnlistener_cb cb, void *arg, GError **error)
 {
--- /dev/null
+++ b/src/owner-change.c
@@ -0,0 +1,412 @@
+/**
+ * @file owner-change.c
+ * The change of primary: settle what is open on the old one if it lives, make sure that nobody else
+ * sends to it, choose the newest replica, write the choice to the record, order the promotion, and
+ * wait until the chosen member leads. A step that fails goes back to the one that can mend it.
+ */
+#include "owner.h"
+
+#include "adapter.h"
+#include "fleet-store.h"
+#include "log.h"
+#include "stat.h"
+
+#include <string.h>
+
+/** Transactions on a primary that leaves may go on for so long before they are rolled back. */
+#define SETTLE_US (120 * USEC_PER_MSEC)
+/** A planned change waits so long for a replica that has everything; then it is called off. */
+#define CAUGHT_UP_US (1500 * USEC_PER_MSEC)
+/** After a planned change was called off. */
+#define PLANNED_PAUSE_US (1 * USEC_PER_SEC)
+/** Looks older than this do not decide a choice. */
+#define LOOK_FRESH_US (400 * USEC_PER_MSEC)
+/** Members that do not answer hold up a choice for so long. */
+#define CHOOSE_US (300 * USEC_PER_MSEC)
+/** Answer to the order. */
+#define ORDER_TIMEOUT_US (600 * USEC_PER_MSEC)
+/** The users' databases take a second to promote; after this another try is made. */
+#define AWAIT_US (2500 * USEC_PER_MSEC)
+/** Senders are asked again to stop after this. */
+#define FENCE_RETRY_US (200 * USEC_PER_MSEC)
+/** No primary found for so long after a claim: one has to be made. */
+#define FIND_US (700 * USEC_PER_MSEC)
+
+static void candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
+		       int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		const struct owner_member *m = &g->member[i];
+
+		c[i] = m->seen;
+		c[i].reached = m->listed && m->seen.reached && now - m->seen_us < LOOK_FRESH_US;
+		c[i].leaving = m->conf.leaving || !m->listed;
+		names[i] = m->conf.name;
+	}
+}
+
+/** The member at @a i leads from now on. */
+static void lead_begins(struct owner_group *g, int i, const char *why)
+{
+	struct owner_member *m = &g->member[i];
+
+	g->primary = i;
+	g->term = m->seen.term;
+	g->ordered = false;
+	m->unheard_us = 0;
+	m->down = false;
+	marks_new_term(&g->marks, m->seen.received, m->seen_us);
+	log_info("primary", LOG_STR("pool", g->pool), LOG_STR("member", m->conf.name),
+		 LOG_NUM("term", g->term), LOG_NUM("lsn", m->seen.received.lsn),
+		 LOG_NUM("floor", g->record.floor), LOG_STR("why", why));
+	og_state(g, OWNER_SERVING, why);
+	queue_dispatch(g);
+}
+
+void change_begin(struct owner_group *g, bool planned, const char *why)
+{
+	struct owner_member *m = og_primary(g);
+
+	stat_add(STAT_FAILOVERS_BEGUN, 1);
+	log_warn("change-of-primary", LOG_STR("pool", g->pool),
+		 LOG_STR("member", m != NULL ? m->conf.name : ""), LOG_NUM("term", g->term),
+		 LOG_NUM("planned", planned), LOG_STR("why", why),
+		 LOG_NUM("unheard_ms",
+			 m != NULL && m->unheard_us != 0 ? (now_us() - m->unheard_us) / USEC_PER_MSEC
+							 : 0));
+	g->planned = planned;
+	g->except = -1;
+	og_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
+	if (!planned && m != NULL)
+		conn_close_all(m);
+	queue_refuse(g, false, OUTCOME_NOT_PRIMARY);
+}
+
+/** The planned change cannot be made now: the old primary goes on. */
+static void call_off(struct owner_group *g, const char *why)
+{
+	log_info("change-called-off", LOG_STR("pool", g->pool), LOG_STR("why", why));
+	g->next_us = now_us() + PLANNED_PAUSE_US;
+	og_state(g, OWNER_SERVING, why);
+	queue_dispatch(g);
+}
+
+/* Settling */
+
+static bool primary_at_rest(struct owner_group *g)
+{
+	const struct owner_member *m = og_primary(g);
+	const struct owner_conn *c;
+
+	TAILQ_FOREACH(c, &m->conns, link) {
+		if (c->job != NULL || c->tx != NULL)
+			return false;
+	}
+	return true;
+}
+
+static void settle(struct owner_group *g, int64_t now)
+{
+	struct owner_member *m = og_primary(g);
+
+	if (m == NULL || m->unheard_us != 0) {
+		int64_t silent = m != NULL ? now - m->unheard_us : 0;
+
+		/* It fell silent meanwhile: no use in waiting for it. */
+		if (m == NULL || silent > LOOK_FRESH_US) {
+			g->planned = false;
+			if (m != NULL)
+				conn_close_all(m);
+			og_state(g, OWNER_FENCING, "silent");
+			return;
+		}
+	}
+	if (!primary_at_rest(g) && now - g->state_us < SETTLE_US)
+		return;
+	conn_close_all(m);
+	og_state(g, OWNER_FENCING, "settled");
+}
+
+/* Fencing */
+
+struct fence {
+	struct owner *o;
+	char pool[NAME_SIZE];
+	struct lead_vm vm;
+};
+
+/** The sender is known to send no more. */
+static void fenced(struct owner *o, const char *pool, const struct lead_vm *vm, const char *how)
+{
+	struct owner_group *g = og_find(o, pool);
+
+	if (g == NULL || !og_mine(g))
+		return;
+	log_info("fenced", LOG_STR("pool", pool), LOG_STR("peer", vm->name), LOG_STR("how", how));
+	lead_remove_sender(&g->record, vm);
+}
+
+static void yield_answered(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_none *res = arg_res;
+	struct fence *f = arg;
+
+	if (status == RPC_DONE && res->ok)
+		fenced(f->o, f->pool, &f->vm, "yielded");
+	g_free(f);
+}
+
+/**
+ * The sender's key in the store: gone, or of a later process. Its lease has ended then, and it
+ * checks its lease by a clock that runs on while it is suspended, before it sends and before it
+ * believes an answer.
+ */
+static void key_read(const struct store_answer *a, void *arg)
+{
+	struct fence *f = arg;
+
+	if (a->status == STORE_DONE || a->status == STORE_NO_LEASE) {
+		const struct store_item *item =
+			a->items->len > 0 ? g_ptr_array_index(a->items, 0) : NULL;
+		char name[NAME_SIZE];
+		uint64_t incarnation = 0;
+
+		if (item == NULL || item->value == NULL)
+			fenced(f->o, f->pool, &f->vm, "lease-ended");
+		else if (fleet_store_vm_parse(item->value, name, &incarnation) &&
+			 incarnation != f->vm.incarnation)
+			fenced(f->o, f->pool, &f->vm, "restarted");
+	}
+	g_free(f);
+}
+
+static struct fence *fence_create(struct owner_group *g, const struct lead_vm *vm)
+{
+	struct fence *f = g_new0(struct fence, 1);
+
+	f->o = g->o;
+	g_strlcpy(f->pool, g->pool, sizeof(f->pool));
+	f->vm = *vm;
+	return f;
+}
+
+static void fence_ask(struct owner_group *g, const struct lead_vm *vm)
+{
+	struct kernel *k = g->o->service.kernel;
+	struct fleet *f = og_fleet(g);
+	struct vm *peer = peers_find(&f->peers, vm->name);
+	char *key = g_strconcat(FLEET_STORE_VMS, vm->name, NULL);
+	ml_yield_args args = {
+		.pool = g->pool, .revision = g->revision, .vm = (char *)k->settings->name};
+
+	if (peer != NULL && peer != f->peers.self)
+		rpc_start(rpc_of(k), peer->address, ML_YIELD, &args, FENCE_RETRY_US,
+			  yield_answered, fence_create(g, vm));
+	fleet_store(f)->ops->get(fleet_store(f), key, key_read, fence_create(g, vm));
+	g_free(key);
+}
+
+static void fence(struct owner_group *g, int64_t now)
+{
+	unsigned i;
+
+	if (g->record.n == 0) {
+		og_state(g, OWNER_CHOOSING, "fenced");
+		return;
+	}
+	if (now < g->fence_next_us)
+		return;
+	g->fence_next_us = now + FENCE_RETRY_US;
+	for (i = 0; i < g->record.n; i++)
+		fence_ask(g, &g->record.sender[i]);
+}
+
+/* Choosing */
+
+/** All members that may be chosen have been looked at since the choice began. */
+static bool all_seen(const struct owner_group *g)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		const struct owner_member *m = &g->member[i];
+
+		if (m->listed && !m->conf.leaving && (int)i != g->primary &&
+		    m->seen_us < g->state_us)
+			return false;
+	}
+	return true;
+}
+
+static void recorded(struct owner_group *g, bool ok);
+
+static void record_choice(struct owner_group *g, int target, uint64_t highest)
+{
+	struct lead_record r = g->record;
+
+	g->target = target;
+	r.floor = MAX(r.floor, highest);
+	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
+	og_state(g, OWNER_RECORDING, "chosen");
+	claim_write(g, &r, recorded);
+}
+
+static void choose(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	uint64_t highest = g->term;
+	int best;
+	unsigned i;
+
+	if (!all_seen(g) && now - g->state_us < CHOOSE_US)
+		return;
+	candidates(g, c, names, now);
+	for (i = 0; i < g->n; i++)
+		highest = MAX(highest, c[i].reached && c[i].primary ? c[i].term : 0);
+	best = lead_choose(c, g->n, g->except);
+	if (best < 0 && g->except >= 0) {
+		g->except = -1;
+		return;
+	}
+	if (best < 0) {
+		if (g->planned && now - g->state_us > CAUGHT_UP_US)
+			call_off(g, "no-replica");
+		return;
+	}
+	/* A primary that lives hands over nothing less than all that it has. */
+	if (g->planned && g->primary >= 0 && c[g->primary].reached &&
+	    pos_cmp(c[best].received, c[g->primary].received) < 0) {
+		if (now - g->state_us > CAUGHT_UP_US)
+			call_off(g, "replicas-behind");
+		return;
+	}
+	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
+		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
+		 LOG_NUM("floor", highest));
+	record_choice(g, best, highest);
+}
+
+static void recorded(struct owner_group *g, bool ok)
+{
+	if (g->state != OWNER_RECORDING)
+		return;
+	if (!ok) {
+		og_state(g, OWNER_CHOOSING, "record-not-written");
+		return;
+	}
+	g->token = g->revision;
+	g->ordered = false;
+	og_state(g, OWNER_ORDERING, "recorded");
+}
+
+/* Ordering and awaiting */
+
+struct order {
+	struct owner *o;
+	char pool[NAME_SIZE];
+	uint64_t token;
+};
+
+static void ordered(enum promoter_result result, int code, void *arg)
+{
+	struct order *q = arg;
+	struct owner_group *g = og_find(q->o, q->pool);
+
+	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_NUM("token", q->token),
+		 LOG_NUM("code", code));
+	if (g != NULL && g->state == OWNER_ORDERING && g->token == q->token) {
+		if (result == PROMOTER_REFUSED && code == 409) {
+			g->except = g->target;
+			og_state(g, OWNER_CHOOSING, "promotion-refused");
+		} else if (result == PROMOTER_ACCEPTED) {
+			og_state(g, OWNER_AWAITING, "promotion-accepted");
+		} else {
+			/* The same order again is harmless: same holder, token and member. */
+			g->ordered = false;
+			g->next_us = now_us() + FENCE_RETRY_US;
+		}
+	}
+	g_free(q);
+}
+
+static void order(struct owner_group *g, int64_t now)
+{
+	struct kernel *k = g->o->service.kernel;
+	struct order *q;
+
+	if (g->ordered || now < g->next_us)
+		return;
+	/* Another may have the group by now; its token is higher, and this one must not follow it. */
+	if (!og_may_send(g))
+		return;
+	g->ordered = true;
+	q = g_new0(struct order, 1);
+	q->o = g->o;
+	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
+	q->token = g->token;
+	log_info("promote", LOG_STR("pool", g->pool),
+		 LOG_STR("member", g->member[g->target].conf.name), LOG_NUM("token", g->token));
+	k->adapter->promoter->promote(k, k->settings->promoter_address, g->pool,
+				      g->member[g->target].conf.name, k->settings->name, g->token,
+				      ORDER_TIMEOUT_US, ordered, q);
+}
+
+static void await(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	int found;
+
+	candidates(g, c, names, now);
+	found = lead_find(&g->record, names, c, g->n);
+	if (found >= 0) {
+		stat_add(STAT_FAILOVERS_DONE, 1);
+		lead_begins(g, found, "promoted");
+		return;
+	}
+	if (now - g->state_us < AWAIT_US)
+		return;
+	g->except = g->target;
+	og_state(g, OWNER_CHOOSING, "promotion-without-effect");
+}
+
+/* Finding */
+
+static void find(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	int found;
+
+	candidates(g, c, names, now);
+	found = lead_find(&g->record, names, c, g->n);
+	if (found >= 0) {
+		lead_begins(g, found, "found");
+		return;
+	}
+	if (now - g->state_us > FIND_US && g->n > 0)
+		change_begin(g, false, "none-found");
+}
+
+void change_tick(struct owner_group *g, int64_t now)
+{
+	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
+		[OWNER_FINDING] = find,	      [OWNER_SETTLING] = settle,
+		[OWNER_FENCING] = fence,      [OWNER_CHOOSING] = choose,
+		[OWNER_ORDERING] = order,     [OWNER_AWAITING] = await,
+	};
+	struct owner_member *m = og_primary(g);
+
+	if (!og_mine(g))
+		return;
+	if (g->state == OWNER_SERVING && m != NULL && (m->conf.leaving || !m->listed) &&
+	    now >= g->next_us && m->unheard_us == 0) {
+		change_begin(g, true, m->listed ? "leaving" : "not-listed");
+		return;
+	}
+	if (steps[g->state] != NULL)
+		steps[g->state](g, now);
+}
--- /dev/null
+++ b/src/owner-conn.c
@@ -0,0 +1,291 @@
+/** @file owner-conn.c Connections to members, and callers' transactions on them. */
+#include "owner.h"
+
+#include "adapter.h"
+#include "log.h"
+#include "stat.h"
+
+#include <string.h>
+
+/**
+ * Connections of a member that are left to others: looks from here and from other VMs, and the
+ * transactions of an owner that hands the group over.
+ */
+#define CONNECTIONS_LEFT 4
+/** A connection that has not opened by then is given up. */
+#define OPEN_TIMEOUT_US (400 * USEC_PER_MSEC)
+/** After a member refused a connection because it has too many. */
+#define FULL_PAUSE_US (300 * USEC_PER_MSEC)
+/** After it refused one otherwise. */
+#define REFUSED_PAUSE_US (100 * USEC_PER_MSEC)
+/** A statement that nobody waits for any more may still be answered; then its connection is closed. */
+#define ABANDONED_US (3 * USEC_PER_SEC)
+
+static unsigned conn_limit(const struct owner_member *m)
+{
+	unsigned all = m->conf.connections;
+
+	return all > 2 * CONNECTIONS_LEFT ? all - CONNECTIONS_LEFT : MAX(all / 2, 1);
+}
+
+static bool conn_idle(const struct owner_conn *c)
+{
+	return c->open && c->job == NULL && c->tx == NULL && !c->abandoned;
+}
+
+static const struct member_ops *ops_of(const struct owner_member *m)
+{
+	return m->g->o->service.kernel->adapter->member;
+}
+
+void conn_close(struct owner_conn *c)
+{
+	struct owner_member *m = c->m;
+
+	if (c->tx != NULL)
+		tx_free(c->tx);
+	TAILQ_REMOVE(&m->conns, c, link);
+	m->n_conns--;
+	if (c->open)
+		m->n_open--;
+	c->mc->ops->close(c->mc);
+	g_hash_table_destroy(c->values);
+	g_hash_table_destroy(c->prepared);
+	g_free(c);
+}
+
+static void on_closed(struct member_conn *mc, void *arg)
+{
+	struct owner_conn *c = arg;
+	struct owner_member *m = c->m;
+
+	stat_add(STAT_CONNECTIONS_LOST, 1);
+	if (c->job != NULL)
+		job_lost(c->job, "closed");
+	else
+		conn_close(c);
+	watch_look(m);
+}
+
+static void on_opened(struct member_conn *mc, enum member_result result, struct pos pos, void *arg)
+{
+	struct owner_conn *c = arg;
+	struct owner_member *m = c->m;
+	int64_t now = now_us();
+
+	if (result == MEMBER_DONE) {
+		watch_heard(m, pos, c->sent_us);
+		c->open = true;
+		m->n_open++;
+		c->since_us = now;
+	} else {
+		m->open_after_us = now + (result == MEMBER_FULL ? FULL_PAUSE_US : REFUSED_PAUSE_US);
+		if (result == MEMBER_LOST)
+			m->refused = true;
+		log_warn("connection-refused", LOG_STR("pool", m->g->pool),
+			 LOG_STR("member", m->conf.name),
+			 LOG_STR("result", member_result_name(result)),
+			 LOG_NUM("connections", m->n_conns));
+		watch_look(m);
+	}
+	job_conn_opened(c, result);
+}
+
+static struct owner_conn *conn_open(struct owner_member *m, const char *team)
+{
+	struct owner_conn *c = g_new0(struct owner_conn, 1);
+
+	c->m = m;
+	g_strlcpy(c->team, team, sizeof(c->team));
+	c->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->since_us = now_us();
+	c->sent_us = c->since_us;
+	TAILQ_INSERT_TAIL(&m->conns, c, link);
+	m->n_conns++;
+	watch_sent(m, c->since_us);
+	c->mc = ops_of(m)->open(m->g->o->service.kernel, m->conf.address, m->g->pool, team,
+				m->conf.name, on_opened, on_closed, c);
+	return c;
+}
+
+/** The idle connection that was unused for longest. */
+static struct owner_conn *conn_oldest_idle(const struct owner_member *m)
+{
+	struct owner_conn *c, *best = NULL;
+
+	TAILQ_FOREACH(c, &m->conns, link) {
+		if (conn_idle(c) && (best == NULL || c->since_us < best->since_us))
+			best = c;
+	}
+	return best;
+}
+
+bool conn_ready(const struct owner_member *m, const char *team)
+{
+	const struct owner_conn *c;
+
+	TAILQ_FOREACH(c, &m->conns, link) {
+		if (conn_idle(c) && strcmp(c->team, team) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool conn_available(const struct owner_member *m, const char *team)
+{
+	if (conn_ready(m, team))
+		return true;
+	if (now_us() < m->open_after_us)
+		return false;
+	return m->n_conns < conn_limit(m) || conn_oldest_idle(m) != NULL;
+}
+
+struct owner_conn *conn_get(struct owner_member *m, const char *team)
+{
+	struct owner_conn *c, *best = NULL;
+
+	/* The one used last: its prepared names and values are the likeliest to fit. */
+	TAILQ_FOREACH(c, &m->conns, link) {
+		if (conn_idle(c) && strcmp(c->team, team) == 0 &&
+		    (best == NULL || c->since_us > best->since_us))
+			best = c;
+	}
+	if (best != NULL)
+		return best;
+	if (now_us() < m->open_after_us)
+		return NULL;
+	if (m->n_conns >= conn_limit(m)) {
+		/* A connection is one team's for good: make room by closing another team's. */
+		c = conn_oldest_idle(m);
+		if (c == NULL)
+			return NULL;
+		conn_close(c);
+	}
+	return conn_open(m, team);
+}
+
+void conn_release(struct owner_conn *c, enum tx_state state)
+{
+	struct owner_member *m = c->m;
+
+	c->job = NULL;
+	c->since_us = now_us();
+	if (c->tx != NULL)
+		return;
+	if (state != TX_NONE || !m->listed || m->down || m->g->yielded) {
+		conn_close(c);
+		return;
+	}
+	/* After handing over, what is idle only takes room from the new owner. */
+	if (!og_mine(m->g))
+		conn_close(c);
+}
+
+void conn_close_idle(struct owner_member *m)
+{
+	struct owner_conn *c, *next;
+
+	TAILQ_FOREACH_SAFE(c, &m->conns, link, next) {
+		if (conn_idle(c) || c->abandoned)
+			conn_close(c);
+	}
+}
+
+void conn_close_all(struct owner_member *m)
+{
+	struct owner_conn *c;
+
+	while ((c = TAILQ_FIRST(&m->conns)) != NULL) {
+		if (c->job != NULL)
+			job_lost(c->job, "member-dropped");
+		else
+			conn_close(c);
+	}
+}
+
+void conn_tick(struct owner_member *m, int64_t now)
+{
+	struct owner_conn *c, *next;
+
+	TAILQ_FOREACH_SAFE(c, &m->conns, link, next) {
+		if (!c->open && now - c->since_us > OPEN_TIMEOUT_US) {
+			m->open_after_us = now + REFUSED_PAUSE_US;
+			log_warn("connection-silent", LOG_STR("pool", m->g->pool),
+				 LOG_STR("member", m->conf.name),
+				 LOG_NUM("waited_ms", (now - c->since_us) / USEC_PER_MSEC));
+			job_conn_opened(c, MEMBER_LOST);
+			/* Ending the job may have closed others. */
+			return;
+		}
+		if (c->abandoned && now - c->since_us > ABANDONED_US)
+			conn_close(c);
+	}
+}
+
+/* Transactions */
+
+struct owner_tx *tx_find(struct owner_group *g, uint64_t id)
+{
+	struct owner_tx *tx;
+
+	TAILQ_FOREACH(tx, &g->txs, link) {
+		if (tx->id == id)
+			return tx;
+	}
+	return NULL;
+}
+
+struct owner_tx *tx_create(struct owner_job *job)
+{
+	struct owner_tx *tx = g_new0(struct owner_tx, 1);
+
+	tx->id = random_bits() | 1;
+	tx->conn = job->conn;
+	tx->rpc_conn = rpc_request_conn(job->rq);
+	tx->read_only = job->args->begin == STATEMENT_BEGIN_READ;
+	tx->on_primary = job->on_primary;
+	tx->term = job->term;
+	tx->used_us = now_us();
+	tx->idle_us = (int64_t)job->args->idle_tx_us;
+	job->conn->tx = tx;
+	job->conn->m->n_pinned++;
+	TAILQ_INSERT_TAIL(&job->g->txs, tx, link);
+	return tx;
+}
+
+void tx_free(struct owner_tx *tx)
+{
+	TAILQ_REMOVE(&tx->conn->m->g->txs, tx, link);
+	tx->conn->m->n_pinned--;
+	tx->conn->tx = NULL;
+	g_free(tx);
+}
+
+void tx_abort(struct owner_tx *tx, const char *why)
+{
+	struct owner_conn *c = tx->conn;
+
+	log_info("transaction-aborted", LOG_STR("pool", c->m->g->pool),
+		 LOG_STR("member", c->m->conf.name), LOG_STR("team", c->team), LOG_STR("why", why),
+		 LOG_NUM("idle_ms", (now_us() - tx->used_us) / USEC_PER_MSEC));
+	if (c->job != NULL)
+		job_lost(c->job, why);
+	else
+		conn_close(c);
+}
+
+/** The entry VM's connection is gone, and with it the callers of its transactions. */
+void tx_closed(uint64_t rpc_conn, void *owner)
+{
+	struct owner *o = owner;
+	struct owner_group *g;
+	struct owner_tx *tx, *next;
+
+	TAILQ_FOREACH(g, &o->groups, link) {
+		TAILQ_FOREACH_SAFE(tx, &g->txs, link, next) {
+			if (tx->rpc_conn == rpc_conn && rpc_conn != 0 && tx->conn->job == NULL)
+				tx_abort(tx, "entry-gone");
+		}
+	}
+}
--- /dev/null
+++ b/src/owner-job.c
@@ -0,0 +1,580 @@
+/** @file owner-job.c One statement on a member, step by step. */
+#include "owner.h"
+
+#include "log.h"
+#include "session.h"
+#include "stat.h"
+
+#include <string.h>
+
+/**
+ * A read whose answer has not come by then is tried on another member. The longest work is 110 ms;
+ * answers that are lost never come, and the caller would wait for its deadline.
+ */
+#define READ_PATIENCE_US (250 * USEC_PER_MSEC)
+/** Tries of one statement that did not run. */
+#define TRIES_MAX 6
+/** A member without a free slot or place is left alone for this long. */
+#define BUSY_PAUSE_US (4 * USEC_PER_MSEC)
+/** Weight of a new sample in a member's moving average. */
+#define SERVICE_ALPHA 0.1
+/** Most commands in one write: a reset, values, a prepare, and the statement. */
+#define COMMANDS_MAX 64
+
+static void job_answered(struct member_conn *mc, const struct member_answer *a, void *arg);
+
+static bool is_write(const struct owner_job *job)
+{
+	const ml_run_args *a = job->args;
+
+	return a->op == STATEMENT_WRITE || (a->op == STATEMENT_EXECUTE && a->write);
+}
+
+/** Nothing is kept of it if its connection ends now. */
+static bool harmless(const struct owner_job *job)
+{
+	if (job->tx != NULL || job->args->begin != 0)
+		return job->args->op != STATEMENT_COMMIT || job->step == OWNER_BEGIN ||
+		       (job->tx != NULL && !job->tx->wrote);
+	return !is_write(job);
+}
+
+static void leave_slot(struct owner_job *job)
+{
+	if (job->slotted)
+		job->conn->m->out--;
+	job->slotted = false;
+}
+
+static void job_free(struct owner_job *job)
+{
+	job->g->jobs--;
+	g_free(job);
+}
+
+static void job_reply(struct owner_job *job, enum outcome o, const struct member_answer *a,
+	     int64_t retry_after_us)
+{
+	struct owner_group *g = job->g;
+	int64_t now = now_us();
+	ml_run_res res = {.outcome = (int)o, .message = "", .signature = "", .member = ""};
+
+	if (a != NULL) {
+		res.message = (char *)a->message;
+		res.signature = (char *)a->signature;
+		res.rows.rows_val = (char *)a->rows;
+		res.rows.rows_len = (u_int)a->rows_len;
+		res.pos = (ml_pos){a->pos.term, a->pos.lsn};
+	}
+	if (job->tx != NULL) {
+		job->tx->used_us = now;
+		res.transaction = job->tx->id;
+		res.state = job->tx->failed ? TX_FAILED : TX_OPEN;
+	}
+	if (job->conn != NULL)
+		res.member = job->conn->m->conf.name;
+	res.retry_after_us = (u_quad_t)retry_after_us;
+	res.owner = g->record.owner.name;
+	res.owner_address = g->record.address;
+	res.owner_revision = g->revision;
+	log_info("run", LOG_STR("request", job->args->request), LOG_STR("team", job->args->team),
+		 LOG_STR("pool", g->pool), LOG_STR("member", res.member),
+		 LOG_STR("outcome", outcome_text(o)->name), LOG_NUM("term", g->term),
+		 LOG_NUM("tries", job->tries),
+		 LOG_NUM("queued_us", job->sent_us != 0 ? job->sent_us - job->received_us : 0),
+		 LOG_NUM("us", now - job->received_us),
+		 LOG_NUM("retry_after_us", retry_after_us));
+	rpc_reply(job->rq, &res);
+}
+
+void job_end(struct owner_job *job, enum outcome o, const struct member_answer *a,
+	     int64_t retry_after_us)
+{
+	job_reply(job, o, a, retry_after_us);
+	job_free(job);
+}
+
+/** Take the job off its connection, which is then released as @a state says, or closed. */
+static void job_detach(struct owner_job *job, bool close, enum tx_state state)
+{
+	struct owner_conn *c = job->conn;
+
+	if (c == NULL)
+		return;
+	leave_slot(job);
+	TAILQ_REMOVE(&job->g->running, job, link);
+	job->conn = NULL;
+	c->job = NULL;
+	if (close) {
+		job->tx = NULL;
+		conn_close(c);
+	} else {
+		conn_release(c, state);
+	}
+}
+
+/** Answer before the connection, which holds the answer's texts, is let go. */
+static void job_finish(struct owner_job *job, enum outcome o, const struct member_answer *a)
+{
+	job_reply(job, o, a, 0);
+	job_detach(job, a->prelude_failed, a->state);
+	job_free(job);
+}
+
+/** The statement did not run: another try, or the refusal. */
+static void job_again(struct owner_job *job, enum outcome refusal, int64_t pause_us)
+{
+	int64_t now = now_us();
+
+	job->tries++;
+	if (job->tries >= TRIES_MAX || now + pause_us >= job->deadline_us) {
+		job_end(job, refusal, NULL, pause_us);
+		return;
+	}
+	job->not_before_us = now + pause_us;
+	queue_again(job);
+}
+
+void job_lost(struct owner_job *job, const char *why)
+{
+	struct owner_group *g = job->g;
+	bool in_tx = job->tx != NULL || job->step == OWNER_BEGIN;
+	bool safe = harmless(job);
+	bool begun = job->step == OWNER_STATEMENT || job->step == OWNER_BEGIN;
+
+	log_warn("statement-lost", LOG_STR("request", job->args->request), LOG_STR("pool", g->pool),
+		 LOG_STR("member", job->conn->m->conf.name), LOG_STR("why", why),
+		 LOG_NUM("step", job->step), LOG_NUM("harmless", safe),
+		 LOG_NUM("us", now_us() - job->received_us));
+	job_detach(job, true, TX_NONE);
+	if (!begun)
+		job_again(job, OUTCOME_NO_CONNECTION, BUSY_PAUSE_US);
+	else if (!safe)
+		job_end(job, OUTCOME_LOST, NULL, 0);
+	else if (in_tx && job->args->begin == 0)
+		job_end(job, OUTCOME_TX_LOST, NULL, 0);
+	else
+		job_again(job, in_tx ? OUTCOME_TX_LOST : OUTCOME_LOST, 0);
+	queue_dispatch(g);
+}
+
+/** The job is over for its caller; what is out on its connection may still be answered. */
+static void job_abandon(struct owner_job *job)
+{
+	struct owner_conn *c = job->conn;
+
+	leave_slot(job);
+	TAILQ_REMOVE(&job->g->running, job, link);
+	job->conn = NULL;
+	c->job = NULL;
+	c->abandoned = true;
+	c->since_us = now_us();
+}
+
+void job_expire(struct owner_job *job, int64_t now)
+{
+	struct owner_group *g = job->g;
+	struct owner_conn *c = job->conn;
+	bool single_read = job->tx == NULL && job->args->begin == 0 && !is_write(job);
+
+	if (single_read && job->step == OWNER_STATEMENT &&
+	    now - job->sent_us > READ_PATIENCE_US && now < job->deadline_us) {
+		log_warn("read-elsewhere", LOG_STR("request", job->args->request),
+			 LOG_STR("pool", g->pool), LOG_STR("member", c->m->conf.name),
+			 LOG_NUM("waited_us", now - job->sent_us));
+		job->tried |= (uint8_t)(1U << c->m->index);
+		job_abandon(job);
+		job_again(job, OUTCOME_LOST, 0);
+		queue_dispatch(g);
+		return;
+	}
+	if (now < job->deadline_us)
+		return;
+	if (single_read && job->step == OWNER_STATEMENT) {
+		job_abandon(job);
+		job_end(job, OUTCOME_LOST, NULL, 0);
+		return;
+	}
+	job_lost(job, "deadline");
+}
+
+/* Sending */
+
+static void hold_value(struct owner_conn *c, const ml_value *v)
+{
+	g_hash_table_replace(c->values, g_strdup(v->name), g_strdup(v->value));
+}
+
+/** Whether the connection has a value that the session does not have. */
+static bool has_others(const struct owner_conn *c, const ml_run_args *a)
+{
+	guint found = 0;
+	u_int i;
+
+	for (i = 0; i < a->values.values_len; i++)
+		found += g_hash_table_contains(c->values, a->values.values_val[i].name) ? 1 : 0;
+	return g_hash_table_size(c->values) > found;
+}
+
+/** Commands that make the connection's values those of the session. */
+static unsigned put_values(struct owner_job *job, struct member_command *out)
+{
+	const ml_run_args *a = job->args;
+	struct owner_conn *c = job->conn;
+	unsigned n = 0;
+	u_int i;
+
+	if (job->tx == NULL && (c->values_unsure || has_others(c, a))) {
+		out[n++] = (struct member_command){.op = STATEMENT_RESET};
+		g_hash_table_remove_all(c->values);
+		g_hash_table_remove_all(c->prepared);
+		c->values_unsure = false;
+	}
+	for (i = 0; i < a->values.values_len && n < COMMANDS_MAX - 4; i++) {
+		const ml_value *v = &a->values.values_val[i];
+		const char *held = g_hash_table_lookup(c->values, v->name);
+
+		if (held != NULL && strcmp(held, v->value) == 0)
+			continue;
+		out[n++] = (struct member_command){
+			.op = STATEMENT_SET, .name = v->name, .operand = v->value};
+		hold_value(c, v);
+		if (job->tx != NULL)
+			c->values_unsure = true;
+	}
+	return n;
+}
+
+/**
+ * Prepared statements are named by what they are, so that all callers of a connection share them
+ * and each is prepared on it once.
+ */
+static void shape_name(const ml_run_args *a, char name[OWNER_NAME_MAX])
+{
+	char *at;
+
+	g_snprintf(name, OWNER_NAME_MAX, "%c_%s", a->write ? 'w' : 'r', a->shape);
+	for (at = name; *at != '\0'; at++) {
+		if (*at == ' ')
+			*at = '_';
+	}
+}
+
+static unsigned put_prepare(struct owner_job *job, char *name, struct member_command *out)
+{
+	const ml_run_args *a = job->args;
+	struct owner_conn *c = job->conn;
+
+	if (a->op != STATEMENT_EXECUTE)
+		return 0;
+	shape_name(a, name);
+	if (g_hash_table_contains(c->prepared, name))
+		return 0;
+	g_hash_table_add(c->prepared, g_strdup(name));
+	*out = (struct member_command){
+		.op = STATEMENT_PREPARE, .name = name, .operand = a->shape, .write = a->write};
+	return 1;
+}
+
+/** The position that a read, or the begin of reads, needs on a replica. */
+static struct pos needed(const struct owner_job *job)
+{
+	const ml_run_args *a = job->args;
+	struct owner_group *g = job->g;
+	struct pos need = {0};
+	struct pos own = {0};
+
+	if (job->on_primary || is_write(job))
+		return need;
+	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, &need))
+		need = g->marks.newest.pos;
+	if (a->mode == READ_SESSION)
+		own = marks_own(&g->marks, (struct pos){a->session.term, a->session.lsn});
+	return pos_cmp(own, need) > 0 ? own : need;
+}
+
+static void send_commands(struct owner_job *job, const struct member_command *commands, unsigned n)
+{
+	struct owner_conn *c = job->conn;
+	int64_t now = now_us();
+
+	job->sent_us = now;
+	c->since_us = now;
+	c->sent_us = now;
+	watch_sent(c->m, now);
+	if (!job->slotted) {
+		job->slotted = true;
+		c->m->out++;
+	}
+	c->mc->ops->run(c->mc, commands, n, job_answered);
+}
+
+static void send_statement(struct owner_job *job)
+{
+	struct member_command commands[COMMANDS_MAX];
+	const ml_run_args *a = job->args;
+	char name[OWNER_NAME_MAX];
+	unsigned n = 0;
+
+	job->step = OWNER_STATEMENT;
+	if (a->begin == 0)
+		n = put_values(job, commands);
+	n += put_prepare(job, name, &commands[n]);
+	commands[n] = (struct member_command){.op = (enum statement_op)a->op, .request = a->request};
+	if (a->op == STATEMENT_EXECUTE) {
+		commands[n].name = name;
+		commands[n].operand = a->operand;
+	} else {
+		commands[n].text = a->text;
+	}
+	if (job->tx == NULL && a->begin == 0)
+		commands[n].wait_for = needed(job);
+	if (job->tx != NULL && is_write(job))
+		job->tx->wrote = true;
+	send_commands(job, commands, n + 1);
+}
+
+/**
+ * Begin the transaction, and only then send its first statement: sent together, a begin that was
+ * refused would leave the statement to run outside of any transaction.
+ */
+static void send_begin(struct owner_job *job)
+{
+	struct member_command commands[COMMANDS_MAX];
+	unsigned n = put_values(job, commands);
+
+	job->step = OWNER_BEGIN;
+	commands[n] = (struct member_command){.op = (enum statement_op)job->args->begin};
+	if (job->args->begin == STATEMENT_BEGIN_READ)
+		commands[n].wait_for = needed(job);
+	send_commands(job, commands, n + 1);
+}
+
+static void job_send(struct owner_job *job)
+{
+	if (job->args->begin != 0)
+		send_begin(job);
+	else
+		send_statement(job);
+}
+
+bool job_start(struct owner_job *job, struct owner_member *m)
+{
+	struct owner_conn *c = conn_get(m, job->args->team);
+
+	if (c == NULL)
+		return false;
+	job->conn = c;
+	job->term = m->g->term;
+	job->on_primary = m == og_primary(m->g);
+	c->job = job;
+	TAILQ_INSERT_TAIL(&job->g->running, job, link);
+	m->out++;
+	job->slotted = true;
+	if (c->open) {
+		job_send(job);
+	} else {
+		job->step = OWNER_OPENING;
+		job->sent_us = now_us();
+	}
+	return true;
+}
+
+void job_start_in_tx(struct owner_job *job)
+{
+	job->conn = job->tx->conn;
+	job->conn->job = job;
+	job->term = job->tx->term;
+	job->on_primary = job->tx->on_primary;
+	TAILQ_INSERT_TAIL(&job->g->running, job, link);
+	send_statement(job);
+}
+
+void job_conn_opened(struct owner_conn *c, enum member_result result)
+{
+	struct owner_job *job = c->job;
+	struct owner_group *g = c->m->g;
+
+	if (result == MEMBER_DONE) {
+		if (job != NULL)
+			job_send(job);
+		return;
+	}
+	if (job == NULL) {
+		conn_close(c);
+		return;
+	}
+	job->tried |= (uint8_t)(1U << c->m->index);
+	job_detach(job, true, TX_NONE);
+	job_again(job, OUTCOME_NO_CONNECTION, BUSY_PAUSE_US);
+	queue_dispatch(g);
+}
+
+/* Answers */
+
+static enum outcome outcome_of(enum member_result r)
+{
+	static const enum outcome outcomes[] = {
+		[MEMBER_DONE] = OUTCOME_DONE,
+		[MEMBER_BUSY] = OUTCOME_QUEUE_FULL,
+		[MEMBER_NO_NAME] = OUTCOME_NO_NAME,
+		[MEMBER_BEHIND] = OUTCOME_BEHIND,
+		[MEMBER_READ_ONLY] = OUTCOME_READ_ONLY,
+		[MEMBER_MISROUTED] = OUTCOME_NO_CONNECTION,
+		[MEMBER_FULL] = OUTCOME_NO_CONNECTION,
+		[MEMBER_FAILED] = OUTCOME_SQL_ERROR,
+		[MEMBER_TIMEOUT] = OUTCOME_TIMED_OUT,
+		[MEMBER_REJECTED] = OUTCOME_MALFORMED,
+		[MEMBER_LOST] = OUTCOME_LOST,
+	};
+
+	return outcomes[r];
+}
+
+/** A statement that ran in no transaction was refused, or failed. */
+static void after_error(struct owner_job *job, const struct member_answer *a)
+{
+	struct owner_conn *c = job->conn;
+	struct owner_member *m = c->m;
+	unsigned index = m->index;
+
+	switch (a->result) {
+	case MEMBER_NO_NAME:
+		g_hash_table_remove_all(c->prepared);
+		job_detach(job, a->prelude_failed, a->state);
+		job_again(job, OUTCOME_NO_NAME, 0);
+		return;
+	case MEMBER_BEHIND:
+		job->tried |= (uint8_t)(1U << index);
+		job_detach(job, false, a->state);
+		job_again(job, OUTCOME_BEHIND, 0);
+		return;
+	case MEMBER_READ_ONLY:
+		watch_look(m);
+		job_detach(job, false, a->state);
+		job_again(job, OUTCOME_NOT_PRIMARY, BUSY_PAUSE_US);
+		return;
+	case MEMBER_BUSY:
+		job_detach(job, false, a->state);
+		job_again(job, OUTCOME_QUEUE_FULL, BUSY_PAUSE_US);
+		return;
+	case MEMBER_FAILED:
+	case MEMBER_TIMEOUT:
+		if (!is_write(job) && job->tries < 2) {
+			job->tried |= (uint8_t)(1U << index);
+			job_detach(job, false, a->state);
+			job_again(job, OUTCOME_SQL_ERROR, 0);
+			return;
+		}
+		break;
+	default:
+		break;
+	}
+	job_finish(job, outcome_of(a->result), a);
+}
+
+static void after_begin(struct owner_job *job, const struct member_answer *a)
+{
+	if (a->result != MEMBER_DONE || a->prelude_failed || a->state != TX_OPEN) {
+		struct member_answer refused = *a;
+
+		if (refused.result == MEMBER_DONE)
+			refused.result = MEMBER_BUSY;
+		after_error(job, &refused);
+		return;
+	}
+	job->tx = tx_create(job);
+	send_statement(job);
+}
+
+/** A statement inside a transaction was answered; a failed one leaves the transaction failed. */
+static void after_tx_statement(struct owner_job *job, const struct member_answer *a)
+{
+	bool commit = job->args->op == STATEMENT_COMMIT;
+	bool ends = commit || job->args->op == STATEMENT_ROLLBACK;
+	enum outcome o = outcome_of(a->result);
+	struct owner_tx *tx = job->tx;
+	struct owner_conn *c = job->conn;
+
+	tx->failed = a->state == TX_FAILED;
+	if (!ends && a->state != TX_NONE) {
+		/* The transaction is still there, failed or not, and waits for its end. */
+		if (o == OUTCOME_BEHIND || o == OUTCOME_READ_ONLY)
+			o = tx->read_only ? o : OUTCOME_TX_LOST;
+		job_finish(job, o, a);
+		return;
+	}
+	if (commit && a->result == MEMBER_READ_ONLY)
+		o = OUTCOME_TX_LOST;
+	if (!ends)
+		o = o == OUTCOME_DONE ? OUTCOME_TX_LOST : o;
+	if (job->args->op == STATEMENT_ROLLBACK || a->result != MEMBER_DONE)
+		c->values_unsure = c->values_unsure || g_hash_table_size(c->values) > 0;
+	else
+		c->values_unsure = false;
+	job->tx = NULL;
+	tx_free(tx);
+	job_finish(job, o, a);
+}
+
+/**
+ * Whether the answer may be told. An answer that a replaced primary gave would acknowledge a write
+ * that is discarded, or show a read what is no longer true: this VM must still hold its lease, and
+ * the member must still be the primary it was when the statement was sent.
+ */
+static bool believable(const struct owner_job *job)
+{
+	const struct owner_group *g = job->g;
+	const struct owner_member *m = job->conn->m;
+
+	if (!job->on_primary)
+		return true;
+	return og_may_send(g) && g->primary == (int)m->index && g->term == job->term;
+}
+
+static void job_answered(struct member_conn *mc, const struct member_answer *a, void *arg)
+{
+	struct owner_conn *c = arg;
+	struct owner_job *job = c->job;
+	struct owner_member *m = c->m;
+	struct owner_group *g = m->g;
+	int64_t now = now_us();
+
+	if (a->result == MEMBER_LOST) {
+		stat_add(STAT_CONNECTIONS_LOST, 1);
+		if (job != NULL)
+			job_lost(job, "connection");
+		else
+			conn_close(c);
+		watch_look(m);
+		return;
+	}
+	watch_heard(m, a->pos, c->sent_us);
+	if (job == NULL) {
+		/* Nobody waits for this answer any more; the connection is whole again. */
+		c->abandoned = false;
+		conn_release(c, a->state);
+		queue_dispatch(g);
+		return;
+	}
+	m->service_us += SERVICE_ALPHA * ((double)(now - job->sent_us) - m->service_us);
+	fairq_served(queue_of(job), now - job->sent_us);
+	if (!believable(job)) {
+		job_lost(job, "not-believable");
+		return;
+	}
+	leave_slot(job);
+	if (job->step == OWNER_BEGIN)
+		after_begin(job, a);
+	else if (job->tx != NULL)
+		after_tx_statement(job, a);
+	else if (a->result != MEMBER_DONE)
+		after_error(job, a);
+	else {
+		stat_add(m == og_primary(g) ? STAT_READS_BY_PRIMARY : STAT_READS_BY_REPLICA,
+			 is_write(job) ? 0 : 1);
+		stat_add(STAT_WRITES, is_write(job) ? 1 : 0);
+		job_finish(job, OUTCOME_DONE, a);
+	}
+	queue_dispatch(g);
+}
--- /dev/null
+++ b/src/owner-queue.c
@@ -0,0 +1,432 @@
+/** @file owner-queue.c Statements that wait at the owner, and the member for each. */
+#include "owner.h"
+
+#include "log.h"
+#include "stat.h"
+
+#include <string.h>
+
+/**
+ * Statements sent to a member beyond its slots. One more keeps a slot from standing idle for the way
+ * there and back, which is a fifth to a half of a short statement's work between data centres.
+ */
+#define AHEAD 1
+/** Statements waiting for one group, at most. */
+#define QUEUE_MAX 2000
+/**
+ * What is known of a replica's position is believed for so long; after that the replica may have
+ * caught up, and asking it costs one round trip.
+ */
+#define POSITION_FRESH_US (30 * USEC_PER_MSEC)
+
+void queue_init(struct owner_group *g)
+{
+	unsigned i;
+
+	TAILQ_INIT(&g->held);
+	TAILQ_INIT(&g->running);
+	for (i = 0; i < OWNER_PRIORITIES; i++) {
+		fairq_init(&g->write_queue[i], QUEUE_MAX, 2);
+		fairq_init(&g->read_queue[i], QUEUE_MAX, 4);
+	}
+}
+
+void queue_clear(struct owner_group *g)
+{
+	unsigned i;
+
+	for (i = 0; i < OWNER_PRIORITIES; i++) {
+		fairq_clear(&g->write_queue[i]);
+		fairq_clear(&g->read_queue[i]);
+	}
+}
+
+struct fairq *queue_of(struct owner_job *job)
+{
+	unsigned priority = MIN(job->args->priority, OWNER_PRIORITIES - 1);
+
+	return job->needs_primary ? &job->g->write_queue[priority] : &job->g->read_queue[priority];
+}
+
+static unsigned member_room(const struct owner_member *m, unsigned ahead)
+{
+	unsigned limit = m->conf.slots + ahead;
+
+	return m->out < limit ? limit - m->out : 0;
+}
+
+static bool member_usable(const struct owner_member *m)
+{
+	return m->listed && !m->down && !m->conf.leaving;
+}
+
+/* The member for a read */
+
+/** Whether a replica is thought to hold what @a job needs. */
+static bool replica_fits(const struct owner_job *job, const struct owner_member *m, int64_t now)
+{
+	const struct owner_group *g = job->g;
+	const ml_run_args *a = job->args;
+	struct pos need, own = {0};
+
+	if (job->tried & (1U << m->index))
+		return false;
+	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, &need))
+		return false;
+	if (a->mode == READ_SESSION)
+		own = marks_own(&g->marks, (struct pos){a->session.term, a->session.lsn});
+	if (pos_cmp(own, need) > 0)
+		need = own;
+	return pos_cmp(m->pos, need) >= 0 || now - m->pos_us > POSITION_FRESH_US;
+}
+
+/**
+ * The replica that is likely to answer first, by its statements in the slots and the time that they
+ * took lately: a member that has become slow gets less by what its answers show.
+ */
+static struct owner_member *pick_replica(const struct owner_job *job, int64_t now, bool *any)
+{
+	struct owner_group *g = job->g;
+	struct owner_member *best = NULL;
+	double best_wait = 0;
+	unsigned i;
+
+	*any = false;
+	for (i = 0; i < g->n; i++) {
+		struct owner_member *m = &g->member[i];
+		double wait;
+
+		if ((int)i == g->primary || !member_usable(m) || !replica_fits(job, m, now))
+			continue;
+		*any = true;
+		if (member_room(m, AHEAD) == 0 || !conn_available(m, job->args->team))
+			continue;
+		wait = (double)(m->out + 1) / m->conf.slots * m->service_us;
+		/* Opening a connection takes a slot for as long as a statement does. */
+		if (!conn_ready(m, job->args->team))
+			wait += m->service_us;
+		if (best == NULL || wait < best_wait) {
+			best = m;
+			best_wait = wait;
+		}
+	}
+	return best;
+}
+
+/** The primary, for what needs it, when it has room and may be sent to. */
+static struct owner_member *pick_primary(const struct owner_job *job, unsigned ahead)
+{
+	struct owner_group *g = job->g;
+	struct owner_member *m = og_primary(g);
+
+	if (m == NULL || g->state != OWNER_SERVING || !og_may_send(g) || m->down ||
+	    member_room(m, ahead) == 0 || !conn_available(m, job->args->team))
+		return NULL;
+	return m;
+}
+
+static struct owner_member *pick(const struct owner_job *job, int64_t now)
+{
+	struct owner_group *g = job->g;
+	struct owner_member *m;
+	bool any;
+
+	if (now < job->not_before_us)
+		return NULL;
+	if (job->needs_primary)
+		return pick_primary(job, AHEAD);
+	m = pick_replica(job, now, &any);
+	if (m != NULL)
+		return m;
+	/*
+	 * A session's own write is not on the replicas for some tens of milliseconds: the primary has
+	 * it. It also takes reads when all replicas are full and it has nothing to do.
+	 */
+	m = og_primary(g);
+	if (m != NULL && any && (m->out > 0 || m->conf.leaving))
+		return NULL;
+	return pick_primary(job, any ? 0 : AHEAD);
+}
+
+/* Refusals */
+
+static void refuse(struct rpc_request *rq, const ml_run_args *a, const struct owner_group *g,
+		   enum outcome o, int64_t retry_after_us)
+{
+	ml_run_res res = {.outcome = (int)o, .message = "", .signature = "", .member = ""};
+
+	res.owner = g != NULL ? (char *)g->record.owner.name : "";
+	res.owner_address = g != NULL ? (char *)g->record.address : "";
+	res.owner_revision = g != NULL ? g->revision : 0;
+	res.retry_after_us = (u_quad_t)retry_after_us;
+	log_info("refused", LOG_STR("request", a->request), LOG_STR("team", a->team),
+		 LOG_STR("pool", a->pool), LOG_STR("outcome", outcome_text(o)->name),
+		 LOG_NUM("state", g != NULL ? (int)g->state : -1),
+		 LOG_NUM("retry_after_us", retry_after_us));
+	rpc_reply(rq, &res);
+}
+
+void queue_refuse(struct owner_group *g, bool all, enum outcome o)
+{
+	struct owner_jobs jobs = TAILQ_HEAD_INITIALIZER(jobs);
+	struct owner_job *job, *next;
+	struct fairq_item *item;
+	unsigned i;
+
+	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
+		if (!all && !job->needs_primary)
+			continue;
+		TAILQ_REMOVE(&g->held, job, link);
+		TAILQ_INSERT_TAIL(&jobs, job, link);
+	}
+	for (i = 0; i < OWNER_PRIORITIES; i++) {
+		while ((item = fairq_next(&g->write_queue[i])) != NULL)
+			TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
+		while (all && (item = fairq_next(&g->read_queue[i])) != NULL)
+			TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
+	}
+	while ((job = TAILQ_FIRST(&jobs)) != NULL) {
+		TAILQ_REMOVE(&jobs, job, link);
+		job_end(job, o, NULL, og_wait_us(g, now_us()));
+	}
+}
+
+/* Waiting and starting */
+
+void queue_again(struct owner_job *job)
+{
+	TAILQ_INSERT_TAIL(&job->g->held, job, link);
+}
+
+/** Start what was next before and can be started now. */
+static void dispatch_held(struct owner_group *g, int64_t now)
+{
+	struct owner_job *job, *next;
+
+	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
+		struct owner_member *m = pick(job, now);
+
+		if (m == NULL)
+			continue;
+		TAILQ_REMOVE(&g->held, job, link);
+		if (!job_start(job, m)) {
+			TAILQ_INSERT_TAIL(&g->held, job, link);
+			return;
+		}
+	}
+}
+
+/**
+ * Start items of @a q. One that no member can serve now is held, so that it does not keep those
+ * behind it waiting; when several are held already, no more are taken.
+ */
+static void dispatch_queue(struct owner_group *g, struct fairq *q, int64_t now)
+{
+	unsigned stuck = 0;
+	struct fairq_item *item;
+
+	while (stuck < 4 && (item = fairq_next(q)) != NULL) {
+		struct owner_job *job = (struct owner_job *)item;
+		struct owner_member *m = pick(job, now);
+
+		if (m != NULL && job_start(job, m))
+			continue;
+		TAILQ_INSERT_TAIL(&g->held, job, link);
+		stuck++;
+	}
+}
+
+static bool read_room(const struct owner_group *g)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		if (member_usable(&g->member[i]) && member_room(&g->member[i], AHEAD) > 0)
+			return true;
+	}
+	return false;
+}
+
+static bool write_room(struct owner_group *g)
+{
+	const struct owner_member *m = og_primary(g);
+
+	return m != NULL && g->state == OWNER_SERVING && member_room(m, AHEAD) > 0;
+}
+
+static unsigned held_count(const struct owner_group *g, bool needs_primary)
+{
+	const struct owner_job *job;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(job, &g->held, link)
+		n += job->needs_primary == needs_primary ? 1 : 0;
+	return n;
+}
+
+/** Jobs that are held back while they have no member, before no more are taken from a queue. */
+#define HELD_MAX 8
+
+void queue_dispatch(struct owner_group *g)
+{
+	int64_t now = now_us();
+	unsigned i;
+
+	/* Starting a job may end others, which asks for another round. */
+	if (g->dispatching) {
+		g->dispatch_again = true;
+		return;
+	}
+	g->dispatching = true;
+	do {
+		g->dispatch_again = false;
+		dispatch_held(g, now);
+		for (i = 0; i < OWNER_PRIORITIES; i++) {
+			if (write_room(g) && held_count(g, true) < HELD_MAX)
+				dispatch_queue(g, &g->write_queue[i], now);
+		}
+		for (i = 0; i < OWNER_PRIORITIES; i++) {
+			if (read_room(g) && held_count(g, false) < HELD_MAX)
+				dispatch_queue(g, &g->read_queue[i], now);
+		}
+	} while (g->dispatch_again);
+	g->dispatching = false;
+}
+
+/** Whether only the primary may serve it. */
+static bool needs_primary(const ml_run_args *a)
+{
+	if (a->begin == STATEMENT_BEGIN_READ)
+		return a->mode == READ_PRIMARY;
+	return a->begin == STATEMENT_BEGIN || a->mode == READ_PRIMARY ||
+	       a->op == STATEMENT_WRITE || (a->op == STATEMENT_EXECUTE && a->write) ||
+	       a->op == STATEMENT_COMMIT || a->op == STATEMENT_ROLLBACK;
+}
+
+static struct owner_job *job_create(struct owner_group *g, struct rpc_request *rq,
+				    const ml_run_args *a)
+{
+	struct owner_job *job = g_new0(struct owner_job, 1);
+
+	job->g = g;
+	job->rq = rq;
+	job->args = a;
+	job->received_us = now_us();
+	job->deadline_us = job->received_us + (int64_t)a->deadline_us;
+	job->item.deadline_us = job->deadline_us;
+	job->needs_primary = needs_primary(a);
+	g->jobs++;
+	return job;
+}
+
+/** A statement of an open transaction: its connection waits for it alone. */
+static void run_in_tx(struct owner_group *g, struct rpc_request *rq, const ml_run_args *a)
+{
+	struct owner_tx *tx = tx_find(g, a->transaction);
+	struct owner_job *job;
+
+	if (tx == NULL || tx->conn->job != NULL) {
+		refuse(rq, a, g, OUTCOME_TX_LOST, 0);
+		return;
+	}
+	/* The caller is gone. */
+	if (a->op == STATEMENT_BAD) {
+		tx_abort(tx, "caller-gone");
+		refuse(rq, a, g, OUTCOME_TX_LOST, 0);
+		return;
+	}
+	if (tx->on_primary && !og_may_send(g)) {
+		tx_abort(tx, "may-not-send");
+		refuse(rq, a, g, OUTCOME_TX_LOST, 0);
+		return;
+	}
+	tx->used_us = now_us();
+	job = job_create(g, rq, a);
+	job->tx = tx;
+	job_start_in_tx(job);
+}
+
+/** The refusal that is due at once; OUTCOME_DONE for none. */
+static enum outcome check(struct owner_group *g, const ml_run_args *a, int64_t *retry_after_us)
+{
+	int64_t now = now_us();
+
+	if (!og_mine(g) || g->o->leaving)
+		return OUTCOME_LEAVING;
+	if (!og_may_send(g))
+		return OUTCOME_NO_CONNECTION;
+	if (!needs_primary(a))
+		return OUTCOME_DONE;
+	*retry_after_us = og_wait_us(g, now);
+	/*
+	 * A change of primary that will surely last longer than the statement may wait: its caller
+	 * learns now when to come back.
+	 */
+	return *retry_after_us > (int64_t)a->deadline_us ? OUTCOME_NOT_PRIMARY : OUTCOME_DONE;
+}
+
+void queue_run_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_run_args *a = args;
+	struct owner_group *g = og_find(owner, a->pool);
+	struct fairq_outcome queued;
+	struct owner_job *job;
+	int64_t retry_us = 0;
+	enum outcome o;
+
+	if (g == NULL) {
+		refuse(rq, a, NULL, OUTCOME_LEAVING, 0);
+		return;
+	}
+	if (a->transaction != 0) {
+		run_in_tx(g, rq, a);
+		return;
+	}
+	o = check(g, a, &retry_us);
+	if (o != OUTCOME_DONE) {
+		refuse(rq, a, g, o, retry_us);
+		return;
+	}
+	job = job_create(g, rq, a);
+	queued = fairq_add(queue_of(job), &job->item, a->team, a->weight, job->received_us);
+	if (queued.verdict != FAIRQ_QUEUED) {
+		job_end(job,
+			queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE, NULL,
+			queued.retry_after_us);
+		return;
+	}
+	queue_dispatch(g);
+}
+
+static void expire_queue(struct owner_group *g, struct fairq *q, int64_t now)
+{
+	struct fairq_item *item;
+
+	while ((item = fairq_expired(q, now)) != NULL)
+		job_end((struct owner_job *)item, OUTCOME_TOO_LATE, NULL, og_wait_us(g, now));
+}
+
+void queue_tick(struct owner_group *g, int64_t now)
+{
+	struct owner_job *job, *next;
+	struct owner_tx *tx, *next_tx;
+	unsigned i;
+
+	for (i = 0; i < OWNER_PRIORITIES; i++) {
+		expire_queue(g, &g->write_queue[i], now);
+		expire_queue(g, &g->read_queue[i], now);
+	}
+	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
+		if (now < job->deadline_us)
+			continue;
+		TAILQ_REMOVE(&g->held, job, link);
+		job_end(job, OUTCOME_TOO_LATE, NULL, og_wait_us(g, now));
+	}
+	TAILQ_FOREACH_SAFE(job, &g->running, link, next)
+		job_expire(job, now);
+	TAILQ_FOREACH_SAFE(tx, &g->txs, link, next_tx) {
+		if (tx->conn->job == NULL && tx->idle_us > 0 && now - tx->used_us > tx->idle_us)
+			tx_abort(tx, "idle");
+	}
+	queue_dispatch(g);
+}
--- /dev/null
+++ b/src/owner.c
@@ -0,0 +1,372 @@
+/** @file owner.c The owner's groups. */
+#include "owner.h"
+
+#include "fleet-store.h"
+#include "log.h"
+
+#include <string.h>
+
+/** Looks at what waits, what is late and what is to be done next. */
+#define TICK_US (20 * USEC_PER_MSEC)
+/**
+ * Left of the lease when this VM stops to send: clocks of two VMs drift by far less in a lease's
+ * length, and an answer that is checked now leaves the VM within this.
+ */
+#define LEASE_MARGIN_US (100 * USEC_PER_MSEC)
+/** A change of primary from the order to the first statement, as the users' databases take it. */
+#define PROMOTE_US (1100 * USEC_PER_MSEC)
+/** Open transactions may go on for so long after this VM began to leave, as half of its grace. */
+#define LEAVE_TX_US (3 * USEC_PER_SEC)
+
+static const char *const state_names[OWNER_STATES] = {
+	"none",	    "claiming", "finding",   "serving",	 "settling",
+	"fencing",  "choosing", "recording", "ordering", "awaiting",
+};
+
+struct owner *owner_of(struct kernel *k)
+{
+	return (struct owner *)kernel_find(k, "owner");
+}
+
+struct fleet *og_fleet(const struct owner_group *g)
+{
+	return fleet_of(g->o->service.kernel);
+}
+
+struct owner_group *og_find(struct owner *o, const char *pool)
+{
+	struct owner_group *g;
+
+	TAILQ_FOREACH(g, &o->groups, link) {
+		if (strcmp(g->pool, pool) == 0)
+			return g;
+	}
+	return NULL;
+}
+
+bool og_mine(const struct owner_group *g)
+{
+	const struct kernel *k = g->o->service.kernel;
+
+	return g->revision != 0 && g->record.owner.incarnation == k->incarnation &&
+	       strcmp(g->record.owner.name, k->settings->name) == 0;
+}
+
+bool og_may_send(const struct owner_group *g)
+{
+	struct fleet *f = og_fleet(g);
+
+	return g->sending && !g->yielded && g->lease != 0 && g->lease == fleet_store_lease(f) &&
+	       now_us() < fleet_store_lease_until_us(f) - LEASE_MARGIN_US;
+}
+
+struct owner_member *og_primary(struct owner_group *g)
+{
+	return g->primary >= 0 ? &g->member[g->primary] : NULL;
+}
+
+void og_state(struct owner_group *g, enum owner_state state, const char *why)
+{
+	if (state == g->state)
+		return;
+	log_info("group-state", LOG_STR("pool", g->pool), LOG_STR("from", state_names[g->state]),
+		 LOG_STR("to", state_names[state]), LOG_STR("why", why),
+		 LOG_NUM("after_ms", (now_us() - g->state_us) / USEC_PER_MSEC),
+		 LOG_NUM("revision", g->revision));
+	g->state = state;
+	g->state_us = now_us();
+}
+
+int64_t og_wait_us(const struct owner_group *g, int64_t now)
+{
+	int64_t gone = now - g->state_us;
+
+	switch (g->state) {
+	case OWNER_SERVING:
+	case OWNER_NONE:
+		return 0;
+	case OWNER_AWAITING:
+	case OWNER_ORDERING:
+		return gone < PROMOTE_US ? PROMOTE_US - gone : 50 * USEC_PER_MSEC;
+	case OWNER_CLAIMING:
+	case OWNER_FINDING:
+		return 50 * USEC_PER_MSEC;
+	default:
+		return PROMOTE_US + 50 * USEC_PER_MSEC;
+	}
+}
+
+/* Configuration */
+
+static struct owner_member *member_find(struct owner_group *g, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		if (strcmp(g->member[i].conf.name, name) == 0)
+			return &g->member[i];
+	}
+	return NULL;
+}
+
+/** A place for a new member: that of one which is gone, else the next. */
+static struct owner_member *member_place(struct owner_group *g)
+{
+	struct owner_member *m;
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		m = &g->member[i];
+		if (!m->listed && (int)i != g->primary && TAILQ_EMPTY(&m->conns))
+			break;
+	}
+	if (i == GROUP_MEMBERS_MAX)
+		return NULL;
+	m = &g->member[i];
+	if (i == g->n)
+		g->n++;
+	else
+		watch_close(m);
+	memset(m, 0, sizeof(*m));
+	m->g = g;
+	m->index = i;
+	m->service_us = 10.0 * USEC_PER_MSEC;
+	TAILQ_INIT(&m->conns);
+	return m;
+}
+
+static void member_set(struct owner_group *g, const struct conf_member *conf)
+{
+	struct owner_member *m = member_find(g, conf->name);
+
+	if (m == NULL)
+		m = member_place(g);
+	if (m == NULL) {
+		log_warn("member-left-out", LOG_STR("pool", g->pool),
+			 LOG_STR("member", conf->name));
+		return;
+	}
+	if (m->conf.address[0] != '\0' && strcmp(m->conf.address, conf->address) != 0) {
+		watch_close(m);
+		conn_close_all(m);
+	}
+	m->conf = *conf;
+	m->listed = true;
+}
+
+static void og_configure(struct owner_group *g, const struct conf_pool *pool)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++)
+		g->member[i].listed = false;
+	for (i = 0; pool != NULL && i < pool->n; i++)
+		member_set(g, &pool->member[i]);
+	for (i = 0; i < g->n; i++) {
+		struct owner_member *m = &g->member[i];
+
+		if (m->listed || (int)i == g->primary)
+			continue;
+		watch_close(m);
+		conn_close_idle(m);
+	}
+	g->configured = pool != NULL;
+}
+
+static struct owner_group *og_create(struct owner *o, const char *pool)
+{
+	struct owner_group *g = g_new0(struct owner_group, 1);
+
+	g->o = o;
+	g_strlcpy(g->pool, pool, sizeof(g->pool));
+	g->primary = -1;
+	g->except = -1;
+	g->state_us = now_us();
+	TAILQ_INIT(&g->txs);
+	queue_init(g);
+	TAILQ_INSERT_TAIL(&o->groups, g, link);
+	return g;
+}
+
+static void conf_changed(void *owner)
+{
+	struct owner *o = owner;
+	const struct conf *conf = fleet_of(o->service.kernel)->conf;
+	struct owner_group *g;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, conf->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct conf_entry *e = value;
+
+		if (e->kind == CONF_POOL && og_find(o, e->pool.name) == NULL)
+			og_create(o, e->pool.name);
+	}
+	TAILQ_FOREACH(g, &o->groups, link) {
+		if (g->conf_version == conf->version)
+			continue;
+		g->conf_version = conf->version;
+		og_configure(g, conf_pool(conf, g->pool));
+	}
+}
+
+/* Who owns it */
+
+const char *owner_address(struct owner *o, const char *pool, bool *known)
+{
+	struct owner_group *g = og_find(o, pool);
+	char role[NAME_SIZE + 8];
+
+	*known = g != NULL && !g->owner_lost && (g->revision != 0 || g->hint_revision != 0);
+	if (*known)
+		return g->hint_revision > g->revision ? g->hint_address : g->record.address;
+	g_snprintf(role, sizeof(role), "group %s", pool);
+	return fleet_holder_address(fleet_of(o->service.kernel), role);
+}
+
+void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
+		 uint64_t revision)
+{
+	struct owner_group *g = og_find(o, pool);
+
+	if (g == NULL || revision <= g->revision || address[0] == '\0')
+		return;
+	/*
+	 * Only who owns it is told between VMs, not the whole record. A VM that owned it until now
+	 * reads the record itself; the others need no more than the address.
+	 */
+	if (og_mine(g) || g->state > OWNER_CLAIMING) {
+		g->read = false;
+		return;
+	}
+	if (revision > g->hint_revision) {
+		g->hint_revision = revision;
+		g_strlcpy(g->hint_address, address, sizeof(g->hint_address));
+		g->owner_lost = false;
+	}
+	/* It was handed to this VM: the record tells the rest. */
+	if (strcmp(vm, o->service.kernel->settings->name) == 0)
+		g->read = false;
+}
+
+/* The service */
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct owner *o = arg;
+	int64_t now = now_us();
+	struct owner_group *g;
+
+	TAILQ_FOREACH(g, &o->groups, link) {
+		claim_tick(g, now);
+		if (g->state <= OWNER_CLAIMING && !g->sending)
+			continue;
+		if (g->state > OWNER_CLAIMING) {
+			watch_tick(g, now);
+			change_tick(g, now);
+		}
+		queue_tick(g, now);
+		if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
+		    TAILQ_EMPTY(&g->running))
+			claim_stop(g, "nothing-open");
+	}
+}
+
+static gboolean owner_start(struct service *s, GError **error)
+{
+	struct owner *o = (struct owner *)s;
+	struct rpc *r = rpc_of(s->kernel);
+
+	rpc_serve(r, ML_RUN, queue_run_serve, o);
+	rpc_serve(r, ML_OWNER, claim_owner_serve, o);
+	rpc_serve(r, ML_YIELD, claim_yield_serve, o);
+	rpc_serve(r, ML_REACH, watch_reach_serve, o);
+	rpc_on_closed(r, tx_closed, o);
+	fleet_listen(fleet_of(s->kernel), conf_changed, o);
+	claim_listen(o);
+	o->tick = kernel_every(s->kernel, TICK_US, on_tick, o);
+	return TRUE;
+}
+
+/** Groups go to other VMs at once; open transactions have until LEAVE_TX_US. */
+static void owner_drain(struct service *s)
+{
+	struct owner *o = (struct owner *)s;
+	struct fleet *f = fleet_of(s->kernel);
+	struct owner_group *g;
+
+	o->leaving = true;
+	o->left_us = now_us();
+	TAILQ_FOREACH(g, &o->groups, link) {
+		char role[NAME_SIZE + 8];
+		struct vm *vm;
+
+		if (!og_mine(g))
+			continue;
+		g_snprintf(role, sizeof(role), "group %s", g->pool);
+		vm = peers_next_holder(&f->peers, role);
+		if (vm != NULL)
+			claim_hand_over(g, vm->name, "leaving");
+	}
+}
+
+static bool owner_drained(struct service *s)
+{
+	struct owner *o = (struct owner *)s;
+	int64_t now = now_us();
+	struct owner_group *g;
+
+	TAILQ_FOREACH(g, &o->groups, link) {
+		struct owner_tx *tx, *next;
+
+		if (now - o->left_us > LEAVE_TX_US) {
+			TAILQ_FOREACH_SAFE(tx, &g->txs, link, next) {
+				if (tx->conn->job == NULL)
+					tx_abort(tx, "leaving");
+			}
+		}
+		if (g->jobs > 0 || !TAILQ_EMPTY(&g->txs) || g->busy)
+			return false;
+	}
+	/*
+	 * A lease that only runs out would hold up the next change of primary until then, since this VM
+	 * could still be sending for all that others know.
+	 */
+	return fleet_store_release(fleet_of(s->kernel));
+}
+
+static void owner_stop(struct service *s)
+{
+	struct owner *o = (struct owner *)s;
+	struct owner_group *g;
+
+	if (o->tick != NULL)
+		event_free(o->tick);
+	TAILQ_FOREACH(g, &o->groups, link)
+		claim_stop(g, "stopped");
+	while ((g = TAILQ_FIRST(&o->groups)) != NULL) {
+		TAILQ_REMOVE(&o->groups, g, link);
+		queue_clear(g);
+		g_free(g);
+	}
+	g_free(o);
+}
+
+static const struct service_ops owner_ops = {
+	.name = "owner",
+	.start = owner_start,
+	.drain = owner_drain,
+	.drained = owner_drained,
+	.stop = owner_stop,
+};
+
+struct service *owner_service_create(struct kernel *k)
+{
+	struct owner *o = g_new0(struct owner, 1);
+
+	o->service.ops = &owner_ops;
+	TAILQ_INIT(&o->groups);
+	kernel_add(k, &o->service);
+	return &o->service;
+}
--- /dev/null
+++ b/src/owner.h
@@ -0,0 +1,309 @@
+/**
+ * @file owner.h
+ * The owner of a database group: the one VM that holds the connections to the group's members, runs
+ * callers' statements on them and sees to it that the group has a primary. For groups whose members
+ * are led from outside (member.h); decide/lead.h says who may own one and when its primary may be
+ * changed.
+ *
+ * owner.c        groups, and the RPC procedures
+ * owner-claim.c  the group's record in the store: claiming, handing over, yielding
+ * owner-change.c the change of primary, step by step
+ * owner-watch.c  looking at the members
+ * owner-queue.c  statements that wait, and the member for each
+ * owner-job.c    one statement, step by step
+ * owner-conn.c   connections, callers' transactions on them
+ */
+#ifndef OWNER_H
+#define OWNER_H
+
+#include "conf.h"
+#include "fairq.h"
+#include "fleet.h"
+#include "kernel.h"
+#include "lead.h"
+#include "marks.h"
+#include "member.h"
+#include "outcome.h"
+#include "rpc.h"
+
+struct owner;
+struct owner_group;
+struct owner_member;
+struct owner_job;
+struct owner_tx;
+
+/** Classes of urgency; a route's priority beyond the last counts as the last. */
+#define OWNER_PRIORITIES 4
+/** A prepared statement's name on a connection: 'r' or 'w', '_', and its shape. */
+#define OWNER_NAME_MAX 256
+
+/** A connection that serves statements; it is one team's until it is closed. */
+struct owner_conn {
+	TAILQ_ENTRY(owner_conn) link;
+	struct owner_member *m;
+	struct member_conn *mc;
+	char team[NAME_SIZE];
+	bool open;
+	bool values_unsure;	/**< a rollback may have taken values back: reset before use */
+	GHashTable *values;	/**< session values that hold on it: name to value */
+	GHashTable *prepared;	/**< names that are prepared on it */
+	struct owner_job *job;	/**< the statement on it, or that waits for it to open */
+	struct owner_tx *tx;	/**< the transaction that it is kept for */
+	bool abandoned;		/**< a statement is out on it that nobody waits for any more */
+	int64_t since_us;	/**< when its state last changed */
+	int64_t sent_us;	/**< when what is out on it was sent */
+};
+TAILQ_HEAD(owner_conns, owner_conn);
+
+/** A caller's open transaction. */
+struct owner_tx {
+	TAILQ_ENTRY(owner_tx) link;
+	uint64_t id;
+	struct owner_conn *conn;
+	uint64_t rpc_conn; /**< the entry VM's connection; the transaction ends with it */
+	bool read_only;
+	bool on_primary;
+	uint64_t term; /**< of the primary that it is on */
+	bool wrote;
+	bool failed;
+	int64_t used_us;
+	int64_t idle_us; /**< how long it may rest */
+};
+TAILQ_HEAD(owner_txs, owner_tx);
+
+enum owner_step {
+	OWNER_QUEUED,
+	OWNER_OPENING, /**< waits for its connection */
+	OWNER_BEGIN,
+	OWNER_STATEMENT,
+};
+
+/** One statement that an entry VM asked for. */
+struct owner_job {
+	struct fairq_item item;
+	TAILQ_ENTRY(owner_job) link; /**< in held or running */
+	struct owner_group *g;
+	struct rpc_request *rq;
+	const ml_run_args *args; /**< of @a rq */
+	struct owner_conn *conn;
+	struct owner_tx *tx;
+	enum owner_step step;
+	bool needs_primary;
+	bool on_primary;       /**< it was sent to what was the primary then */
+	bool slotted;	       /**< counted in its member's statements */
+	unsigned tries;
+	uint8_t tried;	       /**< bit per member that could not serve it */
+	int64_t received_us;
+	int64_t deadline_us;
+	int64_t sent_us;
+	int64_t not_before_us; /**< a member was busy: not tried again before */
+	uint64_t term;	       /**< of the primary that it was sent to */
+};
+TAILQ_HEAD(owner_jobs, owner_job);
+
+/** The connection over which a member is looked at. */
+struct owner_probe {
+	struct member_conn *mc;
+	bool open;
+	bool out; /**< something is asked and not answered */
+	int64_t sent_us;
+	int64_t next_us;
+};
+
+struct owner_member {
+	struct owner_group *g;
+	unsigned index;
+	struct conf_member conf;
+	bool listed; /**< in the configuration */
+	struct owner_conns conns;
+	unsigned n_conns;
+	unsigned n_open;
+	unsigned n_pinned;
+	unsigned out; /**< statements in its slots */
+	int64_t open_after_us;
+	struct pos pos; /**< newest that it told */
+	int64_t pos_us;
+	int64_t heard_us;
+	int64_t unheard_us; /**< since when something is sent and nothing was answered; 0: none */
+	bool refused;	    /**< it refuses connections since it was last heard */
+	bool down;	    /**< silent: gets nothing but looks */
+	double service_us;  /**< moving average of a statement's time */
+	struct owner_probe probe;
+	struct lead_candidate seen;
+	int64_t seen_us; /**< when @a seen was asked for */
+};
+
+enum owner_state {
+	OWNER_NONE,	/**< not this VM's */
+	OWNER_CLAIMING, /**< the claim is under way */
+	OWNER_FINDING,	/**< looks for the primary */
+	OWNER_SERVING,
+	OWNER_SETTLING, /**< a change of primary: what is open on the old one ends */
+	OWNER_FENCING,	/**< until nobody else may be sending */
+	OWNER_CHOOSING, /**< looks for the newest replica */
+	OWNER_RECORDING, /**< writes the choice to the record */
+	OWNER_ORDERING, /**< the promotion is ordered */
+	OWNER_AWAITING, /**< until the chosen member leads */
+	OWNER_STATES
+};
+
+struct owner_group {
+	TAILQ_ENTRY(owner_group) link;
+	struct owner *o;
+	char pool[NAME_SIZE];
+	uint64_t conf_version;
+	bool configured;
+
+	struct lead_record record;
+	uint64_t revision; /**< of @a record; 0: none is known */
+	bool read;	   /**< the record was looked for */
+	bool busy;	   /**< a call about the record is under way */
+	int64_t next_us;   /**< no further call before */
+	int64_t asked_us;  /**< when the record's owner was last asked whether it lives */
+	int64_t contact_us; /**< when it last answered */
+	bool owner_lost;   /**< its process has ended or does not answer */
+	bool asking;	   /**< the owner is being asked */
+	uint64_t hint_revision; /**< of a newer record that another VM told of */
+	char hint_address[ADDRESS_SIZE];
+	uint64_t lease;	   /**< under which the record was last seen to be this VM's */
+	bool yielded;	   /**< this VM sends nothing for the group any more */
+	bool sending;	   /**< this VM may be sending under an ownership that it has given away */
+
+	enum owner_state state;
+	int64_t state_us;
+	bool planned;	   /**< the primary is alive and leaves */
+	bool no_leader_yet; /**< no look has found one since the claim */
+	int target;
+	int except;	   /**< a member that could not be promoted, or -1 */
+	uint64_t token;
+	bool ordered;
+	int64_t fence_next_us;
+
+	unsigned n;
+	struct owner_member member[GROUP_MEMBERS_MAX];
+	int primary; /**< index of the member that leads, or -1 */
+	uint64_t term;
+	struct marks marks;
+
+	bool others_asked;
+	unsigned others_out;
+	char reaches[NAME_SIZE]; /**< a VM that reaches the primary, when this one does not */
+	int64_t others_us;
+
+	struct fairq write_queue[OWNER_PRIORITIES]; /**< what only the primary can serve */
+	struct fairq read_queue[OWNER_PRIORITIES];
+	struct owner_jobs held; /**< were next, and had no member that could serve them */
+	struct owner_jobs running;
+	struct owner_txs txs;
+	unsigned jobs;
+	bool dispatching;
+	bool dispatch_again;
+};
+TAILQ_HEAD(owner_groups, owner_group);
+
+struct owner {
+	struct service service;
+	struct owner_groups groups;
+	struct event *tick;
+	bool leaving;
+	int64_t left_us;
+};
+
+struct service *owner_service_create(struct kernel *k);
+struct owner *owner_of(struct kernel *k);
+/**
+ * RPC address of the VM to ask for @a pool: its owner as far as is known, else the VM that is to
+ * claim it; NULL when there is none.
+ */
+const char *owner_address(struct owner *o, const char *pool, bool *known);
+/** An answer told of a newer record than is known here. */
+void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
+		 uint64_t revision);
+
+/* owner.c: "og" is for owner_group */
+struct fleet *og_fleet(const struct owner_group *g);
+struct owner_group *og_find(struct owner *o, const char *pool);
+bool og_mine(const struct owner_group *g);
+/** Whether this VM may send to the group's primary now, and believe what it answers. */
+bool og_may_send(const struct owner_group *g);
+void og_state(struct owner_group *g, enum owner_state state, const char *why);
+/** How long until a primary is likely to serve; 0 when one does. */
+int64_t og_wait_us(const struct owner_group *g, int64_t now);
+struct owner_member *og_primary(struct owner_group *g);
+
+/* owner-claim.c */
+void claim_listen(struct owner *o);
+void claim_tick(struct owner_group *g, int64_t now);
+void claim_owner_serve(struct rpc_request *rq, const void *args, void *owner);
+void claim_yield_serve(struct rpc_request *rq, const void *args, void *owner);
+/** Give the group to another VM; open transactions end here. */
+void claim_hand_over(struct owner_group *g, const char *to, const char *why);
+/** Stop sending for the group at once. */
+void claim_stop(struct owner_group *g, const char *why);
+/** Write @a r as the group's record if it is still at the known revision. */
+typedef void (*claim_written)(struct owner_group *g, bool ok);
+void claim_write(struct owner_group *g, const struct lead_record *r, claim_written cb);
+
+/* owner-change.c */
+/** Replace the primary. @param planned it lives, and is to leave */
+void change_begin(struct owner_group *g, bool planned, const char *why);
+void change_tick(struct owner_group *g, int64_t now);
+
+/* owner-watch.c */
+void watch_tick(struct owner_group *g, int64_t now);
+/** A member answered something. */
+void watch_heard(struct owner_member *m, struct pos pos, int64_t asked_us);
+/** Something was sent to a member. */
+void watch_sent(struct owner_member *m, int64_t now);
+/** Look at a member as soon as possible. */
+void watch_look(struct owner_member *m);
+void watch_close(struct owner_member *m);
+void watch_reach_serve(struct rpc_request *rq, const void *args, void *owner);
+
+/* owner-queue.c */
+void queue_init(struct owner_group *g);
+void queue_clear(struct owner_group *g);
+void queue_run_serve(struct rpc_request *rq, const void *args, void *owner);
+void queue_dispatch(struct owner_group *g);
+/** Refuse all that waits and that only the primary can serve, or all. */
+void queue_refuse(struct owner_group *g, bool all, enum outcome o);
+void queue_tick(struct owner_group *g, int64_t now);
+/** The queue that a job waits in. */
+struct fairq *queue_of(struct owner_job *job);
+/** A job goes back to wait for another try. */
+void queue_again(struct owner_job *job);
+
+/* owner-job.c */
+/** Start @a job on @a m; false when no connection is to be had there now. */
+bool job_start(struct owner_job *job, struct owner_member *m);
+/** Start a statement of an open transaction. */
+void job_start_in_tx(struct owner_job *job);
+void job_conn_opened(struct owner_conn *c, enum member_result result);
+/** Answer a job that is on no connection, and free it. */
+void job_end(struct owner_job *job, enum outcome o, const struct member_answer *a,
+	     int64_t retry_after_us);
+/** The job's time, or its member's patience, is over. */
+void job_expire(struct owner_job *job, int64_t now);
+void job_lost(struct owner_job *job, const char *why);
+
+/* owner-conn.c */
+struct owner_conn *conn_get(struct owner_member *m, const char *team);
+/** Whether conn_get() would find or open one. */
+bool conn_available(const struct owner_member *m, const char *team);
+/** Whether an idle connection of the team is open. */
+bool conn_ready(const struct owner_member *m, const char *team);
+/** The connection's statement has ended: it is free for another, or is closed if not as it should. */
+void conn_release(struct owner_conn *c, enum tx_state state);
+void conn_close(struct owner_conn *c);
+void conn_close_idle(struct owner_member *m);
+void conn_close_all(struct owner_member *m);
+void conn_tick(struct owner_member *m, int64_t now);
+struct owner_tx *tx_find(struct owner_group *g, uint64_t id);
+struct owner_tx *tx_create(struct owner_job *job);
+/** Forget the transaction; its connection is released by the caller or closed. */
+void tx_free(struct owner_tx *tx);
+/** Roll back by closing the connection. */
+void tx_abort(struct owner_tx *tx, const char *why);
+void tx_closed(uint64_t rpc_conn, void *owner);
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -10,6 +10,8 @@
 		.key = (k), .type = (t), .offset = offsetof(struct settings, field), __VA_ARGS__   \
 	}
 #define DAY_MS 86400000.0
+/** Part of the time between the request to stop and the kill that a graceful stop may use. */
+#define GRACE_PART 0.85
 
 static const struct schema_field vm_fields[] = {
 	F(name, "name", SCHEMA_NAME, .required = true),
@@ -17,12 +19,17 @@
 	F(caller_address, "caller_address", SCHEMA_ADDRESS, .required = true),
 	F(rpc_address, "rpc_address", SCHEMA_ADDRESS, .required = true),
 	F(advertise, "advertise", SCHEMA_ADDRESS),
+	F(ready_address, "ready_address", SCHEMA_ADDRESS),
+	F(metrics_address, "metrics_address", SCHEMA_ADDRESS),
+	F(grace_s, "grace_s", SCHEMA_DOUBLE, .min = 0, .max = 86400, .fallback = "0"),
 	F(drain_ms, "drain_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS, .fallback = "10000"),
 };
 
 static const struct schema_field platform_fields[] = {
 	F(platform_timeout_ms, "timeout_ms", SCHEMA_UINT, .min = 10, .max = 60000,
 	  .fallback = "2000"),
+	F(platform_kind, "kind", SCHEMA_CHOICE, .fallback = "etcd", .choices = {"etcd", "prepared"}),
+	F(promoter_address, "promoter", SCHEMA_ADDRESS),
 };
 
 static const struct schema_field caller_fields[] = {
@@ -187,6 +194,8 @@
 	for (i = 0; i < G_N_ELEMENTS(sections) && ok; i++)
 		ok = read_section(root, path, i, s, error);
 	ok = ok && check_together(path, s, error);
+	if (ok && s->grace_s > 0)
+		s->drain_ms = (unsigned)(s->grace_s * GRACE_PART * 1000);
 	if (ok && s->advertise[0] == '\0')
 		memcpy(s->advertise, s->rpc_address, sizeof(s->advertise));
 	json_object_unref(root);
--- a/src/settings.h
+++ b/src/settings.h
@@ -7,14 +7,26 @@
 
 #define SETTINGS_ADDRESSES_MAX 5
 
+/** Which platform's protocols the daemon speaks. */
+enum settings_platform {
+	PLATFORM_ETCD,	   /**< etcd's gateway, PostgreSQL to callers and members */
+	PLATFORM_PREPARED, /**< platform/platform-adapter.h */
+};
+
 struct settings {
 	char name[NAME_SIZE];
 	char data_center[NAME_SIZE];
 	char caller_address[ADDRESS_SIZE];
 	char rpc_address[ADDRESS_SIZE];
 	char advertise[ADDRESS_SIZE]; /**< RPC address told to others; rpc_address when empty */
+	double grace_s; /**< from the request to stop to the kill; sets drain_ms when not 0 */
 	unsigned drain_ms;
 
+	char ready_address[ADDRESS_SIZE];   /**< answers whether this VM takes callers; may be empty */
+	char metrics_address[ADDRESS_SIZE]; /**< counters as text; may be empty */
+
+	int platform_kind;		     /**< enum settings_platform */
+	char promoter_address[ADDRESS_SIZE]; /**< takes orders to promote; PLATFORM_PREPARED only */
 	char platform[SETTINGS_ADDRESSES_MAX][ADDRESS_SIZE];
 	unsigned platforms;
 	unsigned platform_timeout_ms;
--- a/src/stat.c
+++ b/src/stat.c
@@ -67,3 +67,14 @@
 		put(b, outcome_text((enum outcome)i)->name, outcomes[i]);
 	json_builder_end_object(b);
 }
+
+void stat_text(struct evbuffer *out)
+{
+	unsigned i;
+
+	for (i = 0; i < STATS; i++)
+		evbuffer_add_printf(out, "mangoloom_%s_total %lu\n", names[i], counters[i]);
+	for (i = 0; i < OUTCOMES; i++)
+		evbuffer_add_printf(out, "mangoloom_outcomes_total{outcome=\"%s\"} %lu\n",
+				    outcome_text((enum outcome)i)->name, outcomes[i]);
+}
--- a/src/stat.h
+++ b/src/stat.h
@@ -7,6 +7,7 @@
 
 #include "outcome.h"
 
+#include <event2/buffer.h>
 #include <json-glib/json-glib.h>
 #include <stdint.h>
 
@@ -51,5 +52,7 @@
 void stat_outcome(enum outcome o);
 /** Write all counters as members of the open JSON object of @a b. */
 void stat_json(JsonBuilder *b);
+/** Write all counters in Prometheus' text format. */
+void stat_text(struct evbuffer *out);
 
 #endif
--- a/src/table.c
+++ b/src/table.c
@@ -23,6 +23,13 @@
 	  .fallback = "0"),
 	F(conf_route, deadline_ms, "deadline_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS,
 	  .fallback = "0"),
+	F(conf_route, mode, "mode", SCHEMA_CHOICE, .fallback = "declared",
+	  .choices = {"declared", "primary", "bounded", "session"}),
+	F(conf_route, aim_ms, "aim_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS, .fallback = "0"),
+	F(conf_route, priority, "priority", SCHEMA_UINT, .min = 0, .max = 1000, .fallback = "1"),
+	F(conf_route, anonymous, "anonymous", SCHEMA_BOOL, .fallback = "false"),
+	F(conf_route, idle_tx_ms, "idle_tx_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS,
+	  .fallback = "0"),
 };
 
 static const struct schema_field team_fields[] = {
@@ -35,6 +42,8 @@
 	F(conf_pool, name, "name", SCHEMA_NAME, .required = true),
 	F(conf_pool, confirm, "confirm", SCHEMA_CHOICE, .fallback = "replica",
 	  .choices = {"replica", "primary"}),
+	F(conf_pool, sync, "sync_replicas", SCHEMA_UINT, .min = 0, .max = GROUP_MEMBERS_MAX,
+	  .fallback = "0"),
 };
 
 static const struct schema_field member_fields[] = {
@@ -240,6 +249,24 @@
 	return NULL;
 }
 
+struct conf_entry *table_entry_make(enum conf_kind kind, const void *body)
+{
+	static const size_t sizes[CONF_KINDS] = {
+		[CONF_ROUTE] = sizeof(struct conf_route),
+		[CONF_POOL] = sizeof(struct conf_pool),
+		[CONF_TEAM] = sizeof(struct conf_team),
+	};
+	struct conf_entry *e = conf_entry_create("", 0, "");
+
+	e->kind = kind;
+	memcpy(entry_body(e), body, sizes[kind]);
+	g_free(e->id);
+	e->id = g_strdup_printf("%s/%s", kinds[kind].prefix, (const char *)entry_body(e));
+	g_free(e->text);
+	e->text = body_text(e);
+	return e;
+}
+
 struct conf_entry *table_key_entry(const struct conf_key *key)
 {
 	struct key_text text = {.withdrawn = key->withdrawn};
--- a/src/table.h
+++ b/src/table.h
@@ -39,6 +39,8 @@
 /** Make an entry from its text. @return NULL with @a error when the text is wrong. */
 struct conf_entry *table_entry_parse(const char *id, uint64_t version, const char *text,
 				     GError **error);
+/** Make the entry of a route, pool or team at @a body. */
+struct conf_entry *table_entry_make(enum conf_kind kind, const void *body);
 /** Make a key's entry. */
 struct conf_entry *table_key_entry(const struct conf_key *key);
 
