A watch that breaks is followed by a read of all that it may have missed

The new watch waited to the end of its 4.5 s before it told that its history is gone. After a broken watch the lists are read now.

--- a/decide/conf.h
+++ b/decide/conf.h
@@ -45,11 +45,12 @@
 	unsigned max_age_ms; /**< oldest data that a read accepts; 0: the session's and all
 				acknowledged writes */
 	unsigned deadline_ms;
-	int mode;	      /**< enum read_mode of src/statement.h */
-	unsigned aim_ms;      /**< how soon its callers want an answer; 0: not said */
-	unsigned priority;    /**< 0 goes first */
-	bool anonymous;	      /**< callers need no key */
-	unsigned idle_tx_ms;  /**< an open transaction that rests for longer may be ended; 0: never */
+	int mode;	   /**< enum read_mode of src/statement.h */
+	unsigned aim_ms;   /**< how soon its callers want an answer; 0: not said */
+	unsigned priority; /**< 0 goes first */
+	bool anonymous;	   /**< callers need no key */
+	unsigned
+		idle_tx_ms; /**< an open transaction that rests for longer may be ended; 0: never */
 };
 
 struct conf_team {
--- a/decide/lead.c
+++ b/decide/lead.c
@@ -61,8 +61,8 @@
 	return true;
 }
 
-int lead_find(const struct lead_record *r, const char *const *names,
-	      const struct lead_candidate *c, unsigned n)
+int lead_find(const struct lead_record *r, const char *const *names, const struct lead_candidate *c,
+	      unsigned n)
 {
 	int best = -1;
 	unsigned i;
--- a/decide/lead.h
+++ b/decide/lead.h
@@ -52,8 +52,8 @@
 };
 
 /** The member that leads by its own word and the record's, or -1. */
-int lead_find(const struct lead_record *r, const char *const *names,
-	      const struct lead_candidate *c, unsigned n);
+int lead_find(const struct lead_record *r, const char *const *names, const struct lead_candidate *c,
+	      unsigned n);
 /**
  * The member to promote: not leaving, with the newest log. @a except is not taken (-1: none).
  * @return its index, or -1
@@ -62,9 +62,9 @@
 
 /** What is known of the primary's silence. */
 struct lead_silence {
-	int64_t unheard_us;   /**< since when something is sent and nothing was answered; 0: all is */
-	bool refused;	      /**< it refuses connections */
-	bool others_asked;    /**< other VMs were asked, and all that answered cannot reach it */
+	int64_t unheard_us; /**< since when something is sent and nothing was answered; 0: all is */
+	bool refused;	    /**< it refuses connections */
+	bool others_asked;  /**< other VMs were asked, and all that answered cannot reach it */
 	unsigned others_silent; /**< of those */
 };
 
--- a/decide/marks.h
+++ b/decide/marks.h
@@ -1,8 +1,8 @@
 /**
  * @file marks.h
- * What is known of the newest acknowledged write, and since when: each answer of the primary tells a
- * position that holds every write acknowledged before its statement was sent. A read that may be so
- * much behind needs the position that was known true at that moment.
+ * What is known of the newest acknowledged write, and since when: each answer of the primary tells
+ * a position that holds every write acknowledged before its statement was sent. A read that may be
+ * so much behind needs the position that was known true at that moment.
  */
 #ifndef DECIDE_MARKS_H
 #define DECIDE_MARKS_H
--- a/decide/share.c
+++ b/decide/share.c
@@ -49,7 +49,8 @@
 
 	if (t->window_s <= 0 || vms == 0 || rate <= 0)
 		return s;
-	/* Requests that may pass in a window, less the burst that is kept, as a multiple of the rate. */
+	/* Requests that may pass in a window, less the burst that is kept, as a multiple of the
+	 * rate. */
 	limit = (rate * t->window_s + burst) * (1 + t->overshoot) + t->slack;
 	held = burst * SPLIT_BURST;
 	m = (limit * SPLIT_SAFETY - held) / (rate * t->window_s);
--- a/decide/share.h
+++ b/decide/share.h
@@ -36,7 +36,8 @@
 	double slack;	  /**< requests more */
 };
 
-/** A team's rate and burst, divided into what each VM has for itself and what moves between them. */
+/** A team's rate and burst, divided into what each VM has for itself and what moves between them.
+ */
 struct share_split {
 	double own_rate; /**< of each listed VM */
 	double own_burst;
@@ -131,7 +132,7 @@
 	bool whole;	 /**< every listed VM is bound: the budget is SHARE_WHOLE */
 	/** How long units of a VM that left the list still count; 0 when the list is by leases. */
 	int64_t gone_us;
-	double rate;	 /**< the team's, a second */
+	double rate; /**< the team's, a second */
 	double burst;
 	char self[NAME_SIZE]; /**< the allocator's own VM */
 	bool wanting;	      /**< the last order was smaller than its target */
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -1,8 +1,8 @@
 /**
  * @file fleet-conf.c
- * The configuration in force on this VM. A few VMs of each data centre watch the platform's store; the
- * others hear of a new version with a heartbeat and fetch the difference from the VM that has it. A
- * new VM asks both.
+ * The configuration in force on this VM. A few VMs of each data centre watch the platform's store;
+ * the others hear of a new version with a heartbeat and fetch the difference from the VM that has
+ * it. A new VM asks both.
  */
 #include "fleet.h"
 
@@ -170,4 +170,3 @@
 	g_free(res.entries.entries_val);
 	conf_update_clear(&u);
 }
-
--- a/src/fleet-etcd.c
+++ b/src/fleet-etcd.c
@@ -136,8 +136,9 @@
 		fleet_take_conf(f, &u, "platform");
 	conf_update_clear(&u);
 	if (source->conf_watch == NULL && fleet_is_watcher(f))
-		source->conf_watch = platform_watch(source->platform, PLATFORM_CONF, PLATFORM_CONF_END,
-						    a->revision + 1, conf_changed, f);
+		source->conf_watch =
+			platform_watch(source->platform, PLATFORM_CONF, PLATFORM_CONF_END,
+				       a->revision + 1, conf_changed, f);
 }
 
 static void vms_read(const struct platform_answer *a, void *arg)
@@ -152,8 +153,8 @@
 		fleet_take_vms(f, (uint64_t)kv->mod_revision, kv->value);
 	}
 	if (source->vms_watch == NULL && fleet_is_watcher(f))
-		source->vms_watch = platform_watch(source->platform, PLATFORM_VMS, NULL, a->revision + 1,
-						   vms_changed, f);
+		source->vms_watch = platform_watch(source->platform, PLATFORM_VMS, NULL,
+						   a->revision + 1, vms_changed, f);
 }
 
 static void watches_stop(void)
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -24,16 +24,16 @@
 /** After a renewal that failed. */
 #define LEASE_RETRY_US (500 * USEC_PER_MSEC)
 /**
- * One wait of a watch. A connection that went silent is found after that and the adapter's grace: 5 s,
- * within the 7 s in which a change must be in force after such a break.
+ * One wait of a watch. A connection that went silent is found after that and the adapter's grace: 5
+ * s, within the 7 s in which a change must be in force after such a break.
  */
 #define WATCH_WAIT_US (4500 * USEC_PER_MSEC)
 /** Pause before a failed read or watch is tried again, doubled up to the last. */
 #define RETRY_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_MAX_US (800 * USEC_PER_MSEC)
 /**
- * A backend server's entry that vanished is kept for this long. Entries that lapse while the store is
- * away are written again within two seconds of its return; dropping them at once would replace
+ * A backend server's entry that vanished is kept for this long. Entries that lapse while the store
+ * is away are written again within two seconds of its return; dropping them at once would replace
  * primaries that serve.
  */
 #define LAPSED_KEEP_US (2300 * USEC_PER_MSEC)
@@ -71,12 +71,12 @@
 	int64_t lease_until_us;
 	int64_t lease_next_us;
 
-	unsigned listing; /**< the list under way; LISTS when all are read */
-	char *after;	  /**< last key of the list's page before */
-	GHashTable *listed; /**< keys that this list has told */
+	unsigned listing;	/**< the list under way; LISTS when all are read */
+	char *after;		/**< last key of the list's page before */
+	GHashTable *listed;	/**< keys that this list has told */
 	uint64_t list_revision; /**< of the first list: the watch goes on from there */
 	struct store_call *watch;
-	uint64_t as_of;	 /**< revision up to which all changes are known */
+	uint64_t as_of; /**< revision up to which all changes are known */
 	bool reachable;
 	int64_t heard_us;
 	int64_t checked_us;
@@ -269,14 +269,15 @@
 	guint i;
 
 	source.conf_changed = false;
-	/* A peer has told a newer state already; what the store tells next will show it here too. */
+	/* A peer has told a newer state already; what the store tells next will show it here too.
+	 */
 	if (u.version <= f->conf->version || source.document.entries == NULL)
 		return;
 	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	now = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	for (i = 0; i < source.document.entries->len; i++)
-		g_ptr_array_add(now, conf_entry_add_ref(
-					     g_ptr_array_index(source.document.entries, i)));
+		g_ptr_array_add(now,
+				conf_entry_add_ref(g_ptr_array_index(source.document.entries, i)));
 	add_pools(now);
 	u.full = f->conf->version == 0;
 	differences(f->conf, now, &u);
@@ -300,8 +301,9 @@
 
 		g_strlcpy(name, json_object_get_string_member_with_default(o, "name", ""),
 			  NAME_SIZE);
-		*incarnation = strtoull(
-			json_object_get_string_member_with_default(o, "incarnation", "0"), NULL, 16);
+		*incarnation =
+			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
+				 NULL, 16);
 		ok = name[0] != '\0' && *incarnation != 0;
 	}
 	g_object_unref(parser);
@@ -380,8 +382,7 @@
 		g_hash_table_insert(source.servers, g_strdup(id), s);
 	} else if (s->record.member.leaving != r.member.leaving) {
 		log_info("member-state", LOG_STR("pool", r.pool), LOG_STR("member", id),
-			 LOG_NUM("leaving", r.member.leaving),
-			 LOG_NUM("revision", item->revision));
+			 LOG_NUM("leaving", r.member.leaving), LOG_NUM("revision", item->revision));
 	}
 	s->record = r;
 	s->lapsed = false;
@@ -484,8 +485,8 @@
 		return;
 	}
 	/*
-	 * The lists are not of one moment. What changed between the first and the last is told again by
-	 * the watch, which goes on from the first.
+	 * The lists are not of one moment. What changed between the first and the last is told
+	 * again by the watch, which goes on from the first.
 	 */
 	source.as_of = source.list_revision;
 	source.vms_changed = true;
@@ -528,11 +529,16 @@
 				source.after != NULL ? source.after : "", listed, NULL);
 }
 
-static void list_begin(void)
+static void list_reset(void)
 {
 	source.listing = 0;
 	g_hash_table_remove_all(source.listed);
 	g_clear_pointer(&source.after, g_free);
+}
+
+static void list_begin(void)
+{
+	list_reset();
 	list_next();
 }
 
@@ -550,6 +556,13 @@
 	}
 	heard("watch", a->status == STORE_DONE);
 	if (a->status != STORE_DONE) {
+		/*
+		 * A watch that breaks may have missed changes, and the one that goes on from there
+		 * may wait to its end before it tells that the history is gone: a key that was
+		 * taken away would work for seconds more. Reading what there is now needs no
+		 * history.
+		 */
+		list_reset();
 		retry_later();
 		return;
 	}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -53,7 +53,7 @@
 	const struct fleet_source_ops *source;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
-	bool fetching; /**< a peer or the platform is being asked for the configuration */
+	bool fetching;	 /**< a peer or the platform is being asked for the configuration */
 	int64_t news_us; /**< when the configuration was last known to be current */
 	struct {
 		fleet_changed cb;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -15,8 +15,8 @@
 	struct timespec ts;
 
 	/*
-	 * The monotonic clock stands still while a VM is suspended. A lease checked against it would
-	 * still look valid after the wake-up, though another VM has taken it over by then.
+	 * The monotonic clock stands still while a VM is suspended. A lease checked against it
+	 * would still look valid after the wake-up, though another VM has taken it over by then.
 	 */
 	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (int64_t)ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
--- a/src/log.c
+++ b/src/log.c
@@ -282,7 +282,8 @@
 	flushing = true;
 	while ((len = chunk(at)) > 0) {
 		written = write(log_state.fd, log_state.out->str + at, len);
-		/* A reader that is gone for good must not fill the memory: its lines are dropped. */
+		/* A reader that is gone for good must not fill the memory: its lines are dropped.
+		 */
 		if (written < 0 && errno != EAGAIN && errno != EINTR)
 			written = (ssize_t)len;
 		if (written <= 0)
--- a/src/log.h
+++ b/src/log.h
@@ -38,8 +38,8 @@
 enum log_format { LOG_TEXT, LOG_JSON };
 
 /**
- * Send logs to @a path, to standard output for "-", or to standard error when it is empty. @return false when it cannot be
- * opened.
+ * Send logs to @a path, to standard output for "-", or to standard error when it is empty. @return
+ * false when it cannot be opened.
  */
 bool log_open(const char *path, enum log_format format, const char *level, const char *vm);
 void log_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
--- a/src/member.c
+++ b/src/member.c
@@ -4,16 +4,11 @@
 const char *member_result_name(enum member_result r)
 {
 	static const char *const names[] = {
-		[MEMBER_DONE] = "done",
-		[MEMBER_BUSY] = "busy",
-		[MEMBER_NO_NAME] = "no-name",
-		[MEMBER_BEHIND] = "behind",
-		[MEMBER_READ_ONLY] = "read-only",
-		[MEMBER_MISROUTED] = "misrouted",
-		[MEMBER_FULL] = "full",
-		[MEMBER_FAILED] = "failed",
-		[MEMBER_TIMEOUT] = "timeout",
-		[MEMBER_REJECTED] = "rejected",
+		[MEMBER_DONE] = "done",		  [MEMBER_BUSY] = "busy",
+		[MEMBER_NO_NAME] = "no-name",	  [MEMBER_BEHIND] = "behind",
+		[MEMBER_READ_ONLY] = "read-only", [MEMBER_MISROUTED] = "misrouted",
+		[MEMBER_FULL] = "full",		  [MEMBER_FAILED] = "failed",
+		[MEMBER_TIMEOUT] = "timeout",	  [MEMBER_REJECTED] = "rejected",
 		[MEMBER_LOST] = "lost",
 	};
 
--- a/src/member.h
+++ b/src/member.h
@@ -52,12 +52,12 @@
 /** One command; several go out in one write. */
 struct member_command {
 	enum statement_op op;
-	const char *request;  /**< the caller's id; NULL for a command of our own */
-	const char *text;     /**< for a caller's statement that is sent as it came */
-	const char *name;     /**< of a value or prepared statement */
-	const char *operand;  /**< see struct statement */
-	bool write;	      /**< of a prepared statement */
-	struct pos wait_for;  /**< a read, or the begin of one, that needs this position */
+	const char *request; /**< the caller's id; NULL for a command of our own */
+	const char *text;    /**< for a caller's statement that is sent as it came */
+	const char *name;    /**< of a value or prepared statement */
+	const char *operand; /**< see struct statement */
+	bool write;	     /**< of a prepared statement */
+	struct pos wait_for; /**< a read, or the begin of one, that needs this position */
 };
 
 enum member_order {
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -78,9 +78,9 @@
 	log_warn("change-of-primary", LOG_STR("pool", g->pool),
 		 LOG_STR("member", m != NULL ? m->conf.name : ""), LOG_NUM("term", g->term),
 		 LOG_NUM("planned", planned), LOG_STR("why", why),
-		 LOG_NUM("unheard_ms",
-			 m != NULL && m->unheard_us != 0 ? (now_us() - m->unheard_us) / USEC_PER_MSEC
-							 : 0));
+		 LOG_NUM("unheard_ms", m != NULL && m->unheard_us != 0
+					       ? (now_us() - m->unheard_us) / USEC_PER_MSEC
+					       : 0));
 	g->planned = planned;
 	g->except = -1;
 	og_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
@@ -207,8 +207,8 @@
 		.pool = g->pool, .revision = g->revision, .vm = (char *)k->settings->name};
 
 	if (peer != NULL && peer != f->peers.self)
-		rpc_start(rpc_of(k), peer->address, ML_YIELD, &args, FENCE_RETRY_US,
-			  yield_answered, fence_create(g, vm));
+		rpc_start(rpc_of(k), peer->address, ML_YIELD, &args, FENCE_RETRY_US, yield_answered,
+			  fence_create(g, vm));
 	fleet_store(f)->ops->get(fleet_store(f), key, key_read, fence_create(g, vm));
 	g_free(key);
 }
@@ -349,7 +349,8 @@
 
 	if (g->ordered || now < g->next_us)
 		return;
-	/* Another may have the group by now; its token is higher, and this one must not follow it. */
+	/* Another may have the group by now; its token is higher, and this one must not follow it.
+	 */
 	if (!og_may_send(g))
 		return;
 	g->ordered = true;
@@ -397,17 +398,15 @@
 		lead_begins(g, found, "found");
 		return;
 	}
-	if (now - g->state_us > (g->record.target[0] != '\0' ? FIND_US : FIND_FIRST_US) &&
-	    g->n > 0)
+	if (now - g->state_us > (g->record.target[0] != '\0' ? FIND_US : FIND_FIRST_US) && g->n > 0)
 		change_begin(g, false, "none-found");
 }
 
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
-		[OWNER_FINDING] = find,	      [OWNER_SETTLING] = settle,
-		[OWNER_FENCING] = fence,      [OWNER_CHOOSING] = choose,
-		[OWNER_ORDERING] = order,     [OWNER_AWAITING] = await,
+		[OWNER_FINDING] = find,	   [OWNER_SETTLING] = settle, [OWNER_FENCING] = fence,
+		[OWNER_CHOOSING] = choose, [OWNER_ORDERING] = order,  [OWNER_AWAITING] = await,
 	};
 	struct owner_member *m = og_primary(g);
 
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -94,8 +94,8 @@
 		r->floor = (uint64_t)json_object_get_int_member_with_default(o, "floor", 0);
 		g_strlcpy(r->target, json_object_get_string_member_with_default(o, "target", ""),
 			  sizeof(r->target));
-		for (i = 0; list != NULL && i < json_array_get_length(list) &&
-			    r->n < LEAD_SENDERS_MAX;
+		for (i = 0;
+		     list != NULL && i < json_array_get_length(list) && r->n < LEAD_SENDERS_MAX;
 		     i++)
 			read_vm(json_array_get_object_element(list, i), &r->sender[r->n++]);
 	}
@@ -309,7 +309,8 @@
 {
 }
 
-/** Tell all VMs, so that statements come to the right one before the store's watch has told them. */
+/** Tell all VMs, so that statements come to the right one before the store's watch has told them.
+ */
 static void tell_all(struct owner_group *g)
 {
 	struct fleet *f = og_fleet(g);
@@ -341,8 +342,7 @@
 {
 	const struct vm *vm = peers_find(&og_fleet(g)->peers, g->record.owner.name);
 
-	return vm != NULL && vm->incarnation != 0 &&
-	       vm->incarnation != g->record.owner.incarnation;
+	return vm != NULL && vm->incarnation != 0 && vm->incarnation != g->record.owner.incarnation;
 }
 
 static void claim(struct owner_group *g, const char *why)
@@ -408,8 +408,7 @@
 
 	g_snprintf(role, sizeof(role), "group %s", g->pool);
 	address = fleet_holder_address(og_fleet(g), role);
-	return address != NULL &&
-	       strcmp(address, g->o->service.kernel->settings->advertise) == 0;
+	return address != NULL && strcmp(address, g->o->service.kernel->settings->advertise) == 0;
 }
 
 static void claim_if_lost(struct owner_group *g, int64_t now)
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -18,7 +18,8 @@
 #define FULL_PAUSE_US (300 * USEC_PER_MSEC)
 /** After it refused one otherwise. */
 #define REFUSED_PAUSE_US (100 * USEC_PER_MSEC)
-/** A statement that nobody waits for any more may still be answered; then its connection is closed. */
+/** A statement that nobody waits for any more may still be answered; then its connection is closed.
+ */
 #define ABANDONED_US (3 * USEC_PER_SEC)
 
 static unsigned conn_limit(const struct owner_member *m)
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -75,7 +75,7 @@
 }
 
 static void job_reply(struct owner_job *job, enum outcome o, const struct member_answer *a,
-	     int64_t retry_after_us)
+		      int64_t retry_after_us)
 {
 	struct owner_group *g = job->g;
 	int64_t now = now_us();
@@ -193,8 +193,8 @@
 	struct owner_conn *c = job->conn;
 	bool single_read = job->tx == NULL && job->args->begin == 0 && !is_write(job);
 
-	if (single_read && job->step == OWNER_STATEMENT &&
-	    now - job->sent_us > READ_PATIENCE_US && now < job->deadline_us) {
+	if (single_read && job->step == OWNER_STATEMENT && now - job->sent_us > READ_PATIENCE_US &&
+	    now < job->deadline_us) {
 		log_warn("read-elsewhere", LOG_STR("request", job->args->request),
 			 LOG_STR("pool", g->pool), LOG_STR("member", c->m->conf.name),
 			 LOG_NUM("waited_us", now - job->sent_us));
@@ -336,7 +336,8 @@
 	if (a->begin == 0)
 		n = put_values(job, commands);
 	n += put_prepare(job, name, &commands[n]);
-	commands[n] = (struct member_command){.op = (enum statement_op)a->op, .request = a->request};
+	commands[n] =
+		(struct member_command){.op = (enum statement_op)a->op, .request = a->request};
 	if (a->op == STATEMENT_EXECUTE) {
 		commands[n].name = name;
 		commands[n].operand = a->operand;
@@ -431,16 +432,11 @@
 static enum outcome outcome_of(enum member_result r)
 {
 	static const enum outcome outcomes[] = {
-		[MEMBER_DONE] = OUTCOME_DONE,
-		[MEMBER_BUSY] = OUTCOME_QUEUE_FULL,
-		[MEMBER_NO_NAME] = OUTCOME_NO_NAME,
-		[MEMBER_BEHIND] = OUTCOME_BEHIND,
-		[MEMBER_READ_ONLY] = OUTCOME_READ_ONLY,
-		[MEMBER_MISROUTED] = OUTCOME_NO_CONNECTION,
-		[MEMBER_FULL] = OUTCOME_NO_CONNECTION,
-		[MEMBER_FAILED] = OUTCOME_SQL_ERROR,
-		[MEMBER_TIMEOUT] = OUTCOME_TIMED_OUT,
-		[MEMBER_REJECTED] = OUTCOME_MALFORMED,
+		[MEMBER_DONE] = OUTCOME_DONE,		[MEMBER_BUSY] = OUTCOME_QUEUE_FULL,
+		[MEMBER_NO_NAME] = OUTCOME_NO_NAME,	[MEMBER_BEHIND] = OUTCOME_BEHIND,
+		[MEMBER_READ_ONLY] = OUTCOME_READ_ONLY, [MEMBER_MISROUTED] = OUTCOME_NO_CONNECTION,
+		[MEMBER_FULL] = OUTCOME_NO_CONNECTION,	[MEMBER_FAILED] = OUTCOME_SQL_ERROR,
+		[MEMBER_TIMEOUT] = OUTCOME_TIMED_OUT,	[MEMBER_REJECTED] = OUTCOME_MALFORMED,
 		[MEMBER_LOST] = OUTCOME_LOST,
 	};
 
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 /**
- * Statements sent to a member beyond its slots. One more keeps a slot from standing idle for the way
- * there and back, which is a fifth to a half of a short statement's work between data centres.
+ * Statements sent to a member beyond its slots. One more keeps a slot from standing idle for the
+ * way there and back, which is a fifth to a half of a short statement's work between data centres.
  */
 #define AHEAD 1
 /** Statements waiting for one group, at most. */
@@ -139,8 +139,8 @@
 	if (m != NULL)
 		return m;
 	/*
-	 * A session's own write is not on the replicas for some tens of milliseconds: the primary has
-	 * it. It also takes reads when all replicas are full and it has nothing to do.
+	 * A session's own write is not on the replicas for some tens of milliseconds: the primary
+	 * has it. It also takes reads when all replicas are full and it has nothing to do.
 	 */
 	m = og_primary(g);
 	if (m != NULL && any && (m->out > 0 || m->conf.leaving))
@@ -298,9 +298,9 @@
 {
 	if (a->begin == STATEMENT_BEGIN_READ)
 		return a->mode == READ_PRIMARY;
-	return a->begin == STATEMENT_BEGIN || a->mode == READ_PRIMARY ||
-	       a->op == STATEMENT_WRITE || (a->op == STATEMENT_EXECUTE && a->write) ||
-	       a->op == STATEMENT_COMMIT || a->op == STATEMENT_ROLLBACK;
+	return a->begin == STATEMENT_BEGIN || a->mode == READ_PRIMARY || a->op == STATEMENT_WRITE ||
+	       (a->op == STATEMENT_EXECUTE && a->write) || a->op == STATEMENT_COMMIT ||
+	       a->op == STATEMENT_ROLLBACK;
 }
 
 static struct owner_job *job_create(struct owner_group *g, struct rpc_request *rq,
@@ -390,9 +390,8 @@
 	job = job_create(g, rq, a);
 	queued = fairq_add(queue_of(job), &job->item, a->team, a->weight, job->received_us);
 	if (queued.verdict != FAIRQ_QUEUED) {
-		job_end(job,
-			queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE, NULL,
-			queued.retry_after_us);
+		job_end(job, queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
+			NULL, queued.retry_after_us);
 		return;
 	}
 	queue_dispatch(g);
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -339,8 +339,8 @@
 		return;
 	s = (struct lead_silence){.unheard_us = m->unheard_us,
 				  .refused = m->refused,
-				  .others_asked = g->others_asked &&
-						  now - g->others_us < OTHERS_FRESH_US};
+				  .others_asked =
+					  g->others_asked && now - g->others_us < OTHERS_FRESH_US};
 	switch (lead_judge(&s, now)) {
 	case LEAD_FINE:
 		return;
--- a/src/owner.c
+++ b/src/owner.c
@@ -19,8 +19,8 @@
 #define LEAVE_TX_US (3 * USEC_PER_SEC)
 
 static const char *const state_names[OWNER_STATES] = {
-	"none",	    "claiming", "finding",   "serving",	 "settling",
-	"fencing",  "choosing", "recording", "ordering", "awaiting",
+	"none",	   "claiming", "finding",   "serving",	"settling",
+	"fencing", "choosing", "recording", "ordering", "awaiting",
 };
 
 struct owner *owner_of(struct kernel *k)
@@ -330,8 +330,8 @@
 			return false;
 	}
 	/*
-	 * A lease that only runs out would hold up the next change of primary until then, since this VM
-	 * could still be sending for all that others know.
+	 * A lease that only runs out would hold up the next change of primary until then, since
+	 * this VM could still be sending for all that others know.
 	 */
 	return fleet_store_release(fleet_of(s->kernel));
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -44,14 +44,14 @@
 	struct member_conn *mc;
 	char team[NAME_SIZE];
 	bool open;
-	bool values_unsure;	/**< a rollback may have taken values back: reset before use */
-	GHashTable *values;	/**< session values that hold on it: name to value */
-	GHashTable *prepared;	/**< names that are prepared on it */
-	struct owner_job *job;	/**< the statement on it, or that waits for it to open */
-	struct owner_tx *tx;	/**< the transaction that it is kept for */
-	bool abandoned;		/**< a statement is out on it that nobody waits for any more */
-	int64_t since_us;	/**< when its state last changed */
-	int64_t sent_us;	/**< when what is out on it was sent */
+	bool values_unsure;    /**< a rollback may have taken values back: reset before use */
+	GHashTable *values;    /**< session values that hold on it: name to value */
+	GHashTable *prepared;  /**< names that are prepared on it */
+	struct owner_job *job; /**< the statement on it, or that waits for it to open */
+	struct owner_tx *tx;   /**< the transaction that it is kept for */
+	bool abandoned;	       /**< a statement is out on it that nobody waits for any more */
+	int64_t since_us;      /**< when its state last changed */
+	int64_t sent_us;       /**< when what is out on it was sent */
 };
 TAILQ_HEAD(owner_conns, owner_conn);
 
@@ -89,10 +89,10 @@
 	struct owner_tx *tx;
 	enum owner_step step;
 	bool needs_primary;
-	bool on_primary;       /**< it was sent to what was the primary then */
-	bool slotted;	       /**< counted in its member's statements */
+	bool on_primary; /**< it was sent to what was the primary then */
+	bool slotted;	 /**< counted in its member's statements */
 	unsigned tries;
-	uint8_t tried;	       /**< bit per member that could not serve it */
+	uint8_t tried; /**< bit per member that could not serve it */
 	int64_t received_us;
 	int64_t deadline_us;
 	int64_t sent_us;
@@ -138,12 +138,12 @@
 	OWNER_CLAIMING, /**< the claim is under way */
 	OWNER_FINDING,	/**< looks for the primary */
 	OWNER_SERVING,
-	OWNER_SETTLING, /**< a change of primary: what is open on the old one ends */
-	OWNER_FENCING,	/**< until nobody else may be sending */
-	OWNER_CHOOSING, /**< looks for the newest replica */
+	OWNER_SETTLING,	 /**< a change of primary: what is open on the old one ends */
+	OWNER_FENCING,	 /**< until nobody else may be sending */
+	OWNER_CHOOSING,	 /**< looks for the newest replica */
 	OWNER_RECORDING, /**< writes the choice to the record */
-	OWNER_ORDERING, /**< the promotion is ordered */
-	OWNER_AWAITING, /**< until the chosen member leads */
+	OWNER_ORDERING,	 /**< the promotion is ordered */
+	OWNER_AWAITING,	 /**< until the chosen member leads */
 	OWNER_STATES
 };
 
@@ -155,26 +155,26 @@
 	bool configured;
 
 	struct lead_record record;
-	uint64_t revision; /**< of @a record; 0: none is known */
-	bool read;	   /**< the record was looked for */
-	bool busy;	   /**< a call about the record is under way */
-	int64_t next_us;   /**< no further call before */
-	int64_t asked_us;  /**< when the record's owner was last asked whether it lives */
-	int64_t contact_us; /**< when it last answered */
-	bool owner_lost;   /**< its process has ended or does not answer */
-	bool asking;	   /**< the owner is being asked */
+	uint64_t revision;	/**< of @a record; 0: none is known */
+	bool read;		/**< the record was looked for */
+	bool busy;		/**< a call about the record is under way */
+	int64_t next_us;	/**< no further call before */
+	int64_t asked_us;	/**< when the record's owner was last asked whether it lives */
+	int64_t contact_us;	/**< when it last answered */
+	bool owner_lost;	/**< its process has ended or does not answer */
+	bool asking;		/**< the owner is being asked */
 	uint64_t hint_revision; /**< of a newer record that another VM told of */
 	char hint_address[ADDRESS_SIZE];
-	uint64_t lease;	   /**< under which the record was last seen to be this VM's */
-	bool yielded;	   /**< this VM sends nothing for the group any more */
-	bool sending;	   /**< this VM may be sending under an ownership that it has given away */
+	uint64_t lease; /**< under which the record was last seen to be this VM's */
+	bool yielded;	/**< this VM sends nothing for the group any more */
+	bool sending;	/**< this VM may be sending under an ownership that it has given away */
 
 	enum owner_state state;
 	int64_t state_us;
-	bool planned;	   /**< the primary is alive and leaves */
+	bool planned;	    /**< the primary is alive and leaves */
 	bool no_leader_yet; /**< no look has found one since the claim */
 	int target;
-	int except;	   /**< a member that could not be promoted, or -1 */
+	int except; /**< a member that could not be promoted, or -1 */
 	uint64_t token;
 	bool ordered;
 	int64_t fence_next_us;
@@ -292,7 +292,8 @@
 bool conn_available(const struct owner_member *m, const char *team);
 /** Whether an idle connection of the team is open. */
 bool conn_ready(const struct owner_member *m, const char *team);
-/** The connection's statement has ended: it is free for another, or is closed if not as it should. */
+/** The connection's statement has ended: it is free for another, or is closed if not as it should.
+ */
 void conn_release(struct owner_conn *c, enum tx_state state);
 void conn_close(struct owner_conn *c);
 void conn_close_idle(struct owner_member *m);
--- a/src/records.h
+++ b/src/records.h
@@ -34,7 +34,8 @@
 	const char *servers_prefix;
 	/** @return false, with @a d empty, when the text cannot be read as a whole. */
 	bool (*document)(const char *text, struct records_document *d);
-	/** Read the entry of the server named @a id. @return false when it names no backend to use. */
+	/** Read the entry of the server named @a id. @return false when it names no backend to use.
+	 */
 	bool (*server)(const char *id, const char *text, struct records_server *s);
 };
 
--- a/src/session.c
+++ b/src/session.c
@@ -56,10 +56,10 @@
 
 	enum tx_state tx;
 	bool tx_read_only;
-	uint64_t tx_id;	       /**< 0 while its first statement was not sent */
+	uint64_t tx_id; /**< 0 while its first statement was not sent */
 	char tx_address[ADDRESS_SIZE];
-	struct pos pos;	       /**< of the newest own write */
-	struct pos last;       /**< as the last answer told */
+	struct pos pos;	 /**< of the newest own write */
+	struct pos last; /**< as the last answer told */
 
 	bool busy;
 	bool closed; /**< the caller is gone; freed when the statement has ended */
@@ -240,8 +240,13 @@
 /** Roll back at the owner what nobody will end any more. */
 static void tx_abandon(struct session *s)
 {
-	ml_run_args args = {.request = "-", .team = s->team, .pool = s->route.pool, .text = "",
-			    .operand = "", .shape = "", .op = STATEMENT_BAD};
+	ml_run_args args = {.request = "-",
+			    .team = s->team,
+			    .pool = s->route.pool,
+			    .text = "",
+			    .operand = "",
+			    .shape = "",
+			    .op = STATEMENT_BAD};
 
 	if (s->tx_id != 0) {
 		args.transaction = s->tx_id;
@@ -381,9 +386,8 @@
 	a->max_age_us = (u_quad_t)s->route.max_age_ms * USEC_PER_MSEC;
 	a->session = (ml_pos){s->pos.term, s->pos.lsn};
 	a->deadline_us = left > 0 ? (u_quad_t)left : 0;
-	a->idle_tx_us = s->route.idle_tx_ms > 0
-				? (u_quad_t)s->route.idle_tx_ms * USEC_PER_MSEC
-				: (u_quad_t)IDLE_TX_US;
+	a->idle_tx_us = s->route.idle_tx_ms > 0 ? (u_quad_t)s->route.idle_tx_ms * USEC_PER_MSEC
+						: (u_quad_t)IDLE_TX_US;
 	a->transaction = s->tx_id;
 	if (s->tx != TX_NONE && s->tx_id == 0)
 		a->begin = s->tx_read_only ? STATEMENT_BEGIN_READ : STATEMENT_BEGIN;
--- a/src/session.h
+++ b/src/session.h
@@ -22,7 +22,8 @@
 	size_t rows_len;
 	enum tx_state state;
 	struct pos pos;
-	int64_t retry_after_us; /**< when to come back, for a statement that has not run; 0: at once */
+	int64_t retry_after_us; /**< when to come back, for a statement that has not run; 0: at once
+				 */
 	bool close;		/**< the session ends with this answer */
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -28,7 +28,8 @@
 static const struct schema_field platform_fields[] = {
 	F(platform_timeout_ms, "timeout_ms", SCHEMA_UINT, .min = 10, .max = 60000,
 	  .fallback = "2000"),
-	F(platform_kind, "kind", SCHEMA_CHOICE, .fallback = "etcd", .choices = {"etcd", "prepared"}),
+	F(platform_kind, "kind", SCHEMA_CHOICE, .fallback = "etcd",
+	  .choices = {"etcd", "prepared"}),
 	F(promoter_address, "promoter", SCHEMA_ADDRESS),
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -22,7 +22,8 @@
 	double grace_s; /**< from the request to stop to the kill; sets drain_ms when not 0 */
 	unsigned drain_ms;
 
-	char ready_address[ADDRESS_SIZE];   /**< answers whether this VM takes callers; may be empty */
+	char ready_address[ADDRESS_SIZE];   /**< answers whether this VM takes callers; may be empty
+					     */
 	char metrics_address[ADDRESS_SIZE]; /**< counters as text; may be empty */
 
 	int platform_kind;		     /**< enum settings_platform */
@@ -56,7 +57,7 @@
 	unsigned queue_max;	     /**< waiting requests of one member */
 	unsigned hold_connection_ms; /**< an unused database connection is closed after this */
 
-	double rate_window_s;	/**< see struct share_tolerance */
+	double rate_window_s; /**< see struct share_tolerance */
 	double rate_overshoot;
 	double rate_slack;
 
--- a/src/shares.c
+++ b/src/shares.c
@@ -67,8 +67,8 @@
 	const struct share_split *s = &t->split;
 
 	/*
-	 * A VM whose lease has ended is no longer counted by others, who divide the rate without it:
-	 * it must not spend anything until it is listed again.
+	 * A VM whose lease has ended is no longer counted by others, who divide the rate without
+	 * it: it must not spend anything until it is listed again.
 	 */
 	if (!t->s->listed)
 		bucket_resize(&t->bucket, 0, 0, now);
--- a/src/statement.h
+++ b/src/statement.h
@@ -31,8 +31,8 @@
 	char request[REQUEST_SIZE]; /**< the caller's id */
 	char *text;		    /**< the whole statement */
 	char *name;		    /**< of a value or of a prepared statement */
-	char *operand;		    /**< the value, the prepared shape, or what a prepared one runs on */
-	bool write;		    /**< of a prepared statement */
+	char *operand; /**< the value, the prepared shape, or what a prepared one runs on */
+	bool write;    /**< of a prepared statement */
 };
 
 /** How a connection to a member stands with regard to transactions. */
--- a/src/store.h
+++ b/src/store.h
@@ -1,8 +1,8 @@
 /**
  * @file store.h
  * Client of a key-value store with leases, watches and conditional writes: the seam between what is
- * kept and how a store speaks. An implementation only carries calls out; when to call, how often and
- * what to do after a failure is decided by its users.
+ * kept and how a store speaks. An implementation only carries calls out; when to call, how often
+ * and what to do after a failure is decided by its users.
  */
 #ifndef STORE_H
 #define STORE_H
@@ -11,7 +11,8 @@
 
 enum store_status {
 	STORE_DONE,
-	STORE_CONFLICT,	 /**< a guard did not hold: nothing was written; the items tell what stands */
+	STORE_CONFLICT,	 /**< a guard did not hold: nothing was written; the items tell what stands
+			  */
 	STORE_NO_LEASE,	 /**< no such lease */
 	STORE_COMPACTED, /**< a watch asked for history that is gone: list again */
 	STORE_REFUSED,	 /**< the store said that nothing was done */
@@ -67,8 +68,10 @@
 	struct store_call *(*commit)(struct store *s, const struct store_guard *guards,
 				     unsigned n_guards, const struct store_write *writes,
 				     unsigned n_writes, store_done cb, void *arg);
-	struct store_call *(*lease_grant)(struct store *s, int64_t ttl_us, store_done cb, void *arg);
-	struct store_call *(*lease_renew)(struct store *s, uint64_t lease, store_done cb, void *arg);
+	struct store_call *(*lease_grant)(struct store *s, int64_t ttl_us, store_done cb,
+					  void *arg);
+	struct store_call *(*lease_renew)(struct store *s, uint64_t lease, store_done cb,
+					  void *arg);
 	struct store_call *(*lease_end)(struct store *s, uint64_t lease, store_done cb, void *arg);
 	/** @a call's callback is not called any more. */
 	void (*cancel)(struct store_call *call);
