--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -16,6 +16,14 @@
 #define RECORD_PREFIX FLEET_STORE_PREFIX "group/"
 /** After a call about the record failed. */
 #define RETRY_US (100 * USEC_PER_MSEC)
+/**
+ * A group moves to the data centre of its primary once it has served for so long. Each statement of
+ * a transaction passes from the owner to the primary and back: near it, that is 0.4 ms in place of
+ * 1.8 ms between the users' data centres.
+ */
+#define MOVE_AFTER_US (1 * USEC_PER_SEC)
+/** Between two tries to move. */
+#define MOVE_PAUSE_US (5 * USEC_PER_SEC)
 /** An owner that seems gone is asked this often, and has so long to answer. */
 #define ASK_US (200 * USEC_PER_MSEC)
 #define ASK_TIMEOUT_US (250 * USEC_PER_MSEC)
@@ -490,6 +498,26 @@
 	claim_write(g, &r, handed_over);
 }
 
+void claim_move_near(struct owner_group *g, int64_t now)
+{
+	const struct owner_member *m = og_primary(g);
+	struct fleet *f = og_fleet(g);
+	char role[NAME_SIZE + 8];
+	struct vm *vm;
+
+	if (m == NULL || g->state != OWNER_SERVING || now - g->state_us < MOVE_AFTER_US ||
+	    now - g->moved_us < MOVE_PAUSE_US || m->unheard_us != 0 ||
+	    strcmp(m->conf.data_center, f->peers.self->data_center) == 0)
+		return;
+	g->moved_us = now;
+	g_snprintf(role, sizeof(role), "group %s", g->pool);
+	vm = peers_holder(&f->peers, role, m->conf.data_center);
+	if (vm == NULL || vm->incarnation == 0 ||
+	    strcmp(vm->data_center, m->conf.data_center) != 0)
+		return;
+	claim_hand_over(g, vm->name, "near-primary");
+}
+
 /* Between VMs */
 
 void claim_stop(struct owner_group *g, const char *why)
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -7,14 +7,13 @@
 
 #include <string.h>
 
-/**
- * Connections of a member that are left to others: looks from here and from other VMs, and the
- * transactions of an owner that hands the group over.
- */
-#define CONNECTIONS_LEFT 4
+/** Connections of a member that are left for looks, from here and from other VMs. */
+#define CONNECTIONS_FOR_LOOKS 2
+/** Connections of the primary that are left for these, and for an owner that takes over. */
+#define PRIMARY_CONNECTIONS_LEFT 4
 /** A connection that has not opened by then is given up. */
 #define OPEN_TIMEOUT_US (400 * USEC_PER_MSEC)
-/** After a member refused a connection because it has too many. */
+/** How long a member that refused a connection as one too many is asked for no more. */
 #define FULL_PAUSE_US (300 * USEC_PER_MSEC)
 /** After it refused one otherwise. */
 #define REFUSED_PAUSE_US (100 * USEC_PER_MSEC)
@@ -22,11 +21,23 @@
  */
 #define ABANDONED_US (3 * USEC_PER_SEC)
 
+/**
+ * An owner uses half of what a replica accepts. When its VM loses power, the member keeps the old
+ * connections for three seconds; an owner that had used nearly all left its successor three of 16,
+ * and most statements of those seconds came too late. The primary's connections are held by
+ * transactions while their callers think, so there most are used: with half of them a day with a
+ * hot team served 72% in place of 73%, and one of heavy load 86% in place of 88%.
+ */
 static unsigned conn_limit(const struct owner_member *m)
 {
 	unsigned all = m->conf.connections;
+	unsigned half = all > CONNECTIONS_FOR_LOOKS ? (all - CONNECTIONS_FOR_LOOKS) / 2 : 1;
 
-	return all > 2 * CONNECTIONS_LEFT ? all - CONNECTIONS_LEFT : MAX(all / 2, 1);
+	if (m == og_primary(m->g))
+		half = MAX(half, all > PRIMARY_CONNECTIONS_LEFT ? all - PRIMARY_CONNECTIONS_LEFT : 0);
+	if (now_us() < m->full_until_us && m->full_limit < half)
+		half = m->full_limit;
+	return MAX(half, 1);
 }
 
 static bool conn_idle(const struct owner_conn *c)
@@ -80,7 +91,12 @@
 		m->n_open++;
 		c->since_us = now;
 	} else {
-		m->open_after_us = now + (result == MEMBER_FULL ? FULL_PAUSE_US : REFUSED_PAUSE_US);
+		if (result == MEMBER_FULL) {
+			m->full_limit = m->n_open;
+			m->full_until_us = now + FULL_PAUSE_US;
+		} else {
+			m->open_after_us = now + REFUSED_PAUSE_US;
+		}
 		if (result == MEMBER_LOST)
 			m->refused = true;
 		log_warn("connection-refused", LOG_STR("pool", m->g->pool),
--- a/src/owner.c
+++ b/src/owner.c
@@ -265,6 +265,7 @@
 		if (g->state > OWNER_CLAIMING) {
 			watch_tick(g, now);
 			change_tick(g, now);
+			claim_move_near(g, now);
 		}
 		queue_tick(g, now);
 		if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
--- a/src/owner.h
+++ b/src/owner.h
@@ -121,6 +121,8 @@
 	unsigned n_pinned;
 	unsigned out; /**< statements in its slots */
 	int64_t open_after_us;
+	unsigned full_limit; /**< connections that it accepted when it refused one as too many */
+	int64_t full_until_us;
 	struct pos pos; /**< newest that it told */
 	int64_t pos_us;
 	int64_t heard_us;
@@ -171,6 +173,7 @@
 
 	enum owner_state state;
 	int64_t state_us;
+	int64_t moved_us;   /**< when it was last handed over for being far from its primary */
 	bool planned;	    /**< the primary is alive and leaves */
 	bool no_leader_yet; /**< no look has found one since the claim */
 	int target;
@@ -238,6 +241,8 @@
 void claim_yield_serve(struct rpc_request *rq, const void *args, void *owner);
 /** Give the group to another VM; open transactions end here. */
 void claim_hand_over(struct owner_group *g, const char *to, const char *why);
+/** Hand the group to a VM of its primary's data centre, if this one is not there. */
+void claim_move_near(struct owner_group *g, int64_t now);
 /** Stop sending for the group at once. */
 void claim_stop(struct owner_group *g, const char *why);
 /** Write @a r as the group's record if it is still at the known revision. */
