--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -19,6 +19,11 @@
 #define CAUGHT_UP_US (1500 * USEC_PER_MSEC)
 /** After a planned change was called off. */
 #define PLANNED_PAUSE_US (1 * USEC_PER_SEC)
+/**
+ * A primary that answers and is on no list is given this long to list itself again: after a data
+ * centre was cut off its members' entries have lapsed, and they come back within two seconds.
+ */
+#define UNLISTED_US (2500 * USEC_PER_MSEC)
 /** Looks older than this do not decide a choice. */
 #define LOOK_FRESH_US (400 * USEC_PER_MSEC)
 /** Members that do not answer hold up a choice for so long. */
@@ -402,6 +407,13 @@
 		change_begin(g, false, "none-found");
 }
 
+static bool must_leave(const struct owner_member *m, int64_t now)
+{
+	if (m->listed)
+		return m->conf.leaving;
+	return m->unlisted_us != 0 && now - m->unlisted_us > UNLISTED_US;
+}
+
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
@@ -412,8 +424,8 @@
 
 	if (!og_mine(g))
 		return;
-	if (g->state == OWNER_SERVING && m != NULL && (m->conf.leaving || !m->listed) &&
-	    now >= g->next_us && m->unheard_us == 0) {
+	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now) && now >= g->next_us &&
+	    m->unheard_us == 0) {
 		change_begin(g, true, m->listed ? "leaving" : "not-listed");
 		return;
 	}
--- a/src/owner.c
+++ b/src/owner.c
@@ -15,6 +15,13 @@
 #define LEASE_MARGIN_US (100 * USEC_PER_MSEC)
 /** A change of primary from the order to the first statement, as the users' databases take it. */
 #define PROMOTE_US (1100 * USEC_PER_MSEC)
+/** Finding the primary takes this long when it is reached. */
+#define FIND_SOON_US (300 * USEC_PER_MSEC)
+/**
+ * A primary from which nothing came for so long, though statements are out on all its slots, gets no
+ * new ones: most likely it is gone, and they would be held until their time is over.
+ */
+#define SILENT_US (300 * USEC_PER_MSEC)
 /** Open transactions may go on for so long after this VM began to leave, as half of its grace. */
 #define LEAVE_TX_US (3 * USEC_PER_SEC)
 
@@ -80,9 +87,15 @@
 int64_t og_wait_us(const struct owner_group *g, int64_t now)
 {
 	int64_t gone = now - g->state_us;
+	const struct owner_member *m;
 
 	switch (g->state) {
 	case OWNER_SERVING:
+		m = g->primary >= 0 ? &g->member[g->primary] : NULL;
+		/* What is sent to it now would most likely wait in vain. */
+		return m != NULL && m->unheard_us != 0 && now - m->unheard_us > SILENT_US
+			       ? PROMOTE_US
+			       : 0;
 	case OWNER_NONE:
 		return 0;
 	case OWNER_AWAITING:
@@ -90,7 +103,8 @@
 		return gone < PROMOTE_US ? PROMOTE_US - gone : 50 * USEC_PER_MSEC;
 	case OWNER_CLAIMING:
 	case OWNER_FINDING:
-		return 50 * USEC_PER_MSEC;
+		/* Found in 40 ms when it is reached at all; after that nobody knows. */
+		return gone < FIND_SOON_US ? 50 * USEC_PER_MSEC : PROMOTE_US;
 	default:
 		return PROMOTE_US + 50 * USEC_PER_MSEC;
 	}
@@ -151,6 +165,7 @@
 		conn_close_all(m);
 	}
 	m->conf = *conf;
+	m->unlisted_us = 0;
 	m->listed = true;
 }
 
@@ -165,7 +180,11 @@
 	for (i = 0; i < g->n; i++) {
 		struct owner_member *m = &g->member[i];
 
-		if (m->listed || (int)i == g->primary)
+		if (m->listed)
+			continue;
+		if (m->unlisted_us == 0)
+			m->unlisted_us = now_us();
+		if ((int)i == g->primary)
 			continue;
 		watch_close(m);
 		conn_close_idle(m);
@@ -225,6 +244,20 @@
 	return fleet_holder_address(fleet_of(o->service.kernel), role);
 }
 
+int64_t owner_took(struct owner *o, const char *pool, bool took)
+{
+	struct owner_group *g = og_find(o, pool);
+	int64_t now = now_us();
+
+	if (g == NULL)
+		return 0;
+	if (took)
+		g->untaken_us = 0;
+	else if (g->untaken_us == 0)
+		g->untaken_us = now;
+	return took ? 0 : now - g->untaken_us;
+}
+
 void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
 		 uint64_t revision)
 {
--- a/src/owner.h
+++ b/src/owner.h
@@ -115,6 +115,7 @@
 	unsigned index;
 	struct conf_member conf;
 	bool listed; /**< in the configuration */
+	int64_t unlisted_us; /**< since when it is not */
 	struct owner_conns conns;
 	unsigned n_conns;
 	unsigned n_open;
@@ -163,9 +164,9 @@
 	int64_t next_us;	/**< no further call before */
 	int64_t asked_us;	/**< when the record's owner was last asked whether it lives */
 	int64_t contact_us;	/**< when it last answered */
-	bool owner_lost;	/**< its process has ended or does not answer */
-	bool asking;		/**< the owner is being asked */
-	uint64_t hint_revision; /**< of a newer record that another VM told of */
+	bool owner_lost;	/**< its process has ended or does not answer */	bool asking;	   /**< the owner is being asked */
+	int64_t untaken_us; /**< since when no owner has taken a statement from this VM; 0: one has */
+uint64_t hint_revision; /**< of a newer record that another VM told of */
 	char hint_address[ADDRESS_SIZE];
 	uint64_t lease; /**< under which the record was last seen to be this VM's */
 	bool yielded;	/**< this VM sends nothing for the group any more */
@@ -219,6 +220,8 @@
  * claim it; NULL when there is none.
  */
 const char *owner_address(struct owner *o, const char *pool, bool *known);
+/** Note whether the group's owner took a statement. @return since when none did, in us; 0: it did */
+int64_t owner_took(struct owner *o, const char *pool, bool took);
 /** An answer told of a newer record than is known here. */
 void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
 		 uint64_t revision);
--- a/src/session.c
+++ b/src/session.c
@@ -22,6 +22,8 @@
  * when the owner's process ended; after that it is not known when, and the caller learns it now.
  */
 #define OWNER_WAIT_US (600 * USEC_PER_MSEC)
+/** After this without an owner nothing is held any more. */
+#define OWNER_GONE_US (1200 * USEC_PER_MSEC)
 /** When to come back to a group without an owner. */
 #define OWNER_RETRY_US (250 * USEC_PER_MSEC)
 /**
@@ -294,9 +296,14 @@
 	int64_t now = now_us();
 	int64_t pause = MIN(PAUSE_MIN_US << MIN(s->tries, 4U), PAUSE_MAX_US);
 	int64_t limit = MIN(s->deadline_us, s->started_us + OWNER_WAIT_US);
+	int64_t untaken = owner_took(owner_of(kernel_of(s)), s->route.pool, false);
 
 	s->tries++;
-	if (now + pause >= limit) {
+	/*
+	 * A successor would be there by now: the group is out of reach. Holding one more statement
+	 * would only use up its caller's time.
+	 */
+	if (untaken > OWNER_GONE_US || now + pause >= limit) {
 		answer_here(s, o, OWNER_RETRY_US);
 		return;
 	}
@@ -329,10 +336,12 @@
 		if (res->owner_revision > 0)
 			owner_heard(owner_of(kernel_of(s)), s->route.pool, res->owner,
 				    res->owner_address, res->owner_revision);
-		if (!s->closed && tries_again(s, (enum outcome)res->outcome))
+		if (!s->closed && tries_again(s, (enum outcome)res->outcome)) {
 			try_later(s, (enum outcome)res->outcome);
-		else if (s->closed && res->transaction != 0) {
-			s->tx_id = res->transaction;
+			return;
+		}
+		owner_took(owner_of(kernel_of(s)), s->route.pool, true);
+		if (s->closed && res->transaction != 0) {			s->tx_id = res->transaction;
 			g_strlcpy(s->tx_address, s->address, sizeof(s->tx_address));
 			tx_abandon(s);
 			session_free(s);
