--- a/decide/share.c
+++ b/decide/share.c
@@ -63,6 +63,7 @@
 	s.own_burst = held / 2 / vms;
 	s.moved_rate = rate * m / 2;
 	s.moved_burst = held / 2;
+	s.own_part = 0.5 / vms;
 	return s;
 }
 
@@ -377,6 +378,26 @@
 	return e->average > peak ? e->average : peak;
 }
 
+/**
+ * Part of what moves that a VM with @a part of the team's requests should hold: what its own part
+ * lacks, so that own and moved together follow where the requests come.
+ */
+static double moved_weight(const struct share_alloc *a, double part, double sum, int64_t now_us)
+{
+	const struct share_entry *e;
+	double lacking = 0;
+
+	if (a->own <= 0 || part <= a->own)
+		return a->own <= 0 ? part : 0;
+	TAILQ_FOREACH(e, &a->entries, link) {
+		double other = entry_weight(e, now_us) / sum;
+
+		if (e->bound && other > a->own)
+			lacking += other - a->own;
+	}
+	return lacking > 0 ? (part - a->own) / lacking : part;
+}
+
 /**
  * What @a e should hold. Above a floor, each VM has its part by weight; what the team leaves of its
  * rate is split evenly, so that a VM at which requests begin to arrive has tokens for them. The
@@ -410,7 +431,7 @@
 	if (sum * HEADROOM < a->rate)
 		weight = weight * HEADROOM / a->rate + (1 - sum * HEADROOM / a->rate) * even;
 	else
-		weight = weight / sum;
+		weight = moved_weight(a, weight / sum, sum, now_us);
 	weight = SHARE_FLOOR * even + rest * weight;
 	if (strcmp(e->vm, a->self) == 0)
 		weight += SHARE_RESERVE;
--- a/src/shares.c
+++ b/src/shares.c
@@ -13,8 +13,11 @@
 #define TICK_US (10 * USEC_PER_MSEC)
 /** Longest wait for a token, as long as the team is within its rate. */
 #define HOPE_US (1000 * USEC_PER_MSEC)
-/** Longest wait for a token of a team that is over its rate. */
-#define OVER_US (300 * USEC_PER_MSEC)
+/**
+ * Longest wait for a token of a team that is over its rate. Each token serves one request, at once or
+ * after a wait; with waits of 300 ms nearly all that were served came late.
+ */
+#define OVER_US (40 * USEC_PER_MSEC)
 #define REPORT_TIMEOUT_US (400 * USEC_PER_MSEC)
 /** Single tokens that took longer to arrive are not used. */
 #define GRANT_FRESH_US (100 * USEC_PER_MSEC)
@@ -91,6 +94,8 @@
 	TAILQ_FOREACH(vm, &f->peers.vms, link)
 		n += vm->listed ? 1 : 0;
 	t->split = share_split(t->rate, t->burst, n, &tolerance);
+	if (t->alloc != NULL)
+		t->alloc->own = t->split.own_part;
 	team_resize(t, now);
 }
 
@@ -415,6 +420,7 @@
 				 s->service.kernel->settings->name, t->rate, t->burst);
 		if (s->service.kernel->settings->platform_kind == PLATFORM_PREPARED)
 			t->alloc->gone_us = 0;
+		t->alloc->own = t->split.own_part;
 		log_info("placement", LOG_STR("choice", "allocator"), LOG_STR("team", t->name));
 		list_vms(s, t->alloc);
 	}
