Reads go on at replicas in reach while a group's owner is not

Cause: in a cut between data centres, and until a lost owner is replaced, reads failed though a replica in reach held data as new as they asked for. Answers of the owner now carry what it knows of the newest write, and an entry whose owner is silent or gone serves reads by itself until that is older than the route allows.

--- a/decide/share.h
+++ b/decide/share.h
@@ -132,9 +132,11 @@
 	uint32_t budget; /**< units that the bound holders may hold together */
 	bool whole;	 /**< every listed VM is bound: the budget is SHARE_WHOLE */
 	/** How long units of a VM that left the list still count; 0 when the list is by leases. */
-	int64_t gone_us;	double rate;	 /**< the team's, a second */
+	int64_t gone_us;
+	double rate; /**< the team's, a second */
 	double burst;
-	double own; /**< part of all that is handed out that each VM has for itself, see share_split() */
+	double own;	      /**< part of all that is handed out that each VM has for itself, see
+				 share_split() */
 	char self[NAME_SIZE]; /**< the allocator's own VM */
 	bool wanting;	      /**< the last order was smaller than its target */
 	struct share_entries entries;
--- a/src/mango.h
+++ b/src/mango.h
@@ -279,6 +279,7 @@
 	u_quad_t idle_tx_us;
 	u_quad_t transaction;
 	int begin;
+	bool_t local;
 	struct {
 		u_int values_len;
 		ml_value *values_val;
@@ -298,6 +299,8 @@
 	ml_pos pos;
 	u_quad_t transaction;
 	u_quad_t retry_after_us;
+	ml_pos mark;
+	u_quad_t mark_age_us;
 	ml_name member;
 	ml_name owner;
 	ml_name owner_address;
--- a/src/mango.x
+++ b/src/mango.x
@@ -217,6 +217,7 @@
 	unsigned hyper idle_tx_us;
 	unsigned hyper transaction;
 	int begin;
+	bool local;
 	ml_value values<ML_PARAMS_MAX>;
 };
 
@@ -229,6 +230,8 @@
 	ml_pos pos;
 	unsigned hyper transaction;
 	unsigned hyper retry_after_us;
+	ml_pos mark;
+	unsigned hyper mark_age_us;
 	ml_name member;
 	ml_name owner;
 	ml_name owner_address;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -519,6 +519,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->begin))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->local))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, ML_PARAMS_MAX,
 		sizeof (ml_value), (xdrproc_t) xdr_ml_value))
 		 return FALSE;
@@ -546,6 +548,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->retry_after_us))
 		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->mark))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mark_age_us))
+		 return FALSE;
 	 if (!xdr_ml_name (xdrs, &objp->member))
 		 return FALSE;
 	 if (!xdr_ml_name (xdrs, &objp->owner))
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -512,8 +512,7 @@
 	g->moved_us = now;
 	g_snprintf(role, sizeof(role), "group %s", g->pool);
 	vm = peers_holder(&f->peers, role, m->conf.data_center);
-	if (vm == NULL || vm->incarnation == 0 ||
-	    strcmp(vm->data_center, m->conf.data_center) != 0)
+	if (vm == NULL || vm->incarnation == 0 || strcmp(vm->data_center, m->conf.data_center) != 0)
 		return;
 	claim_hand_over(g, vm->name, "near-primary");
 }
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -34,7 +34,8 @@
 	unsigned half = all > CONNECTIONS_FOR_LOOKS ? (all - CONNECTIONS_FOR_LOOKS) / 2 : 1;
 
 	if (m == og_primary(m->g))
-		half = MAX(half, all > PRIMARY_CONNECTIONS_LEFT ? all - PRIMARY_CONNECTIONS_LEFT : 0);
+		half = MAX(half,
+			   all > PRIMARY_CONNECTIONS_LEFT ? all - PRIMARY_CONNECTIONS_LEFT : 0);
 	if (now_us() < m->full_until_us && m->full_limit < half)
 		half = m->full_limit;
 	return MAX(half, 1);
@@ -190,12 +191,12 @@
 	c->since_us = now_us();
 	if (c->tx != NULL)
 		return;
-	if (state != TX_NONE || !m->listed || m->down || m->g->yielded) {
+	if (state != TX_NONE || !m->listed || m->down || (m->g->yielded && !m->g->reading)) {
 		conn_close(c);
 		return;
 	}
 	/* After handing over, what is idle only takes room from the new owner. */
-	if (!og_mine(m->g))
+	if (!og_mine(m->g) && !m->g->reading)
 		conn_close(c);
 }
 
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -96,6 +96,10 @@
 	if (job->conn != NULL)
 		res.member = job->conn->m->conf.name;
 	res.retry_after_us = (u_quad_t)retry_after_us;
+	if (og_mine(g) && g->marks.newest.pos.term != 0) {
+		res.mark = (ml_pos){g->marks.newest.pos.term, g->marks.newest.pos.lsn};
+		res.mark_age_us = (u_quad_t)(now - g->marks.newest.asked_us);
+	}
 	res.owner = g->record.owner.name;
 	res.owner_address = g->record.address;
 	res.owner_revision = g->revision;
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -346,11 +346,32 @@
 	job_start_in_tx(job);
 }
 
+/**
+ * A read that this VM serves by itself, because the owner is out of reach: replicas tell whether
+ * they have the position that the owner last told, and the read may be as old as that is.
+ */
+static enum outcome check_local(struct owner_group *g, const ml_run_args *a, int64_t now)
+{
+	struct pos need;
+
+	if (needs_primary(a) || !marks_need(&g->marks, now - (int64_t)a->max_age_us, &need))
+		return OUTCOME_NOT_SENT;
+	if (!g->reading)
+		log_info("reads-begin", LOG_STR("pool", g->pool),
+			 LOG_NUM("mark_age_us", now - g->marks.newest.asked_us),
+			 LOG_NUM("term", need.term), LOG_NUM("lsn", need.lsn));
+	g->reading = true;
+	g->read_us = now;
+	return OUTCOME_DONE;
+}
+
 /** The refusal that is due at once; OUTCOME_DONE for none. */
 static enum outcome check(struct owner_group *g, const ml_run_args *a, int64_t *retry_after_us)
 {
 	int64_t now = now_us();
 
+	if (a->local && !og_mine(g))
+		return check_local(g, a, now);
 	if (!og_mine(g) || g->o->leaving)
 		return OUTCOME_LEAVING;
 	if (!og_may_send(g))
--- a/src/owner.c
+++ b/src/owner.c
@@ -18,10 +18,12 @@
 /** Finding the primary takes this long when it is reached. */
 #define FIND_SOON_US (300 * USEC_PER_MSEC)
 /**
- * A primary from which nothing came for so long, though statements are out on all its slots, gets no
- * new ones: most likely it is gone, and they would be held until their time is over.
+ * A primary from which nothing came for so long, though statements are out on all its slots, gets
+ * no new ones: most likely it is gone, and they would be held until their time is over.
  */
 #define SILENT_US (300 * USEC_PER_MSEC)
+/** How long a VM keeps connections that it opened to read by itself. */
+#define READING_KEEP_US (1 * USEC_PER_SEC)
 /** Open transactions may go on for so long after this VM began to leave, as half of its grace. */
 #define LEAVE_TX_US (3 * USEC_PER_SEC)
 
@@ -258,6 +260,28 @@
 	return took ? 0 : now - g->untaken_us;
 }
 
+void owner_told_mark(struct owner *o, const char *pool, struct pos pos, int64_t asked_us)
+{
+	struct owner_group *g = og_find(o, pool);
+
+	if (g == NULL || g->state > OWNER_CLAIMING || pos.term == 0)
+		return;
+	/* Another primary leads: what its promotion discarded is owed to nobody. */
+	if (pos.term > g->marks.newest.pos.term)
+		marks_new_term(&g->marks, pos, asked_us);
+	else
+		marks_add(&g->marks, pos, asked_us);
+}
+
+bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us)
+{
+	struct owner_group *g = og_find(o, pool);
+	struct pos need;
+
+	return g != NULL && g->configured && g->state <= OWNER_CLAIMING &&
+	       marks_need(&g->marks, now_us() - max_age_us, &need);
+}
+
 void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
 		 uint64_t revision)
 {
@@ -285,6 +309,19 @@
 
 /* The service */
 
+/** Connections for reads of this VM's own are closed when the last one has ended. */
+static void reading_tick(struct owner_group *g)
+{
+	unsigned i;
+
+	if (g->jobs > 0 || !TAILQ_EMPTY(&g->txs) || now_us() - g->read_us < READING_KEEP_US)
+		return;
+	g->reading = false;
+	log_info("reads-end", LOG_STR("pool", g->pool));
+	for (i = 0; i < g->n; i++)
+		conn_close_idle(&g->member[i]);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct owner *o = arg;
@@ -293,7 +330,7 @@
 
 	TAILQ_FOREACH(g, &o->groups, link) {
 		claim_tick(g, now);
-		if (g->state <= OWNER_CLAIMING && !g->sending)
+		if (g->state <= OWNER_CLAIMING && !g->sending && !g->reading)
 			continue;
 		if (g->state > OWNER_CLAIMING) {
 			watch_tick(g, now);
@@ -301,6 +338,8 @@
 			claim_move_near(g, now);
 		}
 		queue_tick(g, now);
+		if (g->reading && g->state <= OWNER_CLAIMING)
+			reading_tick(g);
 		if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
 		    TAILQ_EMPTY(&g->running))
 			claim_stop(g, "nothing-open");
--- a/src/owner.h
+++ b/src/owner.h
@@ -114,7 +114,7 @@
 	struct owner_group *g;
 	unsigned index;
 	struct conf_member conf;
-	bool listed; /**< in the configuration */
+	bool listed;	     /**< in the configuration */
 	int64_t unlisted_us; /**< since when it is not */
 	struct owner_conns conns;
 	unsigned n_conns;
@@ -158,19 +158,23 @@
 	bool configured;
 
 	struct lead_record record;
-	uint64_t revision;	/**< of @a record; 0: none is known */
-	bool read;		/**< the record was looked for */
-	bool busy;		/**< a call about the record is under way */
-	int64_t next_us;	/**< no further call before */
-	int64_t asked_us;	/**< when the record's owner was last asked whether it lives */
-	int64_t contact_us;	/**< when it last answered */
-	bool owner_lost;	/**< its process has ended or does not answer */	bool asking;	   /**< the owner is being asked */
-	int64_t untaken_us; /**< since when no owner has taken a statement from this VM; 0: one has */
-uint64_t hint_revision; /**< of a newer record that another VM told of */
+	uint64_t revision;  /**< of @a record; 0: none is known */
+	bool read;	    /**< the record was looked for */
+	bool busy;	    /**< a call about the record is under way */
+	int64_t next_us;    /**< no further call before */
+	int64_t asked_us;   /**< when the record's owner was last asked whether it lives */
+	int64_t contact_us; /**< when it last answered */
+	bool owner_lost;    /**< its process has ended or does not answer */
+	bool asking;	    /**< the owner is being asked */
+	int64_t untaken_us; /**< since when no owner has taken a statement from this VM; 0: one has
+			     */
+	uint64_t hint_revision; /**< of a newer record that another VM told of */
 	char hint_address[ADDRESS_SIZE];
-	uint64_t lease; /**< under which the record was last seen to be this VM's */
-	bool yielded;	/**< this VM sends nothing for the group any more */
-	bool sending;	/**< this VM may be sending under an ownership that it has given away */
+	uint64_t lease;	 /**< under which the record was last seen to be this VM's */
+	int64_t read_us; /**< when this VM last took a read for itself */
+	bool reading;	 /**< this VM reads from replicas by itself, for want of an owner */
+	bool yielded;	 /**< this VM sends nothing for the group any more */
+	bool sending;	 /**< this VM may be sending under an ownership that it has given away */
 
 	enum owner_state state;
 	int64_t state_us;
@@ -220,8 +224,16 @@
  * claim it; NULL when there is none.
  */
 const char *owner_address(struct owner *o, const char *pool, bool *known);
-/** Note whether the group's owner took a statement. @return since when none did, in us; 0: it did */
+/** Note whether the group's owner took a statement. @return since when none did, in us; 0: it did
+ */
 int64_t owner_took(struct owner *o, const char *pool, bool took);
+/**
+ * The owner told what it knows of the newest write: @a pos held all that was acknowledged before
+ * @a asked_us. Kept for reads while the owner is out of reach.
+ */
+void owner_told_mark(struct owner *o, const char *pool, struct pos pos, int64_t asked_us);
+/** Whether a read of data up to @a max_age_us old could be served by this VM itself. */
+bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us);
 /** An answer told of a newer record than is known here. */
 void owner_heard(struct owner *o, const char *pool, const char *vm, const char *address,
 		 uint64_t revision);
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -594,6 +594,19 @@
 	r->closed.owner = owner;
 }
 
+int64_t rpc_silent_us(const struct rpc *r, const char *address)
+{
+	const struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
+	const struct rpc_call *oldest;
+	int64_t since;
+
+	if (c == NULL || TAILQ_EMPTY(&c->calls))
+		return 0;
+	oldest = TAILQ_FIRST(&c->calls);
+	since = oldest->sent_us > c->heard_us ? oldest->sent_us : c->heard_us;
+	return now_us() - since;
+}
+
 bool rpc_flushed(const struct rpc *r)
 {
 	const struct rpc_conn *c;
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -57,6 +57,8 @@
 void rpc_reply(struct rpc_request *rq, const void *res);
 /** Number of the connection that @a rq came on; 0 for this process itself. */
 uint64_t rpc_request_conn(const struct rpc_request *rq);
+/** How long an answer is due from @a address while nothing at all was heard from it; 0: none is. */
+int64_t rpc_silent_us(const struct rpc *r, const char *address);
 /** Whether all that was written has left this VM. */
 bool rpc_flushed(const struct rpc *r);
 
--- a/src/session.c
+++ b/src/session.c
@@ -34,6 +34,12 @@
 /** And those in a transaction, which have had half of the grace by then. */
 #define LEAVE_TX_US (3500 * USEC_PER_MSEC)
 #define LEAVE_TICK_US (50 * USEC_PER_MSEC)
+/**
+ * A VM from which nothing was heard for so long, though an answer is due, is taken as silent by
+ * reads that can be served elsewhere. A VM that is five times slower than usual still answers
+ * within 100 ms.
+ */
+#define SILENT_LOOK_US (160 * USEC_PER_MSEC)
 /** Longest wait of an idle transaction when the route says none. */
 #define IDLE_TX_US (30 * USEC_PER_SEC)
 
@@ -71,6 +77,8 @@
 	int64_t deadline_us;
 	unsigned tries;
 	char address[ADDRESS_SIZE];
+	int64_t sent_us;
+	bool local; /**< this try is served by this VM itself */
 	struct rpc_call *call;
 	struct event *timer;
 };
@@ -290,6 +298,18 @@
 	finish(s, &a);
 }
 
+/** Whether the statement is a read that a replica may serve. */
+static bool may_read_locally(const struct session *s)
+{
+	bool read = s->st.op == STATEMENT_READ || (s->st.op == STATEMENT_EXECUTE && !s->st.write);
+
+	if (!read || s->tx_id != 0 || (s->tx != TX_NONE && !s->tx_read_only) ||
+	    (s->route.mode != READ_BOUNDED && s->route.mode != READ_SESSION))
+		return false;
+	return owner_can_read(owner_of(kernel_of(s)), s->route.pool,
+			      (int64_t)s->route.max_age_ms * USEC_PER_MSEC);
+}
+
 /** No owner took the statement: try again soon, or tell the caller. */
 static void try_later(struct session *s, enum outcome o)
 {
@@ -299,6 +319,16 @@
 	int64_t untaken = owner_took(owner_of(kernel_of(s)), s->route.pool, false);
 
 	s->tries++;
+	/*
+	 * Reads need no owner as long as what it last told is new enough for them: a replica in
+	 * reach serves them.
+	 */
+	if (!s->local && may_read_locally(s)) {
+		s->local = true;
+		run_remote(s);
+		return;
+	}
+	s->local = false;
 	/*
 	 * A successor would be there by now: the group is out of reach. Holding one more statement
 	 * would only use up its caller's time.
@@ -332,7 +362,11 @@
 	enum outcome o = status == RPC_NOT_SENT ? OUTCOME_NOT_SENT : OUTCOME_LOST;
 
 	s->call = NULL;
+	event_del(s->timer);
 	if (status == RPC_DONE && res->outcome >= 0 && res->outcome < OUTCOMES) {
+		owner_told_mark(owner_of(kernel_of(s)), s->route.pool,
+				(struct pos){res->mark.term, res->mark.lsn},
+				s->sent_us - (int64_t)res->mark_age_us);
 		if (res->owner_revision > 0)
 			owner_heard(owner_of(kernel_of(s)), s->route.pool, res->owner,
 				    res->owner_address, res->owner_revision);
@@ -340,8 +374,10 @@
 			try_later(s, (enum outcome)res->outcome);
 			return;
 		}
-		owner_took(owner_of(kernel_of(s)), s->route.pool, true);
-		if (s->closed && res->transaction != 0) {			s->tx_id = res->transaction;
+		if (!s->local)
+			owner_took(owner_of(kernel_of(s)), s->route.pool, true);
+		if (s->closed && res->transaction != 0) {
+			s->tx_id = res->transaction;
 			g_strlcpy(s->tx_address, s->address, sizeof(s->tx_address));
 			tx_abandon(s);
 			session_free(s);
@@ -420,6 +456,8 @@
 
 	if (s->tx_id != 0) {
 		g_strlcpy(s->address, s->tx_address, sizeof(s->address));
+	} else if (s->local) {
+		g_strlcpy(s->address, k->settings->advertise, sizeof(s->address));
 	} else {
 		address = owner_address(owner_of(k), s->route.pool, &known);
 		if (address == NULL) {
@@ -433,18 +471,35 @@
 		values[i] = *(ml_value *)g_ptr_array_index(s->values, i);
 	args.values.values_len = i;
 	args.values.values_val = values;
+	args.local = s->local;
+	s->sent_us = now_us();
 	s->call = rpc_start(rpc_of(k), s->address, ML_RUN, &args,
 			    (int64_t)args.deadline_us + ANSWER_GRACE_US, on_ran, s);
+	if (!s->local && s->call != NULL && may_read_locally(s))
+		kernel_arm(s->timer, SILENT_LOOK_US);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct session *s = arg;
 
-	if (s->closed)
-		session_free(s);
-	else
+	if (s->call == NULL) {
 		run_remote(s);
+		return;
+	}
+	/*
+	 * The owner's VM says nothing at all: it is cut off, or has lost its power. A read need not
+	 * wait until that is certain; what the owner may still answer is dropped.
+	 */
+	if (rpc_silent_us(rpc_of(kernel_of(s)), s->address) < SILENT_LOOK_US) {
+		kernel_arm(s->timer, SILENT_LOOK_US);
+		return;
+	}
+	log_info("owner-call-silent", LOG_STR("request", s->st.request),
+		 LOG_STR("pool", s->route.pool), LOG_STR("address", s->address));
+	rpc_call_forget(s->call);
+	s->call = NULL;
+	try_later(s, OUTCOME_NOT_SENT);
 }
 
 /* The steps of a statement */
@@ -550,6 +605,7 @@
 	enum outcome o;
 
 	s->busy = true;
+	s->local = false;
 	s->st = *st;
 	s->tries = 0;
 	s->started_us = now_us();
@@ -620,6 +676,7 @@
 	TAILQ_REMOVE(&s->owner->sessions, s, link);
 	s->closed = true;
 	shares_cancel(&s->admission);
+	event_del(s->timer);
 	if (s->call == NULL) {
 		tx_abandon(s);
 		session_free(s);
--- a/src/shares.c
+++ b/src/shares.c
@@ -14,8 +14,8 @@
 /** Longest wait for a token, as long as the team is within its rate. */
 #define HOPE_US (1000 * USEC_PER_MSEC)
 /**
- * Longest wait for a token of a team that is over its rate. Each token serves one request, at once or
- * after a wait; with waits of 300 ms nearly all that were served came late.
+ * Longest wait for a token of a team that is over its rate. Each token serves one request, at once
+ * or after a wait; with waits of 300 ms nearly all that were served came late.
  */
 #define OVER_US (40 * USEC_PER_MSEC)
 #define REPORT_TIMEOUT_US (400 * USEC_PER_MSEC)
