--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -565,7 +565,7 @@
 		watch_look(m);
 		return;
 	}
-	watch_heard(m, a->pos, c->sent_us);
+	watch_heard(m, a->result == MEMBER_DONE ? a->pos : (struct pos){0}, c->sent_us);
 	if (job == NULL) {
 		/* Nobody waits for this answer any more; the connection is whole again. */
 		c->abandoned = false;
--- /dev/null
+++ b/tests/test-lead.c
@@ -0,0 +1,341 @@
+/** @file test-lead.c Owners, senders and the choice of a primary. */
+#include "harness.h"
+#include "lead.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct lead_vm vm(const char *name, uint64_t incarnation)
+{
+	struct lead_vm v = {.incarnation = incarnation};
+
+	snprintf(v.name, sizeof(v.name), "%s", name);
+	return v;
+}
+
+static void test_a_claim_keeps_the_former_owner_as_sender(void)
+{
+	struct lead_record r = {0};
+	struct lead_vm a = vm("a", 1), b = vm("b", 2), a2 = vm("a", 3);
+
+	CU_ASSERT_TRUE(lead_claim(&r, &a, "1.1.1.1:1", false));
+	CU_ASSERT_EQUAL(r.n, 0);
+	CU_ASSERT_TRUE(lead_claim(&r, &b, "1.1.1.2:1", false));
+	CU_ASSERT_EQUAL(r.n, 1);
+	CU_ASSERT_TRUE(lead_vm_equal(&r.sender[0], &a));
+	/* The process of before has ended with its restart, and sends nothing any more. */
+	CU_ASSERT_TRUE(lead_claim(&r, &a2, "1.1.1.1:1", true));
+	CU_ASSERT_EQUAL(r.n, 1);
+	/* An owner that comes back is no sender besides. */
+	CU_ASSERT_TRUE(lead_claim(&r, &a, "1.1.1.1:1", false));
+	CU_ASSERT_EQUAL(r.n, 1);
+	CU_ASSERT_TRUE(lead_vm_equal(&r.sender[0], &a2));
+}
+
+/* A record that forgot a sender would let a primary be replaced under its statements. */
+static void test_a_full_record_takes_no_claim(void)
+{
+	struct lead_record r = {0};
+	unsigned i;
+
+	for (i = 0; i <= LEAD_SENDERS_MAX; i++) {
+		struct lead_vm v = vm("v", i + 1);
+
+		CU_ASSERT_TRUE(lead_claim(&r, &v, "1.1.1.1:1", false));
+	}
+	struct lead_vm last = vm("v", 100);
+	CU_ASSERT_FALSE(lead_claim(&r, &last, "1.1.1.1:1", false));
+	CU_ASSERT_TRUE(lead_claim(&r, &last, "1.1.1.1:1", true));
+}
+
+/*
+ * A caller's write is acknowledged by a primary that was replaced and does not know it: the new one
+ * discards it. A member leads only above the floor, and only if it is the one that was ordered.
+ */
+static void test_a_replaced_primary_is_not_found(void)
+{
+	const char *const names[] = {"m1", "m2", "m3"};
+	struct lead_candidate c[] = {
+		{.reached = true, .primary = true, .term = 1, .received = {1, 90}},
+		{.reached = true, .primary = false, .term = 1, .received = {1, 80}},
+		{.reached = true, .primary = false, .term = 1, .received = {1, 70}},
+	};
+	struct lead_record r = {0};
+
+	CU_ASSERT_EQUAL(lead_find(&r, names, c, 3), 0);
+	r.floor = 1;
+	snprintf(r.target, sizeof(r.target), "m2");
+	CU_ASSERT_EQUAL(lead_find(&r, names, c, 3), -1);
+	c[1].primary = true;
+	c[1].term = 2;
+	CU_ASSERT_EQUAL(lead_find(&r, names, c, 3), 1);
+	/* An earlier choice whose promotion took effect late leads too, and is not the target. */
+	c[2].primary = true;
+	c[2].term = 3;
+	CU_ASSERT_EQUAL(lead_find(&r, names, c, 3), 1);
+}
+
+static void test_the_newest_log_is_chosen(void)
+{
+	struct lead_candidate c[] = {
+		{.reached = true, .received = {2, 10}},
+		{.reached = true, .received = {1, 90}},
+		{.reached = true, .received = {2, 11}, .leaving = true},
+		{.reached = false, .received = {2, 99}},
+	};
+
+	CU_ASSERT_EQUAL(lead_choose(c, 4, -1), 0);
+	CU_ASSERT_EQUAL(lead_choose(c, 4, 0), 1);
+	c[0].reached = c[1].reached = false;
+	CU_ASSERT_EQUAL(lead_choose(c, 4, -1), -1);
+}
+
+static void test_others_are_asked_before_a_silent_primary_is_replaced(void)
+{
+	struct lead_silence s = {0};
+	const int64_t t0 = 1000000;
+
+	CU_ASSERT_EQUAL(lead_judge(&s, t0), LEAD_FINE);
+	s.unheard_us = t0;
+	CU_ASSERT_EQUAL(lead_judge(&s, t0 + 100 * USEC_PER_MSEC), LEAD_FINE);
+	CU_ASSERT_EQUAL(lead_judge(&s, t0 + 1000 * USEC_PER_MSEC), LEAD_ASK);
+	s.others_asked = true;
+	CU_ASSERT_EQUAL(lead_judge(&s, t0 + 1000 * USEC_PER_MSEC), LEAD_REPLACE);
+	s = (struct lead_silence){.unheard_us = t0, .refused = true};
+	CU_ASSERT_EQUAL(lead_judge(&s, t0 + 100 * USEC_PER_MSEC), LEAD_ASK);
+}
+
+/* A model of owners, senders and promotions in any order of events. */
+
+#define VMS 4
+#define MEMBERS 3
+#define LEASE 40
+
+struct model_vm {
+	struct lead_vm id;
+	int64_t lease_until; /**< as the VM itself counts, from before its renewal */
+	int64_t store_until; /**< as the store counts */
+	struct lead_record record; /**< as the VM last read or wrote it */
+	uint64_t revision;
+	bool owns, yielded;
+	int primary; /**< member that it sends to, -1 for none */
+	uint64_t term;
+	unsigned fencing; /**< senders that it still waits for are in record */
+	bool ordered;
+};
+
+struct model {
+	int64_t now;
+	struct lead_record record;
+	uint64_t revision;
+	struct model_vm vm[VMS];
+	struct lead_candidate member[MEMBERS];
+	uint64_t highest;	 /**< term of the newest promotion that took effect */
+	int pending, pending_at; /**< a promotion that will take effect */
+	uint64_t next_incarnation;
+};
+
+static const char *const member_names[MEMBERS] = {"m0", "m1", "m2"};
+
+static bool may_send(const struct model *m, const struct model_vm *v)
+{
+	return v->owns && !v->yielded && m->now < v->lease_until;
+}
+
+static void model_renew(struct model *m, struct model_vm *v)
+{
+	int64_t sent = m->now - rand() % 3;
+
+	/* A lease that the store has ended is a new one: the record is read again under it. */
+	if (m->now >= v->store_until) {
+		v->owns = lead_vm_equal(&m->record.owner, &v->id);
+		v->record = m->record;
+		v->revision = m->revision;
+		if (v->owns)
+			v->yielded = false;
+		v->primary = -1;
+		v->ordered = false;
+	}
+	v->lease_until = sent + LEASE;
+	v->store_until = m->now + LEASE;
+}
+
+static void model_claim(struct model *m, struct model_vm *v)
+{
+	struct lead_record r = m->record;
+
+	if (m->now >= v->lease_until || lead_vm_equal(&r.owner, &v->id))
+		return;
+	if (!lead_claim(&r, &v->id, "1.1.1.1:1", false))
+		return;
+	m->record = v->record = r;
+	v->revision = ++m->revision;
+	v->owns = true;
+	v->yielded = false;
+	v->primary = -1;
+	v->ordered = false;
+}
+
+static void model_find(struct model *m, struct model_vm *v)
+{
+	int found;
+
+	if (!may_send(m, v) || v->ordered)
+		return;
+	found = lead_find(&v->record, member_names, m->member, MEMBERS);
+	if (found >= 0) {
+		v->primary = found;
+		v->term = m->member[found].term;
+	}
+}
+
+/** The sender's word, or the store's: it sends no more. */
+static void model_fence(struct model *m, struct model_vm *v, bool reachable)
+{
+	unsigned i = 0, k;
+
+	while (i < v->record.n) {
+		struct lead_vm s = v->record.sender[i];
+		bool stopped = false, known = false;
+
+		for (k = 0; k < VMS; k++) {
+			struct model_vm *o = &m->vm[k];
+
+			if (!lead_vm_equal(&o->id, &s))
+				continue;
+			known = true;
+			if (reachable && rand() % 2 == 0) {
+				o->yielded = true;
+				stopped = true;
+			} else if (m->now >= o->store_until) {
+				stopped = true;
+			}
+		}
+		if (stopped || !known)
+			lead_remove_sender(&v->record, &s);
+		else
+			i++;
+	}
+}
+
+static void model_promote(struct model *m, struct model_vm *v)
+{
+	struct lead_record r;
+	int best;
+
+	model_fence(m, v, rand() % 2);
+	if (!may_send(m, v) || v->record.n > 0 || v->revision != m->revision)
+		return;
+	v->primary = -1;
+	best = lead_choose(m->member, MEMBERS, rand() % MEMBERS);
+	if (best < 0)
+		return;
+	r = v->record;
+	if (m->highest > r.floor)
+		r.floor = m->highest;
+	snprintf(r.target, sizeof(r.target), "%s", member_names[best]);
+	m->record = v->record = r;
+	v->revision = ++m->revision;
+	if (may_send(m, v) && m->pending < 0) {
+		m->pending = best;
+		m->pending_at = (int)m->now + rand() % 10;
+	}
+}
+
+/** A statement: no VM may get one believed by a member that a promotion has replaced. */
+static void model_send(struct model *m, struct model_vm *v, int seed)
+{
+	if (!may_send(m, v) || v->primary < 0)
+		return;
+	CHECK(m->member[v->primary].term == m->highest, "seed %d: %s believes m%d of term %lu, %lu leads",
+	      seed, v->id.name, v->primary, m->member[v->primary].term, m->highest);
+}
+
+static void model_step(struct model *m, int seed)
+{
+	struct model_vm *v = &m->vm[rand() % VMS];
+
+	m->now++;
+	if (m->pending >= 0 && m->now >= m->pending_at) {
+		m->highest++;
+		m->member[m->pending].primary = true;
+		m->member[m->pending].term = m->highest;
+		m->pending = -1;
+	}
+	switch (rand() % 12) {
+	case 0:
+	case 1:
+	case 2:
+		model_renew(m, v);
+		break;
+	case 3:
+		model_claim(m, v);
+		break;
+	case 4:
+	case 5:
+	case 6:
+		model_find(m, v);
+		break;
+	case 7:
+		model_promote(m, v);
+		break;
+	case 8: /* Restarted: another process of the same name. */
+		if (rand() % 4 == 0) {
+			v->id.incarnation = ++m->next_incarnation;
+			v->owns = v->ordered = v->yielded = false;
+			v->primary = -1;
+			v->lease_until = v->store_until = 0;
+		}
+		break;
+	case 9: /* Suspended: time passes, and its clock runs on. */
+		if (rand() % 10 == 0)
+			m->now += rand() % (2 * LEASE);
+		break;
+	default:
+		break;
+	}
+	for (int i = 0; i < VMS; i++)
+		model_send(m, &m->vm[i], seed);
+}
+
+/*
+ * A caller's acknowledged write, or what a read showed it, vanishes: two VMs send to different
+ * members that both think they lead. Claims, yields, restarts, suspended VMs, lapsed leases and late
+ * promotions come in any order; at no step may a VM believe a member that was replaced.
+ */
+static void test_nobody_believes_a_replaced_primary(void)
+{
+	int seed, step, i;
+
+	for (seed = 0; seed < 400; seed++) {
+		struct model m = {.pending = -1, .highest = 1, .next_incarnation = 100};
+
+		srand((unsigned)seed);
+		for (i = 0; i < VMS; i++) {
+			char name[8];
+
+			snprintf(name, sizeof(name), "v%d", i);
+			m.vm[i].id = vm(name, (uint64_t)i + 1);
+			m.vm[i].primary = -1;
+		}
+		for (i = 0; i < MEMBERS; i++) {
+			m.member[i].reached = true;
+			m.member[i].term = 1;
+			m.member[i].primary = i == 0;
+		}
+		for (step = 0; step < 3000; step++)
+			model_step(&m, seed);
+	}
+}
+
+static const struct test_case cases[] = {
+	{"a_claim_keeps_the_former_owner_as_sender", test_a_claim_keeps_the_former_owner_as_sender},
+	{"a_full_record_takes_no_claim", test_a_full_record_takes_no_claim},
+	{"a_replaced_primary_is_not_found", test_a_replaced_primary_is_not_found},
+	{"the_newest_log_is_chosen", test_the_newest_log_is_chosen},
+	{"others_are_asked_before_a_silent_primary_is_replaced",
+	 test_others_are_asked_before_a_silent_primary_is_replaced},
+	{"nobody_believes_a_replaced_primary", test_nobody_believes_a_replaced_primary},
+};
+HARNESS_MAIN("lead", cases)
