A read whose knowledge was dropped while its connection opened is not sent without a position

Traced by reading: the read waited for its connection while its VM claimed the group; the claim drops what is known of the newest write, and the read then went out with no position. The same look before sending keeps a write from a primary that was replaced while the connection opened.

--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -296,21 +296,26 @@
 	return 1;
 }
 
-/** The position that a read, or the begin of reads, needs on a replica. */
-static struct pos needed(const struct owner_job *job)
+/**
+ * The position that a read, or the begin of reads, needs on a replica.
+ * @return false when none is known that is new enough
+ */
+static bool needed(const struct owner_job *job, struct pos *need)
 {
 	const ml_run_args *a = job->args;
-	struct owner_group *g = job->g;
-	struct pos need = {0};
+	const struct owner_group *g = job->g;
 	struct pos own = {0};
 
-	if (job->on_primary || is_write(job))
-		return need;
-	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, &need))
-		need = g->marks.newest.pos;
+	*need = (struct pos){0};
+	if (job->on_primary || is_write(job) || job->tx != NULL)
+		return true;
+	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, need))
+		return false;
 	if (a->mode == READ_SESSION)
 		own = marks_own(&g->marks, (struct pos){a->session.term, a->session.lsn});
-	return pos_cmp(own, need) > 0 ? own : need;
+	if (pos_cmp(own, *need) > 0)
+		*need = own;
+	return true;
 }
 
 static void send_commands(struct owner_job *job, const struct member_command *commands, unsigned n)
@@ -329,7 +334,7 @@
 	c->mc->ops->run(c->mc, commands, n, job_answered);
 }
 
-static void send_statement(struct owner_job *job)
+static void send_statement(struct owner_job *job, struct pos need)
 {
 	struct member_command commands[COMMANDS_MAX];
 	const ml_run_args *a = job->args;
@@ -348,8 +353,7 @@
 	} else {
 		commands[n].text = a->text;
 	}
-	if (job->tx == NULL && a->begin == 0)
-		commands[n].wait_for = needed(job);
+	commands[n].wait_for = need;
 	if (job->tx != NULL && is_write(job))
 		job->tx->wrote = true;
 	send_commands(job, commands, n + 1);
@@ -359,24 +363,40 @@
  * Begin the transaction, and only then send its first statement: sent together, a begin that was
  * refused would leave the statement to run outside of any transaction.
  */
-static void send_begin(struct owner_job *job)
+static void send_begin(struct owner_job *job, struct pos need)
 {
 	struct member_command commands[COMMANDS_MAX];
 	unsigned n = put_values(job, commands);
 
 	job->step = OWNER_BEGIN;
 	commands[n] = (struct member_command){.op = (enum statement_op)job->args->begin};
-	if (job->args->begin == STATEMENT_BEGIN_READ)
-		commands[n].wait_for = needed(job);
+	commands[n].wait_for = need;
 	send_commands(job, commands, n + 1);
 }
 
+static bool believable(const struct owner_job *job);
+
+/**
+ * The connection is open: send. While it opened this VM may have claimed the group, or lost it, and
+ * with that what it knew: a read without the position that it needs would see data that is too old,
+ * and a primary may have been replaced.
+ */
 static void job_send(struct owner_job *job)
 {
+	struct pos need;
+	bool known = needed(job, &need);
+
+	if (!known || !believable(job)) {
+		log_info("not-sent", LOG_STR("request", job->args->request),
+			 LOG_STR("pool", job->g->pool), LOG_NUM("position_known", known));
+		job_detach(job, false, TX_NONE);
+		job_again(job, known ? OUTCOME_NOT_PRIMARY : OUTCOME_BEHIND, BUSY_PAUSE_US);
+		return;
+	}
 	if (job->args->begin != 0)
-		send_begin(job);
+		send_begin(job, need);
 	else
-		send_statement(job);
+		send_statement(job, need);
 }
 
 bool job_start(struct owner_job *job, struct owner_member *m)
@@ -408,7 +428,7 @@
 	job->term = job->tx->term;
 	job->on_primary = job->tx->on_primary;
 	TAILQ_INSERT_TAIL(&job->g->running, job, link);
-	send_statement(job);
+	send_statement(job, (struct pos){0});
 }
 
 void job_conn_opened(struct owner_conn *c, enum member_result result)
@@ -500,7 +520,7 @@
 		return;
 	}
 	job->tx = tx_create(job);
-	send_statement(job);
+	send_statement(job, (struct pos){0});
 }
 
 /** A statement inside a transaction was answered; a failed one leaves the transaction failed. */
--- a/tests/test-lead.c
+++ b/tests/test-lead.c
@@ -114,8 +114,8 @@
 
 struct model_vm {
 	struct lead_vm id;
-	int64_t lease_until; /**< as the VM itself counts, from before its renewal */
-	int64_t store_until; /**< as the store counts */
+	int64_t lease_until;	   /**< as the VM itself counts, from before its renewal */
+	int64_t store_until;	   /**< as the store counts */
 	struct lead_record record; /**< as the VM last read or wrote it */
 	uint64_t revision;
 	bool owns, yielded;
@@ -248,8 +248,9 @@
 {
 	if (!may_send(m, v) || v->primary < 0)
 		return;
-	CHECK(m->member[v->primary].term == m->highest, "seed %d: %s believes m%d of term %lu, %lu leads",
-	      seed, v->id.name, v->primary, m->member[v->primary].term, m->highest);
+	CHECK(m->member[v->primary].term == m->highest,
+	      "seed %d: %s believes m%d of term %lu, %lu leads", seed, v->id.name, v->primary,
+	      m->member[v->primary].term, m->highest);
 }
 
 static void model_step(struct model *m, int seed)
@@ -301,8 +302,8 @@
 
 /*
  * A caller's acknowledged write, or what a read showed it, vanishes: two VMs send to different
- * members that both think they lead. Claims, yields, restarts, suspended VMs, lapsed leases and late
- * promotions come in any order; at no step may a VM believe a member that was replaced.
+ * members that both think they lead. Claims, yields, restarts, suspended VMs, lapsed leases and
+ * late promotions come in any order; at no step may a VM believe a member that was replaced.
  */
 static void test_nobody_believes_a_replaced_primary(void)
 {
--- a/tests/test-line.c
+++ b/tests/test-line.c
@@ -86,14 +86,28 @@
 	check_statement("ROLLBACK", STATEMENT_ROLLBACK, NULL, NULL, false);
 }
 
-/* The position prefix is for members: a caller that could send it would choose its own staleness. */
+/* The position prefix is for members: a caller that could send it would choose its own staleness.
+ */
 static void test_what_callers_may_not_send(void)
 {
 	static const char *const bad[] = {
-		"",	       "READ",	      "WAITFOR 1.2 READ a", "STEPDOWN 9", "PAUSE 9",
-		"RESUME",      "STATUS",      "RESET",		    "COMMIT now", "BEGIN WRITE",
-		"PREPARE s1",  "PREPARE s1 X q", "EXECUTE s1",	    "SET a",	  "read a",
-		"READWRITE a", "BEGINREAD",
+		"",
+		"READ",
+		"WAITFOR 1.2 READ a",
+		"STEPDOWN 9",
+		"PAUSE 9",
+		"RESUME",
+		"STATUS",
+		"RESET",
+		"COMMIT now",
+		"BEGIN WRITE",
+		"PREPARE s1",
+		"PREPARE s1 X q",
+		"EXECUTE s1",
+		"SET a",
+		"read a",
+		"READWRITE a",
+		"BEGINREAD",
 	};
 	unsigned i;
 
@@ -238,9 +252,9 @@
 }
 
 /*
- * A reader gets data older than its route allows. The primary refused a statement as busy and told no
- * position; the one of the answer before was taken for it, as if it were known now. An answer tells
- * its own position or none.
+ * A reader gets data older than its route allows. The primary refused a statement as busy and told
+ * no position; the one of the answer before was taken for it, as if it were known now. An answer
+ * tells its own position or none.
  */
 static void test_an_answer_without_position_tells_none(void)
 {
--- a/tests/test-marks.c
+++ b/tests/test-marks.c
@@ -41,9 +41,9 @@
 }
 
 /*
- * A session wrote record 50 of term 1; the promotion kept 40. No member will ever have 1.50 again, and
- * waiting for it would turn each of the session's reads away. What the new primary began with stands
- * for all that was kept.
+ * A session wrote record 50 of term 1; the promotion kept 40. No member will ever have 1.50 again,
+ * and waiting for it would turn each of the session's reads away. What the new primary began with
+ * stands for all that was kept.
  */
 static void test_a_discarded_write_is_not_waited_for(void)
 {
@@ -63,8 +63,8 @@
 }
 
 /**
- * Answers come late and in another order than their statements were sent. The need for a moment covers
- * all that was committed before it, and is never newer than what the primary has.
+ * Answers come late and in another order than their statements were sent. The need for a moment
+ * covers all that was committed before it, and is never newer than what the primary has.
  */
 static void test_random_order_of_answers(void)
 {
