The test of a read without a position goes on to the member that has it

The step that shows the fault (nothing is sent without a position) failed before the mend and passes since.

--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -210,6 +210,9 @@
 	marks_new_term(&g->marks, (struct pos){1, 35}, now_us());
 	test_sleep_ms(10);
 	queue_tick(g, now_us());
+	/* The first member has just told that it lacks the position: another one is tried. */
+	CU_ASSERT_EQUAL(n_conns, 2);
+	conns[1]->opened(&conns[1]->conn, MEMBER_DONE, (struct pos){1, 36}, conns[1]->arg);
 	CU_ASSERT_EQUAL(n_sent, 1);
 	CU_ASSERT_EQUAL(sent[0].wait_for.lsn, 35);
 }
