--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 LIB_OBJ = $(PLATFORM_SRC:%.c=$(B)/%.o) $(DECIDE_SRC:%.c=$(B)/%.o) $(SRC:%.c=$(B)/%.o) $(B)/src/mango_xdr.o $(B)/src/toml-shim.o
 LIB = $(B)/libmangoloom.a
 PROGS = $(B)/mangoloomd $(B)/mangoloom $(B)/mangoload
-STANDINS = $(B)/standin-platform $(B)/standin-db $(B)/faultproxy
+STANDINS = $(B)/standin-platform $(B)/standin-db $(B)/standin-prepared $(B)/faultproxy
 TEST_SRC = $(wildcard tests/test-*.c)
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 UNIT_TESTS = $(filter-out $(B)/tests/test-it-%,$(TESTS))
 IT_TESTS = $(filter $(B)/tests/test-it-%,$(TESTS))
-HARNESS_OBJ = $(B)/tests/harness.o $(B)/tests/harness-sql.o
+HARNESS_OBJ = $(B)/tests/harness.o $(B)/tests/harness-sql.o $(B)/tests/harness-line.o
 
 all: $(PROGS) $(STANDINS)
 
@@ -55,6 +55,8 @@
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
 $(B)/standin-db: $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin-db*.c)) $(LIB)
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
+$(B)/standin-prepared: $(patsubst %.c,$(B)/%.o,$(wildcard tests/standin-prepared*.c)) $(LIB)
+	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
 $(B)/faultproxy: $(B)/tests/faultproxy.o $(LIB)
 	@$(CXX) $(SAN) $^ -o $@ $(PKG_LIBS)
 $(B)/measure: $(B)/tests/measure.o $(HARNESS_OBJ) $(LIB)
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -123,8 +123,8 @@
 
 /* Heartbeats */
 
-/** Between two fetches of the list of VMs: heartbeats tell of deaths sooner, and a VM that comes has
- * nothing to serve before its balancer has seen it ready. */
+/** Between two fetches of the list of VMs: heartbeats tell of deaths sooner, and a VM that comes
+ * has nothing to serve before its balancer has seen it ready. */
 #define LIST_PAUSE_US (1 * USEC_PER_SEC)
 
 struct beat {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -50,7 +50,7 @@
 	struct peers peers;
 	struct conf *conf;
 	int64_t list_us; /**< when the list of VMs was last fetched from a peer */
-	char *vms_text; /**< the platform's list, as it came, for peers */
+	char *vms_text;	 /**< the platform's list, as it came, for peers */
 	const struct fleet_source_ops *source;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
--- a/src/shares.c
+++ b/src/shares.c
@@ -386,8 +386,8 @@
 #define ROLE_SIZE 16
 
 /**
- * Teams that one VM allocates together. One allocator a team would have each VM of a large fleet write
- * to nearly all others every second: 77 VMs with 81 teams sent 3,900 such messages a second.
+ * Teams that one VM allocates together. One allocator a team would have each VM of a large fleet
+ * write to nearly all others every second: 77 VMs with 81 teams sent 3,900 such messages a second.
  */
 static void allocator_role(const struct shares_team *t, char role[ROLE_SIZE])
 {
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -92,8 +92,7 @@
 
 /* Processes */
 
-/** Ports that are free now; all are held until the last is found. */
-static void free_ports(int *ports, int n)
+void test_free_ports(int *ports, int n)
 {
 	int fds[128];
 	int i;
@@ -119,11 +118,10 @@
 	return b != NULL ? b : "build";
 }
 
-/** Start a program of the build folder, its errors in the fleet's folder. */
-static pid_t spawn(struct test_fleet *f, const char *log, char **argv, int in, int out)
+pid_t test_spawn(const char *dir, const char *log, char **argv, int in, int out)
 {
 	char *path = g_strdup_printf("%s/%s", bin(), argv[0]);
-	char *err = g_strdup_printf("%s/%s.err", f->dir, log);
+	char *err = g_strdup_printf("%s/%s.err", dir, log);
 	posix_spawn_file_actions_t actions;
 	pid_t pid = -1;
 
@@ -143,6 +141,11 @@
 	return pid;
 }
 
+static pid_t spawn(struct test_fleet *f, const char *log, char **argv, int in, int out)
+{
+	return test_spawn(f->dir, log, argv, in, out);
+}
+
 static pid_t spawn_words(struct test_fleet *f, const char *log, const char *line)
 {
 	char **argv = g_strsplit(line, " ", -1);
@@ -152,7 +155,7 @@
 	return pid;
 }
 
-static void end_process(pid_t *pid)
+void test_end_process(pid_t *pid)
 {
 	if (*pid <= 0)
 		return;
@@ -339,7 +342,7 @@
 {
 	kill(f->vm[vm].pid, sig);
 	if (sig == SIGKILL)
-		end_process(&f->vm[vm].pid);
+		test_end_process(&f->vm[vm].pid);
 }
 
 int fleet_vm_wait(struct test_fleet *f, int vm)
@@ -355,7 +358,7 @@
 {
 	kill(f->member[member].pid, sig);
 	if (sig == SIGKILL)
-		end_process(&f->member[member].pid);
+		test_end_process(&f->member[member].pid);
 }
 
 int fleet_cli(struct test_fleet *f, char **out, const char *args, ...)
@@ -445,7 +448,7 @@
 	int ports[128];
 	int i, n = 0;
 
-	free_ports(ports, 1 + f->n_members * 2 + f->plan.vms * 3);
+	test_free_ports(ports, 1 + f->n_members * 2 + f->plan.vms * 3);
 	f->platform_port = ports[n++];
 	for (i = 0; i < f->n_members; i++) {
 		g_snprintf(f->member[i].dc, 32, "dc%d", (i + i / 3) % f->plan.data_centers + 1);
@@ -530,12 +533,12 @@
 	int i;
 
 	for (i = 0; i < f->plan.vms; i++)
-		end_process(&f->vm[i].pid);
+		test_end_process(&f->vm[i].pid);
 	for (i = 0; i < f->n_members; i++)
-		end_process(&f->member[i].pid);
-	end_process(&f->platform);
+		test_end_process(&f->member[i].pid);
+	test_end_process(&f->platform);
 	if (!f->plan.keep_members) {
-		end_process(&f->proxy);
+		test_end_process(&f->proxy);
 		close(f->proxy_in);
 		close(f->proxy_out);
 	}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -160,6 +160,12 @@
  */
 void writers_verify(struct test_fleet *f, struct writer *w, int n);
 
+/** Ports that are free now; all are held until the last is found. */
+void test_free_ports(int *ports, int n);
+/** Start a program of the build folder; what it prints goes to @a dir/@a log.err. */
+pid_t test_spawn(const char *dir, const char *log, char **argv, int in, int out);
+/** Kill and reap a process that a test started. */
+void test_end_process(pid_t *pid);
 int64_t test_now_ms(void);
 int64_t test_now_us(void);
 void test_sleep_ms(int ms);
--- /dev/null
+++ b/tests/test-it-owner.c
@@ -0,0 +1,375 @@
+/** @file test-it-owner.c Members, owners and whole VMs fail while callers go on. */
+#include "harness-line.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OK(c, ...) CU_ASSERT_STRING_EQUAL(line_query((c), __VA_ARGS__), "COMPLETE")
+
+/** A thread of a caller that writes, each under an id of its own, and notes how each ended. */
+struct line_writer {
+	struct line_fleet *f;
+	GThread *thread;
+	int vm;
+	volatile int stop;
+	GPtrArray *acked, *not_run; /**< ids */
+	int unknown;
+	int64_t last_ack_ms, gap_ms;
+};
+
+static bool means_not_run(const char *code)
+{
+	return strcmp(code, "BUSY") == 0 || strcmp(code, "ABORTED") == 0 ||
+	       strcmp(code, "LAGGING") == 0;
+}
+
+static void line_writer_note(struct line_writer *w, const struct line_client *c)
+{
+	int64_t now = test_now_ms();
+
+	if (strcmp(c->code, "COMPLETE") == 0) {
+		g_ptr_array_add(w->acked, g_strdup(c->id));
+		if (now - w->last_ack_ms > w->gap_ms)
+			w->gap_ms = now - w->last_ack_ms;
+		w->last_ack_ms = now;
+	} else if (means_not_run(c->code)) {
+		g_ptr_array_add(w->not_run, g_strdup(c->id));
+	} else {
+		w->unknown++;
+	}
+}
+
+static gpointer line_writer_run(gpointer arg)
+{
+	struct line_writer *w = arg;
+	struct line_client c = {.fd = -1};
+	int n = 0;
+
+	while (!w->stop) {
+		if (c.fd < 0 && !line_connect(&c, w->f, w->vm, LINE_DB_PRIMARY, LINE_KEY)) {
+			line_close(&c);
+			test_sleep_ms(10);
+			continue;
+		}
+		line_query(&c, "WRITE w%d %d", w->vm, n++);
+		line_writer_note(w, &c);
+		if (c.code[0] == '\0' || c.state != 'I')
+			line_close(&c);
+		test_sleep_ms(5);
+	}
+	line_close(&c);
+	return NULL;
+}
+
+static void line_writer_start(struct line_writer *w, struct line_fleet *f, int vm)
+{
+	memset(w, 0, sizeof(*w));
+	w->f = f;
+	w->vm = vm;
+	w->acked = g_ptr_array_new_with_free_func(g_free);
+	w->not_run = g_ptr_array_new_with_free_func(g_free);
+	w->last_ack_ms = test_now_ms();
+	w->thread = g_thread_new("writer", line_writer_run, w);
+}
+
+/** What was told as not run is in no log, and nothing is there twice. */
+static void line_writer_stop(struct line_writer *w)
+{
+	guint i;
+
+	w->stop = 1;
+	g_thread_join(w->thread);
+	for (i = 0; i < w->not_run->len; i++)
+		CHECK(line_log_count(w->f, g_ptr_array_index(w->not_run, i)) == 0,
+		      "%s was told as not run", (char *)g_ptr_array_index(w->not_run, i));
+	for (i = 0; i < w->acked->len; i++)
+		CHECK(line_log_count(w->f, g_ptr_array_index(w->acked, i)) <= 1, "%s ran twice",
+		      (char *)g_ptr_array_index(w->acked, i));
+	CHECK(w->acked->len > 20, "%u acknowledged", w->acked->len);
+	g_ptr_array_unref(w->acked);
+	g_ptr_array_unref(w->not_run);
+}
+
+/** The VM whose log says that it owns the group now; -1 when none does. */
+static int find_owner(struct line_fleet *f)
+{
+	int owner = -1, i;
+	long newest = -1;
+
+	for (i = 0; i < f->n_vms; i++) {
+		char *log = line_log(f, i);
+		const char *at = g_strrstr(log, "event=owner pool=svc revision=");
+
+		if (at != NULL && atol(at + strlen("event=owner pool=svc revision=")) > newest) {
+			newest = atol(at + strlen("event=owner pool=svc revision="));
+			owner = i;
+		}
+		g_free(log);
+	}
+	return owner;
+}
+
+/** The same, once a log tells it: lines are written ten times a second. */
+static int owner_of_group(struct line_fleet *f)
+{
+	int64_t until = test_now_ms() + 5000;
+	int owner;
+
+	while ((owner = find_owner(f)) < 0 && test_now_ms() < until)
+		test_sleep_ms(20);
+	if (owner < 0) {
+		CU_FAIL("no VM's log tells that it owns the group");
+		owner = 0;
+	}
+	return owner;
+}
+
+static bool wait_log(struct line_fleet *f, int vm, const char *text, int ms)
+{
+	int64_t until = test_now_ms() + ms;
+	bool found = false;
+
+	while (!found && test_now_ms() < until) {
+		char *log = line_log(f, vm);
+
+		found = strstr(log, text) != NULL;
+		g_free(log);
+		test_sleep_ms(20);
+	}
+	return found;
+}
+
+/*
+ * A primary's process ends. Callers see refusals that are true, or that nobody knows, until another
+ * member leads; then writes go on, and nothing ran twice.
+ */
+static void test_a_primary_ends(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	char before[32], after[32];
+	struct line_writer w[2];
+	int i;
+
+	line_primary(f, before);
+	for (i = 0; i < 2; i++)
+		line_writer_start(&w[i], f, i);
+	test_sleep_ms(400);
+	line_fault(f, "{\"member\":\"%s\",\"mode\":\"down\"}", before);
+	CU_ASSERT_TRUE(line_write_until(f, 2, 6000));
+	test_sleep_ms(300);
+	line_primary(f, after);
+	CHECK(strcmp(before, after) != 0, "%s still leads", before);
+	for (i = 0; i < 2; i++)
+		line_writer_stop(&w[i]);
+	CU_ASSERT_EQUAL(line_report(f, "token_regressed"), 0);
+	line_fleet_stop(f);
+}
+
+/*
+ * A primary falls silent: no byte comes back, no connection opens. After the promotion it wakes and
+ * thinks that it leads: no caller's write may be committed there any more.
+ */
+static void test_a_primary_falls_silent_and_wakes(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	char before[32];
+	struct line_writer w;
+
+	line_primary(f, before);
+	line_writer_start(&w, f, 1);
+	test_sleep_ms(300);
+	line_fault(f, "{\"member\":\"%s\",\"mode\":\"dark\"}", before);
+	CU_ASSERT_TRUE(line_write_until(f, 2, 8000));
+	line_fault(f, "{\"member\":\"%s\",\"mode\":\"up\"}", before);
+	test_sleep_ms(1500);
+	line_writer_stop(&w);
+	CU_ASSERT_EQUAL(line_report(f, "replaced_commits"), 0);
+	CU_ASSERT_EQUAL(line_report(f, "promotions"), 1);
+	line_fleet_stop(f);
+}
+
+/* A primary is to leave: another takes over with all that it has, and no write is lost or unknown.
+ */
+static void test_a_primary_leaves(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	char before[32], after[32];
+	struct line_writer w;
+	int64_t until;
+	guint i;
+
+	line_primary(f, before);
+	line_writer_start(&w, f, 0);
+	test_sleep_ms(300);
+	line_fault(f, "{\"member\":\"%s\",\"draining\":true}", before);
+	until = test_now_ms() + 8000;
+	do {
+		test_sleep_ms(50);
+		line_primary(f, after);
+	} while (strcmp(before, after) == 0 && test_now_ms() < until);
+	CHECK(strcmp(before, after) != 0, "%s still leads", before);
+	CU_ASSERT_TRUE(line_write_until(f, 1, 5000));
+	w.stop = 1;
+	g_thread_join(w.thread);
+	CU_ASSERT_EQUAL(w.unknown, 0);
+	for (i = 0; i < w.acked->len; i++)
+		CHECK(line_log_count(f, g_ptr_array_index(w.acked, i)) == 1, "write %u of %u", i,
+		      w.acked->len);
+	line_fleet_stop(f);
+}
+
+/*
+ * The VM that owns the group is killed. An open transaction on it is told as rolled back, and
+ * another VM goes on with the same primary, without a promotion.
+ */
+static void test_an_owner_is_killed(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	int owner = owner_of_group(f);
+	struct line_client c;
+	int64_t start;
+
+	CU_ASSERT_TRUE(line_connect(&c, f, (owner + 1) % 3, LINE_DB_PRIMARY, LINE_KEY));
+	OK(&c, "BEGIN");
+	OK(&c, "WRITE o1 lost");
+	line_vm_signal(f, owner, SIGKILL);
+	test_sleep_ms(100);
+	line_query(&c, "READ o1");
+	CHECK(strcmp(c.code, "ABORTED") == 0, "%s %s", c.code, c.text);
+	CU_ASSERT_EQUAL(c.state, 'E');
+	OK(&c, "ROLLBACK");
+	CU_ASSERT_EQUAL(c.state, 'I');
+	start = test_now_ms();
+	CU_ASSERT_TRUE(line_write_until(f, (owner + 1) % 3, 8000));
+	printf("writes are back after %ld ms\n", (long)(test_now_ms() - start));
+	OK(&c, "READ o1");
+	CU_ASSERT_STRING_EQUAL(c.row, "-");
+	CU_ASSERT_EQUAL(line_report(f, "promotions"), 0);
+	line_close(&c);
+	line_fleet_stop(f);
+}
+
+/*
+ * The owner's VM stands still: statements to it get no answer, and their callers leave meanwhile. A
+ * first form freed such a session twice and ended the entry VM. Reads that may be old go on at
+ * replicas.
+ */
+static void test_an_owner_stands_still(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	int owner = owner_of_group(f), entry, i;
+	struct line_client c, gone[8];
+
+	entry = (owner + 1) % 3;
+	CU_ASSERT_TRUE(line_connect(&c, f, entry, LINE_DB_BOUNDED, LINE_KEY));
+	OK(&c, "READ x");
+	for (i = 0; i < 8; i++)
+		CU_ASSERT_TRUE(line_connect(&gone[i], f, entry, LINE_DB_BOUNDED, LINE_KEY));
+	line_vm_signal(f, owner, SIGSTOP);
+	for (i = 0; i < 8; i++)
+		line_send(&gone[i], "QUERY g READ x\r\n", 16);
+	test_sleep_ms(60);
+	for (i = 0; i < 8; i++)
+		line_close(&gone[i]);
+	OK(&c, "READ x");
+	CHECK(wait_log(f, entry, "event=reads-begin", 2000), "the read was not served here");
+	test_sleep_ms(900);
+	line_vm_signal(f, owner, SIGCONT);
+	CU_ASSERT_TRUE(line_write_until(f, entry, 8000));
+	OK(&c, "READ x");
+	line_close(&c);
+	line_fleet_stop(f);
+}
+
+/*
+ * An owner stands still for longer than its lease, and wakes. Another VM has the group by then and
+ * has changed the primary: what the old owner still holds may not be believed or sent.
+ */
+static void test_an_owner_wakes_after_its_lease(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	int owner = owner_of_group(f), entry;
+	char primary[32];
+
+	entry = (owner + 1) % 3;
+	line_primary(f, primary);
+	line_vm_signal(f, owner, SIGSTOP);
+	CU_ASSERT_TRUE(line_write_until(f, entry, 8000));
+	line_fault(f, "{\"member\":\"%s\",\"mode\":\"dark\"}", primary);
+	CHECK(line_write_until(f, entry, 20000), "no new primary after the lease has ended");
+	line_fault(f, "{\"member\":\"%s\",\"mode\":\"up\"}", primary);
+	line_vm_signal(f, owner, SIGCONT);
+	test_sleep_ms(1500);
+	CU_ASSERT_TRUE(line_write_until(f, owner, 8000));
+	CU_ASSERT_EQUAL(line_report(f, "replaced_commits"), 0);
+	CU_ASSERT_EQUAL(line_report(f, "token_regressed"), 0);
+	line_fleet_stop(f);
+}
+
+/*
+ * A VM is told to stop. It is not ready at once; open transactions end in their time; sessions at
+ * rest are closed; its lease is given up, and it ends by itself within the grace.
+ */
+static void test_a_planned_stop_cuts_nothing(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	int owner = owner_of_group(f);
+	int64_t leases = line_report(f, "leases");
+	struct line_client idle, tx;
+	struct line_writer w;
+
+	CU_ASSERT_TRUE(line_connect(&idle, f, owner, LINE_DB_PRIMARY, LINE_KEY));
+	CU_ASSERT_TRUE(line_connect(&tx, f, (owner + 1) % 3, LINE_DB_PRIMARY, LINE_KEY));
+	OK(&idle, "READ x");
+	OK(&tx, "BEGIN");
+	OK(&tx, "WRITE stop1 kept");
+	line_writer_start(&w, f, (owner + 2) % 3);
+	test_sleep_ms(200);
+	line_vm_signal(f, owner, SIGTERM);
+	test_sleep_ms(100);
+	CU_ASSERT_EQUAL(line_get(f->vm[owner].ready, "/-/readiness", NULL), 503);
+	OK(&tx, "WRITE stop2 kept");
+	OK(&tx, "COMMIT");
+	OK(&idle, "READ x");
+	CU_ASSERT_EQUAL(line_vm_wait(f, owner, 6000), 0);
+	line_query(&idle, "READ x");
+	CU_ASSERT_STRING_EQUAL(idle.code, "");
+	OK(&tx, "READ stop2");
+	CU_ASSERT_STRING_EQUAL(tx.row, "kept");
+	line_writer_stop(&w);
+	CU_ASSERT_EQUAL(w.unknown, 0);
+	CU_ASSERT_EQUAL(line_report(f, "leases"), leases - 1);
+	line_close(&idle);
+	line_close(&tx);
+	line_fleet_stop(f);
+}
+
+/* All VMs lose their power at the same moment: they serve again seconds after they start. */
+static void test_all_vms_start_again(void)
+{
+	struct line_fleet *f = line_fleet_start(3);
+	int i;
+
+	for (i = 0; i < 3; i++)
+		line_vm_signal(f, i, SIGKILL);
+	for (i = 0; i < 3; i++)
+		line_vm_start(f, i);
+	for (i = 0; i < 3; i++)
+		CHECK(line_write_until(f, i, 8000), "vm%d", i);
+	CU_ASSERT_EQUAL(line_report(f, "promotions"), 0);
+	line_fleet_stop(f);
+}
+
+static const struct test_case cases[] = {
+	{"a_primary_ends", test_a_primary_ends},
+	{"a_primary_falls_silent_and_wakes", test_a_primary_falls_silent_and_wakes},
+	{"a_primary_leaves", test_a_primary_leaves},
+	{"an_owner_is_killed", test_an_owner_is_killed},
+	{"an_owner_stands_still", test_an_owner_stands_still},
+	{"an_owner_wakes_after_its_lease", test_an_owner_wakes_after_its_lease},
+	{"a_planned_stop_cuts_nothing", test_a_planned_stop_cuts_nothing},
+	{"all_vms_start_again", test_all_vms_start_again},
+};
+HARNESS_MAIN("owners", cases)
