--- a/src/log.c
+++ b/src/log.c
@@ -30,8 +30,10 @@
  */
 #define LOG_ROUTINE_PER_S 600
 #define LOG_EVENTS_PER_S 1500
+/** Lines that tell how many others were left out. */
+#define LOG_OWN_PER_S 10
 
-enum log_kind { LOG_KIND_ROUTINE, LOG_KIND_EVENT, LOG_KINDS };
+enum log_kind { LOG_KIND_ROUTINE, LOG_KIND_EVENT, LOG_KIND_OWN, LOG_KINDS };
 
 static struct {
 	int fd;
@@ -48,6 +50,7 @@
 static const unsigned budgets[LOG_KINDS] = {
 	[LOG_KIND_ROUTINE] = LOG_ROUTINE_PER_S,
 	[LOG_KIND_EVENT] = LOG_EVENTS_PER_S,
+	[LOG_KIND_OWN] = LOG_OWN_PER_S,
 };
 
 static const struct {
@@ -173,11 +176,19 @@
 {
 	uint64_t routine = log_state.left_out[LOG_KIND_ROUTINE];
 	uint64_t events = log_state.left_out[LOG_KIND_EVENT];
+	char number[LOG_NUMBER_SIZE];
 
 	if (routine + events == 0 || log_state.out->len > LOG_BUFFER_MAX / 2)
 		return;
+	if (!line_begin(G_LOG_LEVEL_WARNING, LOG_KIND_OWN))
+		return;
 	memset(log_state.left_out, 0, sizeof(log_state.left_out));
-	log_warn("log-left-out", LOG_NUM("routine", routine), LOG_NUM("events", events));
+	put_field(log_state.out, "event", "log-left-out", false);
+	g_snprintf(number, sizeof(number), "%lu", routine);
+	put_field(log_state.out, "routine", number, true);
+	g_snprintf(number, sizeof(number), "%lu", events);
+	put_field(log_state.out, "events", number, true);
+	put_end(log_state.out);
 }
 
 /** GLib's writer: messages of the libraries come here. */
--- /dev/null
+++ b/tests/test-log.c
@@ -0,0 +1,117 @@
+/** @file test-log.c Logs: whole lines, a budget, and a reader that does not read. */
+#include "harness.h"
+#include "log.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/** Log to a pipe in place of standard output, and tell its reading end. */
+static int log_to_pipe(int *stdout_was)
+{
+	static bool opened;
+	int fds[2];
+
+	if (pipe(fds) != 0)
+		abort();
+	fflush(stdout);
+	*stdout_was = dup(STDOUT_FILENO);
+	dup2(fds[1], STDOUT_FILENO);
+	close(fds[1]);
+	if (!opened)
+		log_open("-", LOG_TEXT, "info", "vm-1");
+	opened = true;
+	fcntl(STDOUT_FILENO, F_SETFL, O_WRONLY | O_NONBLOCK);
+	return fds[0];
+}
+
+static void log_restore(int stdout_was, int in)
+{
+	dup2(stdout_was, STDOUT_FILENO);
+	close(stdout_was);
+	close(in);
+	fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) & ~O_NONBLOCK);
+}
+
+static char *drain(int in)
+{
+	GString *all = g_string_new(NULL);
+	char buf[65536];
+	ssize_t n;
+
+	fcntl(in, F_SETFL, O_NONBLOCK);
+	do {
+		log_flush();
+		n = read(in, buf, sizeof(buf));
+		if (n > 0)
+			g_string_append_len(all, buf, n);
+	} while (n > 0);
+	return g_string_free(all, FALSE);
+}
+
+/*
+ * Whoever reads a daemon's output stops reading. The pipe fills, and a daemon that blocks on it
+ * would stop to serve all its callers. Writing goes on, lines are left out, and that is told
+ * afterwards.
+ */
+static void test_a_full_pipe_blocks_nothing(void)
+{
+	int was, in = log_to_pipe(&was);
+	int64_t start = test_now_ms(), took;
+	int round, i;
+	char *text;
+
+	for (round = 0; round < 4; round++) {
+		for (i = 0; i < 20000; i++)
+			log_info("noise", LOG_NUM("i", i),
+				 LOG_STR("text", "some words to fill it"));
+		log_flush();
+	}
+	took = test_now_ms() - start;
+	text = drain(in);
+	log_restore(was, in);
+	CHECK(took < 10000, "80,000 lines took %ld ms", (long)took);
+	CHECK(strstr(text, "event=log-left-out") != NULL, "what was left out is told");
+	CHECK(g_str_has_suffix(text, "\n"), "lines are whole");
+	g_free(text);
+}
+
+/* Successes have a budget of their own, so that a flood of them leaves room for what went wrong. */
+static void test_successes_do_not_crowd_out_the_rest(void)
+{
+	int was, in = log_to_pipe(&was);
+	int i;
+	char *text;
+
+	for (i = 0; i < 20000; i++)
+		log_routine("run", LOG_NUM("i", i));
+	log_info("belief", LOG_STR("what", "changed"));
+	text = drain(in);
+	log_restore(was, in);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=belief what=changed"));
+	CHECK(strlen(text) < 300000, "%zu bytes", strlen(text));
+	g_free(text);
+}
+
+static void test_values_are_quoted(void)
+{
+	int was, in = log_to_pipe(&was);
+	char *text;
+
+	log_info("quoted", LOG_STR("a", "two words"), LOG_STR("b", "x\"y"), LOG_STR("c", ""),
+		 LOG_STR("d", "line\nfeed"));
+	text = drain(in);
+	log_restore(was, in);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(text, "a=\"two words\" b=\"x\\\"y\" c=\"\" d=\"line\\u000afeed\""));
+	g_free(text);
+}
+
+static const struct test_case cases[] = {
+	{"a_full_pipe_blocks_nothing", test_a_full_pipe_blocks_nothing},
+	{"successes_do_not_crowd_out_the_rest", test_successes_do_not_crowd_out_the_rest},
+	{"values_are_quoted", test_values_are_quoted},
+};
+HARNESS_MAIN("log", cases)
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -303,7 +303,47 @@
 		random_run(seed);
 }
 
+/*
+ * A VM is gone for good just when all others start again: the allocator waits for it, and callers
+ * were refused for eleven seconds. What the users tolerate is divided so that each VM has a part of
+ * its own; all parts together stay within what they tolerate, however they are used.
+ */
+static void test_own_parts_stay_within_the_tolerance(void)
+{
+	const struct share_tolerance t = {.window_s = 5, .overshoot = 0.1, .slack = 20};
+	static const double rates[] = {1, 10, 25, 48, 135, 198, 5000};
+	unsigned vms, i;
+
+	for (i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
+		for (vms = 1; vms < 100; vms++) {
+			double rate = rates[i], burst = rates[i];
+			struct share_split s = share_split(rate, burst, vms, &t);
+			double most = vms * (s.own_rate * t.window_s + s.own_burst) +
+				      s.moved_rate * t.window_s + s.moved_burst;
+			double limit = (rate * t.window_s + burst) * 1.1 + 20;
+
+			CHECK(most <= limit, "%f for %f, rate %f, %u VMs", most, limit, rate, vms);
+			CHECK(s.own_burst == 0 || s.own_burst >= 1, "%f tokens", s.own_burst);
+		}
+	}
+	struct share_split six = share_split(135, 135, 6, &t);
+	CHECK(six.own_rate * 6 > 0.5 * 135, "%f of 135 without any allocator", six.own_rate * 6);
+}
+
+/* Without a tolerance nothing but the moved parts is handed out, as before. */
+static void test_no_tolerance_no_own_part(void)
+{
+	const struct share_tolerance none = {0};
+	struct share_split s = share_split(100, 50, 6, &none);
+
+	CU_ASSERT_EQUAL(s.own_rate, 0);
+	CU_ASSERT_EQUAL(s.moved_rate, 100);
+	CU_ASSERT_EQUAL(s.moved_burst, 50);
+}
+
 static const struct test_case cases[] = {
+	{"own_parts_stay_within_the_tolerance", test_own_parts_stay_within_the_tolerance},
+	{"no_tolerance_no_own_part", test_no_tolerance_no_own_part},
 	{"whole_is_given_out", test_whole_is_given_out},
 	{"follows_demand", test_follows_demand},
 	{"has_what_it_asks_for", test_has_what_it_asks_for},
