Callers that are being closed do not count against the limit of callers

Traced: the case before it fills the VM with callers that are ended for being idle; while their last words wait to be read they counted, so the next connection was refused as one too many.

--- a/src/caller-auth.c
+++ b/src/caller-auth.c
@@ -63,7 +63,7 @@
 	}
 	if (!r->bad && other != NULL)
 		entry_cancel(other->request);
-	c->closing = true;
+	caller_ends(c);
 }
 
 /** "-c name=value" texts of the options parameter. */
--- a/src/caller.c
+++ b/src/caller.c
@@ -47,6 +47,13 @@
 	g_byte_array_unref(out);
 }
 
+void caller_ends(struct caller *c)
+{
+	if (!c->closing)
+		c->callers->n_closing++;
+	c->closing = true;
+}
+
 void caller_close(struct caller *c)
 {
 	struct callers *cs = c->callers;
@@ -56,6 +63,8 @@
 	c->state = CALLER_CLOSED;
 	TAILQ_REMOVE(&cs->list, c, link);
 	cs->n--;
+	if (c->closing)
+		cs->n_closing--;
 	stat_add(STAT_CALLERS_CLOSED, 1);
 	if (c->request != NULL)
 		entry_forget(c->request);
@@ -78,7 +87,7 @@
 	pg_put_error(out, &e);
 	caller_send(c, out);
 	if (fatal)
-		c->closing = true;
+		caller_ends(c);
 }
 
 bool caller_key_holds(struct caller *c)
@@ -128,7 +137,7 @@
 	else if (c->state == CALLER_PASSWORD)
 		caller_password(c, &m);
 	else if (m.type == 'X')
-		c->closing = true;
+		caller_ends(c);
 	else if (m.type == 'Q')
 		caller_query(c, &m);
 	else if (!caller_extended(c, &m))
@@ -250,7 +259,7 @@
 	TAILQ_INSERT_TAIL(&cs->list, c, link);
 	cs->n++;
 	stat_add(STAT_CALLERS_OPENED, 1);
-	if (cs->n > k->settings->callers_max) {
+	if (cs->n - cs->n_closing > k->settings->callers_max) {
 		stat_add(STAT_CALLERS_REFUSED, 1);
 		caller_error(c, true, "53300", "this VM has as many callers as it serves",
 			     "not run", "Connect again; another VM may serve you.");
--- a/src/caller.h
+++ b/src/caller.h
@@ -90,6 +90,7 @@
 	struct evconnlistener *listener;
 	struct caller_list list;
 	unsigned n;
+	unsigned n_closing; /**< of them, those that are served no more */
 	uint32_t next_pid;
 	SSL_CTX *tls;
 	bool draining;
@@ -107,6 +108,8 @@
 /** Tell an error; @a fatal closes the connection once it is written. */
 void caller_error(struct caller *c, bool fatal, const char *sqlstate, const char *message,
 		  const char *detail, const char *hint);
+/** Serve @a c no more; it is closed once its last words have left. */
+void caller_ends(struct caller *c);
 void caller_close(struct caller *c);
 /** Go on with the messages that have arrived. */
 void caller_process(struct caller *c);
--- a/src/net.c
+++ b/src/net.c
@@ -4,6 +4,7 @@
 #include "error.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -14,6 +15,8 @@
 #define KEEPALIVE_IDLE_S 3
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
+/** The other end's time to take the last words and close. */
+#define LINGER_S 1
 /** Bytes that stay unacknowledged for this long end the connection. */
 #define UNACKED_MS 5000
 
@@ -51,6 +54,36 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof(unacked_ms));
 }
 
+static void linger_read(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	evbuffer_drain(in, evbuffer_get_length(in));
+}
+
+static void linger_written(struct bufferevent *bev, void *arg)
+{
+	if (evbuffer_get_length(bufferevent_get_output(bev)) == 0)
+		shutdown(bufferevent_getfd(bev), SHUT_WR);
+}
+
+static void linger_event(struct bufferevent *bev, short what, void *arg)
+{
+	bufferevent_free(bev);
+}
+
+void net_linger(struct bufferevent *bev)
+{
+	const struct timeval limit = {.tv_sec = LINGER_S};
+
+	bufferevent_setcb(bev, linger_read, linger_written, linger_event, NULL);
+	bufferevent_setwatermark(bev, EV_READ, 0, 0);
+	bufferevent_set_timeouts(bev, &limit, &limit);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	linger_read(bev, NULL);
+	linger_written(bev, NULL);
+}
+
 struct evconnlistener *net_listen(struct event_base *base, const char *address,
 				  evconnlistener_cb cb, void *arg, GError **error)
 {
