Each data centre reads at its own replica

A VM of each data centre, by rendezvous, now serves reads at the pool's replica there, with the owner's knowledge of the newest write, which it asks for when older than 250 ms. What it can't serve (no such replica, behind, more than four waiting) goes to the owner.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -97,6 +97,14 @@
 	return vm != NULL ? vm->address : NULL;
 }
 
+const char *fleet_near_address(struct fleet *f, const char *role)
+{
+	const char *here = f->service.kernel->settings->data_center;
+	struct vm *vm = role_holder(f, role, here);
+
+	return vm != NULL && strcmp(vm->data_center, here) == 0 ? vm->address : NULL;
+}
+
 void fleet_suspect(struct fleet *f, const char *address)
 {
 	struct vm *vm;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -73,6 +73,8 @@
 bool fleet_home_is_self(struct fleet *f, const char *pool, const struct conf_member *m);
 /** RPC address of the holder of @a role in the whole fleet; NULL when none is known. */
 const char *fleet_holder_address(struct fleet *f, const char *role);
+/** The same among the VMs of this data centre. */
+const char *fleet_near_address(struct fleet *f, const char *role);
 /** A call to the VM at @a address failed. */
 void fleet_suspect(struct fleet *f, const char *address);
 /** Whether this VM surely still counts as listed for others. */
--- a/src/mango.h
+++ b/src/mango.h
@@ -279,7 +279,7 @@
 	u_quad_t idle_tx_us;
 	u_quad_t transaction;
 	int begin;
-	bool_t local;
+	int reader;
 	struct {
 		u_int values_len;
 		ml_value *values_val;
@@ -314,6 +314,8 @@
 	ml_name address;
 	u_quad_t revision;
 	bool_t serving;
+	ml_pos mark;
+	u_quad_t mark_age_us;
 };
 typedef struct ml_owner ml_owner;
 
--- a/src/mango.x
+++ b/src/mango.x
@@ -217,7 +217,7 @@
 	unsigned hyper idle_tx_us;
 	unsigned hyper transaction;
 	int begin;
-	bool local;
+	int reader;
 	ml_value values<ML_PARAMS_MAX>;
 };
 
@@ -244,6 +244,8 @@
 	ml_name address;
 	unsigned hyper revision;
 	bool serving;
+	ml_pos mark;
+	unsigned hyper mark_age_us;
 };
 
 struct ml_yield_args {
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -519,7 +519,7 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->begin))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->local))
+	 if (!xdr_int (xdrs, &objp->reader))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, ML_PARAMS_MAX,
 		sizeof (ml_value), (xdrproc_t) xdr_ml_value))
@@ -578,6 +578,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->serving))
 		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->mark))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mark_age_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/net.h
+++ b/src/net.h
@@ -19,9 +19,10 @@
  */
 void net_set_keepalive(evutil_socket_t fd);
 /**
- * Close @a bev once all that was written to it has left, and the other end has taken it. A socket that
- * is closed with bytes unread resets its connection, and the other end loses the last words, such as
- * why its message was refused. What still comes is read and dropped, for a second at most. Takes
+ * Close @a bev once all that was written to it has left, and the other end has taken it. A socket
+ * that is closed with bytes unread resets its connection, and the other end loses the last words,
+ * such as why its message was refused. What still comes is read and dropped, for a second at most.
+ * Takes
  * @a bev over.
  */
 void net_linger(struct bufferevent *bev);
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -371,6 +371,53 @@
 	claim_write(g, &r, claimed);
 }
 
+/** Fill in what this VM, as the owner, knows of the newest write. */
+static void put_mark(const struct owner_group *g, ml_owner *res)
+{
+	const struct mark *newest = &g->marks.newest;
+
+	if (!og_mine(g) || newest->pos.term == 0)
+		return;
+	res->mark = (ml_pos){newest->pos.term, newest->pos.lsn};
+	res->mark_age_us = (u_quad_t)(now_us() - newest->asked_us);
+}
+
+static void mark_answered(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_owner *res = arg_res;
+	struct call *q = arg;
+	struct owner_group *g = og_find(q->o, q->pool);
+
+	if (g != NULL) {
+		g->mark_asked = false;
+		if (status == RPC_DONE)
+			owner_told_mark(q->o, q->pool, (struct pos){res->mark.term, res->mark.lsn},
+					g->mark_asked_us - (int64_t)res->mark_age_us);
+	}
+	call_free(q);
+}
+
+void claim_ask_mark(struct owner_group *g, int64_t now)
+{
+	ml_owner args = {.pool = g->pool, .vm = "", .address = ""};
+	const char *address;
+	struct call *q;
+	bool known;
+
+	if (g->mark_asked)
+		return;
+	address = owner_address(g->o, g->pool, &known);
+	if (address == NULL)
+		return;
+	g->mark_asked = true;
+	g->mark_asked_us = now;
+	q = g_new0(struct call, 1);
+	q->o = g->o;
+	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
+	rpc_start(rpc_of(g->o->service.kernel), address, ML_OWNER, &args, ASK_TIMEOUT_US,
+		  mark_answered, q);
+}
+
 static void owner_answered(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_owner *res = arg_res;
@@ -569,6 +616,7 @@
 		res.address = g->record.address;
 		res.revision = g->revision;
 		res.serving = og_mine(g) && og_may_send(g);
+		put_mark(g, &res);
 	}
 	rpc_reply(rq, &res);
 }
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -11,6 +11,13 @@
  * way there and back, which is a fifth to a half of a short statement's work between data centres.
  */
 #define AHEAD 1
+/**
+ * Reads that wait at a reader of one data centre, at most; others go to the owner, which has all
+ * the replicas. Four are a wait of 15 to 30 ms for the users' reads on two slots.
+ */
+#define READER_WAITING_MAX 4
+/** A reader asks the owner for news of the newest write when its own is older. */
+#define MARK_OLD_US (250 * USEC_PER_MSEC)
 /** Statements waiting for one group, at most. */
 #define QUEUE_MAX 2000
 /**
@@ -80,6 +87,12 @@
 	return pos_cmp(m->pos, need) >= 0 || now - m->pos_us > POSITION_FRESH_US;
 }
 
+/** A VM that does not own the group does not know which member leads, and needs not. */
+static bool is_primary(const struct owner_group *g, unsigned i)
+{
+	return og_mine(g) && (int)i == g->primary;
+}
+
 /**
  * The replica that is likely to answer first, by its statements in the slots and the time that they
  * took lately: a member that has become slow gets less by what its answers show.
@@ -87,6 +100,8 @@
 static struct owner_member *pick_replica(const struct owner_job *job, int64_t now, bool *any)
 {
 	struct owner_group *g = job->g;
+	const char *here = g->o->service.kernel->settings->data_center;
+	bool near = job->args->reader == READER_NEAR && !og_mine(g);
 	struct owner_member *best = NULL;
 	double best_wait = 0;
 	unsigned i;
@@ -96,7 +111,9 @@
 		struct owner_member *m = &g->member[i];
 		double wait;
 
-		if ((int)i == g->primary || !member_usable(m) || !replica_fits(job, m, now))
+		if (is_primary(g, i) || !member_usable(m) || !replica_fits(job, m, now))
+			continue;
+		if (near && strcmp(m->conf.data_center, here) != 0)
 			continue;
 		*any = true;
 		if (member_room(m, AHEAD) == 0 || !conn_available(m, job->args->team))
@@ -125,12 +142,14 @@
 	return m;
 }
 
-static struct owner_member *pick(const struct owner_job *job, int64_t now)
+/** @param hopeless set when no member here will ever serve it: the owner is to be asked */
+static struct owner_member *pick(const struct owner_job *job, int64_t now, bool *hopeless)
 {
 	struct owner_group *g = job->g;
 	struct owner_member *m;
 	bool any;
 
+	*hopeless = false;
 	if (now < job->not_before_us)
 		return NULL;
 	if (job->needs_primary)
@@ -138,6 +157,9 @@
 	m = pick_replica(job, now, &any);
 	if (m != NULL)
 		return m;
+	*hopeless = !any && job->args->reader != READER_OWNER && !og_mine(g);
+	if (*hopeless)
+		return NULL;
 	/*
 	 * A session's own write is not on the replicas for some tens of milliseconds: the primary
 	 * has it. It also takes reads when all replicas are full and it has nothing to do.
@@ -204,8 +226,14 @@
 	struct owner_job *job, *next;
 
 	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
-		struct owner_member *m = pick(job, now);
+		bool hopeless;
+		struct owner_member *m = pick(job, now, &hopeless);
 
+		if (hopeless) {
+			TAILQ_REMOVE(&g->held, job, link);
+			job_end(job, OUTCOME_BEHIND, NULL, 0);
+			continue;
+		}
 		if (m == NULL)
 			continue;
 		TAILQ_REMOVE(&g->held, job, link);
@@ -227,8 +255,13 @@
 
 	while (stuck < 4 && (item = fairq_next(q)) != NULL) {
 		struct owner_job *job = (struct owner_job *)item;
-		struct owner_member *m = pick(job, now);
+		bool hopeless;
+		struct owner_member *m = pick(job, now, &hopeless);
 
+		if (hopeless) {
+			job_end(job, OUTCOME_BEHIND, NULL, 0);
+			continue;
+		}
 		if (m != NULL && job_start(job, m))
 			continue;
 		TAILQ_INSERT_TAIL(&g->held, job, link);
@@ -346,16 +379,32 @@
 	job_start_in_tx(job);
 }
 
+/** Whether reads wait here for longer than they would at the owner's other replicas. */
+static bool reader_busy(const struct owner_group *g)
+{
+	unsigned i, waiting = 0;
+
+	for (i = 0; i < OWNER_PRIORITIES; i++)
+		waiting += g->read_queue[i].length;
+	return waiting >= READER_WAITING_MAX;
+}
+
 /**
- * A read that this VM serves by itself, because the owner is out of reach: replicas tell whether
- * they have the position that the owner last told, and the read may be as old as that is.
+ * A read that this VM serves though it is not the owner: replicas tell whether they have the
+ * position that the owner last told, and the read may be as old as that is.
  */
-static enum outcome check_local(struct owner_group *g, const ml_run_args *a, int64_t now)
+static enum outcome check_reader(struct owner_group *g, const ml_run_args *a, int64_t now)
 {
 	struct pos need;
 
+	if (g->o->leaving)
+		return OUTCOME_LEAVING;
+	if (now - g->marks.newest.asked_us > MARK_OLD_US)
+		claim_ask_mark(g, now);
 	if (needs_primary(a) || !marks_need(&g->marks, now - (int64_t)a->max_age_us, &need))
 		return OUTCOME_NOT_SENT;
+	if (a->reader == READER_NEAR && reader_busy(g))
+		return OUTCOME_QUEUE_FULL;
 	if (!g->reading)
 		log_info("reads-begin", LOG_STR("pool", g->pool),
 			 LOG_NUM("mark_age_us", now - g->marks.newest.asked_us),
@@ -370,8 +419,8 @@
 {
 	int64_t now = now_us();
 
-	if (a->local && !og_mine(g))
-		return check_local(g, a, now);
+	if (a->reader != READER_OWNER && !og_mine(g))
+		return check_reader(g, a, now);
 	if (!og_mine(g) || g->o->leaving)
 		return OUTCOME_LEAVING;
 	if (!og_may_send(g))
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -358,11 +358,12 @@
 		change_begin(g, false, m->refused ? "refuses" : "silent");
 }
 
-static void judge_replica(struct owner_member *m, int64_t now)
+void watch_judge_replica(struct owner_member *m, int64_t now)
 {
 	if (m->down || m->unheard_us == 0 || now - m->unheard_us < REPLICA_DOWN_US)
 		return;
 	m->down = true;
+	m->down_us = now;
 	log_warn("member-down", LOG_STR("pool", m->g->pool), LOG_STR("member", m->conf.name),
 		 LOG_NUM("silent_ms", (now - m->unheard_us) / USEC_PER_MSEC),
 		 LOG_NUM("refused", m->refused));
@@ -379,7 +380,7 @@
 		probe_tick(m, now);
 		conn_tick(m, now);
 		if ((int)i != g->primary)
-			judge_replica(m, now);
+			watch_judge_replica(m, now);
 	}
 	judge_primary(g, now);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -22,8 +22,10 @@
  * no new ones: most likely it is gone, and they would be held until their time is over.
  */
 #define SILENT_US (300 * USEC_PER_MSEC)
-/** How long a VM keeps connections that it opened to read by itself. */
-#define READING_KEEP_US (1 * USEC_PER_SEC)
+/** How long a VM that does not own the group keeps connections that it opened for reads. */
+#define READING_KEEP_US (10 * USEC_PER_SEC)
+/** How long it sends nothing to a replica that fell silent, since nothing else looks at it. */
+#define READING_DOWN_US (1 * USEC_PER_SEC)
 /** Open transactions may go on for so long after this VM began to leave, as half of its grace. */
 #define LEAVE_TX_US (3 * USEC_PER_SEC)
 
@@ -273,6 +275,50 @@
 		marks_add(&g->marks, pos, asked_us);
 }
 
+/** Whether the group's owner is in this VM's data centre, found anew when its address changes. */
+static bool owner_is_near(struct owner_group *g, const char *address)
+{
+	const struct fleet *f = og_fleet(g);
+	const struct vm *vm;
+
+	if (strcmp(g->owner_at, address) == 0)
+		return g->owner_near;
+	g->owner_near = false;
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		if (strcmp(vm->address, address) != 0)
+			continue;
+		g_strlcpy(g->owner_at, address, sizeof(g->owner_at));
+		g->owner_near = strcmp(vm->data_center, f->peers.self->data_center) == 0;
+	}
+	return g->owner_near;
+}
+
+const char *owner_near_reader(struct owner *o, const char *pool)
+{
+	struct owner_group *g = og_find(o, pool);
+	const char *here = o->service.kernel->settings->data_center;
+	char role[NAME_SIZE + 8];
+	const char *address;
+	bool known;
+	unsigned i;
+
+	if (g == NULL)
+		return NULL;
+	address = owner_address(o, pool, &known);
+	if (!known || owner_is_near(g, address))
+		return NULL;
+	for (i = 0; i < g->n; i++) {
+		const struct owner_member *m = &g->member[i];
+
+		if (m->listed && !m->conf.leaving && strcmp(m->conf.data_center, here) == 0)
+			break;
+	}
+	if (i == g->n)
+		return NULL;
+	g_snprintf(role, sizeof(role), "read %s", pool);
+	return fleet_near_address(og_fleet(g), role);
+}
+
 bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us)
 {
 	struct owner_group *g = og_find(o, pool);
@@ -309,12 +355,26 @@
 
 /* The service */
 
-/** Connections for reads of this VM's own are closed when the last one has ended. */
-static void reading_tick(struct owner_group *g)
+/**
+ * Silent replicas get no reads for a while. Connections for reads that this VM serves without
+ * owning the group are closed when none has come for some time.
+ */
+static void reading_tick(struct owner_group *g, int64_t now)
 {
 	unsigned i;
 
-	if (g->jobs > 0 || !TAILQ_EMPTY(&g->txs) || now_us() - g->read_us < READING_KEEP_US)
+	for (i = 0; i < g->n; i++) {
+		struct owner_member *m = &g->member[i];
+
+		conn_tick(m, now);
+		watch_judge_replica(m, now);
+		if (m->down && now - m->down_us > READING_DOWN_US) {
+			m->down = false;
+			m->unheard_us = 0;
+		}
+	}
+
+	if (g->jobs > 0 || !TAILQ_EMPTY(&g->txs) || now - g->read_us < READING_KEEP_US)
 		return;
 	g->reading = false;
 	log_info("reads-end", LOG_STR("pool", g->pool));
@@ -339,7 +399,7 @@
 		}
 		queue_tick(g, now);
 		if (g->reading && g->state <= OWNER_CLAIMING)
-			reading_tick(g);
+			reading_tick(g, now);
 		if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
 		    TAILQ_EMPTY(&g->running))
 			claim_stop(g, "nothing-open");
--- a/src/owner.h
+++ b/src/owner.h
@@ -32,6 +32,13 @@
 struct owner_job;
 struct owner_tx;
 
+/** By whom a read may be served that its group's owner does not serve. */
+enum owner_reader {
+	READER_OWNER, /**< only by the owner */
+	READER_NEAR,  /**< by a VM of the caller's data centre, at a replica that is there too */
+	READER_ANY,   /**< by the entry VM, at any replica in reach: the owner is not */
+};
+
 /** Classes of urgency; a route's priority beyond the last counts as the last. */
 #define OWNER_PRIORITIES 4
 /** A prepared statement's name on a connection: 'r' or 'w', '_', and its shape. */
@@ -130,6 +137,7 @@
 	int64_t unheard_us; /**< since when something is sent and nothing was answered; 0: none */
 	bool refused;	    /**< it refuses connections since it was last heard */
 	bool down;	    /**< silent: gets nothing but looks */
+	int64_t down_us;    /**< since when */
 	double service_us;  /**< moving average of a statement's time */
 	struct owner_probe probe;
 	struct lead_candidate seen;
@@ -170,6 +178,10 @@
 			     */
 	uint64_t hint_revision; /**< of a newer record that another VM told of */
 	char hint_address[ADDRESS_SIZE];
+	char owner_at[ADDRESS_SIZE]; /**< address that @a owner_near is of */
+	bool owner_near;	     /**< the owner is in this VM's data centre */
+	bool mark_asked; /**< the owner is being asked what it knows of the newest write */
+	int64_t mark_asked_us;
 	uint64_t lease;	 /**< under which the record was last seen to be this VM's */
 	int64_t read_us; /**< when this VM last took a read for itself */
 	bool reading;	 /**< this VM reads from replicas by itself, for want of an owner */
@@ -232,6 +244,11 @@
  * @a asked_us. Kept for reads while the owner is out of reach.
  */
 void owner_told_mark(struct owner *o, const char *pool, struct pos pos, int64_t asked_us);
+/**
+ * RPC address of the VM of this data centre that reads for it at a replica of the pool that is
+ * here; NULL when the owner, or the primary, is here, or no replica is.
+ */
+const char *owner_near_reader(struct owner *o, const char *pool);
 /** Whether a read of data up to @a max_age_us old could be served by this VM itself. */
 bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us);
 /** An answer told of a newer record than is known here. */
@@ -256,6 +273,8 @@
 void claim_yield_serve(struct rpc_request *rq, const void *args, void *owner);
 /** Give the group to another VM; open transactions end here. */
 void claim_hand_over(struct owner_group *g, const char *to, const char *why);
+/** Ask the owner what it knows of the newest write. */
+void claim_ask_mark(struct owner_group *g, int64_t now);
 /** Hand the group to a VM of its primary's data centre, if this one is not there. */
 void claim_move_near(struct owner_group *g, int64_t now);
 /** Stop sending for the group at once. */
@@ -278,6 +297,8 @@
 /** Look at a member as soon as possible. */
 void watch_look(struct owner_member *m);
 void watch_close(struct owner_member *m);
+/** A replica that answers nothing gets no more statements until it is heard. */
+void watch_judge_replica(struct owner_member *m, int64_t now);
 void watch_reach_serve(struct rpc_request *rq, const void *args, void *owner);
 
 /* owner-queue.c */
--- a/src/session.c
+++ b/src/session.c
@@ -40,6 +40,8 @@
  * within 100 ms.
  */
 #define SILENT_LOOK_US (160 * USEC_PER_MSEC)
+/** Replicas lack a session's write for about so long; the users' are 8 and 60 ms behind. */
+#define REPLICAS_LACK_US (120 * USEC_PER_MSEC)
 /** Longest wait of an idle transaction when the route says none. */
 #define IDLE_TX_US (30 * USEC_PER_SEC)
 
@@ -78,7 +80,9 @@
 	unsigned tries;
 	char address[ADDRESS_SIZE];
 	int64_t sent_us;
-	bool local; /**< this try is served by this VM itself */
+	enum owner_reader reader; /**< who serves this try */
+	bool near_failed;	  /**< the reader of this data centre could not serve it */
+	int64_t wrote_us;	  /**< when a write of the session was last acknowledged */
 	struct rpc_call *call;
 	struct event *timer;
 };
@@ -293,18 +297,38 @@
 	}
 	/* Also a read's position: what a session has seen once it must not miss later. */
 	if (o == OUTCOME_DONE && s->tx == TX_NONE && pos_cmp(pos, s->pos) > 0 &&
-	    (s->st.write || s->st.op == STATEMENT_WRITE || s->st.op == STATEMENT_COMMIT))
+	    (s->st.write || s->st.op == STATEMENT_WRITE || s->st.op == STATEMENT_COMMIT)) {
 		s->pos = pos;
+		s->wrote_us = now_us();
+	}
 	finish(s, &a);
 }
 
 /** Whether the statement is a read that a replica may serve. */
-static bool may_read_locally(const struct session *s)
+static bool replica_may_serve(const struct session *s)
 {
 	bool read = s->st.op == STATEMENT_READ || (s->st.op == STATEMENT_EXECUTE && !s->st.write);
 
-	if (!read || s->tx_id != 0 || (s->tx != TX_NONE && !s->tx_read_only) ||
-	    (s->route.mode != READ_BOUNDED && s->route.mode != READ_SESSION))
+	return read && s->tx_id == 0 && (s->tx == TX_NONE || s->tx_read_only) &&
+	       (s->route.mode == READ_BOUNDED || s->route.mode == READ_SESSION);
+}
+
+/**
+ * The VM that reads for this data centre; NULL when the owner is to be asked. A session that has
+ * just written finds its write at the primary, before the replicas have it.
+ */
+static const char *near_reader(struct session *s)
+{
+	if (s->near_failed || !replica_may_serve(s) ||
+	    (s->route.mode == READ_SESSION && now_us() - s->wrote_us < REPLICAS_LACK_US))
+		return NULL;
+	return owner_near_reader(owner_of(kernel_of(s)), s->route.pool);
+}
+
+/** Whether this VM itself could serve the statement from replicas in reach. */
+static bool may_read_here(const struct session *s)
+{
+	if (!replica_may_serve(s))
 		return false;
 	return owner_can_read(owner_of(kernel_of(s)), s->route.pool,
 			      (int64_t)s->route.max_age_ms * USEC_PER_MSEC);
@@ -323,12 +347,12 @@
 	 * Reads need no owner as long as what it last told is new enough for them: a replica in
 	 * reach serves them.
 	 */
-	if (!s->local && may_read_locally(s)) {
-		s->local = true;
+	if (s->reader != READER_ANY && may_read_here(s)) {
+		s->reader = READER_ANY;
 		run_remote(s);
 		return;
 	}
-	s->local = false;
+	s->reader = READER_OWNER;
 	/*
 	 * A successor would be there by now: the group is out of reach. Holding one more statement
 	 * would only use up its caller's time.
@@ -341,6 +365,19 @@
 	kernel_arm(s->timer, pause);
 }
 
+/** The near reader could not serve it: the owner is asked, at once. */
+static bool owner_instead(struct session *s, enum rpc_status status, enum outcome o)
+{
+	if (s->reader != READER_NEAR || s->closed || s->tx_id != 0)
+		return false;
+	if (status == RPC_DONE && (o == OUTCOME_DONE || o == OUTCOME_SQL_ERROR))
+		return false;
+	s->near_failed = true;
+	s->reader = READER_OWNER;
+	run_remote(s);
+	return true;
+}
+
 static bool tries_again(const struct session *s, enum outcome o)
 {
 	if (s->tx_id != 0)
@@ -370,11 +407,13 @@
 		if (res->owner_revision > 0)
 			owner_heard(owner_of(kernel_of(s)), s->route.pool, res->owner,
 				    res->owner_address, res->owner_revision);
+		if (owner_instead(s, status, (enum outcome)res->outcome))
+			return;
 		if (!s->closed && tries_again(s, (enum outcome)res->outcome)) {
 			try_later(s, (enum outcome)res->outcome);
 			return;
 		}
-		if (!s->local)
+		if (s->reader == READER_OWNER)
 			owner_took(owner_of(kernel_of(s)), s->route.pool, true);
 		if (s->closed && res->transaction != 0) {
 			s->tx_id = res->transaction;
@@ -386,6 +425,8 @@
 		return;
 	}
 	fleet_suspect(fleet_of(kernel_of(s)), s->address);
+	if (owner_instead(s, status, o))
+		return;
 	if (s->closed) {
 		session_free(s);
 		return;
@@ -449,6 +490,7 @@
 {
 	struct kernel *k = kernel_of(s);
 	ml_value values[ML_PARAMS_MAX > 64 ? 64 : ML_PARAMS_MAX];
+	const char *near = near_reader(s);
 	const char *address;
 	ml_run_args args;
 	bool known;
@@ -456,9 +498,13 @@
 
 	if (s->tx_id != 0) {
 		g_strlcpy(s->address, s->tx_address, sizeof(s->address));
-	} else if (s->local) {
+	} else if (s->reader == READER_ANY) {
 		g_strlcpy(s->address, k->settings->advertise, sizeof(s->address));
+	} else if (near != NULL) {
+		s->reader = READER_NEAR;
+		g_strlcpy(s->address, near, sizeof(s->address));
 	} else {
+		s->reader = READER_OWNER;
 		address = owner_address(owner_of(k), s->route.pool, &known);
 		if (address == NULL) {
 			try_later(s, OUTCOME_NOT_SENT);
@@ -471,11 +517,11 @@
 		values[i] = *(ml_value *)g_ptr_array_index(s->values, i);
 	args.values.values_len = i;
 	args.values.values_val = values;
-	args.local = s->local;
+	args.reader = (int)s->reader;
 	s->sent_us = now_us();
 	s->call = rpc_start(rpc_of(k), s->address, ML_RUN, &args,
 			    (int64_t)args.deadline_us + ANSWER_GRACE_US, on_ran, s);
-	if (!s->local && s->call != NULL && may_read_locally(s))
+	if (s->reader != READER_ANY && s->call != NULL && may_read_here(s))
 		kernel_arm(s->timer, SILENT_LOOK_US);
 }
 
@@ -605,7 +651,8 @@
 	enum outcome o;
 
 	s->busy = true;
-	s->local = false;
+	s->reader = READER_OWNER;
+	s->near_failed = false;
 	s->st = *st;
 	s->tries = 0;
 	s->started_us = now_us();
--- a/tests/test-it-caller.c
+++ b/tests/test-it-caller.c
@@ -186,8 +186,8 @@
 	CHECK(refused >= 5 && refused < 12, "%d of 45 refused", refused);
 	test_sleep_ms(1800);
 	/*
-	 * All were ended for being idle, and their last words wait to be read. A new caller was refused
-	 * then as one too many, though none of them is served any more.
+	 * All were ended for being idle, and their last words wait to be read. A new caller was
+	 * refused then as one too many, though none of them is served any more.
 	 */
 	PGconn *next = fleet_orders(f, 0);
 	CHECK(PQstatus(next) == CONNECTION_OK, "%s", PQerrorMessage(next));
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -153,7 +153,8 @@
 			 .shape = "",
 			 .op = STATEMENT_READ,
 			 .mode = READ_BOUNDED,
-			 .local = true};
+
+			 .reader = READER_ANY};
 
 	a.max_age_us = max_age_ms * USEC_PER_MSEC;
 	a.deadline_us = deadline_ms * USEC_PER_MSEC;
