Reports of rates only where they bring something; one list of the store; own news in batches

A holder without units asks for single tokens after 5 ms in place of 50. The store is listed in one call, and a watch waits 150 ms after news of our own keys.

--- a/decide/share.c
+++ b/decide/share.c
@@ -110,8 +110,13 @@
 int64_t share_holder_due_us(const struct share_holder *h)
 {
 	if (h->short_now)
-		return h->reported_us + SHARE_REPORT_FAST_US;
-	if (h->epoch == 0 || h->seq == 0)
+		return h->reported_us +
+		       (h->units == 0 && h->heard ? SHARE_REPORT_ASK_US : SHARE_REPORT_FAST_US);
+	/*
+	 * A holder that was answered and given nothing is bound as well; reporting on would bring it
+	 * nothing, and was four fifths of a large fleet's control traffic.
+	 */
+	if (h->epoch == 0 || !h->heard)
 		return h->reported_us + SHARE_REPORT_FAST_US * 4;
 	if (h->average < IDLE_RATE && h->demand < IDLE_RATE)
 		return h->reported_us + SHARE_REPORT_IDLE_US;
@@ -149,11 +154,13 @@
 		 */
 		h->epoch = o->epoch;
 		h->seq = 0;
+		h->heard = false;
 		h->over = false;
 		h->reported_us = now_us - SHARE_REPORT_SLOW_US;
 		return false;
 	}
 	h->over = o->over;
+	h->heard = true;
 	/*
 	 * An order that comes late, after a newer one, would bring units back that were given to
 	 * others.
--- a/decide/share.h
+++ b/decide/share.h
@@ -27,6 +27,11 @@
 #define SHARE_GONE_US (6 * USEC_PER_SEC)
 /** Shortest and longest time between two reports of a holder. */
 #define SHARE_REPORT_FAST_US (50 * USEC_PER_MSEC)
+/**
+ * The same for a holder without any units, whose requests wait for single tokens. At 50 ms each request
+ * of a team that is too small to be split over the fleet took 25 ms more, half of what it takes.
+ */
+#define SHARE_REPORT_ASK_US (5 * USEC_PER_MSEC)
 #define SHARE_REPORT_SLOW_US (1 * USEC_PER_SEC)
 /** The same for one without requests; below the time after which it counts as silent. */
 #define SHARE_REPORT_IDLE_US (4 * USEC_PER_SEC)
@@ -86,6 +91,7 @@
 	int64_t window_us;
 	int64_t reported_us; /**< last report sent */
 	bool leaving;	     /**< takes no units any more */
+	bool heard;	     /**< the allocator that it obeys has answered a report */
 	bool short_now;	     /**< a request found too few tokens since the last report */
 };
 
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -37,17 +37,19 @@
  * primaries that serve.
  */
 #define LAPSED_KEEP_US (2300 * USEC_PER_MSEC)
-/** A VM that is not a watcher compares its versions with the store this often. */
-#define OTHER_CHECK_US (30 * USEC_PER_SEC)
+/**
+ * Pause of a watch after news of our own keys, to be told of several at once. A change of the
+ * configuration waits so much longer at most.
+ */
+#define OWN_NEWS_PAUSE_US (150 * USEC_PER_MSEC)
+/** A VM that is not a watcher compares its versions with the store this often; heartbeats tell it too. */
+#define OTHER_CHECK_US (60 * USEC_PER_SEC)
 #define TICK_US (100 * USEC_PER_MSEC)
 /** Versions within one revision of the store, for changes that time alone brings. */
 #define VERSION_STEPS 8
 
 #define LISTENERS_MAX 4
 
-/** What is listed at the start, and again when history is gone. */
-enum { LIST_DOCUMENT, LIST_SERVERS, LIST_OWN, LISTS };
-
 struct server {
 	struct records_server record;
 	bool lapsed;
@@ -71,10 +73,10 @@
 	int64_t lease_until_us;
 	int64_t lease_next_us;
 
-	unsigned listing;	/**< the list under way; LISTS when all are read */
+	bool listed_all; /**< everything was read; the watch goes on from there */
 	char *after;		/**< last key of the list's page before */
 	GHashTable *listed;	/**< keys that this list has told */
-	uint64_t list_revision; /**< of the first list: the watch goes on from there */
+	uint64_t list_revision; /**< of the list's first page */
 	struct store_call *watch;
 	uint64_t as_of; /**< revision up to which all changes are known */
 	bool reachable;
@@ -430,7 +432,7 @@
 
 static void publish(void)
 {
-	if (source.listing < LISTS)
+	if (!source.listed_all)
 		return;
 	source.f->news_us = now_us();
 	if (source.vms_changed)
@@ -441,19 +443,8 @@
 
 /* Lists */
 
-static const char *list_prefix(void)
-{
-	const char *const prefixes[LISTS] = {
-		[LIST_DOCUMENT] = records->document_key,
-		[LIST_SERVERS] = records->servers_prefix,
-		[LIST_OWN] = FLEET_STORE_PREFIX,
-	};
-
-	return prefixes[source.listing];
-}
-
 /** Keys of a list that were known and are not told any more are gone. */
-static void drop_unlisted(const char *prefix, uint64_t revision)
+static void drop_unlisted(uint64_t revision)
 {
 	GList *keys = g_hash_table_get_keys(source.known);
 	GList *l;
@@ -461,8 +452,7 @@
 	for (l = keys; l != NULL; l = l->next) {
 		struct store_item gone = {.revision = revision};
 
-		if (!g_str_has_prefix(l->data, prefix) ||
-		    g_hash_table_contains(source.listed, l->data))
+		if (g_hash_table_contains(source.listed, l->data))
 			continue;
 		gone.key = g_strdup(l->data);
 		take_item(&gone);
@@ -472,21 +462,15 @@
 	g_list_free(keys);
 }
 
-static void list_whole(uint64_t revision)
+static void list_whole(void)
 {
-	drop_unlisted(list_prefix(), revision);
+	drop_unlisted(source.list_revision);
 	g_hash_table_remove_all(source.listed);
 	g_clear_pointer(&source.after, g_free);
-	if (source.listing == LIST_DOCUMENT)
-		source.list_revision = revision;
-	source.listing++;
-	if (source.listing < LISTS) {
-		list_next();
-		return;
-	}
+	source.listed_all = true;
 	/*
-	 * The lists are not of one moment. What changed between the first and the last is told
-	 * again by the watch, which goes on from the first.
+	 * The pages are not of one moment. What changed between the first and the last is told again by
+	 * the watch, which goes on from the first.
 	 */
 	source.as_of = source.list_revision;
 	source.vms_changed = true;
@@ -506,6 +490,8 @@
 		return;
 	}
 	source.retry_us = 0;
+	if (source.after == NULL)
+		source.list_revision = a->revision;
 	for (i = 0; i < a->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(a->items, i);
 
@@ -520,18 +506,19 @@
 		list_next();
 		return;
 	}
-	list_whole(a->revision);
+	list_whole();
 }
 
 static void list_next(void)
 {
-	source.store->ops->list(source.store, list_prefix(),
+	/* All keys at once: one call where three prefixes were three. */
+	source.store->ops->list(source.store, "",
 				source.after != NULL ? source.after : "", listed, NULL);
 }
 
 static void list_reset(void)
 {
-	source.listing = 0;
+	source.listed_all = false;
 	g_hash_table_remove_all(source.listed);
 	g_clear_pointer(&source.after, g_free);
 }
@@ -544,6 +531,20 @@
 
 /* The watch */
 
+/** Whether a watch told of keys of ours alone: VMs that come and go, and groups' records. */
+static bool only_own_news(const struct store_answer *a)
+{
+	guint i;
+
+	for (i = 0; i < a->items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(a->items, i);
+
+		if (!g_str_has_prefix(item->key, FLEET_STORE_PREFIX))
+			return false;
+	}
+	return a->items->len > 0;
+}
+
 static void watched(const struct store_answer *a, void *arg)
 {
 	guint i;
@@ -572,7 +573,14 @@
 	if (a->revision > source.as_of)
 		source.as_of = a->revision;
 	publish();
-	watch_start();
+	/*
+	 * VMs that start together list themselves one after the other, and each watcher would be told
+	 * of each in a call of its own.
+	 */
+	if (only_own_news(a))
+		kernel_arm(source.retry, OWN_NEWS_PAUSE_US);
+	else
+		watch_start();
 }
 
 static void watch_start(void)
@@ -586,7 +594,7 @@
 
 static void on_retry(evutil_socket_t fd, short what, void *arg)
 {
-	if (source.listing < LISTS)
+	if (!source.listed_all)
 		list_next();
 	else
 		watch_start();
@@ -721,7 +729,7 @@
 
 	lease_tick(now);
 	drop_lapsed(now);
-	if (source.listing < LISTS || source.watch != NULL ||
+	if (!source.listed_all || source.watch != NULL ||
 	    event_pending(source.retry, EV_TIMEOUT, NULL))
 		return;
 	if (fleet_is_watcher(source.f))
@@ -734,7 +742,7 @@
 
 static void store_behind(struct fleet *f)
 {
-	if (source.listing == LISTS && source.watch == NULL)
+	if (source.listed_all && source.watch == NULL)
 		list_begin();
 }
 
--- a/src/shares.c
+++ b/src/shares.c
@@ -21,6 +21,8 @@
 #define REPORT_TIMEOUT_US (400 * USEC_PER_MSEC)
 /** Single tokens that took longer to arrive are not used. */
 #define GRANT_FRESH_US (100 * USEC_PER_MSEC)
+/** A report takes along the teams of the same allocator whose own would be due so soon. */
+#define REPORT_AHEAD_US (500 * USEC_PER_MSEC)
 /** VMs that allocate, at most. */
 #define ALLOCATORS 8
 /** Teams that one report may name. */
@@ -415,7 +417,8 @@
 		for (other = t; other != NULL && n < REPORT_TEAMS;
 		     other = TAILQ_NEXT(other, link)) {
 			allocator_role(other, role);
-			if (report_due(other, now) && fleet_holder_address(f, role) == address)
+			if (report_due(other, now + REPORT_AHEAD_US) &&
+			    fleet_holder_address(f, role) == address)
 				report_fill(other, &reports[n++], now);
 		}
 		report_send(s, address, reports, n);
