mangoloom explain, histograms, and the inputs of refusals in the log

A request's story is joined from the logs of several VMs: its own lines in order, and the beliefs about its database, team and store that were in force.

--- a/cmd/mangoloom-cli.h
+++ b/cmd/mangoloom-cli.h
@@ -13,6 +13,9 @@
 #include "table.h"
 #include "version.h"
 
+/** Words on a command line: a command, and for `explain` the logs of many VMs. */
+#define CLI_WORDS_MAX 256
+
 /** Options, before their command's own use of them. */
 struct cli_options {
 	const char *routes; /**< file, or NULL */
@@ -108,5 +111,6 @@
 int cmd_key(struct cli *cli);
 int cmd_status(struct cli *cli);
 int cmd_stop(struct cli *cli);
+int cmd_explain(struct cli *cli);
 
 #endif
--- a/cmd/mangoloom.c
+++ b/cmd/mangoloom.c
@@ -21,6 +21,8 @@
 	 cmd_key},
 	{"status", "[VM]", "print what each VM, or one, tells of itself", 0, 1, false, cmd_status},
 	{"stop", "VM", "stop a VM's daemon gracefully", 1, 1, false, cmd_stop},
+	{"explain", "REQUEST LOG...", "tell the story of a request from logs of VMs", 2,
+	 CLI_WORDS_MAX - 1, true, cmd_explain},
 };
 const unsigned cli_n_commands = G_N_ELEMENTS(cli_commands);
 
@@ -124,7 +126,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, 3, "command and its words");
+	struct arg_str *words =
+		arg_strn(NULL, NULL, "COMMAND", 0, CLI_WORDS_MAX, "command and its words");
 	struct arg_str *platform =
 		arg_strn(NULL, "platform", "IP:PORT", 0, SETTINGS_ADDRESSES_MAX,
 			 "the platform's service; or " PLATFORM_ENV "=IP:PORT,...");
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -62,6 +62,9 @@
 {
 	struct owner_member *m = &g->member[i];
 
+	if (g->unserved_us != 0)
+		stat_time(STAT_TIME_CHANGE, now_us() - g->unserved_us);
+	g->unserved_us = 0;
 	g->primary = i;
 	g->term = m->seen.term;
 	g->ordered = false;
@@ -80,6 +83,7 @@
 	struct owner_member *m = og_primary(g);
 
 	stat_add(STAT_FAILOVERS_BEGUN, 1);
+	g->unserved_us = now_us();
 	log_warn("change-of-primary", LOG_STR("pool", g->pool),
 		 LOG_STR("member", m != NULL ? m->conf.name : ""), LOG_NUM("term", g->term),
 		 LOG_NUM("planned", planned), LOG_STR("why", why),
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -386,6 +386,8 @@
 	struct pos need;
 	bool known = needed(job, &need);
 
+	job->need = need;
+
 	if (!known || !believable(job)) {
 		log_info("not-sent", LOG_STR("request", job->args->request),
 			 LOG_STR("pool", job->g->pool), LOG_NUM("position_known", known));
@@ -481,6 +483,12 @@
 		job_again(job, OUTCOME_NO_NAME, 0);
 		return;
 	case MEMBER_BEHIND:
+		log_info("behind", LOG_STR("request", job->args->request),
+			 LOG_STR("pool", job->g->pool), LOG_STR("member", m->conf.name),
+			 LOG_NUM("need_term", job->need.term), LOG_NUM("need_lsn", job->need.lsn),
+			 LOG_NUM("has_lsn", a->pos.lsn),
+			 LOG_NUM("max_age_ms", job->args->max_age_us / USEC_PER_MSEC),
+			 LOG_NUM("mark_age_us", now_us() - job->g->marks.newest.asked_us));
 		job->tried |= (uint8_t)(1U << index);
 		job_detach(job, false, a->state);
 		job_again(job, OUTCOME_BEHIND, 0);
@@ -593,6 +601,9 @@
 		queue_dispatch(g);
 		return;
 	}
+	stat_time(STAT_TIME_MEMBER, now - job->sent_us);
+	if (job->step == OWNER_STATEMENT && job->tx == NULL)
+		stat_time(STAT_TIME_QUEUE, job->sent_us - job->received_us);
 	m->service_us += SERVICE_ALPHA * ((double)(now - job->sent_us) - m->service_us);
 	fairq_served(queue_of(job), now - job->sent_us);
 	if (!believable(job)) {
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -220,6 +220,19 @@
 	TAILQ_INSERT_TAIL(&job->g->held, job, link);
 }
 
+/** No member here will serve the read: its entry asks the owner. */
+static void end_hopeless(struct owner_job *job)
+{
+	const struct owner_group *g = job->g;
+
+	log_info("no-replica-fits", LOG_STR("request", job->args->request),
+		 LOG_STR("pool", g->pool), LOG_NUM("reader", job->args->reader),
+		 LOG_NUM("tried", job->tried), LOG_NUM("mark_term", g->marks.newest.pos.term),
+		 LOG_NUM("mark_lsn", g->marks.newest.pos.lsn),
+		 LOG_NUM("mark_age_us", now_us() - g->marks.newest.asked_us));
+	job_end(job, OUTCOME_BEHIND, NULL, 0);
+}
+
 /** Start what was next before and can be started now. */
 static void dispatch_held(struct owner_group *g, int64_t now)
 {
@@ -231,7 +244,7 @@
 
 		if (hopeless) {
 			TAILQ_REMOVE(&g->held, job, link);
-			job_end(job, OUTCOME_BEHIND, NULL, 0);
+			end_hopeless(job);
 			continue;
 		}
 		if (m == NULL)
@@ -259,7 +272,7 @@
 		struct owner_member *m = pick(job, now, &hopeless);
 
 		if (hopeless) {
-			job_end(job, OUTCOME_BEHIND, NULL, 0);
+			end_hopeless(job);
 			continue;
 		}
 		if (m != NULL && job_start(job, m))
--- a/src/owner.h
+++ b/src/owner.h
@@ -105,6 +105,7 @@
 	int64_t sent_us;
 	int64_t not_before_us; /**< a member was busy: not tried again before */
 	uint64_t term;	       /**< of the primary that it was sent to */
+	struct pos need;       /**< position that was asked for */
 };
 TAILQ_HEAD(owner_jobs, owner_job);
 
@@ -196,6 +197,7 @@
 	int target;
 	int except; /**< a member that could not be promoted, or -1 */
 	uint64_t token;
+	int64_t unserved_us; /**< since when no primary serves */
 	bool ordered;
 	int64_t fence_next_us;
 
--- a/src/session.c
+++ b/src/session.c
@@ -211,6 +211,18 @@
 	return kernel_of(s)->draining && now_us() - s->owner->left_us > LEAVE_IDLE_US;
 }
 
+static enum stat_time_id time_of(const struct session *s, enum outcome o)
+{
+	static const enum stat_time_id by_mode[] = {
+		[READ_DECLARED] = STAT_TIME_PRIMARY,
+		[READ_PRIMARY] = STAT_TIME_PRIMARY,
+		[READ_BOUNDED] = STAT_TIME_BOUNDED,
+		[READ_SESSION] = STAT_TIME_SESSION,
+	};
+
+	return o == OUTCOME_DONE ? by_mode[s->route.mode] : STAT_TIME_REFUSED;
+}
+
 static void finish(struct session *s, struct session_answer *a)
 {
 	s->busy = false;
@@ -226,10 +238,12 @@
 		log_info("answer", LOG_STR("request", s->st.request), LOG_STR("team", s->team),
 			 LOG_STR("kind", s->database), LOG_STR("pool", s->route.pool),
 			 LOG_STR("outcome", outcome_text(a->outcome)->name),
-			 LOG_NUM("tries", s->tries), LOG_NUM("us", now_us() - s->started_us),
+			 LOG_STR("by", s->address), LOG_NUM("tries", s->tries),
+			 LOG_NUM("us", now_us() - s->started_us),
 			 LOG_NUM("conf", conf_of(s)->version),
 			 LOG_NUM("retry_after_us", a->retry_after_us));
 	stat_outcome(a->outcome);
+	stat_time(time_of(s, a->outcome), now_us() - s->started_us);
 	s->ops->answer(s, a, s->arg);
 }
 
@@ -572,6 +586,7 @@
 		return;
 	}
 	stat_add(STAT_OVER_RATE, 1);
+	shares_log(shares_of(kernel_of(s)), s->team, s->st.request);
 	answer_here(s, OUTCOME_OVER_RATE, retry_after_us);
 }
 
@@ -655,6 +670,7 @@
 	s->near_failed = false;
 	s->st = *st;
 	s->tries = 0;
+	s->address[0] = '\0';
 	s->started_us = now_us();
 	s->begins = s->tx == TX_NONE;
 	stat_add(STAT_REQUESTS, 1);
--- a/src/shares.c
+++ b/src/shares.c
@@ -612,6 +612,23 @@
 	return &s->service;
 }
 
+void shares_log(struct shares *s, const char *team, const char *request)
+{
+	const struct shares_team *t = team_find(s, team);
+
+	if (t == NULL)
+		return;
+	log_info("no-token", LOG_STR("request", request), LOG_STR("team", team),
+		 LOG_NUM("rate_milli", t->bucket.rate * 1000),
+		 LOG_NUM("tokens_milli", t->bucket.tokens * 1000),
+		 LOG_NUM("whole_rate_milli", t->rate * 1000),
+		 LOG_NUM("part_permille", (int64_t)t->holder.units * 1000 / SHARE_WHOLE),
+		 LOG_NUM("demand_milli", t->holder.demand * 1000),
+		 LOG_NUM("team_over", t->holder.over), LOG_NUM("waiting", t->n_waiting),
+		 LOG_NUM("listed", s->listed),
+		 LOG_NUM("report_age_ms", (now_us() - t->holder.reported_us) / USEC_PER_MSEC));
+}
+
 void shares_json(struct shares *s, JsonBuilder *b)
 {
 	struct shares_team *t;
--- a/src/shares.h
+++ b/src/shares.h
@@ -37,6 +37,8 @@
 double shares_weight(struct shares *s, const char *team);
 /** Whether the team as a whole is thought to be within its rate. */
 bool shares_within_rate(struct shares *s, const char *team);
+/** Log what decided that @a request of @a team found no token. */
+void shares_log(struct shares *s, const char *team, const char *request);
 /** Teams for `mangoloom status`. */
 void shares_json(struct shares *s, JsonBuilder *b);
 
--- a/src/stat.c
+++ b/src/stat.c
@@ -1,6 +1,33 @@
 /** @file stat.c Counters. */
 #include "stat.h"
 
+/** Upper ends of the histograms' buckets: from a local answer to the longest deadline. */
+static const int64_t bounds_us[] = {500,    1000,   2000,   5000,    10000,   20000,  50000,
+				    100000, 200000, 500000, 1000000, 2000000, 5000000};
+#define BUCKETS (sizeof(bounds_us) / sizeof(bounds_us[0]))
+
+struct histogram {
+	uint64_t bucket[BUCKETS + 1]; /**< the last is for all above */
+	uint64_t n;
+	int64_t sum_us;
+};
+
+static struct histogram histograms[STAT_TIMES];
+
+static const struct {
+	const char *name;
+	const char *label;
+} times[STAT_TIMES] = {
+	[STAT_TIME_PRIMARY] = {"statement", "kind=\"primary\""},
+	[STAT_TIME_BOUNDED] = {"statement", "kind=\"bounded\""},
+	[STAT_TIME_SESSION] = {"statement", "kind=\"session\""},
+	[STAT_TIME_REFUSED] = {"statement", "kind=\"refused\""},
+	[STAT_TIME_QUEUE] = {"stage", "stage=\"queue\""},
+	[STAT_TIME_MEMBER] = {"stage", "stage=\"member\""},
+	[STAT_TIME_STORE] = {"stage", "stage=\"store\""},
+	[STAT_TIME_CHANGE] = {"stage", "stage=\"change-of-primary\""},
+};
+
 static uint64_t counters[STATS];
 static uint64_t outcomes[OUTCOMES];
 
@@ -44,6 +71,38 @@
 	counters[id] += n;
 }
 
+void stat_time(enum stat_time_id id, int64_t us)
+{
+	struct histogram *h = &histograms[id];
+	unsigned i = 0;
+
+	while (i < BUCKETS && us > bounds_us[i])
+		i++;
+	h->bucket[i]++;
+	h->n++;
+	h->sum_us += us;
+}
+
+static void put_histogram(struct evbuffer *out, enum stat_time_id id)
+{
+	const struct histogram *h = &histograms[id];
+	uint64_t below = 0;
+	unsigned i;
+
+	for (i = 0; i < BUCKETS; i++) {
+		below += h->bucket[i];
+		evbuffer_add_printf(out, "mangoloom_%s_seconds_bucket{%s,le=\"%g\"} %lu\n",
+				    times[id].name, times[id].label, (double)bounds_us[i] / 1e6,
+				    below);
+	}
+	evbuffer_add_printf(out, "mangoloom_%s_seconds_bucket{%s,le=\"+Inf\"} %lu\n",
+			    times[id].name, times[id].label, h->n);
+	evbuffer_add_printf(out, "mangoloom_%s_seconds_sum{%s} %.6f\n", times[id].name,
+			    times[id].label, (double)h->sum_us / 1e6);
+	evbuffer_add_printf(out, "mangoloom_%s_seconds_count{%s} %lu\n", times[id].name,
+			    times[id].label, h->n);
+}
+
 void stat_outcome(enum outcome o)
 {
 	outcomes[o]++;
@@ -77,4 +136,6 @@
 	for (i = 0; i < OUTCOMES; i++)
 		evbuffer_add_printf(out, "mangoloom_outcomes_total{outcome=\"%s\"} %lu\n",
 				    outcome_text((enum outcome)i)->name, outcomes[i]);
+	for (i = 0; i < STAT_TIMES; i++)
+		put_histogram(out, (enum stat_time_id)i);
 }
--- a/src/stat.h
+++ b/src/stat.h
@@ -47,6 +47,22 @@
 	STATS
 };
 
+/** What is timed; each is a histogram. */
+enum stat_time_id {
+	STAT_TIME_PRIMARY, /**< a statement of a route that reads all writes, at its entry */
+	STAT_TIME_BOUNDED, /**< the same, of a route with a bound on age */
+	STAT_TIME_SESSION, /**< the same, of a route that reads its session's writes */
+	STAT_TIME_REFUSED, /**< until a statement was refused */
+	STAT_TIME_QUEUE,   /**< a statement's wait at the owner or reader */
+	STAT_TIME_MEMBER,  /**< from sending a statement to a member until its answer */
+	STAT_TIME_STORE,   /**< a call to the store; waits of watches are left out */
+	STAT_TIME_CHANGE,  /**< from the end of one primary's service to the begin of the next one's
+			    */
+	STAT_TIMES
+};
+
+/** Note that something took @a us. */
+void stat_time(enum stat_time_id id, int64_t us);
 void stat_add(enum stat_id id, uint64_t n);
 /** Count one request's final outcome. */
 void stat_outcome(enum outcome o);
