--- a/tests/standin-prepared.c
+++ b/tests/standin-prepared.c
@@ -126,6 +126,9 @@
 			store_mode(json_object_get_string_member(o, "store"));
 		if (json_object_has_member(o, "lose_writes"))
 			standin.lose_writes = (int)json_object_get_int_member(o, "lose_writes");
+		if (json_object_has_member(o, "refuse_promotions"))
+			standin.refuse_promotions =
+				json_object_get_boolean_member(o, "refuse_promotions");
 		if (json_object_has_member(o, "compact"))
 			store_compact();
 		if (json_object_has_member(o, "put"))
@@ -165,7 +168,7 @@
 		m = member_named(json_object_get_string_member_with_default(
 			json_node_get_object(json_parser_get_root(parser)), "id", ""));
 	g_object_unref(parser);
-	if (m == NULL || token == NULL || holder == NULL || m->mode != MEMBER_UP) {
+	if (standin.refuse_promotions || m == NULL || token == NULL || holder == NULL || m->mode != MEMBER_UP) {
 		evhttp_send_reply(req, 409, "Conflict", NULL);
 		return;
 	}
--- a/tests/standin-prepared.h
+++ b/tests/standin-prepared.h
@@ -61,6 +61,7 @@
 	int foreign_tx;	      /**< connections that a second team used */
 	int replaced_commits; /**< commits at a member after another one led a later term */
 	int store_calls;
+	bool refuse_promotions;
 	int lose_writes; /**< writes to the store that are done and not answered */
 	GHashTable *leases;
 };
--- a/tests/test-it-explain.c
+++ b/tests/test-it-explain.c
@@ -104,25 +104,26 @@
 }
 
 /*
- * A read that may be one second old, with replicas ten seconds behind and a primary that is gone:
- * it is turned away, and the story tells the position that was needed and what the replicas had.
+ * * A read that may be one second old, with replicas a minute behind, a primary that is gone and no
+ * other to be had: it is turned away, and the story tells the position that was needed and what the replicas had.
  */
 static void test_no_replica_is_fresh_enough(void)
 {
 	struct line_fleet *f = line_fleet_start(3);
 	struct line_client c, w;
 	char primary[32], *text;
-	int64_t until = test_now_ms() + 6000;
+	int64_t until = test_now_ms() + 15000;
 	int i;
 
 	line_primary(f, primary);
 	for (i = 0; i < LINE_MEMBERS; i++)
-		line_fault(f, "{\"member\":\"m%d\",\"lag_ms\":10000}", i);
+		line_fault(f, "{\"member\":\"m%d\",\"lag_ms\":60000}", i);
 	CU_ASSERT_TRUE(line_connect(&w, f, 1, LINE_DB_PRIMARY, LINE_KEY));
 	line_query(&w, "WRITE n1 x");
 	CU_ASSERT_STRING_EQUAL(w.code, "COMPLETE");
 	test_sleep_ms(1200);
 	line_query(&w, "READ n1");
+	line_fault(f, "{\"refuse_promotions\":true}");
 	line_fault(f, "{\"member\":\"%s\",\"mode\":\"dark\"}", primary);
 	do {
 		CU_ASSERT_TRUE(line_connect(&c, f, 1, LINE_DB_BOUNDED, LINE_KEY));
