--- a/src/mango.h
+++ b/src/mango.h
@@ -314,6 +314,7 @@
 	ml_name address;
 	u_quad_t revision;
 	bool_t serving;
+	bool_t claim;
 	ml_pos mark;
 	u_quad_t mark_age_us;
 };
--- a/src/mango.x
+++ b/src/mango.x
@@ -244,6 +244,7 @@
 	ml_name address;
 	unsigned hyper revision;
 	bool serving;
+	bool claim;
 	ml_pos mark;
 	unsigned hyper mark_age_us;
 };
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -578,6 +578,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->serving))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->claim))
+		 return FALSE;
 	 if (!xdr_ml_pos (xdrs, &objp->mark))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->mark_age_us))
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -26,6 +26,13 @@
 #define UNLISTED_US (2500 * USEC_PER_MSEC)
 /** Looks older than this do not decide a choice. */
 #define LOOK_FRESH_US (400 * USEC_PER_MSEC)
+/** The same for the choice of a planned change, which is checked again before it is ordered. */
+#define PLAN_LOOK_FRESH_US (1500 * USEC_PER_MSEC)
+/**
+ * A change that could not be written for so long is offered to another VM: the store may turn just
+ * this one away, for nine seconds at a time.
+ */
+#define INVITE_AFTER_US (200 * USEC_PER_MSEC)
 /** Members that do not answer hold up a choice for so long. */
 #define CHOOSE_US (300 * USEC_PER_MSEC)
 /** Answer to the order. */
@@ -267,6 +274,32 @@
 	claim_write(g, &r, recorded);
 }
 
+/**
+ * A planned change: the chosen member must have all that the old primary has, which takes no writes
+ * any more.
+ */
+static void catch_up(struct owner_group *g, int64_t now)
+{
+	const struct owner_member *old = og_primary(g);
+	const struct owner_member *next = &g->member[g->target];
+	bool seen = old != NULL && old->seen.reached && next->seen.reached &&
+		    old->seen_us > g->state_us && next->seen_us > g->state_us;
+
+	if (seen && pos_cmp(next->seen.received, old->seen.received) >= 0) {
+		g->ordered = false;
+		og_state(g, OWNER_ORDERING, "caught-up");
+		return;
+	}
+	if (now - g->state_us < CAUGHT_UP_US)
+		return;
+	if (old != NULL && old->unheard_us == 0) {
+		call_off(g, "replica-behind");
+		return;
+	}
+	g->planned = false;
+	og_state(g, OWNER_CHOOSING, "old-primary-gone");
+}
+
 static void choose(struct owner_group *g, int64_t now)
 {
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
@@ -275,11 +308,15 @@
 	int best;
 	unsigned i;
 
+	if (g->planned) {
+		catch_up(g, now);
+		return;
+	}
 	if (!all_seen(g) && now - g->state_us < CHOOSE_US)
 		return;
 	candidates(g, c, names, now);
 	best = lead_find(&g->record, names, c, g->n);
-	if (!g->planned && best >= 0 && !c[best].leaving) {
+	if (best >= 0 && !c[best].leaving) {
 		lead_begins(g, best, "came-back");
 		return;
 	}
@@ -290,18 +327,8 @@
 		g->except = -1;
 		return;
 	}
-	if (best < 0) {
-		if (g->planned && now - g->state_us > CAUGHT_UP_US)
-			call_off(g, "no-replica");
-		return;
-	}
-	/* A primary that lives hands over nothing less than all that it has. */
-	if (g->planned && g->primary >= 0 && c[g->primary].reached &&
-	    pos_cmp(c[best].received, c[g->primary].received) < 0) {
-		if (now - g->state_us > CAUGHT_UP_US)
-			call_off(g, "replicas-behind");
+	if (best < 0)
 		return;
-	}
 	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
 		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
 		 LOG_NUM("floor", highest));
@@ -314,6 +341,8 @@
 		return;
 	if (!ok) {
 		og_state(g, OWNER_CHOOSING, "record-not-written");
+		if (now_us() - g->unserved_us > INVITE_AFTER_US)
+			claim_invite(g, "record-not-written");
 		return;
 	}
 	g->token = g->revision;
@@ -418,6 +447,50 @@
 	return m->unlisted_us != 0 && now - m->unlisted_us > UNLISTED_US;
 }
 
+static void planned_recorded(struct owner_group *g, bool ok)
+{
+	g->planning = false;
+	if (g->state != OWNER_SERVING)
+		return;
+	if (!ok) {
+		g->next_us = now_us() + PLANNED_PAUSE_US / 2;
+		claim_invite(g, "planned-change-not-written");
+		return;
+	}
+	g->token = g->revision;
+	change_begin(g, true, "leaving");
+}
+
+/**
+ * The primary is to leave: choose its successor and write that to the record while it still serves.
+ * Stopping first cost three seconds without writes when the store turned the owner away just then.
+ */
+static void plan(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	struct lead_record r = g->record;
+	int best;
+	unsigned i;
+
+	candidates(g, c, names, now);
+	for (i = 0; i < g->n; i++)
+		c[i].reached = g->member[i].listed && g->member[i].seen.reached &&
+			       now - g->member[i].seen_us < PLAN_LOOK_FRESH_US;
+	best = lead_choose(c, g->n, g->primary);
+	if (best < 0 || g->busy) {
+		g->next_us = now + FENCE_RETRY_US;
+		return;
+	}
+	g->planning = true;
+	g->target = best;
+	r.floor = MAX(r.floor, g->term);
+	g_strlcpy(r.target, names[best], sizeof(r.target));
+	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
+		 LOG_NUM("floor", r.floor));
+	claim_write(g, &r, planned_recorded);
+}
+
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
@@ -429,8 +502,8 @@
 	if (!og_mine(g))
 		return;
 	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now) && now >= g->next_us &&
-	    m->unheard_us == 0) {
-		change_begin(g, true, m->listed ? "leaving" : "not-listed");
+	    m->unheard_us == 0 && !g->planning) {
+		plan(g, now);
 		return;
 	}
 	if (steps[g->state] != NULL)
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -22,6 +22,8 @@
  * 1.8 ms between the users' data centres.
  */
 #define MOVE_AFTER_US (1 * USEC_PER_SEC)
+/** Between two VMs that are asked to claim a group. */
+#define INVITE_PAUSE_US (300 * USEC_PER_MSEC)
 /** Between two tries to move. */
 #define MOVE_PAUSE_US (5 * USEC_PER_SEC)
 /** An owner that seems gone is asked this often, and has so long to answer. */
@@ -137,6 +139,12 @@
 	}
 }
 
+void claim_superseded(struct owner_group *g)
+{
+	if (g->state > OWNER_CLAIMING)
+		ownership_ends(g, "told-of-another");
+}
+
 static void ownership_begins(struct owner_group *g, const char *why)
 {
 	unsigned i;
@@ -500,6 +508,38 @@
 	ask_owner(g, now);
 }
 
+static void invite_answered(enum rpc_status status, const void *res, void *arg)
+{
+}
+
+void claim_invite(struct owner_group *g, const char *why)
+{
+	struct fleet *f = og_fleet(g);
+	ml_owner args = {.pool = g->pool, .vm = "", .address = "", .claim = true};
+	int64_t now = now_us();
+	unsigned usable = 0, skip;
+	struct vm *vm;
+
+	if (now - g->invited_us < INVITE_PAUSE_US)
+		return;
+	g->invited_us = now;
+	TAILQ_FOREACH(vm, &f->peers.vms, link)
+		usable += vm != f->peers.self && peers_usable(vm) ? 1 : 0;
+	if (usable == 0)
+		return;
+	/* Any of them: the store may turn others away too, and the next try asks another one. */
+	skip = (unsigned)(random_bits() % usable);
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		if (vm == f->peers.self || !peers_usable(vm) || skip-- > 0)
+			continue;
+		log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
+			 LOG_STR("why", why));
+		rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args,
+			  ASK_TIMEOUT_US, invite_answered, NULL);
+		return;
+	}
+}
+
 void claim_tick(struct owner_group *g, int64_t now)
 {
 	struct fleet *f = og_fleet(g);
@@ -517,8 +557,12 @@
 		record_read(g, call_create(g));
 		return;
 	}
-	if (g->state == OWNER_NONE && is_successor(g))
+	if (g->state == OWNER_NONE && g->invited) {
+		g->invited = false;
+		claim(g, "invited");
+	} else if (g->state == OWNER_NONE && is_successor(g)) {
 		claim_if_lost(g, now);
+	}
 }
 
 /* Handing over */
@@ -609,6 +653,11 @@
 	struct owner_group *g = og_find(owner, a->pool);
 	ml_owner res = {.pool = a->pool, .vm = "", .address = ""};
 
+	if (g != NULL && a->claim && !og_mine(g) && !g->o->leaving) {
+		/* What is known here of the record may be older than what the owner has written. */
+		g->invited = true;
+		g->read = false;
+	}
 	if (g != NULL && a->vm[0] != '\0')
 		owner_heard(owner, a->pool, a->vm, a->address, a->revision);
 	if (g != NULL) {
--- a/src/owner.c
+++ b/src/owner.c
@@ -59,7 +59,8 @@
 {
 	const struct kernel *k = g->o->service.kernel;
 
-	return g->revision != 0 && g->record.owner.incarnation == k->incarnation &&
+	return g->revision != 0 && g->superseded <= g->revision &&
+	       g->record.owner.incarnation == k->incarnation &&
 	       strcmp(g->record.owner.name, k->settings->name) == 0;
 }
 
@@ -341,7 +342,8 @@
 	 */
 	if (og_mine(g) || g->state > OWNER_CLAIMING) {
 		g->read = false;
-		return;
+		g->superseded = revision;
+		claim_superseded(g);
 	}
 	if (revision > g->hint_revision) {
 		g->hint_revision = revision;
--- a/src/owner.h
+++ b/src/owner.h
@@ -167,16 +167,19 @@
 	bool configured;
 
 	struct lead_record record;
-	uint64_t revision;  /**< of @a record; 0: none is known */
-	bool read;	    /**< the record was looked for */
-	bool busy;	    /**< a call about the record is under way */
-	int64_t next_us;    /**< no further call before */
-	int64_t asked_us;   /**< when the record's owner was last asked whether it lives */
-	int64_t contact_us; /**< when it last answered */
-	bool owner_lost;    /**< its process has ended or does not answer */
-	bool asking;	    /**< the owner is being asked */
-	int64_t untaken_us; /**< since when no owner has taken a statement from this VM; 0: one has
-			     */
+	uint64_t revision;   /**< of @a record; 0: none is known */
+	bool read;	     /**< the record was looked for */
+	bool busy;	     /**< a call about the record is under way */
+	int64_t next_us;     /**< no further call before */
+	int64_t asked_us;    /**< when the record's owner was last asked whether it lives */
+	int64_t contact_us;  /**< when it last answered */
+	bool owner_lost;     /**< its process has ended or does not answer */
+	bool asking;	     /**< the owner is being asked */
+	bool invited;	     /**< its owner asks this VM to claim it */
+	uint64_t superseded; /**< revision of a newer record, told by the VM that wrote it */
+	int64_t invited_us;  /**< when this VM, as the owner, last asked another one to claim it */
+	int64_t untaken_us;  /**< since when no owner has taken a statement from this VM; 0: one has
+			      */
 	uint64_t hint_revision; /**< of a newer record that another VM told of */
 	char hint_address[ADDRESS_SIZE];
 	char owner_at[ADDRESS_SIZE]; /**< address that @a owner_near is of */
@@ -192,6 +195,7 @@
 	enum owner_state state;
 	int64_t state_us;
 	int64_t moved_us;   /**< when it was last handed over for being far from its primary */
+	bool planning;	    /**< a planned change is being written to the record */
 	bool planned;	    /**< the primary is alive and leaves */
 	bool no_leader_yet; /**< no look has found one since the claim */
 	int target;
@@ -271,12 +275,19 @@
 /* owner-claim.c */
 void claim_listen(struct owner *o);
 void claim_tick(struct owner_group *g, int64_t now);
+/** Another VM has written a newer record that names itself. */
+void claim_superseded(struct owner_group *g);
 void claim_owner_serve(struct rpc_request *rq, const void *args, void *owner);
 void claim_yield_serve(struct rpc_request *rq, const void *args, void *owner);
 /** Give the group to another VM; open transactions end here. */
 void claim_hand_over(struct owner_group *g, const char *to, const char *why);
 /** Ask the owner what it knows of the newest write. */
 void claim_ask_mark(struct owner_group *g, int64_t now);
+/**
+ * Ask another VM to claim the group: the store turns this one away, and a change of primary has to
+ * be written there.
+ */
+void claim_invite(struct owner_group *g, const char *why);
 /** Hand the group to a VM of its primary's data centre, if this one is not there. */
 void claim_move_near(struct owner_group *g, int64_t now);
 /** Stop sending for the group at once. */
--- a/tests/test-it-explain.c
+++ b/tests/test-it-explain.c
@@ -105,7 +105,8 @@
 
 /*
  * * A read that may be one second old, with replicas a minute behind, a primary that is gone and no
- * other to be had: it is turned away, and the story tells the position that was needed and what the replicas had.
+ * other to be had: it is turned away, and the story tells the position that was needed and what the
+ * replicas had.
  */
 static void test_no_replica_is_fresh_enough(void)
 {
