--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -157,10 +157,19 @@
 	return &store;
 }
 
+static void fake_promote(struct kernel *k, const char *address, const char *pool,
+			 const char *member, const char *holder, uint64_t token, int64_t timeout_us,
+			 promoter_done cb, void *arg)
+{
+}
+
+static const struct promoter_ops fake_promoter_ops = {.promote = fake_promote};
 static const struct records_ops fake_records = {.document_key = "doc",
 						.servers_prefix = "servers/"};
-static const struct adapter fake_adapter = {
-	.member = &fake_member_ops, .store = &fake_store_ops, .records = &fake_records};
+static const struct adapter fake_adapter = {.member = &fake_member_ops,
+					    .store = &fake_store_ops,
+					    .promoter = &fake_promoter_ops,
+					    .records = &fake_records};
 
 /* One VM that owns nothing */
 
