--- a/src/trace.h
+++ b/src/trace.h
@@ -1,7 +1,7 @@
 /**
  * @file trace.h
  * Records what the failover decisions were given and what they decided, so that tests/test-replay.c
- * can run them again. One line an input, one for its outcome; the format is in docs/OPERATING.md.
+ * can run them again. One line an input, one for its outcome; the format is in docs/OPERATIONS.md.
  */
 #ifndef TRACE_H
 #define TRACE_H
