A leaving primary finds its successor while the replicas are busy, and is not used beyond its time

Cause: a planned change chooses its successor while the old primary still serves, from looks not older than 1.5 s. A replica that serves reads all the time is heard without a look, so none was due, and no candidate was ever fresh. Ruled out: the store turning the owner away (no write was tried), a record call that never ended. Change: a primary that is to leave makes looks due at once; and at three quarters of the time that a leaving member may be used (member_leave_ms, from the deployment's bounds) its group goes without a primary rather than go on with it, whatever stands in the way of the change. Tests: both fail without their half of the change (state SERVING after 3 s), and pass with it.

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -30,7 +30,7 @@
 #define WATCH_WAIT_US (4500 * USEC_PER_MSEC)
 /** Pause before a failed read or watch is tried again, doubled up to the last. */
 #define RETRY_MIN_US (50 * USEC_PER_MSEC)
-#define RETRY_MAX_US (800 * USEC_PER_MSEC)
+#define RETRY_MAX_US (300 * USEC_PER_MSEC)
 /**
  * A backend server's entry that vanished is kept for this long. Entries that lapse while the store
  * is away are written again within two seconds of its return; dropping them at once would replace
@@ -124,11 +124,15 @@
 
 void fleet_store_listen(struct fleet *f, const char *prefix, fleet_store_news cb, void *owner)
 {
-	g_assert(source.n_listeners < LISTENERS_MAX);
-	source.listeners[source.n_listeners].prefix = prefix;
-	source.listeners[source.n_listeners].cb = cb;
-	source.listeners[source.n_listeners].owner = owner;
-	source.n_listeners++;
+	unsigned i = 0;
+
+	while (i < source.n_listeners && strcmp(source.listeners[i].prefix, prefix) != 0)
+		i++;
+	g_assert(i < LISTENERS_MAX);
+	source.listeners[i].prefix = prefix;
+	source.listeners[i].cb = cb;
+	source.listeners[i].owner = owner;
+	source.n_listeners = MAX(source.n_listeners, i + 1);
 }
 
 void records_document_clear(struct records_document *d)
@@ -149,6 +153,9 @@
 	if (ok == source.reachable)
 		return;
 	source.reachable = ok;
+	/* A VM that started while the store was away serves nobody before it has a lease. */
+	if (ok && !source.registered)
+		source.lease_next_us = 0;
 	if (ok)
 		log_info("store-regained", LOG_STR("call", call));
 	else
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -24,6 +24,12 @@
  * centre was cut off its members' entries have lapsed, and they come back within two seconds.
  */
 #define UNLISTED_US (2500 * USEC_PER_MSEC)
+/**
+ * Part of the time that a leaving member may still get statements, after which its group does
+ * without a primary rather than go on with it. The rest is for news that came late to this VM and
+ * for a statement that is on its way.
+ */
+#define LEAVE_PART 0.75
 /** Looks older than this do not decide a choice. */
 #define LOOK_FRESH_US (400 * USEC_PER_MSEC)
 /** The same for the choice of a planned change, which is checked again before it is ordered. */
@@ -72,6 +78,7 @@
 	if (g->unserved_us != 0)
 		stat_time(STAT_TIME_CHANGE, now_us() - g->unserved_us);
 	g->unserved_us = 0;
+	g->to_leave = false;
 	g->primary = i;
 	g->term = m->seen.term;
 	g->ordered = false;
@@ -98,6 +105,7 @@
 					       ? (now_us() - m->unheard_us) / USEC_PER_MSEC
 					       : 0));
 	g->planned = planned;
+	g->to_leave = false;
 	g->except = -1;
 	og_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
 	if (!planned && m != NULL)
@@ -479,9 +487,10 @@
 			       now - g->member[i].seen_us < PLAN_LOOK_FRESH_US;
 	best = lead_choose(c, g->n, g->primary);
 	if (best < 0 || g->busy) {
-		g->next_us = now + FENCE_RETRY_US;
+		g->to_leave = true;
 		return;
 	}
+	g->to_leave = false;
 	g->planning = true;
 	g->target = best;
 	r.floor = MAX(r.floor, g->term);
@@ -491,6 +500,15 @@
 	claim_write(g, &r, planned_recorded);
 }
 
+/** It was to leave so long ago that it gets no more statements, whoever may follow it. */
+static bool overstays(const struct owner_member *m, int64_t now)
+{
+	int64_t since = m->listed ? m->leaving_us : m->unlisted_us;
+	int64_t leave_us = m->g->o->service.kernel->settings->leave_ms * USEC_PER_MSEC;
+
+	return now - since > (int64_t)((double)leave_us * LEAVE_PART);
+}
+
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
@@ -501,9 +519,11 @@
 
 	if (!og_mine(g))
 		return;
-	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now) && now >= g->next_us &&
-	    m->unheard_us == 0 && !g->planning) {
-		plan(g, now);
+	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now)) {
+		if (overstays(m, now))
+			change_begin(g, false, "overstays");
+		else if (now >= g->next_us && m->unheard_us == 0 && !g->planning)
+			plan(g, now);
 		return;
 	}
 	if (steps[g->state] != NULL)
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -177,6 +177,10 @@
 	default:
 		break;
 	}
+	/* A replica that serves reads is heard without a look, but only a look makes a candidate.
+	 */
+	if (g->to_leave && !m->down)
+		return EAGER_LOOK_US;
 	if (m->down)
 		return DOWN_LOOK_US;
 	return (int)m->index == g->primary ? PRIMARY_LOOK_US : REPLICA_LOOK_US;
--- a/src/owner.c
+++ b/src/owner.c
@@ -169,6 +169,8 @@
 		watch_close(m);
 		conn_close_all(m);
 	}
+	if (conf->leaving && (!m->conf.leaving || m->leaving_us == 0))
+		m->leaving_us = now_us();
 	m->conf = *conf;
 	m->unlisted_us = 0;
 	m->listed = true;
--- a/src/owner.h
+++ b/src/owner.h
@@ -124,6 +124,7 @@
 	struct conf_member conf;
 	bool listed;	     /**< in the configuration */
 	int64_t unlisted_us; /**< since when it is not */
+	int64_t leaving_us;  /**< since when it is known here that it leaves */
 	struct owner_conns conns;
 	unsigned n_conns;
 	unsigned n_open;
@@ -195,6 +196,7 @@
 	enum owner_state state;
 	int64_t state_us;
 	int64_t moved_us;   /**< when it was last handed over for being far from its primary */
+	bool to_leave;	    /**< the primary is to leave, and its successor is not yet chosen */
 	bool planning;	    /**< a planned change is being written to the record */
 	bool planned;	    /**< the primary is alive and leaves */
 	bool no_leader_yet; /**< no look has found one since the claim */
--- a/src/settings.c
+++ b/src/settings.c
@@ -23,6 +23,7 @@
 	F(metrics_address, "metrics_address", SCHEMA_ADDRESS),
 	F(grace_s, "grace_s", SCHEMA_DOUBLE, .min = 0, .max = 86400, .fallback = "0"),
 	F(drain_ms, "drain_ms", SCHEMA_UINT, .min = 0, .max = DAY_MS, .fallback = "10000"),
+	F(leave_ms, "member_leave_ms", SCHEMA_UINT, .min = 100, .max = DAY_MS, .fallback = "7000"),
 };
 
 static const struct schema_field platform_fields[] = {
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -209,6 +209,7 @@
 	g_strlcpy(w->settings.name, "vm-1", sizeof(w->settings.name));
 	g_strlcpy(w->settings.advertise, SELF, sizeof(w->settings.advertise));
 	w->settings.silent_ms = 600;
+	w->settings.leave_ms = 7000;
 	w->settings.platform_kind = PLATFORM_PREPARED;
 	w->k = kernel_create(&w->settings);
 	w->k->adapter = &fake_adapter;
@@ -396,7 +397,71 @@
 	fleet_of(w.k)->source->stop(fleet_of(w.k));
 }
 
+/** One turn in which the replicas answer a caller's read each, and all looks are answered. */
+static void turn_with_reads(struct world *w, struct owner_group *g)
+{
+	event_base_loop(w->k->base, EVLOOP_ONCE);
+	watch_heard(&g->member[1], (struct pos){1, 10}, now_us());
+	watch_heard(&g->member[2], (struct pos){1, 10}, now_us());
+	answer_looks(10);
+}
+
+/*
+ * A leaving primary is still used when it stops, and its callers' writes are lost. Replicas that
+ * serve reads all the time are heard without a look, so none was looked at, and without a fresh
+ * look none could be chosen. A primary that is to leave makes looks due at once.
+ */
+static void test_replicas_that_serve_reads_can_follow_a_leaving_primary(void)
+{
+	int64_t until = test_now_ms() + 3000;
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	fleet_of(w.k)->source->start(fleet_of(w.k));
+	g = og_find(w.o, POOL);
+	turn_until(&w, g, OWNER_SERVING);
+	g->member[1].seen_us -= 10 * USEC_PER_SEC;
+	g->member[2].seen_us -= 10 * USEC_PER_SEC;
+	set_leaving(&w, "m0");
+	while (g->state != OWNER_ORDERING && test_now_ms() < until)
+		turn_with_reads(&w, g);
+	CU_ASSERT_EQUAL(g->state, OWNER_ORDERING);
+	CU_ASSERT_STRING_NOT_EQUAL(g->record.target, "m0");
+	fleet_of(w.k)->source->stop(fleet_of(w.k));
+}
+
+/*
+ * A member gets statements long after it said that it leaves. Its successor cannot be written to
+ * the record, so the old primary goes on. That ends before the time is over that members are given
+ * to leave: they stop then, and what they run would be lost.
+ */
+static void test_a_leaving_primary_is_not_used_for_longer_than_it_may(void)
+{
+	int64_t until = test_now_ms() + 3000;
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	fleet_of(w.k)->source->start(fleet_of(w.k));
+	g = og_find(w.o, POOL);
+	turn_until(&w, g, OWNER_SERVING);
+	store_refuses = true;
+	set_leaving(&w, "m0");
+	g->member[0].leaving_us -= 6 * USEC_PER_SEC;
+	while (g->state == OWNER_SERVING && test_now_ms() < until)
+		turn_with_reads(&w, g);
+	CU_ASSERT_NOT_EQUAL(g->state, OWNER_SERVING);
+	CU_ASSERT_TRUE(og_wait_us(g, now_us()) > 0);
+	store_refuses = false;
+	fleet_of(w.k)->source->stop(fleet_of(w.k));
+}
+
 static const struct test_case cases[] = {
+	{"replicas_that_serve_reads_can_follow_a_leaving_primary",
+	 test_replicas_that_serve_reads_can_follow_a_leaving_primary},
+	{"a_leaving_primary_is_not_used_for_longer_than_it_may",
+	 test_a_leaving_primary_is_not_used_for_longer_than_it_may},
 	{"a_planned_change_that_cannot_be_written_stops_nothing",
 	 test_a_planned_change_that_cannot_be_written_stops_nothing},
 	{"a_read_asks_for_the_position_that_it_needs",
