A former owner may read at the former primary

Cause: a VM that has given a group away still remembers which member led. Ruled out: a missing position (position_known=1 on each line). Change: only the owner's own primary counts as the primary when a statement starts. Test: fails without the change (nothing sent), passes with it.

--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -409,7 +409,7 @@
 		return false;
 	job->conn = c;
 	job->term = m->g->term;
-	job->on_primary = m == og_primary(m->g);
+	job->on_primary = og_mine(m->g) && m == og_primary(m->g);
 	c->job = job;
 	TAILQ_INSERT_TAIL(&job->g->running, job, link);
 	m->out++;
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -457,7 +457,35 @@
 	fleet_of(w.k)->source->stop(fleet_of(w.k));
 }
 
+/*
+ * Callers' reads are refused as not for a primary, while a member that could serve them is idle. A
+ * VM that has given the group away still remembers who led; a read that it took to that member for
+ * itself counted as one for its primary, which it may not send to, and came back again and again.
+ */
+static void test_a_former_owner_reads_at_the_former_primary(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	fleet_of(w.k)->source->start(fleet_of(w.k));
+	g = og_find(w.o, POOL);
+	turn_until(&w, g, OWNER_SERVING);
+	claim_stop(g, "asked");
+	CU_ASSERT_EQUAL(g->state, OWNER_NONE);
+	g_strlcpy(g->record.owner.name, "vm-2", sizeof(g->record.owner.name));
+	g->member[1].down = g->member[2].down = true;
+	owner_told_mark(w.o, POOL, (struct pos){1, 10}, now_us());
+	read_locally(&w, 1500, 800);
+	answer_looks(10);
+	CU_ASSERT_EQUAL(n_sent, 1);
+	CU_ASSERT_EQUAL(w.outcome, OUTCOMES);
+	fleet_of(w.k)->source->stop(fleet_of(w.k));
+}
+
 static const struct test_case cases[] = {
+	{"a_former_owner_reads_at_the_former_primary",
+	 test_a_former_owner_reads_at_the_former_primary},
 	{"replicas_that_serve_reads_can_follow_a_leaving_primary",
 	 test_replicas_that_serve_reads_can_follow_a_leaving_primary},
 	{"a_leaving_primary_is_not_used_for_longer_than_it_may",
