--- a/tests/harness-line.c
+++ b/tests/harness-line.c
@@ -122,6 +122,24 @@
 	return n;
 }
 
+GHashTable *line_log_counts(struct line_fleet *f)
+{
+	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	JsonParser *p = report(f);
+	JsonArray *log =
+		json_object_get_array_member(json_node_get_object(json_parser_get_root(p)), "log");
+	guint i;
+
+	for (i = 0; log != NULL && i < json_array_get_length(log); i++) {
+		const char *id = json_array_get_string_element(log, i);
+		int n = GPOINTER_TO_INT(g_hash_table_lookup(counts, id));
+
+		g_hash_table_insert(counts, g_strdup(id), GINT_TO_POINTER(n + 1));
+	}
+	g_object_unref(p);
+	return counts;
+}
+
 void line_primary(struct line_fleet *f, char name[32])
 {
 	JsonParser *p = report(f);
@@ -174,14 +192,15 @@
 	char *text = g_strdup_printf(
 		"[vm]\nname = \"vm%d\"\ndata_center = \"dc-m%d\"\ncaller_address = "
 		"\"127.0.0.1:%d\"\n"
-		"rpc_address = \"127.0.0.1:%d\"\nready_address = \"127.0.0.1:%d\"\n"
+		"rpc_address = \"127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d\"\nready_address = "
+		"\"127.0.0.1:%d\"\n"
 		"metrics_address = \"127.0.0.1:%d\"\ngrace_s = 6\n"
 		"[platform]\nkind = \"prepared\"\nendpoints = [\"127.0.0.1:%d\"]\n"
 		"promoter = \"127.0.0.1:%d\"\ntimeout_ms = 400\n"
 		"[rpc]\nsilent_ms = 600\nseeds = [\"127.0.0.1:%d\"]\n[log]\npath = \"-\"\n"
 		"[rates]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n",
-		i, i, f->vm[i].caller, f->vm[i].rpc, f->vm[i].ready, f->vm[i].metrics, f->store,
-		f->promoter, f->vm[0].rpc);
+		i, i, f->vm[i].caller, f->vm[i].rpc, f->vm[i].shown, f->vm[i].ready,
+		f->vm[i].metrics, f->shown_store, f->promoter, f->vm[0].shown);
 	char *path = g_strdup_printf("%s/vm%d.toml", f->dir, i);
 	char *log = g_strdup_printf("vm%d", i);
 	char *argv[] = {"mangoloomd", "--settings", path, NULL};
@@ -241,7 +260,8 @@
 	g_ptr_array_add(argv, g_strdup("svc"));
 	for (i = 0; i < LINE_MEMBERS; i++) {
 		g_ptr_array_add(argv, g_strdup("--member"));
-		g_ptr_array_add(argv, g_strdup_printf("m%d:%d", i, f->member_port[i]));
+		g_ptr_array_add(argv, g_strdup_printf("m%d:%d:%d", i, f->member_port[i],
+						      f->shown_member[i]));
 	}
 	g_ptr_array_add(argv, NULL);
 	f->standin = test_spawn(f->dir, "standin", (char **)argv->pdata, -1, -1);
@@ -266,10 +286,40 @@
 	return ok;
 }
 
-struct line_fleet *line_fleet_start(int vms)
+void line_route(struct line_fleet *f, const char *format, ...)
+{
+	va_list args;
+	char *line;
+
+	va_start(args, format);
+	line = g_strdup_vprintf(format, args);
+	va_end(args);
+	test_proxy_tell(&f->proxy, line);
+	g_free(line);
+}
+
+static void start_proxy(struct line_fleet *f)
+{
+	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
+	int i;
+
+	g_ptr_array_add(argv, g_strdup("faultproxy"));
+	g_ptr_array_add(argv, g_strdup_printf("store=%d:%d", f->shown_store, f->store));
+	for (i = 0; i < LINE_MEMBERS; i++)
+		g_ptr_array_add(argv, g_strdup_printf("m%d=%d:%d", i, f->shown_member[i],
+						      f->member_port[i]));
+	for (i = 0; i < f->n_vms; i++)
+		g_ptr_array_add(argv,
+				g_strdup_printf("vm%d=%d:%d", i, f->vm[i].shown, f->vm[i].rpc));
+	g_ptr_array_add(argv, NULL);
+	test_proxy_start(&f->proxy, f->dir, (char **)argv->pdata);
+	g_ptr_array_unref(argv);
+}
+
+static struct line_fleet *fleet_start(int vms, bool proxied)
 {
 	struct line_fleet *f = g_new0(struct line_fleet, 1);
-	int ports[2 + LINE_MEMBERS + 4 * LINE_VMS_MAX];
+	int ports[3 + 2 * LINE_MEMBERS + 5 * LINE_VMS_MAX];
 	int i, n = 0;
 
 	f->dir = g_dir_make_tmp("mangoloom-line-XXXXXX", NULL);
@@ -279,15 +329,21 @@
 	test_free_ports(ports, G_N_ELEMENTS(ports));
 	f->store = ports[n++];
 	f->promoter = ports[n++];
-	for (i = 0; i < LINE_MEMBERS; i++)
+	f->shown_store = proxied ? ports[n++] : f->store;
+	for (i = 0; i < LINE_MEMBERS; i++) {
 		f->member_port[i] = ports[n++];
+		f->shown_member[i] = proxied ? ports[n++] : f->member_port[i];
+	}
 	for (i = 0; i < LINE_VMS_MAX; i++) {
 		f->vm[i].caller = ports[n++];
 		f->vm[i].rpc = ports[n++];
+		f->vm[i].shown = proxied ? ports[n++] : f->vm[i].rpc;
 		f->vm[i].ready = ports[n++];
 		f->vm[i].metrics = ports[n++];
 	}
 	start_standin(f);
+	if (proxied)
+		start_proxy(f);
 	line_document(f);
 	for (i = 0; i < vms; i++)
 		line_vm_start(f, i);
@@ -296,6 +352,16 @@
 	return f;
 }
 
+struct line_fleet *line_fleet_start(int vms)
+{
+	return fleet_start(vms, false);
+}
+
+struct line_fleet *line_fleet_start_proxied(int vms)
+{
+	return fleet_start(vms, true);
+}
+
 void line_fleet_stop(struct line_fleet *f)
 {
 	char *command;
@@ -304,6 +370,7 @@
 	for (i = 0; i < LINE_VMS_MAX; i++)
 		test_end_process(&f->vm[i].pid);
 	test_end_process(&f->standin);
+	test_proxy_stop(&f->proxy);
 	if (getenv("KEEP") != NULL) {
 		printf("logs: %s\n", f->dir);
 	} else {
--- a/tests/harness-line.h
+++ b/tests/harness-line.h
@@ -26,8 +26,11 @@
 	int store, promoter;
 	int member_port[LINE_MEMBERS];
 	pid_t standin;
+	struct test_proxy proxy;
+	/** Ports that the others are told; those of the proxy, or the processes' own. */
+	int shown_store, shown_member[LINE_MEMBERS];
 	struct {
-		int caller, rpc, ready, metrics;
+		int caller, rpc, ready, metrics, shown;
 		pid_t pid;
 	} vm[LINE_VMS_MAX];
 	int version;	  /**< of the operators' document */
@@ -36,6 +39,10 @@
 };
 
 struct line_fleet *line_fleet_start(int vms);
+/** With a faultproxy before the store ("store"), the members ("m0") and the VMs ("vm0"). */
+struct line_fleet *line_fleet_start_proxied(int vms);
+/** A command for a fleet's proxy. */
+void line_route(struct line_fleet *f, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void line_fleet_stop(struct line_fleet *f);
 void line_vm_start(struct line_fleet *f, int vm);
 void line_vm_signal(struct line_fleet *f, int vm, int sig);
@@ -49,6 +56,8 @@
 int64_t line_report(struct line_fleet *f, const char *name);
 /** How often the newest primary's log holds the request @a id. */
 int line_log_count(struct line_fleet *f, const char *id);
+/** The same for all: id to number, to g_hash_table_unref(). */
+GHashTable *line_log_counts(struct line_fleet *f);
 /** Name of the member that leads, "" for none. */
 void line_primary(struct line_fleet *f, char name[32]);
 /** The status code of a GET, e.g. of a VM's ready address; 0 when nothing answers. */
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -230,19 +230,48 @@
 	g_free(json);
 }
 
+void test_proxy_start(struct test_proxy *p, const char *dir, char **argv)
+{
+	int in[2], out[2];
+
+	if (pipe2(in, O_CLOEXEC) != 0 || pipe2(out, O_CLOEXEC) != 0)
+		abort();
+	p->pid = test_spawn(dir, "faultproxy", argv, in[0], out[1]);
+	close(in[0]);
+	close(out[1]);
+	p->in = in[1];
+	p->out = out[0];
+}
+
+void test_proxy_tell(struct test_proxy *p, const char *line)
+{
+	char *text = g_strconcat(line, "\n", NULL);
+	char answer[8];
+
+	if (write(p->in, text, strlen(text)) < 0 || read(p->out, answer, sizeof(answer)) <= 0)
+		printf("faultproxy does not answer\n");
+	g_free(text);
+}
+
+void test_proxy_stop(struct test_proxy *p)
+{
+	if (p->pid == 0)
+		return;
+	test_end_process(&p->pid);
+	close(p->in);
+	close(p->out);
+}
+
 void fleet_fault(struct test_fleet *f, const char *format, ...)
 {
-	char line[256], answer[8];
 	va_list args;
-	int n;
+	char *line;
 
 	va_start(args, format);
-	n = vsnprintf(line, sizeof(line) - 1, format, args);
+	line = g_strdup_vprintf(format, args);
 	va_end(args);
-	line[n] = '\n';
-	if (write(f->proxy_in, line, (size_t)n + 1) < 0 ||
-	    read(f->proxy_out, answer, sizeof(answer)) <= 0)
-		printf("faultproxy does not answer\n");
+	test_proxy_tell(&f->proxy, line);
+	g_free(line);
 }
 
 void fleet_cut(struct test_fleet *f, const char *dc, bool cut)
@@ -278,7 +307,7 @@
 static void start_proxy(struct test_fleet *f)
 {
 	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
-	int in[2], out[2], i;
+	int i;
 
 	g_ptr_array_add(argv, g_strdup("faultproxy"));
 	for (i = 0; i < f->n_members; i++)
@@ -288,13 +317,7 @@
 		g_ptr_array_add(argv, g_strdup_printf("%s=%d:%d", f->vm[i].name, f->vm[i].proxied,
 						      f->vm[i].rpc));
 	g_ptr_array_add(argv, NULL);
-	if (pipe2(in, O_CLOEXEC) != 0 || pipe2(out, O_CLOEXEC) != 0)
-		abort();
-	f->proxy = spawn(f, "faultproxy", (char **)argv->pdata, in[0], out[1]);
-	close(in[0]);
-	close(out[1]);
-	f->proxy_in = in[1];
-	f->proxy_out = out[0];
+	test_proxy_start(&f->proxy, f->dir, (char **)argv->pdata);
 	g_ptr_array_unref(argv);
 }
 
@@ -537,11 +560,7 @@
 	for (i = 0; i < f->n_members; i++)
 		test_end_process(&f->member[i].pid);
 	test_end_process(&f->platform);
-	if (!f->plan.keep_members) {
-		test_end_process(&f->proxy);
-		close(f->proxy_in);
-		close(f->proxy_out);
-	}
+	test_proxy_stop(&f->proxy);
 	if (keep) {
 		printf("logs are kept in %s\n", f->dir);
 	} else {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -63,12 +63,18 @@
 	bool keep_members;    /**< not proxied: for measurements */
 };
 
+/** A faultproxy. */
+struct test_proxy {
+	pid_t pid;
+	int in, out;
+};
+
 struct test_fleet {
 	struct fleet_plan plan;
 	char *dir;
 	int platform_port;
-	pid_t platform, proxy;
-	int proxy_in, proxy_out;
+	pid_t platform;
+	struct test_proxy proxy;
 	int n_members;
 	struct {
 		char name[32], dc[32];
@@ -163,6 +169,11 @@
 /** Ports that are free now; all are held until the last is found. */
 void test_free_ports(int *ports, int n);
 /** Start a program of the build folder; what it prints goes to @a dir/@a log.err. */
+/** Start a faultproxy; @a argv has its name and routes, see faultproxy.c. */
+void test_proxy_start(struct test_proxy *p, const char *dir, char **argv);
+/** Give it a command. */
+void test_proxy_tell(struct test_proxy *p, const char *line);
+void test_proxy_stop(struct test_proxy *p);
 pid_t test_spawn(const char *dir, const char *log, char **argv, int in, int out);
 /** Kill and reap a process that a test started. */
 void test_end_process(pid_t *pid);
--- a/tests/standin-prepared-member.c
+++ b/tests/standin-prepared-member.c
@@ -65,7 +65,7 @@
 		"\"v1\","
 		"\"slots\":2,\"state\":\"%s\",\"cold-remaining-ms\":0,\"database-role\":\"%s\","
 		"\"sequence\":1,\"born\":1}",
-		standin.service, m->port, m->name, m->draining ? "draining" : "ready",
+		standin.service, m->shown_port, m->name, m->draining ? "draining" : "ready",
 		m->primary ? "primary" : "replica");
 
 	store_put(key, value, 0);
--- a/tests/standin-prepared.c
+++ b/tests/standin-prepared.c
@@ -187,7 +187,10 @@
 	const char *colon = strchr(text, ':');
 
 	g_strlcpy(m->name, text, (gsize)(colon - text) + 1);
-	m->port = atoi(colon + 1);
+	m->port = m->shown_port = atoi(colon + 1);
+	colon = strchr(colon + 1, ':');
+	if (colon != NULL)
+		m->shown_port = atoi(colon + 1);
 	m->primary = standin.n == 1;
 	m->term = 1;
 	m->log = g_ptr_array_new();
--- a/tests/standin-prepared.h
+++ b/tests/standin-prepared.h
@@ -36,6 +36,7 @@
 struct standin_member {
 	char name[NAME_SIZE];
 	int port;
+	int shown_port; /**< that its entry in the store tells */
 	bool primary;
 	uint64_t term;
 	GPtrArray *log; /**< of standin_record; a replica's is a prefix of its primary's */
--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -1,5 +1,6 @@
 /** @file test-it-owner.c Members, owners and whole VMs fail while callers go on. */
 #include "harness-line.h"
+#include "harness-writer.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -8,90 +9,6 @@
 
 #define OK(c, ...) CU_ASSERT_STRING_EQUAL(line_query((c), __VA_ARGS__), "COMPLETE")
 
-/** A thread of a caller that writes, each under an id of its own, and notes how each ended. */
-struct line_writer {
-	struct line_fleet *f;
-	GThread *thread;
-	int vm;
-	volatile int stop;
-	GPtrArray *acked, *not_run; /**< ids */
-	int unknown;
-	int64_t last_ack_ms, gap_ms;
-};
-
-static bool means_not_run(const char *code)
-{
-	return strcmp(code, "BUSY") == 0 || strcmp(code, "ABORTED") == 0 ||
-	       strcmp(code, "LAGGING") == 0;
-}
-
-static void line_writer_note(struct line_writer *w, const struct line_client *c)
-{
-	int64_t now = test_now_ms();
-
-	if (strcmp(c->code, "COMPLETE") == 0) {
-		g_ptr_array_add(w->acked, g_strdup(c->id));
-		if (now - w->last_ack_ms > w->gap_ms)
-			w->gap_ms = now - w->last_ack_ms;
-		w->last_ack_ms = now;
-	} else if (means_not_run(c->code)) {
-		g_ptr_array_add(w->not_run, g_strdup(c->id));
-	} else {
-		w->unknown++;
-	}
-}
-
-static gpointer line_writer_run(gpointer arg)
-{
-	struct line_writer *w = arg;
-	struct line_client c = {.fd = -1};
-	int n = 0;
-
-	while (!w->stop) {
-		if (c.fd < 0 && !line_connect(&c, w->f, w->vm, LINE_DB_PRIMARY, LINE_KEY)) {
-			line_close(&c);
-			test_sleep_ms(10);
-			continue;
-		}
-		line_query(&c, "WRITE w%d %d", w->vm, n++);
-		line_writer_note(w, &c);
-		if (c.code[0] == '\0' || c.state != 'I')
-			line_close(&c);
-		test_sleep_ms(5);
-	}
-	line_close(&c);
-	return NULL;
-}
-
-static void line_writer_start(struct line_writer *w, struct line_fleet *f, int vm)
-{
-	memset(w, 0, sizeof(*w));
-	w->f = f;
-	w->vm = vm;
-	w->acked = g_ptr_array_new_with_free_func(g_free);
-	w->not_run = g_ptr_array_new_with_free_func(g_free);
-	w->last_ack_ms = test_now_ms();
-	w->thread = g_thread_new("writer", line_writer_run, w);
-}
-
-/** What was told as not run is in no log, and nothing is there twice. */
-static void line_writer_stop(struct line_writer *w)
-{
-	guint i;
-
-	w->stop = 1;
-	g_thread_join(w->thread);
-	for (i = 0; i < w->not_run->len; i++)
-		CHECK(line_log_count(w->f, g_ptr_array_index(w->not_run, i)) == 0,
-		      "%s was told as not run", (char *)g_ptr_array_index(w->not_run, i));
-	for (i = 0; i < w->acked->len; i++)
-		CHECK(line_log_count(w->f, g_ptr_array_index(w->acked, i)) <= 1, "%s ran twice",
-		      (char *)g_ptr_array_index(w->acked, i));
-	CHECK(w->acked->len > 20, "%u acknowledged", w->acked->len);
-	g_ptr_array_unref(w->acked);
-	g_ptr_array_unref(w->not_run);
-}
-
 /** The VM whose log says that it owns the group now; -1 when none does. */
 static int find_owner(struct line_fleet *f)
 {
