No wait for a token of the rate while no owner takes statements

Change: once no owner has taken a statement for 1.2 s, operations that would wait for a token are refused at once; those that need not wait go on and find the owner when it is back.

--- a/src/owner.c
+++ b/src/owner.c
@@ -265,6 +265,13 @@
 	return took ? 0 : now - g->untaken_us;
 }
 
+int64_t owner_untaken_us(struct owner *o, const char *pool)
+{
+	const struct owner_group *g = og_find(o, pool);
+
+	return g != NULL && g->untaken_us != 0 ? now_us() - g->untaken_us : 0;
+}
+
 void owner_told_mark(struct owner *o, const char *pool, struct pos pos, int64_t asked_us)
 {
 	struct owner_group *g = og_find(o, pool);
--- a/src/owner.h
+++ b/src/owner.h
@@ -247,6 +247,8 @@
 /** Note whether the group's owner took a statement. @return since when none did, in us; 0: it did
  */
 int64_t owner_took(struct owner *o, const char *pool, bool took);
+/** For how long no owner has taken a statement from this VM, in us; 0 when one takes them. */
+int64_t owner_untaken_us(struct owner *o, const char *pool);
 /**
  * The owner told what it knows of the newest write: @a pos held all that was acknowledged before
  * @a asked_us. Kept for reads while the owner is out of reach.
--- a/src/session.c
+++ b/src/session.c
@@ -590,6 +590,22 @@
 	answer_here(s, OUTCOME_OVER_RATE, retry_after_us);
 }
 
+/**
+ * An operation would wait for a token, and no owner takes statements: it would be refused after
+ * its wait. A VM that is cut off has little of the rate too, and made its callers wait 0.3 s for
+ * each refusal. Operations that need not wait go on, and find the owner when it is back.
+ */
+static bool waits_in_vain(struct session *s)
+{
+	int64_t untaken = owner_untaken_us(owner_of(kernel_of(s)), s->route.pool);
+
+	if (untaken < OWNER_GONE_US || may_read_here(s))
+		return false;
+	log_info("owner-gone", LOG_STR("request", s->st.request), LOG_STR("pool", s->route.pool),
+		 LOG_NUM("untaken_ms", untaken / USEC_PER_MSEC));
+	return true;
+}
+
 /** An operation takes one token of its team's rate. */
 static void admit(struct session *s)
 {
@@ -603,6 +619,10 @@
 		after_admission(s);
 	else if (verdict < 0)
 		on_admitted(&s->admission, false, retry_us);
+	else if (waits_in_vain(s)) {
+		shares_cancel(&s->admission);
+		answer_here(s, OUTCOME_LEAVING, OWNER_RETRY_US);
+	}
 }
 
 /** Statements that need no member; OUTCOMES for one that does. */
--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -262,6 +262,43 @@
 	line_fleet_stop(f);
 }
 
+/*
+ * A VM that is cut off makes its callers wait for each refusal: first for a token of a rate of
+ * which it has little, then for an owner that it does not reach. Once no owner takes statements,
+ * those that would wait for a token are refused at once.
+ */
+static void test_no_wait_for_a_token_without_an_owner(void)
+{
+	struct line_fleet *f = line_fleet_start(2);
+	int owner = owner_of_group(f), entry = 1 - owner, i;
+	struct line_client *c = g_new0(struct line_client, 80);
+
+	f->rate = 40;
+	line_document(f);
+	CHECK(wait_log(f, entry, "rate_milli=40000", 5000), "the rate is not in force");
+	line_fault(f, "{\"store\":\"refuse\"}");
+	line_vm_signal(f, owner, SIGSTOP);
+	test_sleep_ms(300);
+	for (i = 0; i < 80; i++) {
+		CU_ASSERT_TRUE(line_connect(&c[i], f, entry, LINE_DB_PRIMARY, LINE_KEY));
+		line_send(&c[i], "QUERY g WRITE x 1\r\n", 19);
+		/* The first ones find that no owner is there; the others come at once. */
+		test_sleep_ms(i < 16 ? 250 : 1);
+	}
+	CHECK(wait_log(f, entry, "event=owner-gone request=g", 3000), "nothing refused at once");
+	for (i = 0; i < 80; i++) {
+		CHECK(strcmp(line_answer(&c[i]), "COMPLETE") != 0, "statement %d was served", i);
+		line_close(&c[i]);
+	}
+	g_free(c);
+	line_vm_signal(f, owner, SIGCONT);
+	line_fault(f, "{\"store\":\"ok\"}");
+	f->rate = 1000;
+	line_document(f);
+	CU_ASSERT_TRUE(line_write_until(f, entry, 20000));
+	line_fleet_stop(f);
+}
+
 /* All VMs lose their power at the same moment: they serve again seconds after they start. */
 static void test_all_vms_start_again(void)
 {
@@ -286,6 +323,7 @@
 	{"an_owner_stands_still", test_an_owner_stands_still},
 	{"an_owner_wakes_after_its_lease", test_an_owner_wakes_after_its_lease},
 	{"a_planned_stop_cuts_nothing", test_a_planned_stop_cuts_nothing},
+	{"no_wait_for_a_token_without_an_owner", test_no_wait_for_a_token_without_an_owner},
 	{"all_vms_start_again", test_all_vms_start_again},
 };
 HARNESS_MAIN("owners", cases)
