Test ports outside of the range of outgoing connections

Four soaks at a time: a faultproxy ended at its start because its port had been taken by another fleet's outgoing connection between the choice and the bind (its process was found ended, two VMs 'do not serve'). Ports come from 10000 to 32000 now, from a random place on.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -92,23 +92,38 @@
 
 /* Processes */
 
+/** Below the range from which Linux gives ports to outgoing connections. */
+#define PORT_MIN 10000
+#define PORT_MAX 32000
+
+static bool port_is_free(int port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_port = htons((uint16_t)port),
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool ok = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
+
+	close(fd);
+	return ok;
+}
+
+/*
+ * Between the choice of a port and the start of the process that listens on it, another program's
+ * outgoing connection could take it: the process ended at once and the test saw no service. Ports
+ * outside of that range, from a random place on, are only lost to a second fleet that starts at the
+ * same place.
+ */
 void test_free_ports(int *ports, int n)
 {
-	int fds[128];
-	int i;
+	int port = g_random_int_range(PORT_MIN, PORT_MAX);
+	int i = 0;
 
-	for (i = 0; i < n; i++) {
-		struct sockaddr_in sin = {.sin_family = AF_INET,
-					  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-		socklen_t len = sizeof(sin);
-
-		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
-		bind(fds[i], (struct sockaddr *)&sin, sizeof(sin));
-		getsockname(fds[i], (struct sockaddr *)&sin, &len);
-		ports[i] = ntohs(sin.sin_port);
+	while (i < n) {
+		port = port + 1 < PORT_MAX ? port + 1 : PORT_MIN;
+		if (port_is_free(port))
+			ports[i++] = port;
 	}
-	for (i = 0; i < n; i++)
-		close(fds[i]);
 }
 
 static const char *bin(void)
