--- a/src/session.c
+++ b/src/session.c
@@ -26,6 +26,11 @@
 #define OWNER_GONE_US (1200 * USEC_PER_MSEC)
 /** When to come back to a group without an owner. */
 #define OWNER_RETRY_US (250 * USEC_PER_MSEC)
+/**
+ * The same when no owner has been there for OWNER_GONE_US: networks that are cut stay so for
+ * seconds, and a caller that comes back each 250 ms has used up its tries before.
+ */
+#define OWNER_GONE_RETRY_US (1 * USEC_PER_SEC)
 /**
  * After this VM began to leave, sessions at rest are closed: the balancer asks once a second and
  * takes two misses before it sends no new ones.
@@ -372,7 +377,7 @@
 	 * would only use up its caller's time.
 	 */
 	if (untaken > OWNER_GONE_US || now + pause >= limit) {
-		answer_here(s, o, OWNER_RETRY_US);
+		answer_here(s, o, untaken > OWNER_GONE_US ? OWNER_GONE_RETRY_US : OWNER_RETRY_US);
 		return;
 	}
 	stat_add(STAT_RETRIES, 1);
@@ -621,7 +626,7 @@
 		on_admitted(&s->admission, false, retry_us);
 	else if (waits_in_vain(s)) {
 		shares_cancel(&s->admission);
-		answer_here(s, OUTCOME_LEAVING, OWNER_RETRY_US);
+		answer_here(s, OUTCOME_LEAVING, OWNER_GONE_RETRY_US);
 	}
 }
 
--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -286,6 +286,9 @@
 		test_sleep_ms(i < 16 ? 250 : 1);
 	}
 	CHECK(wait_log(f, entry, "event=owner-gone request=g", 3000), "nothing refused at once");
+	CHECK(wait_log(f, entry, "outcome=leaving by=\"\" tries=0", 3000) &&
+		      wait_log(f, entry, "retry_after_us=1000000", 3000),
+	      "callers are told to come back too soon");
 	for (i = 0; i < 80; i++) {
 		CHECK(strcmp(line_answer(&c[i]), "COMPLETE") != 0, "statement %d was served", i);
 		line_close(&c[i]);
