--- /dev/null
+++ b/src/fleet-store-items.c
@@ -0,0 +1,331 @@
+/**
+ * @file fleet-store-items.c
+ * From the store's items to what is in force: the operators' document and the backend servers'
+ * entries become routes, pools, teams and keys, the VMs' keys the list of VMs.
+ */
+#include "fleet-store-source.h"
+
+#include "log.h"
+#include "table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * A backend server's entry that vanished is kept for this long. Entries that lapse while the store
+ * is away are written again within two seconds of its return; dropping them at once would replace
+ * primaries that serve.
+ */
+#define LAPSED_KEEP_US (2300 * USEC_PER_MSEC)
+/** Versions within one revision of the store, for changes that time alone brings. */
+#define VERSION_STEPS 8
+
+void records_document_clear(struct records_document *d)
+{
+	if (d->entries != NULL)
+		g_ptr_array_unref(d->entries);
+	if (d->pools != NULL)
+		g_array_unref(d->pools);
+	memset(d, 0, sizeof(*d));
+}
+
+/* Pools out of the document and the servers */
+
+static void add_member(struct conf_pool *pool, const struct server *s, unsigned connections)
+{
+	struct conf_member *m;
+
+	if (pool->n == GROUP_MEMBERS_MAX) {
+		log_warn("member-left-out", LOG_STR("pool", pool->name),
+			 LOG_STR("member", s->record.member.name));
+		return;
+	}
+	m = &pool->member[pool->n++];
+	*m = s->record.member;
+	m->connections = connections;
+}
+
+/** In order of names, so that all VMs write the same text. */
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	const struct server *const *x = a;
+	const struct server *const *y = b;
+
+	return strcmp((*x)->record.member.name, (*y)->record.member.name);
+}
+
+static GPtrArray *servers_sorted(void)
+{
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, store_source.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(all, value);
+	g_ptr_array_sort(all, by_name);
+	return all;
+}
+
+static void add_pools(GPtrArray *entries)
+{
+	GPtrArray *servers = servers_sorted();
+	guint i, j;
+
+	for (i = 0; i < store_source.document.pools->len; i++) {
+		const struct records_pool *r =
+			&g_array_index(store_source.document.pools, struct records_pool, i);
+		struct conf_pool pool = {.sync = r->sync, .confirm = CONFIRM_PRIMARY};
+
+		g_strlcpy(pool.name, r->name, sizeof(pool.name));
+		for (j = 0; j < servers->len; j++) {
+			const struct server *s = g_ptr_array_index(servers, j);
+
+			if (strcmp(s->record.pool, r->name) == 0)
+				add_member(&pool, s, r->connections);
+		}
+		g_ptr_array_add(entries, table_entry_make(CONF_POOL, &pool));
+	}
+	g_ptr_array_unref(servers);
+}
+
+/** The entries that differ from what is in force, each with the new version. */
+static void differences(const struct conf *conf, GPtrArray *now, struct conf_update *u)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer key;
+	guint i;
+
+	for (i = 0; i < now->len; i++) {
+		struct conf_entry *e = g_ptr_array_index(now, i);
+		const struct conf_entry *old = g_hash_table_lookup(conf->entries, e->id);
+
+		g_hash_table_add(named, e->id);
+		if (old != NULL && strcmp(old->text, e->text) == 0)
+			continue;
+		e->version = u->version;
+		g_ptr_array_add(u->entries, conf_entry_add_ref(e));
+	}
+	g_hash_table_iter_init(&iter, conf->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct conf_entry *gone;
+
+		if (g_hash_table_contains(named, key))
+			continue;
+		gone = table_entry_parse(key, u->version, NULL, NULL);
+		gone->removed = true;
+		g_ptr_array_add(u->entries, gone);
+	}
+	g_hash_table_destroy(named);
+}
+
+/** The version for what is known now: above the one in force, if that is of the same revision. */
+static uint64_t next_version(const struct conf *conf)
+{
+	uint64_t version = store_source.as_of * VERSION_STEPS;
+
+	if (conf->version >= version && conf->version + 1 < version + VERSION_STEPS)
+		version = conf->version + 1;
+	return version;
+}
+
+static void publish_conf(void)
+{
+	struct fleet *f = store_source.f;
+	struct conf_update u = {.base = f->conf->version, .version = next_version(f->conf)};
+	GPtrArray *now;
+	guint i;
+
+	store_source.conf_changed = false;
+	/* A peer has told a newer state already; what the store tells next will show it here too.
+	 */
+	if (u.version <= f->conf->version || store_source.document.entries == NULL)
+		return;
+	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
+	now = g_ptr_array_new_with_free_func(conf_entry_destroy);
+	for (i = 0; i < store_source.document.entries->len; i++)
+		g_ptr_array_add(now, conf_entry_add_ref(
+					     g_ptr_array_index(store_source.document.entries, i)));
+	add_pools(now);
+	u.full = f->conf->version == 0;
+	differences(f->conf, now, &u);
+	if (u.entries->len > 0)
+		fleet_take_conf(f, &u, "store");
+	g_ptr_array_unref(now);
+	conf_update_clear(&u);
+}
+
+/* The list of VMs */
+
+bool fleet_store_vm_parse(const char *value, char name[NAME_SIZE], uint64_t *incarnation)
+{
+	JsonParser *parser = json_parser_new();
+	bool ok = json_parser_load_from_data(parser, value, -1, NULL) &&
+		  json_parser_get_root(parser) != NULL &&
+		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+
+	if (ok) {
+		JsonObject *o = json_node_get_object(json_parser_get_root(parser));
+
+		g_strlcpy(name, json_object_get_string_member_with_default(o, "name", ""),
+			  NAME_SIZE);
+		*incarnation =
+			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
+				 NULL, 16);
+		ok = name[0] != '\0' && *incarnation != 0;
+	}
+	g_object_unref(parser);
+	return ok;
+}
+
+static void publish_vms(void)
+{
+	GString *text = g_string_new("[");
+	GList *keys = g_list_sort(g_hash_table_get_keys(store_source.vms), (GCompareFunc)strcmp);
+	GList *l;
+
+	store_source.vms_changed = false;
+	for (l = keys; l != NULL; l = l->next)
+		g_string_append_printf(
+			text, "%s%s", text->len > 1 ? "," : "",
+			(const char *)g_hash_table_lookup(store_source.vms, l->data));
+	g_string_append_c(text, ']');
+	if (store_source.as_of > store_source.vms_published) {
+		store_source.vms_published = store_source.as_of;
+		fleet_take_vms(store_source.f, store_source.as_of, text->str);
+	}
+	g_list_free(keys);
+	g_string_free(text, TRUE);
+}
+
+/* Items */
+
+static void take_document(const struct store_item *item)
+{
+	struct records_document d;
+
+	if (item->value == NULL || item->revision <= store_source.document_revision)
+		return;
+	if (!store_source.records->document(item->value, &d)) {
+		log_error("document-malformed", LOG_NUM("revision", item->revision));
+		records_document_clear(&d);
+		return;
+	}
+	log_info("document", LOG_NUM("version", d.version), LOG_NUM("revision", item->revision),
+		 LOG_NUM("entries", d.entries->len), LOG_NUM("pools", d.pools->len));
+	records_document_clear(&store_source.document);
+	store_source.document = d;
+	store_source.document_revision = item->revision;
+	store_source.conf_changed = true;
+}
+
+static void server_lapsed(const char *id)
+{
+	struct server *s = g_hash_table_lookup(store_source.servers, id);
+
+	if (s == NULL || s->lapsed)
+		return;
+	s->lapsed = true;
+	s->lapsed_us = now_us();
+	log_info("member-lapsed", LOG_STR("pool", s->record.pool), LOG_STR("member", id));
+}
+
+static void take_server(const struct store_item *item)
+{
+	const char *id = item->key + strlen(store_source.records->servers_prefix);
+	struct records_server r;
+	struct server *s;
+
+	if (item->value == NULL) {
+		server_lapsed(id);
+		return;
+	}
+	if (!store_source.records->server(id, item->value, &r)) {
+		log_warn("server-malformed", LOG_STR("member", id),
+			 LOG_NUM("revision", item->revision));
+		return;
+	}
+	s = g_hash_table_lookup(store_source.servers, id);
+	if (s == NULL) {
+		s = g_new0(struct server, 1);
+		g_hash_table_insert(store_source.servers, g_strdup(id), s);
+	} else if (s->record.member.leaving != r.member.leaving) {
+		log_info("member-state", LOG_STR("pool", r.pool), LOG_STR("member", id),
+			 LOG_NUM("leaving", r.member.leaving), LOG_NUM("revision", item->revision));
+	}
+	s->record = r;
+	s->lapsed = false;
+	s->revision = item->revision;
+	store_source.conf_changed = true;
+}
+
+static void take_vm(const struct store_item *item)
+{
+	char name[NAME_SIZE];
+	uint64_t incarnation;
+
+	if (item->value == NULL) {
+		g_hash_table_remove(store_source.vms, item->key);
+	} else if (fleet_store_vm_parse(item->value, name, &incarnation)) {
+		g_hash_table_replace(store_source.vms, g_strdup(item->key), g_strdup(item->value));
+	} else {
+		log_warn("vm-malformed", LOG_STR("key", item->key));
+		return;
+	}
+	store_source.vms_changed = true;
+}
+
+void source_take(const struct store_item *item)
+{
+	uint64_t *known = g_hash_table_lookup(store_source.known, item->key);
+	unsigned i;
+
+	/* What is told twice, or late, changes nothing. */
+	if (known != NULL && *known >= item->revision)
+		return;
+	g_hash_table_replace(store_source.known, g_strdup(item->key),
+			     g_memdup2(&item->revision, sizeof(item->revision)));
+	if (strcmp(item->key, store_source.records->document_key) == 0)
+		take_document(item);
+	else if (g_str_has_prefix(item->key, store_source.records->servers_prefix))
+		take_server(item);
+	else if (g_str_has_prefix(item->key, FLEET_STORE_VMS))
+		take_vm(item);
+	for (i = 0; i < store_source.n_listeners; i++) {
+		if (g_str_has_prefix(item->key, store_source.listeners[i].prefix))
+			store_source.listeners[i].cb(item, store_source.listeners[i].owner);
+	}
+}
+
+void source_publish(void)
+{
+	if (!store_source.listed_all)
+		return;
+	store_source.f->news_us = now_us();
+	if (store_source.vms_changed)
+		publish_vms();
+	if (store_source.conf_changed)
+		publish_conf();
+}
+
+void source_drop_lapsed(int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool dropped = false;
+
+	g_hash_table_iter_init(&iter, store_source.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct server *s = value;
+
+		if (!s->lapsed || now - s->lapsed_us < LAPSED_KEEP_US || !store_source.reachable)
+			continue;
+		log_info("member-gone", LOG_STR("pool", s->record.pool),
+			 LOG_STR("member", s->record.member.name));
+		g_hash_table_iter_remove(&iter);
+		dropped = true;
+	}
+	if (dropped)
+		publish_conf();
+}
--- /dev/null
+++ b/src/fleet-store-lease.c
@@ -0,0 +1,127 @@
+/** @file fleet-store-lease.c The VM's lease, and its key under it. */
+#include "fleet-store-source.h"
+
+#include "log.h"
+
+#include <string.h>
+
+/**
+ * Length of a VM's lease. It must outlast a store that is away: nine seconds are the longest outage
+ * that the users' platform is told to have. A shorter one would let others take over the groups of
+ * VMs that work on without the store.
+ */
+#define LEASE_TTL_US (12 * USEC_PER_SEC)
+/** Renewals: at least nine and a half seconds of the lease are left when the store goes away. */
+#define LEASE_RENEW_US (2500 * USEC_PER_MSEC)
+/** After a renewal that failed. */
+#define LEASE_RETRY_US (500 * USEC_PER_MSEC)
+
+int64_t fleet_store_lease_until_us(struct fleet *f)
+{
+	return store_source.registered ? store_source.lease_until_us : 0;
+}
+
+uint64_t fleet_store_lease(struct fleet *f)
+{
+	return store_source.registered ? store_source.lease : 0;
+}
+
+static void registered(const struct store_answer *a, void *arg)
+{
+	store_source.lease_asked = false;
+	if (a->status == STORE_NO_LEASE) {
+		store_source.lease = 0;
+		return;
+	}
+	/* Writing the same key again is harmless, so a lost answer is just tried again. */
+	if (a->status != STORE_DONE) {
+		source_heard("register", false);
+		store_source.lease_next_us = now_us() + LEASE_RETRY_US;
+		return;
+	}
+	source_heard("register", true);
+	store_source.registered = true;
+	store_source.lease_next_us = store_source.lease_sent_us + LEASE_RENEW_US;
+	log_info("lease-held", LOG_NUM("lease", store_source.lease),
+		 LOG_NUM("until_ms", (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
+}
+
+static void register_vm(void)
+{
+	struct kernel *k = store_source.f->service.kernel;
+	const struct settings *set = k->settings;
+	char *key = g_strconcat(FLEET_STORE_VMS, set->name, NULL);
+	char *value = g_strdup_printf("{\"name\":\"%s\",\"address\":\"%s\",\"data_center\":\"%s\","
+				      "\"incarnation\":\"%lx\"}",
+				      set->name, set->advertise, set->data_center, k->incarnation);
+	struct store_write w = {.key = key, .value = value, .lease = store_source.lease};
+
+	store_source.lease_asked = true;
+	store_source.store->ops->commit(store_source.store, NULL, 0, &w, 1, registered, NULL);
+	g_free(value);
+	g_free(key);
+}
+
+static void lease_lost(const char *why)
+{
+	if (store_source.registered)
+		log_warn("lease-lost", LOG_NUM("lease", store_source.lease), LOG_STR("why", why));
+	store_source.lease = 0;
+	store_source.registered = false;
+	store_source.lease_next_us = 0;
+}
+
+static void lease_answered(const struct store_answer *a, void *arg)
+{
+	store_source.lease_asked = false;
+	if (a->status == STORE_NO_LEASE) {
+		lease_lost("ended");
+		return;
+	}
+	source_heard("lease", a->status == STORE_DONE);
+	if (a->status != STORE_DONE) {
+		store_source.lease_next_us = now_us() + LEASE_RETRY_US;
+		return;
+	}
+	if (a->lease != 0)
+		store_source.lease = a->lease;
+	store_source.lease_until_us =
+		store_source.lease_sent_us + (a->ttl_us > 0 ? MIN(a->ttl_us, LEASE_TTL_US) : 0);
+	store_source.lease_next_us = store_source.lease_sent_us + LEASE_RENEW_US;
+	if (!store_source.registered)
+		register_vm();
+}
+
+void source_lease_tick(int64_t now)
+{
+	if (store_source.lease_asked || store_source.releasing || now < store_source.lease_next_us)
+		return;
+	if (store_source.lease != 0 && !store_source.registered) {
+		register_vm();
+		return;
+	}
+	store_source.lease_asked = true;
+	store_source.lease_sent_us = now;
+	if (store_source.lease == 0)
+		store_source.store->ops->lease_grant(store_source.store, LEASE_TTL_US,
+						     lease_answered, NULL);
+	else
+		store_source.store->ops->lease_renew(store_source.store, store_source.lease,
+						     lease_answered, NULL);
+}
+
+static void released(const struct store_answer *a, void *arg)
+{
+	store_source.released = true;
+}
+
+bool fleet_store_release(struct fleet *f)
+{
+	if (store_source.releasing || store_source.lease == 0)
+		return store_source.released || store_source.lease == 0;
+	store_source.releasing = true;
+	store_source.registered = false;
+	log_info("lease-given-up", LOG_NUM("lease", store_source.lease));
+	store_source.store->ops->lease_end(store_source.store, store_source.lease, released, NULL);
+	return false;
+}
