A VM without configuration denies no database

Ruled out: a version going back (conf lines of that VM only rise). Change: without a configuration the answer is that the VM can't serve now (not run, elsewhere). Test: fails without the change (404's word), passes with it.

--- a/src/session.c
+++ b/src/session.c
@@ -103,6 +103,13 @@
 	const struct conf *conf = conf_of(s);
 	const struct conf_route *route;
 
+	/*
+	 * A VM that has just started knows no route yet, some 20 ms long and for as long as it
+	 * reaches neither the store nor a peer. Its callers were told for good that their database
+	 * does not exist, as if the configuration had gone back.
+	 */
+	if (conf->version == 0)
+		return OUTCOME_LEAVING;
 	if (s->checked_version == conf->version && s->tx != TX_NONE)
 		return OUTCOME_DONE;
 	route = conf_route(conf, s->team, s->database);
--- a/tests/test-it-line.c
+++ b/tests/test-it-line.c
@@ -272,7 +272,33 @@
 	shared_fleet = NULL;
 }
 
+/*
+ * A caller is told that its database does not exist, and gives up. It came to a VM that had just
+ * started and had no configuration yet. Such a VM says that it can't serve now.
+ */
+static void test_a_vm_without_configuration_denies_no_database(void)
+{
+	struct line_fleet *f = line_fleet_start(1);
+	int64_t until = test_now_ms() + 5000;
+	struct line_client c;
+
+	line_vm_signal(f, 0, SIGKILL);
+	line_fault(f, "{\"store\":\"refuse\"}");
+	line_vm_start(f, 0);
+	do {
+		test_sleep_ms(10);
+		CU_ASSERT_FALSE(line_connect(&c, f, 0, LINE_DB_PRIMARY, LINE_KEY));
+		line_close(&c);
+	} while (c.code[0] == '\0' && test_now_ms() < until);
+	CHECK(strcmp(c.code, "BUSY") == 0, "%s %s", c.code, c.text);
+	line_fault(f, "{\"store\":\"ok\"}");
+	CU_ASSERT_TRUE(line_write_until(f, 0, 10000));
+	line_fleet_stop(f);
+}
+
 static const struct test_case cases[] = {
+	{"a_vm_without_configuration_denies_no_database",
+	 test_a_vm_without_configuration_denies_no_database},
 	{"reads_and_writes", test_reads_and_writes},
 	{"transactions", test_transactions},
 	{"prepared_statements_and_values", test_prepared_statements_and_values},
