The group's record in a file of its own

owner-claim.c (671 lines) is now owner-record.c (the record's text, what follows when it changes, reading and writing it) and owner-claim.c (who owns the group). find_leader() for what stood twice in the change of primary; the tests of the owner share their set-up. No change of behaviour; test-owner and test-it-owner pass as before.

--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -70,6 +70,16 @@
 	}
 }
 
+/** The member that leads as the record has it, or -1. */
+static int find_leader(const struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+
+	candidates(g, c, names, now);
+	return lead_find(&g->record, names, c, g->n);
+}
+
 /** The member at @a i leads from now on. */
 static void lead_begins(struct owner_group *g, int i, const char *why)
 {
@@ -279,7 +289,7 @@
 	r.floor = MAX(r.floor, highest);
 	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
 	og_state(g, OWNER_RECORDING, "chosen");
-	claim_write(g, &r, recorded);
+	record_write(g, &r, recorded);
 }
 
 /**
@@ -448,12 +458,8 @@
 
 static void await(struct owner_group *g, int64_t now)
 {
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int found;
+	int found = find_leader(g, now);
 
-	candidates(g, c, names, now);
-	found = lead_find(&g->record, names, c, g->n);
 	if (found >= 0) {
 		stat_add(STAT_FAILOVERS_DONE, 1);
 		lead_begins(g, found, "promoted");
@@ -469,12 +475,8 @@
 
 static void find(struct owner_group *g, int64_t now)
 {
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int found;
+	int found = find_leader(g, now);
 
-	candidates(g, c, names, now);
-	found = lead_find(&g->record, names, c, g->n);
 	if (found >= 0) {
 		lead_begins(g, found, "found");
 		return;
@@ -532,7 +534,7 @@
 	g_strlcpy(r.target, names[best], sizeof(r.target));
 	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
 		 LOG_NUM("floor", r.floor));
-	claim_write(g, &r, planned_recorded);
+	record_write(g, &r, planned_recorded);
 }
 
 /** It was to leave so long ago that it gets no more statements, whoever may follow it. */
--- /dev/null
+++ b/src/owner-record.c
@@ -0,0 +1,295 @@
+/**
+ * @file owner-record.c
+ * The group's record in the store: its text, what follows when it changes, reading and writing it.
+ */
+#include "owner.h"
+
+#include "fleet-store.h"
+#include "log.h"
+#include "store.h"
+
+#include <json-glib/json-glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RECORD_PREFIX FLEET_STORE_PREFIX "group/"
+/** After a call about the record failed. */
+#define RETRY_US (100 * USEC_PER_MSEC)
+
+/* The record's text */
+
+static void put_vm(JsonBuilder *b, const struct lead_vm *vm)
+{
+	char hex[20];
+
+	g_snprintf(hex, sizeof(hex), "%lx", vm->incarnation);
+	json_builder_set_member_name(b, "vm");
+	json_builder_add_string_value(b, vm->name);
+	json_builder_set_member_name(b, "incarnation");
+	json_builder_add_string_value(b, hex);
+}
+
+static char *record_text(const struct lead_record *r)
+{
+	JsonBuilder *b = json_builder_new();
+	JsonNode *root;
+	unsigned i;
+	char *text;
+
+	json_builder_begin_object(b);
+	put_vm(b, &r->owner);
+	json_builder_set_member_name(b, "address");
+	json_builder_add_string_value(b, r->address);
+	json_builder_set_member_name(b, "floor");
+	json_builder_add_int_value(b, (gint64)r->floor);
+	json_builder_set_member_name(b, "target");
+	json_builder_add_string_value(b, r->target);
+	json_builder_set_member_name(b, "senders");
+	json_builder_begin_array(b);
+	for (i = 0; i < r->n; i++) {
+		json_builder_begin_object(b);
+		put_vm(b, &r->sender[i]);
+		json_builder_end_object(b);
+	}
+	json_builder_end_array(b);
+	json_builder_end_object(b);
+	root = json_builder_get_root(b);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(b);
+	return text;
+}
+
+static void read_vm(JsonObject *o, struct lead_vm *vm)
+{
+	g_strlcpy(vm->name, json_object_get_string_member_with_default(o, "vm", ""),
+		  sizeof(vm->name));
+	vm->incarnation = strtoull(
+		json_object_get_string_member_with_default(o, "incarnation", "0"), NULL, 16);
+}
+
+static bool record_parse(const char *text, struct lead_record *r)
+{
+	JsonParser *parser = json_parser_new();
+	bool ok = json_parser_load_from_data(parser, text, -1, NULL) &&
+		  json_parser_get_root(parser) != NULL &&
+		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+
+	memset(r, 0, sizeof(*r));
+	if (ok) {
+		JsonObject *o = json_node_get_object(json_parser_get_root(parser));
+		JsonNode *senders = json_object_get_member(o, "senders");
+		JsonArray *list = senders != NULL && JSON_NODE_HOLDS_ARRAY(senders)
+					  ? json_node_get_array(senders)
+					  : NULL;
+		guint i;
+
+		read_vm(o, &r->owner);
+		g_strlcpy(r->address, json_object_get_string_member_with_default(o, "address", ""),
+			  sizeof(r->address));
+		r->floor = (uint64_t)json_object_get_int_member_with_default(o, "floor", 0);
+		g_strlcpy(r->target, json_object_get_string_member_with_default(o, "target", ""),
+			  sizeof(r->target));
+		for (i = 0;
+		     list != NULL && i < json_array_get_length(list) && r->n < LEAD_SENDERS_MAX;
+		     i++)
+			read_vm(json_array_get_object_element(list, i), &r->sender[r->n++]);
+	}
+	g_object_unref(parser);
+	return ok;
+}
+
+/* Taking in a record */
+
+void record_ownership_ends(struct owner_group *g, const char *why)
+{
+	unsigned i;
+
+	log_warn("owner-ends", LOG_STR("pool", g->pool), LOG_STR("owner", g->record.owner.name),
+		 LOG_NUM("revision", g->revision), LOG_STR("why", why));
+	g->sending = !g->yielded;
+	og_state(g, OWNER_NONE, why);
+	queue_refuse(g, true, OUTCOME_LEAVING);
+	for (i = 0; i < g->n; i++) {
+		watch_close(&g->member[i]);
+		conn_close_idle(&g->member[i]);
+	}
+}
+
+static void ownership_begins(struct owner_group *g, const char *why)
+{
+	unsigned i;
+
+	g->yielded = false;
+	g->sending = true;
+	g->primary = -1;
+	g->except = -1;
+	g->next_us = 0;
+	marks_clear(&g->marks);
+	for (i = 0; i < g->n; i++) {
+		g->member[i].seen_us = 0;
+		g->member[i].unheard_us = 0;
+		g->member[i].probe.next_us = 0;
+	}
+	log_info("owner", LOG_STR("pool", g->pool), LOG_NUM("revision", g->revision),
+		 LOG_NUM("senders", g->record.n), LOG_STR("why", why));
+	og_state(g, OWNER_FINDING, why);
+}
+
+/** The record at @a revision is what the store has. */
+static void record_take(struct owner_group *g, const struct lead_record *r, uint64_t revision)
+{
+	bool mine = g->state > OWNER_CLAIMING;
+
+	if (revision <= g->revision)
+		return;
+	g->record = *r;
+	g->revision = revision;
+	g->owner_lost = false;
+	g->contact_us = 0;
+	if (mine && !og_mine(g))
+		record_ownership_ends(g, "claimed-by-another");
+	else if (!mine && og_mine(g))
+		ownership_begins(g, g->state == OWNER_CLAIMING ? "claimed" : "handed-over");
+	else if (!mine)
+		log_info("owner-known", LOG_STR("pool", g->pool), LOG_STR("owner", r->owner.name),
+			 LOG_NUM("revision", revision));
+}
+
+static void record_news(const struct store_item *item, void *owner)
+{
+	struct owner_group *g = og_find(owner, item->key + strlen(RECORD_PREFIX));
+	struct lead_record r;
+
+	if (g == NULL || item->value == NULL)
+		return;
+	g->read = true;
+	if (!record_parse(item->value, &r)) {
+		log_error("record-malformed", LOG_STR("pool", g->pool));
+		return;
+	}
+	record_take(g, &r, item->revision);
+}
+
+void record_listen(struct owner *o)
+{
+	fleet_store_listen(fleet_of(o->service.kernel), RECORD_PREFIX, record_news, o);
+}
+
+/* Reading and writing */
+
+struct call {
+	struct owner *o;
+	char pool[NAME_SIZE];
+	struct lead_record record;
+	char *text;
+	record_written cb;
+};
+
+static struct call *call_create(struct owner_group *g)
+{
+	struct call *q = g_new0(struct call, 1);
+
+	q->o = g->o;
+	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
+	g->busy = true;
+	return q;
+}
+
+static void call_free(struct call *q)
+{
+	g_free(q->text);
+	g_free(q);
+}
+
+static void read_answered(const struct store_answer *a, void *arg)
+{
+	struct call *q = arg;
+	struct owner_group *g = og_find(q->o, q->pool);
+	struct lead_record r;
+	bool ok = false;
+
+	if (g == NULL) {
+		call_free(q);
+		return;
+	}
+	g->busy = false;
+	if (a->status != STORE_DONE && a->status != STORE_NO_LEASE) {
+		g->next_us = now_us() + RETRY_US;
+	} else {
+		const struct store_item *item =
+			a->items->len > 0 ? g_ptr_array_index(a->items, 0) : NULL;
+
+		g->read = true;
+		if (item != NULL && item->value != NULL && record_parse(item->value, &r)) {
+			ok = q->text != NULL && strcmp(item->value, q->text) == 0;
+			record_take(g, &r, item->revision);
+			/* The store still has this VM as the owner, so nobody has fenced it. */
+			if (item->revision == g->revision)
+				g->lease = fleet_store_lease(og_fleet(g));
+		}
+	}
+	if (q->cb != NULL)
+		q->cb(g, ok);
+	call_free(q);
+}
+
+static void read_again(struct owner_group *g, struct call *q)
+{
+	char *key = g_strconcat(RECORD_PREFIX, g->pool, NULL);
+	struct store *s = fleet_store(og_fleet(g));
+
+	g->busy = true;
+	s->ops->get(s, key, read_answered, q);
+	g_free(key);
+}
+
+static void write_answered(const struct store_answer *a, void *arg)
+{
+	struct call *q = arg;
+	struct owner_group *g = og_find(q->o, q->pool);
+
+	if (g == NULL) {
+		call_free(q);
+		return;
+	}
+	g->busy = false;
+	if (a->status == STORE_DONE) {
+		g->lease = fleet_store_lease(og_fleet(g));
+		record_take(g, &q->record, a->revision);
+		q->cb(g, true);
+		call_free(q);
+		return;
+	}
+	log_info("record-write-failed", LOG_STR("pool", q->pool), LOG_NUM("status", a->status),
+		 LOG_NUM("revision", g->revision));
+	if (a->status == STORE_REFUSED || a->status == STORE_NO_LEASE) {
+		g->next_us = now_us() + RETRY_US;
+		q->cb(g, false);
+		call_free(q);
+		return;
+	}
+	/* Another was first, or the answer was lost: what the store has now tells which. */
+	read_again(g, q);
+}
+
+void record_read(struct owner_group *g)
+{
+	read_again(g, call_create(g));
+}
+
+void record_write(struct owner_group *g, const struct lead_record *r, record_written cb)
+{
+	struct store *s = fleet_store(og_fleet(g));
+	struct call *q = call_create(g);
+	char *key = g_strconcat(RECORD_PREFIX, g->pool, NULL);
+	struct store_guard guard = {.key = key, .revision = g->revision};
+	struct store_write write = {.key = key};
+
+	q->record = *r;
+	q->text = record_text(r);
+	q->cb = cb;
+	write.value = q->text;
+	s->ops->commit(s, &guard, 1, &write, 1, write_answered, q);
+	g_free(key);
+}
--- a/src/owner.c
+++ b/src/owner.c
@@ -428,7 +428,7 @@
 	rpc_serve(r, ML_REACH, watch_reach_serve, o);
 	rpc_on_closed(r, tx_closed, o);
 	fleet_listen(fleet_of(s->kernel), conf_changed, o);
-	claim_listen(o);
+	record_listen(o);
 	o->tick = kernel_every(s->kernel, TICK_US, on_tick, o);
 	return TRUE;
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -276,8 +276,17 @@
 int64_t og_wait_us(const struct owner_group *g, int64_t now);
 struct owner_member *og_primary(struct owner_group *g);
 
+/* owner-record.c */
+void record_listen(struct owner *o);
+/** Read the record from the store itself, past what the watch has told. */
+void record_read(struct owner_group *g);
+typedef void (*record_written)(struct owner_group *g, bool ok);
+/** Write @a r as the group's record if it is still at the known revision. */
+void record_write(struct owner_group *g, const struct lead_record *r, record_written cb);
+/** Stop being the owner; what is open may still end, since two senders harm nothing. */
+void record_ownership_ends(struct owner_group *g, const char *why);
+
 /* owner-claim.c */
-void claim_listen(struct owner *o);
 void claim_tick(struct owner_group *g, int64_t now);
 /** Another VM has written a newer record that names itself. */
 void claim_superseded(struct owner_group *g);
@@ -296,9 +305,6 @@
 void claim_move_near(struct owner_group *g, int64_t now);
 /** Stop sending for the group at once. */
 void claim_stop(struct owner_group *g, const char *why);
-/** Write @a r as the group's record if it is still at the known revision. */
-typedef void (*claim_written)(struct owner_group *g, bool ok);
-void claim_write(struct owner_group *g, const struct lead_record *r, claim_written cb);
 
 /* owner-change.c */
 /** Replace the primary. @param planned it lives, and is to leave */
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -350,6 +350,23 @@
 	CHECK(g->state == state, "state %d, not %d", g->state, state);
 }
 
+/** Open the world and wait until its VM serves the group, with m0 as the primary. */
+static struct owner_group *world_serve(struct world *w)
+{
+	struct owner_group *g;
+
+	world_open(w);
+	fleet_of(w->k)->source->start(fleet_of(w->k));
+	g = og_find(w->o, POOL);
+	turn_until(w, g, OWNER_SERVING);
+	return g;
+}
+
+static void world_close(struct world *w)
+{
+	fleet_of(w->k)->source->stop(fleet_of(w->k));
+}
+
 static void set_leaving(struct world *w, const char *member)
 {
 	struct fleet *f = fleet_of(w->k);
@@ -377,10 +394,7 @@
 	struct world w;
 	unsigned before;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	store_refuses = true;
 	before = n_commits;
 	set_leaving(&w, "m0");
@@ -394,7 +408,7 @@
 	turn_until(&w, g, OWNER_ORDERING);
 	CU_ASSERT_STRING_NOT_EQUAL(g->record.target, "m0");
 	CU_ASSERT_EQUAL(g->record.floor, 1);
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 /** One turn in which the replicas answer a caller's read each, and all looks are answered. */
@@ -417,10 +431,7 @@
 	struct owner_group *g;
 	struct world w;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	g->member[1].seen_us -= 10 * USEC_PER_SEC;
 	g->member[2].seen_us -= 10 * USEC_PER_SEC;
 	set_leaving(&w, "m0");
@@ -428,7 +439,7 @@
 		turn_with_reads(&w, g);
 	CU_ASSERT_EQUAL(g->state, OWNER_ORDERING);
 	CU_ASSERT_STRING_NOT_EQUAL(g->record.target, "m0");
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 /*
@@ -442,10 +453,7 @@
 	struct owner_group *g;
 	struct world w;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	store_refuses = true;
 	set_leaving(&w, "m0");
 	g->member[0].leaving_us -= 6 * USEC_PER_SEC;
@@ -454,7 +462,7 @@
 	CU_ASSERT_NOT_EQUAL(g->state, OWNER_SERVING);
 	CU_ASSERT_TRUE(og_wait_us(g, now_us()) > 0);
 	store_refuses = false;
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 /*
@@ -467,10 +475,7 @@
 	struct owner_group *g;
 	struct world w;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	claim_stop(g, "asked");
 	CU_ASSERT_EQUAL(g->state, OWNER_NONE);
 	g_strlcpy(g->record.owner.name, "vm-2", sizeof(g->record.owner.name));
@@ -480,7 +485,7 @@
 	answer_looks(10);
 	CU_ASSERT_EQUAL(n_sent, 1);
 	CU_ASSERT_EQUAL(w.outcome, OUTCOMES);
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 /*
@@ -493,15 +498,12 @@
 	struct owner_group *g;
 	struct world w;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	marks_clear(&g->marks);
 	og_state(g, OWNER_FENCING, "test");
 	read_locally(&w, 1500, 800);
 	CU_ASSERT_EQUAL(w.outcome, OUTCOME_NOT_PRIMARY);
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 /*
@@ -515,10 +517,7 @@
 	struct owner_group *g;
 	struct world w;
 
-	world_open(&w);
-	fleet_of(w.k)->source->start(fleet_of(w.k));
-	g = og_find(w.o, POOL);
-	turn_until(&w, g, OWNER_SERVING);
+	g = world_serve(&w);
 	g_strlcpy(g->record.target, "m1", sizeof(g->record.target));
 	g->record.floor = 1;
 	change_begin(g, false, "test");
@@ -526,7 +525,7 @@
 		turn_with_reads(&w, g);
 	CU_ASSERT_EQUAL(g->state, OWNER_ORDERING);
 	CU_ASSERT_STRING_NOT_EQUAL(g->record.target, "m0");
-	fleet_of(w.k)->source->stop(fleet_of(w.k));
+	world_close(&w);
 }
 
 static const struct test_case cases[] = {
