--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -168,9 +168,9 @@
 }
 
 /*
- * The owner's VM stands still: statements to it get no answer, and their callers leave meanwhile. A
- * first form freed such a session twice and ended the entry VM. Reads that may be old go on at
- * replicas.
+ * The owner's VM stands still: statements to it get no answer, and their callers leave meanwhile.
+ * Their sessions must be freed once: the entry VM ends by itself otherwise. Reads that may be old
+ * go on at replicas.
  */
 static void test_an_owner_stands_still(void)
 {
