--- a/tests/test-lead.c
+++ b/tests/test-lead.c
@@ -314,7 +314,7 @@
 
 		srand((unsigned)seed);
 		for (i = 0; i < VMS; i++) {
-			char name[8];
+			char name[16];
 
 			snprintf(name, sizeof(name), "v%d", i);
 			m.vm[i].id = vm(name, (uint64_t)i + 1);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -26,6 +26,7 @@
 
 static struct fake_conn *conns[32];
 static unsigned n_conns;
+static GPtrArray *every_conn;
 static struct member_command sent[64];
 static struct fake_conn *sent_on[64];
 static unsigned n_sent;
@@ -75,6 +76,10 @@
 	g_strlcpy(f->id, id, sizeof(f->id));
 	f->opened = cb;
 	f->arg = arg;
+	/* Earlier worlds still refer to theirs. */
+	if (every_conn == NULL)
+		every_conn = g_ptr_array_new();
+	g_ptr_array_add(every_conn, f);
 	conns[n_conns++] = f;
 	return &f->conn;
 }
