The owner's dead state, empty callbacks and twins

Found by reading the change again. Behaviour stays: fields that were written and never read (contact_us, no_leader_yet, n_pinned, a reach's kernel, the store's heard_us); callbacks that did nothing, where rpc_start() takes none; the question to the owner, built twice, is ask(); the note that an owner is lost is taken back in one place, which each tick passes before the other; the age of a refusal is judged in untaken_lately(). test-owner: 11 passed.

--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -41,7 +41,6 @@
 	struct store_call *watch;
 	uint64_t as_of; /**< revision up to which all changes are known */
 	bool reachable;
-	int64_t heard_us;
 	int64_t checked_us;
 
 	GHashTable *known;   /**< key to revision (uint64_t *), of all that was told */
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -57,8 +57,6 @@
 
 void source_heard(const char *call, bool ok)
 {
-	if (ok)
-		store_source.heard_us = now_us();
 	if (ok == store_source.reachable)
 		return;
 	store_source.reachable = ok;
@@ -240,6 +238,7 @@
 }
 
 /* Time */
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	int64_t now = now_us();
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -40,12 +40,18 @@
 	char pool[NAME_SIZE];
 };
 
-/* Telling others */
-
-static void told(enum rpc_status status, const void *res, void *arg)
+static void ask(struct owner_group *g, const char *address, rpc_done cb)
 {
+	ml_owner args = {.pool = g->pool, .vm = "", .address = ""};
+	struct ask *q = g_new0(struct ask, 1);
+
+	q->o = g->o;
+	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
+	rpc_start(rpc_of(g->o->service.kernel), address, ML_OWNER, &args, ASK_TIMEOUT_US, cb, q);
 }
 
+/* Telling others */
+
 /** Tell all VMs, so that statements come to the right one before the store's watch has told them.
  */
 static void tell_all(struct owner_group *g)
@@ -60,7 +66,7 @@
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		if (vm != f->peers.self && vm->listed && !vm->dead)
 			rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args,
-				  ASK_TIMEOUT_US, told, NULL);
+				  ASK_TIMEOUT_US, NULL, NULL);
 	}
 }
 
@@ -134,9 +140,7 @@
 
 void claim_ask_mark(struct owner_group *g, int64_t now)
 {
-	ml_owner args = {.pool = g->pool, .vm = "", .address = ""};
 	const char *address;
-	struct ask *q;
 	bool known;
 
 	if (g->mark_asked)
@@ -146,11 +150,7 @@
 		return;
 	g->mark_asked = true;
 	g->mark_asked_us = now;
-	q = g_new0(struct ask, 1);
-	q->o = g->o;
-	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
-	rpc_start(rpc_of(g->o->service.kernel), address, ML_OWNER, &args, ASK_TIMEOUT_US,
-		  mark_answered, q);
+	ask(g, address, mark_answered);
 }
 
 static void owner_answered(enum rpc_status status, const void *arg_res, void *arg)
@@ -166,8 +166,6 @@
 			log_info("owner-silent", LOG_STR("pool", g->pool),
 				 LOG_STR("owner", g->record.owner.name),
 				 LOG_NUM("answered", status == RPC_DONE));
-		} else {
-			g->contact_us = now_us();
 		}
 	}
 	g_free(q);
@@ -176,18 +174,11 @@
 /** Ask the owner whether it still is: one lost call to it does not mean that it is gone. */
 static void ask_owner(struct owner_group *g, int64_t now)
 {
-	ml_owner args = {.pool = g->pool, .vm = "", .address = ""};
-	struct ask *q;
-
 	if (g->asking || now - g->asked_us < ASK_US)
 		return;
 	g->asked_us = now;
 	g->asking = true;
-	q = g_new0(struct ask, 1);
-	q->o = g->o;
-	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
-	rpc_start(rpc_of(g->o->service.kernel), g->record.address, ML_OWNER, &args, ASK_TIMEOUT_US,
-		  owner_answered, q);
+	ask(g, g->record.address, owner_answered);
 }
 
 /** Whether this VM is the one that is to claim the group when its owner is gone. */
@@ -220,10 +211,8 @@
 		g->hint_revision = 0;
 		return;
 	}
-	if (vm != NULL && peers_usable(vm)) {
-		g->owner_lost = false;
+	if (vm != NULL && peers_usable(vm))
 		return;
-	}
 	if (vm != NULL && vm->left) {
 		claim(g, "owner-left");
 		return;
@@ -235,10 +224,6 @@
 	ask_owner(g, now);
 }
 
-static void invite_answered(enum rpc_status status, const void *res, void *arg)
-{
-}
-
 void claim_invite(struct owner_group *g, const char *why)
 {
 	struct fleet *f = og_fleet(g);
@@ -262,7 +247,7 @@
 		log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
 			 LOG_STR("why", why));
 		rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args,
-			  ASK_TIMEOUT_US, invite_answered, NULL);
+			  ASK_TIMEOUT_US, NULL, NULL);
 		return;
 	}
 }
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -288,7 +288,6 @@
 	tx->used_us = now_us();
 	tx->idle_us = (int64_t)job->args->idle_tx_us;
 	job->conn->tx = tx;
-	job->conn->m->n_pinned++;
 	TAILQ_INSERT_TAIL(&job->g->txs, tx, link);
 	return tx;
 }
@@ -296,7 +295,6 @@
 void tx_free(struct owner_tx *tx)
 {
 	TAILQ_REMOVE(&tx->conn->m->g->txs, tx, link);
-	tx->conn->m->n_pinned--;
 	tx->conn->tx = NULL;
 	g_free(tx);
 }
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -146,7 +146,6 @@
 	g->record = *r;
 	g->revision = revision;
 	g->owner_lost = false;
-	g->contact_us = 0;
 	if (mine && !og_mine(g))
 		record_ownership_ends(g, "claimed-by-another");
 	else if (!mine && og_mine(g))
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -276,7 +276,6 @@
 
 /** A look at a member for another VM. */
 struct reach {
-	struct kernel *kernel;
 	struct rpc_request *rq;
 	struct member_conn *mc;
 	struct event *timer;
@@ -324,7 +323,6 @@
 		return;
 	}
 	r = g_new0(struct reach, 1);
-	r->kernel = k;
 	r->rq = rq;
 	r->timer = event_new(k->base, -1, 0, reach_timeout, r);
 	kernel_arm(r->timer, OTHERS_TIMEOUT_US);
--- a/src/owner.c
+++ b/src/owner.c
@@ -257,6 +257,11 @@
 	return fleet_holder_address(fleet_of(o->service.kernel), role);
 }
 
+static bool untaken_lately(const struct owner_group *g, int64_t now)
+{
+	return g->untaken_us != 0 && now - g->untaken_last_us <= UNTAKEN_FRESH_US;
+}
+
 int64_t owner_took(struct owner *o, const char *pool, bool took)
 {
 	struct owner_group *g = og_find(o, pool);
@@ -264,23 +269,22 @@
 
 	if (g == NULL)
 		return 0;
-	if (took)
+	if (took) {
 		g->untaken_us = 0;
-	else if (g->untaken_us == 0 || now - g->untaken_last_us > UNTAKEN_FRESH_US)
+		return 0;
+	}
+	if (!untaken_lately(g, now))
 		g->untaken_us = now;
 	g->untaken_last_us = now;
-	return took ? 0 : now - g->untaken_us;
+	return now - g->untaken_us;
 }
 
 int64_t owner_untaken_us(struct owner *o, const char *pool)
 {
 	const struct owner_group *g = og_find(o, pool);
-
 	int64_t now = now_us();
 
-	if (g == NULL || g->untaken_us == 0 || now - g->untaken_last_us > UNTAKEN_FRESH_US)
-		return 0;
-	return now - g->untaken_us;
+	return g != NULL && untaken_lately(g, now) ? now - g->untaken_us : 0;
 }
 
 void owner_told_mark(struct owner *o, const char *pool, struct pos pos, int64_t asked_us)
--- a/src/owner.h
+++ b/src/owner.h
@@ -6,7 +6,8 @@
  * changed.
  *
  * owner.c        groups, and the RPC procedures
- * owner-claim.c  the group's record in the store: claiming, handing over, yielding
+ * owner-record.c the group's record in the store
+ * owner-claim.c  who owns it: claiming, handing over, yielding
  * owner-change.c the change of primary, step by step
  * owner-watch.c  looking at the members
  * owner-queue.c  statements that wait, and the member for each
@@ -128,7 +129,6 @@
 	struct owner_conns conns;
 	unsigned n_conns;
 	unsigned n_open;
-	unsigned n_pinned;
 	unsigned out; /**< statements in its slots */
 	int64_t open_after_us;
 	unsigned full_limit; /**< connections that it accepted when it refused one as too many */
@@ -173,7 +173,6 @@
 	bool busy;	     /**< a call about the record is under way */
 	int64_t next_us;     /**< no further call before */
 	int64_t asked_us;    /**< when the record's owner was last asked whether it lives */
-	int64_t contact_us;  /**< when it last answered */
 	bool owner_lost;     /**< its process has ended or does not answer */
 	bool asking;	     /**< the owner is being asked */
 	bool invited;	     /**< its owner asks this VM to claim it */
@@ -196,11 +195,10 @@
 
 	enum owner_state state;
 	int64_t state_us;
-	int64_t moved_us;   /**< when it was last handed over for being far from its primary */
-	bool to_leave;	    /**< the primary is to leave, and its successor is not yet chosen */
-	bool planning;	    /**< a planned change is being written to the record */
-	bool planned;	    /**< the primary is alive and leaves */
-	bool no_leader_yet; /**< no look has found one since the claim */
+	int64_t moved_us; /**< when it was last handed over for being far from its primary */
+	bool to_leave;	  /**< the primary is to leave, and its successor is not yet chosen */
+	bool planning;	  /**< a planned change is being written to the record */
+	bool planned;	  /**< the primary is alive and leaves */
 	int target;
 	int except; /**< a member that could not be promoted, or -1 */
 	uint64_t token;
