--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -55,8 +55,9 @@
  */
 #define FIND_FIRST_US (3 * USEC_PER_SEC)
 
+/** The members as candidates; one counts as reached when its look is younger than @a fresh_us. */
 static void candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
-		       int64_t now)
+		       int64_t now, int64_t fresh_us)
 {
 	unsigned i;
 
@@ -64,7 +65,7 @@
 		const struct owner_member *m = &g->member[i];
 
 		c[i] = m->seen;
-		c[i].reached = m->listed && m->seen.reached && now - m->seen_us < LOOK_FRESH_US;
+		c[i].reached = m->listed && m->seen.reached && now - m->seen_us < fresh_us;
 		c[i].leaving = m->conf.leaving || !m->listed;
 		names[i] = m->conf.name;
 	}
@@ -76,7 +77,7 @@
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
 	const char *names[GROUP_MEMBERS_MAX];
 
-	candidates(g, c, names, now);
+	candidates(g, c, names, now, LOOK_FRESH_US);
 	return lead_find(&g->record, names, c, g->n);
 }
 
@@ -150,17 +151,13 @@
 {
 	struct owner_member *m = og_primary(g);
 
-	if (m == NULL || m->unheard_us != 0) {
-		int64_t silent = m != NULL ? now - m->unheard_us : 0;
-
-		/* It fell silent meanwhile: no use in waiting for it. */
-		if (m == NULL || silent > LOOK_FRESH_US) {
-			g->planned = false;
-			if (m != NULL)
-				conn_close_all(m);
-			og_state(g, OWNER_FENCING, "silent");
-			return;
-		}
+	/* It fell silent meanwhile: no use in waiting for it. */
+	if (m == NULL || (m->unheard_us != 0 && now - m->unheard_us > LOOK_FRESH_US)) {
+		g->planned = false;
+		if (m != NULL)
+			conn_close_all(m);
+		og_state(g, OWNER_FENCING, "silent");
+		return;
 	}
 	if (!primary_at_rest(g) && now - g->state_us < SETTLE_US)
 		return;
@@ -279,17 +276,15 @@
 	return true;
 }
 
-static void recorded(struct owner_group *g, bool ok);
-
-static void record_choice(struct owner_group *g, int target, uint64_t highest)
+/** Write to the record that @a target is to lead a term above @a highest. */
+static void record_choice(struct owner_group *g, int target, uint64_t highest, record_written cb)
 {
 	struct lead_record r = g->record;
 
 	g->target = target;
 	r.floor = MAX(r.floor, highest);
 	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
-	og_state(g, OWNER_RECORDING, "chosen");
-	record_write(g, &r, recorded);
+	record_write(g, &r, cb);
 }
 
 /**
@@ -318,6 +313,21 @@
 	og_state(g, OWNER_CHOOSING, "old-primary-gone");
 }
 
+static void recorded(struct owner_group *g, bool ok)
+{
+	if (g->state != OWNER_RECORDING)
+		return;
+	if (!ok) {
+		og_state(g, OWNER_CHOOSING, "record-not-written");
+		if (now_us() - g->unserved_us > INVITE_AFTER_US)
+			claim_invite(g, "record-not-written");
+		return;
+	}
+	g->token = g->revision;
+	g->ordered = false;
+	og_state(g, OWNER_ORDERING, "recorded");
+}
+
 /** The member that leads the newest term seen, or -1. */
 static int find_present(const struct lead_candidate *c, unsigned n)
 {
@@ -338,9 +348,9 @@
  * it any more; a replica that has all of it takes over.
  * @return whether the choice has to wait for such a replica
  */
-static bool pass_over_present(struct owner_group *g, struct lead_candidate *c, int64_t now)
+static bool pass_over_present(struct owner_group *g, struct lead_candidate *c, int present,
+			      int64_t now)
 {
-	int present = find_present(c, g->n);
 	int next;
 
 	if (present < 0 || g->record.target[0] == '\0')
@@ -356,8 +366,7 @@
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
 	const char *names[GROUP_MEMBERS_MAX];
 	uint64_t highest = g->term;
-	int best;
-	unsigned i;
+	int best, present;
 
 	if (g->planned) {
 		catch_up(g, now);
@@ -365,15 +374,16 @@
 	}
 	if (!all_seen(g) && now - g->state_us < CHOOSE_US)
 		return;
-	candidates(g, c, names, now);
+	candidates(g, c, names, now, LOOK_FRESH_US);
 	best = lead_find(&g->record, names, c, g->n);
 	if (best >= 0 && !c[best].leaving) {
 		lead_begins(g, best, "came-back");
 		return;
 	}
-	for (i = 0; i < g->n; i++)
-		highest = MAX(highest, c[i].reached && c[i].primary ? c[i].term : 0);
-	if (pass_over_present(g, c, now))
+	present = find_present(c, g->n);
+	if (present >= 0)
+		highest = MAX(highest, c[present].term);
+	if (pass_over_present(g, c, present, now))
 		return;
 	best = lead_choose(c, g->n, g->except);
 	if (best < 0 && g->except >= 0) {
@@ -385,22 +395,8 @@
 	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
 		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
 		 LOG_NUM("floor", highest));
-	record_choice(g, best, highest);
-}
-
-static void recorded(struct owner_group *g, bool ok)
-{
-	if (g->state != OWNER_RECORDING)
-		return;
-	if (!ok) {
-		og_state(g, OWNER_CHOOSING, "record-not-written");
-		if (now_us() - g->unserved_us > INVITE_AFTER_US)
-			claim_invite(g, "record-not-written");
-		return;
-	}
-	g->token = g->revision;
-	g->ordered = false;
-	og_state(g, OWNER_ORDERING, "recorded");
+	og_state(g, OWNER_RECORDING, "chosen");
+	record_choice(g, best, highest, recorded);
 }
 
 /* Ordering and awaiting */
@@ -514,14 +510,9 @@
 {
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
 	const char *names[GROUP_MEMBERS_MAX];
-	struct lead_record r = g->record;
 	int best;
-	unsigned i;
 
-	candidates(g, c, names, now);
-	for (i = 0; i < g->n; i++)
-		c[i].reached = g->member[i].listed && g->member[i].seen.reached &&
-			       now - g->member[i].seen_us < PLAN_LOOK_FRESH_US;
+	candidates(g, c, names, now, PLAN_LOOK_FRESH_US);
 	best = lead_choose(c, g->n, g->primary);
 	if (best < 0 || g->busy) {
 		g->to_leave = true;
@@ -529,12 +520,9 @@
 	}
 	g->to_leave = false;
 	g->planning = true;
-	g->target = best;
-	r.floor = MAX(r.floor, g->term);
-	g_strlcpy(r.target, names[best], sizeof(r.target));
 	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
-		 LOG_NUM("floor", r.floor));
-	record_write(g, &r, planned_recorded);
+		 LOG_NUM("floor", MAX(g->record.floor, g->term)));
+	record_choice(g, best, g->term, planned_recorded);
 }
 
 /** It was to leave so long ago that it gets no more statements, whoever may follow it. */
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -2,7 +2,6 @@
 #include "owner.h"
 
 #include "log.h"
-#include "session.h"
 #include "stat.h"
 
 #include <string.h>
@@ -27,7 +26,7 @@
 {
 	const ml_run_args *a = job->args;
 
-	return a->op == STATEMENT_WRITE || (a->op == STATEMENT_EXECUTE && a->write);
+	return statement_writes((enum statement_op)a->op, a->write);
 }
 
 /** Nothing is kept of it if its connection ends now. */
@@ -296,28 +295,30 @@
 	return 1;
 }
 
-/**
- * The position that a read, or the begin of reads, needs on a replica.
- * @return false when none is known that is new enough
- */
-static bool needed(const struct owner_job *job, struct pos *need)
+bool job_need(const struct owner_job *job, struct pos *need)
 {
 	const ml_run_args *a = job->args;
-	const struct owner_group *g = job->g;
+	const struct marks *marks = &job->g->marks;
 	struct pos own = {0};
 
-	*need = (struct pos){0};
-	if (job->on_primary || is_write(job) || job->tx != NULL)
-		return true;
-	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, need))
+	if (!marks_need(marks, job->received_us - (int64_t)a->max_age_us, need))
 		return false;
 	if (a->mode == READ_SESSION)
-		own = marks_own(&g->marks, (struct pos){a->session.term, a->session.lsn});
+		own = marks_own(marks, (struct pos){a->session.term, a->session.lsn});
 	if (pos_cmp(own, *need) > 0)
 		*need = own;
 	return true;
 }
 
+/** The position that is sent along; none to a primary. @return false as job_need() */
+static bool needed(const struct owner_job *job, struct pos *need)
+{
+	*need = (struct pos){0};
+	if (job->on_primary || is_write(job) || job->tx != NULL)
+		return true;
+	return job_need(job, need);
+}
+
 static void send_commands(struct owner_job *job, const struct member_command *commands, unsigned n)
 {
 	struct owner_conn *c = job->conn;
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -69,21 +69,12 @@
 
 /* The member for a read */
 
-/** Whether a replica is thought to hold what @a job needs. */
-static bool replica_fits(const struct owner_job *job, const struct owner_member *m, int64_t now)
+/** Whether a replica is thought to hold @a need, and was not tried in vain. */
+static bool replica_fits(const struct owner_job *job, const struct owner_member *m, struct pos need,
+			 int64_t now)
 {
-	const struct owner_group *g = job->g;
-	const ml_run_args *a = job->args;
-	struct pos need, own = {0};
-
 	if (job->tried & (1U << m->index))
 		return false;
-	if (!marks_need(&g->marks, job->received_us - (int64_t)a->max_age_us, &need))
-		return false;
-	if (a->mode == READ_SESSION)
-		own = marks_own(&g->marks, (struct pos){a->session.term, a->session.lsn});
-	if (pos_cmp(own, need) > 0)
-		need = own;
 	return pos_cmp(m->pos, need) >= 0 || now - m->pos_us > POSITION_FRESH_US;
 }
 
@@ -104,14 +95,17 @@
 	bool near = job->args->reader == READER_NEAR && !og_mine(g);
 	struct owner_member *best = NULL;
 	double best_wait = 0;
+	struct pos need;
 	unsigned i;
 
 	*any = false;
+	if (!job_need(job, &need))
+		return NULL;
 	for (i = 0; i < g->n; i++) {
 		struct owner_member *m = &g->member[i];
 		double wait;
 
-		if (is_primary(g, i) || !member_usable(m) || !replica_fits(job, m, now))
+		if (is_primary(g, i) || !member_usable(m) || !replica_fits(job, m, need, now))
 			continue;
 		if (near && strcmp(m->conf.data_center, here) != 0)
 			continue;
@@ -344,8 +338,8 @@
 {
 	if (a->begin == STATEMENT_BEGIN_READ)
 		return a->mode == READ_PRIMARY;
-	return a->begin == STATEMENT_BEGIN || a->mode == READ_PRIMARY || a->op == STATEMENT_WRITE ||
-	       (a->op == STATEMENT_EXECUTE && a->write) || a->op == STATEMENT_COMMIT ||
+	return a->begin == STATEMENT_BEGIN || a->mode == READ_PRIMARY ||
+	       statement_writes((enum statement_op)a->op, a->write) || a->op == STATEMENT_COMMIT ||
 	       a->op == STATEMENT_ROLLBACK;
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -337,6 +337,11 @@
 void queue_again(struct owner_job *job);
 
 /* owner-job.c */
+/**
+ * The position that a read, or the begin of reads, needs on a replica.
+ * @return false when none is known that is new enough
+ */
+bool job_need(const struct owner_job *job, struct pos *need);
 /** Start @a job on @a m; false when no connection is to be had there now. */
 bool job_start(struct owner_job *job, struct owner_member *m);
 /** Start a statement of an open transaction. */
--- a/src/session-remote.c
+++ b/src/session-remote.c
@@ -68,9 +68,10 @@
 /** Whether the statement is a read that a replica may serve. */
 static bool replica_may_serve(const struct session *s)
 {
-	bool read = s->st.op == STATEMENT_READ || (s->st.op == STATEMENT_EXECUTE && !s->st.write);
+	bool read = s->st.op == STATEMENT_READ || s->st.op == STATEMENT_EXECUTE;
 
-	return read && s->tx_id == 0 && (s->tx == TX_NONE || s->tx_read_only) &&
+	return read && !statement_writes(s->st.op, s->st.write) && s->tx_id == 0 &&
+	       (s->tx == TX_NONE || s->tx_read_only) &&
 	       (s->route.mode == READ_BOUNDED || s->route.mode == READ_SESSION);
 }
 
@@ -151,7 +152,7 @@
 {
 	if (s->tx != TX_NONE)
 		return s->st.op != STATEMENT_COMMIT;
-	return s->st.op != STATEMENT_WRITE && !(s->st.op == STATEMENT_EXECUTE && s->st.write);
+	return !statement_writes(s->st.op, s->st.write);
 }
 
 static void on_ran(enum rpc_status status, const void *arg_res, void *arg)
--- a/src/statement.h
+++ b/src/statement.h
@@ -35,6 +35,12 @@
 	bool write;    /**< of a prepared statement */
 };
 
+/** Whether a statement outside of BEGIN and COMMIT writes; @a write tells it of a prepared one. */
+static inline bool statement_writes(enum statement_op op, bool write)
+{
+	return op == STATEMENT_WRITE || (op == STATEMENT_EXECUTE && write);
+}
+
 /** How a connection to a member stands with regard to transactions. */
 enum tx_state { TX_NONE, TX_OPEN, TX_FAILED };
 
