Tests of an owner wait until all VMs know which it is

an_owner_is_killed failed in 2 of 5 runs of test-it-owner: READ was answered COMPLETE where ABORTED was expected. Traced by the logs of one: vm2 had the group first and lost it to vm0 at the start; vm0's log said 'owner' 90 ms before vm1 and vm2 heard of it, and vm1's transaction was begun on vm2, so killing vm0 did not end it. The product did what it should: a former owner ends what is open on it.

--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -9,22 +9,42 @@
 
 #define OK(c, ...) CU_ASSERT_STRING_EQUAL(line_query((c), __VA_ARGS__), "COMPLETE")
 
-/** The VM whose log says that it owns the group now; -1 when none does. */
+/** The newest revision of the group's record after @a event in a VM's log; -1 for none. */
+static long logged_revision(const char *log, const char *event)
+{
+	char *mark = g_strdup_printf("event=%s pool=svc ", event);
+	const char *at = g_strrstr(log, mark);
+
+	g_free(mark);
+	at = at != NULL ? strstr(at, "revision=") : NULL;
+	return at != NULL ? atol(at + strlen("revision=")) : -1;
+}
+
+/**
+ * The VM that owns the group now, by the logs; -1 while the VMs do not know of the same record: one
+ * that has not heard of it goes on sending to the owner before.
+ */
 static int find_owner(struct line_fleet *f)
 {
+	long newest = -1, known[LINE_VMS_MAX];
 	int owner = -1, i;
-	long newest = -1;
 
 	for (i = 0; i < f->n_vms; i++) {
 		char *log = line_log(f, i);
-		const char *at = g_strrstr(log, "event=owner pool=svc revision=");
+		long own = logged_revision(log, "owner");
 
-		if (at != NULL && atol(at + strlen("event=owner pool=svc revision=")) > newest) {
-			newest = atol(at + strlen("event=owner pool=svc revision="));
+		known[i] = MAX(own, MAX(logged_revision(log, "owner-known"),
+					logged_revision(log, "owner-ends")));
+		if (own > newest) {
+			newest = own;
 			owner = i;
 		}
 		g_free(log);
 	}
+	for (i = 0; i < f->n_vms; i++) {
+		if (known[i] != newest)
+			return -1;
+	}
 	return owner;
 }
 
