--- a/cmd/mangoload-report.c
+++ b/cmd/mangoload-report.c
@@ -3,6 +3,7 @@
  * records.
  */
 #include "mangoload.h"
+#include "net.h"
 
 #include <gsl/gsl_sort.h>
 #include <gsl/gsl_statistics.h>
@@ -109,15 +110,14 @@
 
 static PGconn *connect_member(const char *address)
 {
-	char *text, *colon, host[ADDRESS_SIZE];
+	char host[ADDRESS_SIZE];
+	const char *port = net_split(address, host);
+	char *text;
 	PGconn *c;
 
-	g_strlcpy(host, address, sizeof(host));
-	colon = strrchr(host, ':');
-	*colon = '\0';
 	text = g_strdup_printf("hostaddr=%s port=%s user=mangoload sslmode=disable "
 			       "gssencmode=disable connect_timeout=2",
-			       host, colon + 1);
+			       host, port);
 	c = PQconnectdb(text);
 	g_free(text);
 	return c;
--- a/cmd/mangoload-run.c
+++ b/cmd/mangoload-run.c
@@ -1,5 +1,6 @@
 /** @file mangoload-run.c Sessions, and the requests that arrive for them. */
 #include "mangoload.h"
+#include "net.h"
 
 #include "rpc.h"
 
@@ -110,15 +111,11 @@
 	const char *values[] = {host,	NULL,	 s->t->team->name, s->t->team->key,
 				"load", options, "disable",	   "disable",
 				NULL};
-	char *colon;
 
 	session_drop(s);
 	if (s->l->ended)
 		return;
-	g_strlcpy(host, p->vm[s->vm], sizeof(host));
-	colon = strrchr(host, ':');
-	*colon = '\0';
-	values[1] = colon + 1;
+	values[1] = net_split(p->vm[s->vm], host);
 	snprintf(options, sizeof(options), "-c mangoloom.deadline_ms=%u -c mangoloom.session=%s",
 		 p->deadline_ms, s->token);
 	s->connecting = true;
--- a/src/db-libpq.c
+++ b/src/db-libpq.c
@@ -1,5 +1,6 @@
 /** @file db-libpq.c Database connections by libpq's asynchronous calls. */
 #include "db.h"
+#include "net.h"
 #include "pgwire.h"
 #include "settings.h"
 
@@ -102,13 +103,9 @@
 				"disable", "disable", k->settings->name, NULL};
 	struct libpq_conn *c = g_new0(struct libpq_conn, 1);
 	char host[ADDRESS_SIZE];
-	char *colon;
 
-	g_strlcpy(host, address, sizeof(host));
-	colon = strrchr(host, ':');
-	*colon = '\0';
+	values[1] = net_split(address, host);
 	values[0] = host;
-	values[1] = colon + 1;
 	c->db.ops = &db_libpq_ops;
 	c->kernel = k;
 	c->opened = cb;
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -1,8 +1,8 @@
 /** @file endpoint.c The endpoints for the balancer and for whoever watches this VM. */
 #include "endpoint.h"
 
-#include "error.h"
 #include "log.h"
+#include "net.h"
 #include "session.h"
 #include "stat.h"
 
@@ -47,17 +47,16 @@
 				void (*cb)(struct evhttp_request *, void *), GError **error)
 {
 	struct evhttp *http = evhttp_new(e->service.kernel->base);
-	const char *colon = strrchr(address, ':');
-	char host[ADDRESS_SIZE];
+	struct evconnlistener *l = net_listen(e->service.kernel->base, address, NULL, NULL, error);
 
-	g_strlcpy(host, address, (gsize)(colon - address) + 1);
 	evhttp_set_timeout(http, ENDPOINT_TIMEOUT_S);
 	evhttp_set_gencb(http, cb, e);
-	if (evhttp_bind_socket(http, host, (uint16_t)atoi(colon + 1)) == 0)
-		return http;
-	g_set_error(error, ML_ERROR, ML_ERROR_IO, "cannot listen on %s", address);
-	evhttp_free(http);
-	return NULL;
+	if (l == NULL) {
+		evhttp_free(http);
+		return NULL;
+	}
+	evhttp_bind_listener(http, l);
+	return http;
 }
 
 static gboolean endpoint_start(struct service *s, GError **error)
--- a/src/net.c
+++ b/src/net.c
@@ -20,17 +20,26 @@
 /** Bytes that stay unacknowledged for this long end the connection. */
 #define UNACKED_MS 5000
 
-bool net_parse(const char *address, struct sockaddr_in *sin)
+const char *net_split(const char *address, char host[ADDRESS_SIZE])
 {
 	const char *colon = strrchr(address, ':');
-	char host[64];
 
-	if (colon == NULL || (size_t)(colon - address) >= sizeof(host))
+	if (colon == NULL)
+		colon = address + strlen(address);
+	g_strlcpy(host, address, MIN(ADDRESS_SIZE, (gsize)(colon - address) + 1));
+	return *colon == ':' ? colon + 1 : colon;
+}
+
+bool net_parse(const char *address, struct sockaddr_in *sin)
+{
+	char host[ADDRESS_SIZE];
+	const char *port = net_split(address, host);
+
+	if (port[0] == '\0')
 		return false;
-	g_strlcpy(host, address, (gsize)(colon - address) + 1);
 	memset(sin, 0, sizeof(*sin));
 	sin->sin_family = AF_INET;
-	sin->sin_port = htons((uint16_t)atoi(colon + 1));
+	sin->sin_port = htons((uint16_t)atoi(port));
 	return inet_pton(AF_INET, host, &sin->sin_addr) == 1;
 }
 
--- a/src/net.h
+++ b/src/net.h
@@ -2,6 +2,8 @@
 #ifndef NET_H
 #define NET_H
 
+#include "types.h"
+
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -9,6 +11,8 @@
 #include <netinet/in.h>
 #include <stdbool.h>
 
+/** Split "ip:port". @return the port's text, "" when there is none */
+const char *net_split(const char *address, char host[ADDRESS_SIZE]);
 /** Parse "ip:port". */
 bool net_parse(const char *address, struct sockaddr_in *sin);
 /** Small messages leave at once. */
--- a/src/owner.c
+++ b/src/owner.c
@@ -52,13 +52,7 @@
 
 struct owner_group *og_find(struct owner *o, const char *pool)
 {
-	struct owner_group *g;
-
-	TAILQ_FOREACH(g, &o->groups, link) {
-		if (strcmp(g->pool, pool) == 0)
-			return g;
-	}
-	return NULL;
+	return g_hash_table_lookup(o->by_pool, pool);
 }
 
 bool og_mine(const struct owner_group *g)
@@ -217,6 +211,7 @@
 	TAILQ_INIT(&g->txs);
 	queue_init(g);
 	TAILQ_INSERT_TAIL(&o->groups, g, link);
+	g_hash_table_insert(o->by_pool, g->pool, g);
 	return g;
 }
 
@@ -506,9 +501,11 @@
 		claim_stop(g, "stopped");
 	while ((g = TAILQ_FIRST(&o->groups)) != NULL) {
 		TAILQ_REMOVE(&o->groups, g, link);
+		g_hash_table_remove(o->by_pool, g->pool);
 		queue_clear(g);
 		g_free(g);
 	}
+	g_hash_table_destroy(o->by_pool);
 	g_free(o);
 }
 
@@ -526,6 +523,7 @@
 
 	o->service.ops = &owner_ops;
 	TAILQ_INIT(&o->groups);
+	o->by_pool = g_hash_table_new(g_str_hash, g_str_equal);
 	kernel_add(k, &o->service);
 	return &o->service;
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -231,6 +231,7 @@
 struct owner {
 	struct service service;
 	struct owner_groups groups;
+	GHashTable *by_pool; /**< the same; each statement looks its group up some times */
 	struct event *tick;
 	bool leaving;
 	int64_t left_us;
--- a/src/platform.c
+++ b/src/platform.c
@@ -2,6 +2,7 @@
 #include "platform.h"
 
 #include "log.h"
+#include "net.h"
 #include "stat.h"
 
 #include <event2/buffer.h>
@@ -180,12 +181,9 @@
 static struct evhttp_connection *open_endpoint(struct platform *p)
 {
 	char host[ADDRESS_SIZE];
-	char *colon;
+	const char *port = net_split(p->endpoint[p->next], host);
 
-	g_strlcpy(host, p->endpoint[p->next], sizeof(host));
-	colon = strrchr(host, ':');
-	*colon = '\0';
-	return evhttp_connection_base_new(p->base, NULL, host, (unsigned short)atoi(colon + 1));
+	return evhttp_connection_base_new(p->base, NULL, host, (unsigned short)atoi(port));
 }
 
 static void post(struct evhttp_connection *conn, struct evhttp_request *req, const char *path,
