Rates are divided by one count of the VMs; one way to a JSON builder's text

Found by reading the change again. Behaviour stays: each change of the VMs or of the configuration counted the listed VMs once for each team (83 teams on 81 VMs: 6,700 steps, now 81); the end of a JSON builder stood three times (json_text_take()); two more callbacks that did nothing are NULL. Tests of owner, share, line, rate and once pass; lint clean.

--- a/src/entry.c
+++ b/src/entry.c
@@ -483,10 +483,6 @@
 	return r;
 }
 
-static void abandoned(enum rpc_status status, const void *res, void *arg)
-{
-}
-
 void entry_abandon(struct entry *e, const struct entry_tx *tx)
 {
 	ml_exec_args args = {
@@ -494,8 +490,7 @@
 
 	args.pool = (char *)tx->pool;
 	args.member = (char *)tx->member;
-	rpc_start(rpc_of(e->service.kernel), tx->address, ML_EXEC, &args, USEC_PER_SEC, abandoned,
-		  NULL);
+	rpc_start(rpc_of(e->service.kernel), tx->address, ML_EXEC, &args, USEC_PER_SEC, NULL, NULL);
 }
 
 static bool entry_drained(struct service *s)
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -5,6 +5,7 @@
 #include "owner.h"
 
 #include "fleet-store.h"
+#include "json-text.h"
 #include "log.h"
 #include "store.h"
 
@@ -32,9 +33,7 @@
 static char *record_text(const struct lead_record *r)
 {
 	JsonBuilder *b = json_builder_new();
-	JsonNode *root;
 	unsigned i;
-	char *text;
 
 	json_builder_begin_object(b);
 	put_vm(b, &r->owner);
@@ -53,11 +52,7 @@
 	}
 	json_builder_end_array(b);
 	json_builder_end_object(b);
-	root = json_builder_get_root(b);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(b);
-	return text;
+	return json_text_take(b);
 }
 
 static void read_vm(JsonObject *o, struct lead_vm *vm)
--- a/src/shares.c
+++ b/src/shares.c
@@ -84,19 +84,25 @@
 			      s->own_burst + s->moved_burst * part, now);
 }
 
-/** Divide the team's rate anew: it, or the number of VMs, has changed. */
-static void team_split(struct shares_team *t, int64_t now)
+/** VMs among which rates are divided. */
+static unsigned vms_listed(const struct fleet *f)
+{
+	const struct vm *vm;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(vm, &f->peers.vms, link)
+		n += vm->listed ? 1 : 0;
+	return n;
+}
+
+/** Divide the team's rate anew: it, or the number of VMs @a n, has changed. */
+static void team_split(struct shares_team *t, unsigned n, int64_t now)
 {
 	const struct settings *set = t->s->service.kernel->settings;
 	const struct share_tolerance tolerance = {.window_s = set->rate_window_s,
 						  .overshoot = set->rate_overshoot,
 						  .slack = set->rate_slack};
-	struct fleet *f = fleet_of(t->s->service.kernel);
-	struct vm *vm;
-	unsigned n = 0;
 
-	TAILQ_FOREACH(vm, &f->peers.vms, link)
-		n += vm->listed ? 1 : 0;
 	t->split = share_split(t->rate, t->burst, n, &tolerance);
 	if (t->alloc != NULL)
 		t->alloc->own = t->split.own_part;
@@ -154,6 +160,7 @@
 	struct shares *s = owner;
 	struct fleet *f = fleet_of(s->service.kernel);
 	struct shares_team *t, *next;
+	unsigned n = vms_listed(f);
 	int64_t now = now_us();
 	GHashTableIter iter;
 	gpointer value;
@@ -177,7 +184,7 @@
 				 LOG_NUM("conf", f->conf->version));
 		t->rate = e->team.rate;
 		t->burst = e->team.burst;
-		team_split(t, now);
+		team_split(t, n, now);
 	}
 	TAILQ_FOREACH_SAFE(t, &s->teams, link, next) {
 		if (t->alloc != NULL) {
@@ -447,10 +454,6 @@
 /** Most holders asked for a report at a time. */
 #define POKES_MAX 16
 
-static void poked(enum rpc_status status, const void *res, void *arg)
-{
-}
-
 /** Ask holders for a report whose units others wait for. */
 static void poke_overfull(struct shares_team *t, int64_t now)
 {
@@ -464,7 +467,7 @@
 		const struct vm *vm = peers_find(&fleet_of(k)->peers, vms[i]);
 
 		if (vm != NULL)
-			rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, poked,
+			rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, NULL,
 				  NULL);
 	}
 }
--- a/src/status.c
+++ b/src/status.c
@@ -4,6 +4,7 @@
 #include "caller.h"
 #include "fleet.h"
 #include "home.h"
+#include "json-text.h"
 #include "rpc.h"
 #include "shares.h"
 #include "stat.h"
@@ -25,8 +26,6 @@
 static char *status_json(struct kernel *k)
 {
 	JsonBuilder *b = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(b);
 	json_builder_set_member_name(b, "vm");
@@ -46,11 +45,7 @@
 	stat_json(b);
 	json_builder_end_object(b);
 	json_builder_end_object(b);
-	root = json_builder_get_root(b);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(b);
-	return text;
+	return json_text_take(b);
 }
 
 static void status_serve(struct rpc_request *rq, const void *args, void *owner)
