The list of VMs names the process, and a restarted VM serves for all at once

Cause: that a VM had left or died was taken back only by hearing its new process itself, by a heartbeat of its own or by the random choice of one VM a round. In a fleet of 81 that takes most VMs minutes. Worse, a VM that had been off the list for a while had no known process, and news of its former one, which still went round, was believed of the new one. So VMs disagreed on who hands out the rates of an eighth of the teams: each of two allocators heard from a part of the holders, none could complete its census, and the teams' operations were refused for good.

Change: the list in the store names each VM's process already; it is now read, and a process that the list did not name before clears what was said of the one before.

Tests: test-peers listed_process_serves_again and news_of_a_former_process_is_dropped failed before, pass after; late_list_does_not_bring_a_process_back guards the other way.

--- a/decide/peers.c
+++ b/decide/peers.c
@@ -62,6 +62,35 @@
 	return g_hash_table_lookup(p->by_name, name);
 }
 
+/** Another process than the one that was known: what was said of that one is void. */
+static void vm_restarted(struct vm *vm, uint64_t incarnation)
+{
+	vm->incarnation = incarnation;
+	vm->news_seq = 0;
+	vm->misses = 0;
+	vm->leaving = false;
+	vm->left = false;
+	vm->dead = false;
+	vm->suspect = false;
+	vm->spread = 0;
+}
+
+/**
+ * The platform's list names the process. Known from direct heartbeats alone, a restarted VM was
+ * leaving for most of a fleet of 81 until it had beaten to each: they disagreed on who hands out
+ * the rates of an eighth of the teams, nobody could, and 15 to 25% of all requests were refused for
+ * the rest of a day of 60 s. A process that the list named before changes nothing, since the list
+ * lags behind heartbeats.
+ */
+static void vm_listed(struct vm *vm, uint64_t incarnation)
+{
+	if (incarnation == 0 || incarnation == vm->listed_incarnation)
+		return;
+	vm->listed_incarnation = incarnation;
+	if (incarnation != vm->incarnation)
+		vm_restarted(vm, incarnation);
+}
+
 bool peers_list(struct peers *p, uint64_t revision, const struct vm_listing *l, unsigned n)
 {
 	struct vm *vm, *next;
@@ -81,6 +110,7 @@
 			continue;
 		snprintf(vm->address, sizeof(vm->address), "%s", l[i].address);
 		snprintf(vm->data_center, sizeof(vm->data_center), "%s", l[i].data_center);
+		vm_listed(vm, l[i].incarnation);
 		vm->leaving = vm->leaving || l[i].leaving;
 	}
 	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
@@ -150,20 +180,16 @@
 
 void peers_heard(struct vm *vm, uint64_t incarnation, uint64_t conf_version)
 {
-	vm->misses = 0;
-	vm->suspect = false;
-	if (conf_version > vm->conf_version)
-		vm->conf_version = conf_version;
 	if (incarnation != vm->incarnation) {
-		vm->incarnation = incarnation;
-		vm->news_seq = 0;
+		vm_restarted(vm, incarnation);
 		vm->conf_version = conf_version;
-		vm->leaving = false;
-		vm->left = false;
-		vm->dead = false;
 		vm->spread = NEWS_SPREAD;
 		return;
 	}
+	vm->misses = 0;
+	vm->suspect = false;
+	if (conf_version > vm->conf_version)
+		vm->conf_version = conf_version;
 	if (vm->dead) {
 		vm->dead = false;
 		vm_changed(vm);
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -32,8 +32,9 @@
 	bool leaving;
 	bool left; /**< it said itself that it leaves, after it had given up what it held */
 	bool dead;
-	uint64_t incarnation; /**< of its process; 0 when never heard */
-	uint64_t news_seq;    /**< version of @a dead and @a leaving within the incarnation */
+	uint64_t incarnation;	     /**< of its process; 0 when not known */
+	uint64_t listed_incarnation; /**< the same as the platform's list has it; 0: it does not */
+	uint64_t news_seq; /**< version of @a dead and @a leaving within the incarnation */
 	unsigned misses;
 	unsigned spread; /**< heartbeats that still carry the news of this VM */
 	bool suspect; /**< a call to it failed; not used again before it is heard. Known to this VM
@@ -65,6 +66,7 @@
 	const char *address;
 	const char *data_center;
 	bool leaving;
+	uint64_t incarnation; /**< of its process; 0 when the list does not say */
 };
 
 void peers_init(struct peers *p, const char *self, const char *address, const char *data_center,
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -57,6 +57,9 @@
 		l.data_center = json_object_get_string_member_with_default(o, "data_center", "");
 		l.leaving = strcmp(json_object_get_string_member_with_default(o, "state", "live"),
 				   "leaving") == 0;
+		l.incarnation =
+			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
+				 NULL, 16);
 		if (l.name[0] != '\0')
 			g_array_append_val(listings, l);
 	}
--- a/tests/test-peers.c
+++ b/tests/test-peers.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 static const struct vm_listing listing[] = {
-	{"a1", "1:1", "a", false}, {"a2", "1:2", "a", false}, {"a3", "1:3", "a", false},
-	{"a4", "1:4", "a", false}, {"b1", "2:1", "b", false}, {"b2", "2:2", "b", true},
+	{"a1", "1:1", "a", false, 0}, {"a2", "1:2", "a", false, 0}, {"a3", "1:3", "a", false, 0},
+	{"a4", "1:4", "a", false, 0}, {"b1", "2:1", "b", false, 0}, {"b2", "2:2", "b", true, 0},
 };
 
 static void test_list_only_moves_on(void)
@@ -134,6 +134,61 @@
 	peers_clear(&other);
 }
 
+static const struct vm_listing restarted[] = {{"a1", "1:1", "a", false, 11},
+					      {"a2", "1:2", "a", false, 32}};
+
+/*
+ * Teams whose rate one VM hands out are refused until that VM has beaten to every other one.
+ * It said that it leaves, and a process of it is listed again. VMs that did not hear from it
+ * themselves held it to be leaving still, and took another VM for what the others asked it for.
+ */
+static void test_listed_process_serves_again(void)
+{
+	struct vm_news left = {"a2", 31, 1, false, true};
+	struct vm_listing before[] = {restarted[0], restarted[1]};
+	struct peers p;
+
+	before[1].incarnation = 31;
+	peers_init(&p, "a1", "1:1", "a", 11);
+	peers_list(&p, 5, before, 2);
+	peers_learn(&p, &left);
+	CU_ASSERT_FALSE(peers_usable(peers_find(&p, "a2")));
+	peers_list(&p, 6, restarted, 2);
+	CU_ASSERT_TRUE(peers_usable(peers_find(&p, "a2")));
+	peers_clear(&p);
+}
+
+/*
+ * The same, by another way: the VM was off the list for a while, so nothing is known of it when it
+ * is listed again, and the news of its former process, which still goes round, was believed.
+ */
+static void test_news_of_a_former_process_is_dropped(void)
+{
+	struct vm_news left = {"a2", 31, 1, false, true};
+	struct peers p;
+
+	peers_init(&p, "a1", "1:1", "a", 11);
+	peers_list(&p, 6, restarted, 2);
+	peers_learn(&p, &left);
+	CU_ASSERT_TRUE(peers_usable(peers_find(&p, "a2")));
+	peers_clear(&p);
+}
+
+/* A process that was heard is newer than the one that the list, which lags, still names. */
+static void test_late_list_does_not_bring_a_process_back(void)
+{
+	struct vm_news left = {"a2", 33, 1, false, true};
+	struct peers p;
+
+	peers_init(&p, "a1", "1:1", "a", 11);
+	peers_list(&p, 6, restarted, 2);
+	peers_heard(peers_find(&p, "a2"), 33, 0);
+	peers_learn(&p, &left);
+	peers_list(&p, 7, restarted, 2);
+	CU_ASSERT_FALSE(peers_usable(peers_find(&p, "a2")));
+	peers_clear(&p);
+}
+
 static const struct test_case cases[] = {
 	{"list_only_moves_on", test_list_only_moves_on},
 	{"cost_does_not_grow", test_cost_does_not_grow},
@@ -141,5 +196,8 @@
 	{"suspect_until_heard", test_suspect_until_heard},
 	{"news_of_own_death_is_answered", test_news_of_own_death_is_answered},
 	{"leaving_spreads", test_leaving_spreads},
+	{"listed_process_serves_again", test_listed_process_serves_again},
+	{"news_of_a_former_process_is_dropped", test_news_of_a_former_process_is_dropped},
+	{"late_list_does_not_bring_a_process_back", test_late_list_does_not_bring_a_process_back},
 };
 HARNESS_MAIN("peers", cases)
