A new allocator of rates hears from all VMs at once, and takes its part

Holders at rest report each 4 s. A new allocator gives out nothing before it has heard from all, so its teams (an eighth) had no tokens for that long. Asking them did not help: asked, a holder at rest was due one second earlier, not now. 2. A VM that starts took itself for every allocator until its list came, and bound itself to an epoch of its own. When that was the higher one the real allocator began again above it: census of 81 VMs anew. 3. Single tokens are granted out of the allocator's own part, and its own VM, at rest for the team, took that part only with its next report, up to 4 s later.

Ruled out: VMs that disagree on who allocates (rates-by shows all within 0.6 s of the list's change), calls that fail (no vm-suspect line).

Change: holders report at once to another allocator; an allocator that has to begin again asks the holders it has not heard, each at most twice a second, one message for all its teams; no allocator is known before the list of VMs is; the allocator's own VM is told when there is something to take. rates-by and rates-census tell who allocates and for whom it waits.

--- a/decide/share.c
+++ b/decide/share.c
@@ -192,7 +192,7 @@
 
 void share_holder_poked(struct share_holder *h)
 {
-	h->reported_us -= SHARE_REPORT_SLOW_US;
+	h->reported_us -= SHARE_REPORT_IDLE_US;
 }
 
 void share_holder_leave(struct share_holder *h)
@@ -230,7 +230,7 @@
 	}
 }
 
-static struct share_entry *alloc_find(struct share_alloc *a, const char *vm)
+static struct share_entry *alloc_find(const struct share_alloc *a, const char *vm)
 {
 	struct share_entry *e;
 
@@ -302,6 +302,39 @@
 	a->budget = SHARE_WHOLE;
 }
 
+unsigned share_alloc_unheard(struct share_alloc *a, const char **vms, unsigned max, int64_t now_us)
+{
+	struct share_entry *e;
+	unsigned n = 0;
+
+	if (a->whole)
+		return 0;
+	TAILQ_FOREACH(e, &a->entries, link) {
+		if (n == max)
+			break;
+		if (e->bound || (e->asked_us != 0 && now_us - e->asked_us < SHARE_ASK_AGAIN_US))
+			continue;
+		e->asked_us = now_us;
+		vms[n++] = e->vm;
+	}
+	return n;
+}
+
+unsigned share_alloc_unbound(const struct share_alloc *a, const char **first)
+{
+	const struct share_entry *e;
+	unsigned n = 0;
+
+	*first = "";
+	TAILQ_FOREACH(e, &a->entries, link) {
+		if (e->bound)
+			continue;
+		if (n++ == 0)
+			*first = e->vm;
+	}
+	return n;
+}
+
 void share_alloc_listed(struct share_alloc *a, const char *const *vms, unsigned n, int64_t now_us)
 {
 	struct share_entry *e;
@@ -343,6 +376,7 @@
 	a->budget = 0;
 	TAILQ_FOREACH(e, &a->entries, link) {
 		entry_unbind(e);
+		e->asked_us = 0;
 	}
 }
 
@@ -518,6 +552,15 @@
 	return n;
 }
 
+bool share_alloc_self_short(const struct share_alloc *a, int64_t now_us)
+{
+	const struct share_entry *e = alloc_find(a, a->self);
+
+	if (e == NULL || !e->bound || alloc_held(a) + SHARE_STEP > a->budget)
+		return false;
+	return alloc_target(a, e, now_us) > e->held + SHARE_STEP;
+}
+
 /**
  * Note which process of the VM reports. A restarted one holds nothing.
  * @return false for a late report of a process that has ended.
--- a/decide/share.h
+++ b/decide/share.h
@@ -37,6 +37,12 @@
 /** The same for one without requests; below the time after which it counts as silent. */
 #define SHARE_REPORT_IDLE_US (4 * USEC_PER_SEC)
 
+/**
+ * Until a holder that was asked to report is asked again. An answer takes 5 ms; a VM that is cut
+ * off costs two calls a second for each allocator.
+ */
+#define SHARE_ASK_AGAIN_US (500 * USEC_PER_MSEC)
+
 /** What the users tolerate of a rate that is counted over the whole fleet. */
 struct share_tolerance {
 	double window_s;  /**< length over which a rate is judged; 0: no tolerance */
@@ -132,6 +138,7 @@
 	double average;
 	int64_t heard_us;
 	int64_t poked_us;
+	int64_t asked_us; /**< when it was last asked because it is not bound */
 };
 TAILQ_HEAD(share_entries, share_entry);
 
@@ -169,8 +176,25 @@
  */
 unsigned share_alloc_overfull(struct share_alloc *a, const char **vms, unsigned max,
 			      int64_t now_us);
-/** The allocator asks for a report now. */
+/**
+ * Holders that the allocator has to hear before it may give out anything new, and that were not
+ * asked within SHARE_ASK_AGAIN_US: they are to be asked for a report.
+ * @return how many names were put in @a vms
+ */
+unsigned share_alloc_unheard(struct share_alloc *a, const char **vms, unsigned max, int64_t now_us);
+/**
+ * VMs that the allocator has not heard since its epoch began; it gives out nothing new before.
+ * @param first set to the first one's name, "" for none
+ */
+unsigned share_alloc_unbound(const struct share_alloc *a, const char **first);
+/** A report is due now: the allocator asks for it, or is another one. */
 void share_holder_poked(struct share_holder *h);
+/**
+ * Whether units are free that the allocator's own VM should have. It grants single tokens out of
+ * its own part: while that VM had no requests itself, it took the units only after
+ * SHARE_REPORT_IDLE_US, and until then a small team's requests were refused everywhere.
+ */
+bool share_alloc_self_short(const struct share_alloc *a, int64_t now_us);
 /** Answer a holder's report. */
 struct share_order share_alloc_report(struct share_alloc *a, const char *vm,
 				      const struct share_report *r, int64_t now_us);
--- a/src/mango.h
+++ b/src/mango.h
@@ -232,6 +232,7 @@
 
 struct ml_poke {
 	ml_name team;
+	u_int allocator;
 };
 typedef struct ml_poke ml_poke;
 
--- a/src/mango.x
+++ b/src/mango.x
@@ -174,7 +174,8 @@
 };
 
 struct ml_poke {
-	ml_name team;
+	ml_name team;		/* none: all teams of the allocator */
+	unsigned int allocator;
 };
 
 struct ml_none {
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -425,6 +425,8 @@
 
 	 if (!xdr_ml_name (xdrs, &objp->team))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->allocator))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/shares.c
+++ b/src/shares.c
@@ -37,11 +37,14 @@
 	double rate;
 	double burst;
 	bool configured;
+	unsigned role; /**< which of the allocators has it */
 	struct share_split split;
 	struct bucket bucket;
 	struct share_holder holder;
 	int64_t out_us;		   /**< when the open report was sent */
 	struct share_alloc *alloc; /**< when this VM was asked to be the team's allocator */
+	bool whole;		   /**< @a alloc had heard from every VM when last looked at */
+	int64_t census_told_us;	   /**< when it was last logged whom @a alloc waits for */
 	struct admissions waiting;
 	unsigned n_waiting;
 	double granted; /**< single tokens from the allocator, for those that wait now */
@@ -54,7 +57,8 @@
 	GHashTable *by_name;
 	struct event *tick;
 	int64_t ticked_us;
-	bool listed; /**< this VM surely counts as listed for others */
+	char allocator[ALLOCATORS][ADDRESS_SIZE]; /**< to which reports go; empty: to none */
+	bool listed;				  /**< this VM surely counts as listed for others */
 };
 
 struct shares *shares_of(struct kernel *k)
@@ -116,6 +120,7 @@
 
 	t->s = s;
 	g_strlcpy(t->name, name, sizeof(t->name));
+	t->role = g_str_hash(t->name) % ALLOCATORS;
 	TAILQ_INIT(&t->waiting);
 	bucket_init(&t->bucket, 0, 0, 0, now);
 	share_holder_init(&t->holder, s->service.kernel->incarnation, now);
@@ -394,38 +399,71 @@
 /** Room for an allocator's role. */
 #define ROLE_SIZE 16
 
+/** All teams of one allocator report. */
+static void poke_all(struct shares *s, unsigned role)
+{
+	struct shares_team *t;
+
+	TAILQ_FOREACH(t, &s->teams, link) {
+		if (t->role == role)
+			share_holder_poked(&t->holder);
+	}
+}
+
 /**
- * Teams that one VM allocates together. One allocator a team would have each VM of a large fleet
- * write to nearly all others every second: 77 VMs with 81 teams sent 3,900 such messages a second.
+ * Find the VMs that allocate. One allocator a team would have each VM of a large fleet write to
+ * nearly all others every second: 77 VMs with 81 teams sent 3,900 such messages a second.
+ *
+ * A new allocator gives out nothing before it has heard from every VM. Holders at rest report each
+ * SHARE_REPORT_IDLE_US, so its teams were without tokens for that long; told at once, it knows all
+ * within two round trips of the change being known.
  */
-static void allocator_role(const struct shares_team *t, char role[ROLE_SIZE])
+static void allocators_look(struct shares *s)
 {
-	g_snprintf(role, ROLE_SIZE, "share %u", g_str_hash(t->name) % ALLOCATORS);
+	struct fleet *f = fleet_of(s->service.kernel);
+	unsigned i;
+
+	/*
+	 * Before the other VMs are known this one would take itself for all allocators, with an
+	 * epoch that the real one might have to begin again above.
+	 */
+	if (f->peers.revision == 0)
+		return;
+	for (i = 0; i < ALLOCATORS; i++) {
+		char role[ROLE_SIZE];
+		const char *address;
+
+		g_snprintf(role, ROLE_SIZE, "share %u", i);
+		address = fleet_holder_address(f, role);
+		if (address == NULL)
+			address = "";
+		if (strcmp(address, s->allocator[i]) == 0)
+			continue;
+		log_info("rates-by", LOG_NUM("role", i), LOG_STR("address", address),
+			 LOG_STR("before", s->allocator[i]),
+			 LOG_NUM("vms_revision", f->peers.revision));
+		g_strlcpy(s->allocator[i], address, ADDRESS_SIZE);
+		poke_all(s, i);
+	}
 }
 
 /** Send what is due, one message to each allocator. */
 static void reports_send(struct shares *s, int64_t now)
 {
-	struct fleet *f = fleet_of(s->service.kernel);
 	ml_share_report reports[REPORT_TEAMS];
 	struct shares_team *t, *other;
 
+	allocators_look(s);
 	TAILQ_FOREACH(t, &s->teams, link) {
-		char role[ROLE_SIZE];
-		const char *address;
+		const char *address = s->allocator[t->role];
 		unsigned n = 0;
 
-		if (!report_due(t, now))
-			continue;
-		allocator_role(t, role);
-		address = fleet_holder_address(f, role);
-		if (address == NULL)
+		if (!report_due(t, now) || address[0] == '\0')
 			continue;
 		for (other = t; other != NULL && n < REPORT_TEAMS;
 		     other = TAILQ_NEXT(other, link)) {
-			allocator_role(other, role);
 			if (report_due(other, now + REPORT_AHEAD_US) &&
-			    fleet_holder_address(f, role) == address)
+			    strcmp(s->allocator[other->role], address) == 0)
 				report_fill(other, &reports[n++], now);
 		}
 		report_send(s, address, reports, n);
@@ -454,35 +492,94 @@
 /** Most holders asked for a report at a time. */
 #define POKES_MAX 16
 
+static void poke_send(struct kernel *k, const char *name, const char *team, unsigned role)
+{
+	const struct vm *vm = peers_find(&fleet_of(k)->peers, name);
+	ml_poke args = {.team = (char *)team, .allocator = role};
+
+	if (vm != NULL)
+		rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, NULL, NULL);
+}
+
 /** Ask holders for a report whose units others wait for. */
 static void poke_overfull(struct shares_team *t, int64_t now)
 {
 	struct kernel *k = t->s->service.kernel;
 	const char *vms[POKES_MAX];
 	unsigned n = share_alloc_overfull(t->alloc, vms, POKES_MAX, now);
-	ml_poke args = {.team = t->name};
 	unsigned i;
 
-	for (i = 0; i < n; i++) {
-		const struct vm *vm = peers_find(&fleet_of(k)->peers, vms[i]);
+	for (i = 0; i < n; i++)
+		poke_send(k, vms[i], t->name, t->role);
+}
+
+/** VMs of the largest fleet that is designed for; one report of each is asked for. */
+#define ASKED_MAX 4096
+
+/**
+ * Ask the holders that an allocator here has not heard yet. Their teams get nothing new until all
+ * are heard, and holders at rest report each SHARE_REPORT_IDLE_US: 15% of a fleet's requests were
+ * refused over ten seconds in which VMs restarted one after the other.
+ */
+static void ask_unheard(struct shares *s, int64_t now)
+{
+	const char **vms = NULL;
+	struct shares_team *t;
+	bool asked[ALLOCATORS] = {false};
+
+	TAILQ_FOREACH(t, &s->teams, link) {
+		unsigned n, i;
 
-		if (vm != NULL)
-			rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, NULL,
-				  NULL);
+		if (t->alloc == NULL || t->alloc->whole || asked[t->role])
+			continue;
+		if (vms == NULL)
+			vms = g_new(const char *, ASKED_MAX);
+		n = share_alloc_unheard(t->alloc, vms, ASKED_MAX, now);
+		/* A report names all teams of the allocator, so one team's holders stand for all.
+		 */
+		asked[t->role] = n > 0;
+		for (i = 0; i < n; i++)
+			poke_send(s->service.kernel, vms[i], "", t->role);
 	}
+	g_free(vms);
 }
 
 static void poke_serve(struct rpc_request *rq, const void *args, void *owner)
 {
 	const ml_poke *a = args;
-	struct shares_team *t = team_find(owner, a->team);
-	ml_none res = {.ok = t != NULL};
+	struct shares *s = owner;
+	struct shares_team *t = team_find(s, a->team);
+	ml_none res = {.ok = true};
 
 	if (t != NULL)
 		share_holder_poked(&t->holder);
+	else if (a->team[0] == '\0')
+		poke_all(s, a->allocator);
+	else
+		res.ok = false;
 	rpc_reply(rq, &res);
 }
 
+/** Between two lines on an allocator that still waits for a VM. */
+#define CENSUS_TOLD_US (1 * USEC_PER_SEC)
+
+/** Log when the allocator may give out all of the rate, and for whom it waits before it may. */
+static void census_log(struct shares_team *t, int64_t now)
+{
+	const struct share_alloc *a = t->alloc;
+	const char *first;
+	unsigned n;
+
+	if (a->whole == t->whole && (a->whole || now - t->census_told_us < CENSUS_TOLD_US))
+		return;
+	t->whole = a->whole;
+	t->census_told_us = now;
+	n = share_alloc_unbound(a, &first);
+	log_info("rates-census", LOG_STR("team", t->name), LOG_NUM("complete", a->whole),
+		 LOG_NUM("epoch", a->epoch), LOG_NUM("unheard", n), LOG_STR("first", first),
+		 LOG_NUM("units_permille", (int64_t)a->budget * 1000 / SHARE_WHOLE));
+}
+
 /** Single tokens for another VM's waiting requests, out of this VM's own part. */
 static u_int grant_tokens(struct shares_team *t, u_int want, int64_t now)
 {
@@ -525,7 +622,10 @@
 								 .seq = o.seq,
 								 .units = o.units,
 								 .over = o.over};
+		census_log(t, now);
 		poke_overfull(t, now);
+		if (share_alloc_self_short(t->alloc, now))
+			share_holder_poked(&t->holder);
 		if (strcmp(a->vm, s->service.kernel->settings->name) != 0)
 			orders[res.orders.orders_len].granted = grant_tokens(t, wire->want, now);
 		res.orders.orders_len++;
@@ -554,6 +654,7 @@
 	}
 	TAILQ_FOREACH(t, &s->teams, link)
 		team_admit_waiting(t, now);
+	ask_unheard(s, now);
 	reports_send(s, now);
 }
 
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -341,6 +341,133 @@
 	CU_ASSERT_EQUAL(s.moved_burst, 50);
 }
 
+/*
+ * A team's requests are refused for up to four seconds after its allocator changed. A holder
+ * without requests reports seldom, and its allocator gives out nothing before it has heard from
+ * all. One that is asked, or has another allocator, reports at once.
+ */
+static void test_asked_holder_at_rest_reports(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 100; round++) {
+		now += STEP;
+		exchange(&h[1], &a, 1, now);
+	}
+	CU_ASSERT_TRUE(share_holder_due_us(&h[1]) > now + USEC_PER_SEC);
+	share_holder_poked(&h[1]);
+	CU_ASSERT_TRUE(share_holder_due_us(&h[1]) <= now);
+	share_alloc_clear(&a);
+}
+
+/*
+ * A team's requests are refused for seconds though all its VMs are there. A VM that obeyed another
+ * allocator for a moment comes back with a higher epoch, so the allocator begins again and has to
+ * hear from all holders; most of them rest and would report only after four seconds. They are
+ * asked.
+ */
+static void test_holders_are_asked_after_a_restart(void)
+{
+	const char *ask[VMS];
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	unsigned n, k;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 10; round++) {
+		now += STEP;
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CU_ASSERT_TRUE(a.whole);
+	CU_ASSERT_EQUAL(share_alloc_unheard(&a, ask, VMS, now), 0);
+	h[3].epoch = a.epoch + 1;
+	exchange(&h[3], &a, 3, now);
+	CU_ASSERT_FALSE(a.whole);
+	n = share_alloc_unheard(&a, ask, VMS, now);
+	CU_ASSERT_EQUAL(n, VMS);
+	/* Not again before they can have answered. */
+	CU_ASSERT_EQUAL(share_alloc_unheard(&a, ask, VMS, now + STEP), 0);
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < VMS; i++) {
+			for (k = 0; k < n && strcmp(ask[k], names[i]) != 0; k++)
+				;
+			if (k < n)
+				exchange(&h[i], &a, i, now);
+		}
+	}
+	CU_ASSERT_TRUE(a.whole);
+	share_alloc_clear(&a);
+}
+
+/*
+ * A team too small to be split is refused everywhere for up to four seconds after its allocator has
+ * changed, though the new one has heard from all VMs. Single tokens are granted out of the
+ * allocator's own part, and its own VM, which has no requests of the team, takes that part only
+ * with its next report. It has to be told that there is something to take.
+ */
+static void test_allocator_takes_what_it_grants_from(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a[2];
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, a, 2, now);
+	a[0].burst = a[1].burst = 4;
+	for (round = 0; round < 10; round++) {
+		now += STEP;
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a[0], i, now);
+	}
+	CHECK(h[0].units > SHARE_WHOLE * 0.98, "%u", h[0].units);
+	CU_ASSERT_FALSE(share_alloc_self_short(&a[0], now));
+	/* The allocator leaves; the second VM allocates, and its own holder reports first. */
+	share_holder_leave(&h[0]);
+	share_alloc_left(&a[1], names[0], now);
+	for (round = 0; round < 2; round++) {
+		for (i = 1; i < VMS; i++)
+			exchange(&h[i], &a[1], i, now);
+	}
+	CU_ASSERT_TRUE(a[1].whole);
+	CU_ASSERT_TRUE(share_alloc_self_short(&a[1], now));
+	exchange(&h[1], &a[1], 1, now);
+	CHECK(h[1].units > SHARE_WHOLE * 0.98, "%u", h[1].units);
+	CU_ASSERT_FALSE(share_alloc_self_short(&a[1], now));
+	share_alloc_clear(&a[0]);
+	share_alloc_clear(&a[1]);
+}
+
+/** The allocator can tell for whom it waits. */
+static void test_tells_who_is_not_heard(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	const char *first;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 2; round++) {
+		for (i = 0; i < VMS - 1; i++)
+			exchange(&h[i], &a, i, now);
+		now += STEP;
+	}
+	CU_ASSERT_EQUAL(share_alloc_unbound(&a, &first), 1);
+	CU_ASSERT_STRING_EQUAL(first, names[VMS - 1]);
+	exchange(&h[VMS - 1], &a, VMS - 1, now);
+	exchange(&h[VMS - 1], &a, VMS - 1, now);
+	CU_ASSERT_EQUAL(share_alloc_unbound(&a, &first), 0);
+	CU_ASSERT_STRING_EQUAL(first, "");
+	share_alloc_clear(&a);
+}
+
 static const struct test_case cases[] = {
 	{"own_parts_stay_within_the_tolerance", test_own_parts_stay_within_the_tolerance},
 	{"no_tolerance_no_own_part", test_no_tolerance_no_own_part},
@@ -354,5 +481,9 @@
 	{"leaving_holder_hands_over", test_leaving_holder_hands_over},
 	{"small_burst_is_kept_whole", test_small_burst_is_kept_whole},
 	{"sum_never_passes_the_whole", test_sum_never_passes_the_whole},
+	{"asked_holder_at_rest_reports", test_asked_holder_at_rest_reports},
+	{"holders_are_asked_after_a_restart", test_holders_are_asked_after_a_restart},
+	{"allocator_takes_what_it_grants_from", test_allocator_takes_what_it_grants_from},
+	{"tells_who_is_not_heard", test_tells_who_is_not_heard},
 };
 HARNESS_MAIN("share", cases)
