--- a/cmd/mangoloomd.c
+++ b/cmd/mangoloomd.c
@@ -7,6 +7,7 @@
 #include "kernel.h"
 #include "log.h"
 #include "owner.h"
+#include "parts.h"
 #include "platform-adapter.h"
 #include "rpc.h"
 #include "session.h"
@@ -55,6 +56,8 @@
 {
 	rpc_service_create(k);
 	fleet_service_create(k);
+	if (k->settings->platform_kind == PLATFORM_PREPARED)
+		parts_service_create(k);
 	shares_service_create(k);
 	if (k->settings->platform_kind == PLATFORM_PREPARED) {
 		owner_service_create(k);
--- /dev/null
+++ b/decide/part.c
@@ -0,0 +1,61 @@
+/** @file part.c Fixed parts of small teams' rates. */
+#include "part.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/** Part of the burst that is handed out at once, as in share_split(). */
+#define PART_BURST 0.5
+/** Fewest tokens that a part's bucket holds: with less it would admit nobody. */
+#define PART_BURST_MIN 1.0
+/** Tokens that a part should hold before the team gets a further one in each data centre. */
+#define PART_BURST_GOOD 2.0
+
+bool part_split(double rate, double burst, unsigned data_centers, unsigned vms,
+		const struct share_tolerance *t, struct part_split *out)
+{
+	double limit, held, m;
+	unsigned n;
+
+	if (t->window_s <= 0 || rate <= 0 || data_centers == 0 ||
+	    share_split(rate, burst, vms, t).own_rate > 0)
+		return false;
+	held = burst * PART_BURST;
+	n = (unsigned)(held / PART_BURST_GOOD / data_centers);
+	out->per_dc = n < 1 ? 1 : n > PARTS_PER_DC ? PARTS_PER_DC : n;
+	n = out->per_dc * data_centers;
+	out->burst = held / n > PART_BURST_MIN ? held / n : PART_BURST_MIN;
+	limit = share_tolerated(rate, burst, t);
+	m = (limit - out->burst * n) / (rate * t->window_s);
+	if (m <= 0)
+		return false;
+	if (m > SHARE_RATE_MAX)
+		m = SHARE_RATE_MAX;
+	out->rate = rate * m / n;
+	return true;
+}
+
+bool part_has_team(const struct part_split *s, const char *team, unsigned index)
+{
+	unsigned first = (unsigned)(XXH64(team, strlen(team), 0) % PARTS_PER_DC);
+
+	return (index + PARTS_PER_DC - first) % PARTS_PER_DC < s->per_dc;
+}
+
+int part_choose(const struct part_place *p, unsigned n, unsigned salt)
+{
+	int far = -1;
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		unsigned at = (i + salt) % n;
+
+		if (p[at].address == NULL || p[at].tried)
+			continue;
+		if (p[at].near)
+			return (int)at;
+		if (far < 0)
+			far = (int)at;
+	}
+	return far;
+}
--- /dev/null
+++ b/decide/part.h
@@ -0,0 +1,50 @@
+/**
+ * @file part.h
+ * Fixed parts of a team's rate, for teams too small to have a part on every VM.
+ *
+ * Each data centre has PARTS_PER_DC parts, each held by one of its VMs at a time. A team has the
+ * same tokens in some parts of every data centre; a VM that holds none of them asks one that does.
+ * Nothing moves between parts, so no VM has to be heard before a token is given: while a data
+ * centre is cut off, or the VM that allocated moved parts (share.h) is lost, both sides go on with
+ * the parts that they reach. Source: docs/DESIGN.md, "Rates of small teams".
+ */
+#ifndef DECIDE_PART_H
+#define DECIDE_PART_H
+
+#include "share.h"
+
+/** Parts of a data centre: four VMs of it answer for all small teams. */
+#define PARTS_PER_DC 4
+
+/** What a team has in its parts. */
+struct part_split {
+	unsigned per_dc; /**< parts of each data centre that it has tokens in */
+	double rate;	 /**< of each part */
+	double burst;	 /**< of each part */
+};
+
+/**
+ * Divide @a rate and @a burst into fixed parts that together stay within what the users tolerate.
+ * @return false when the team is to have its rate moved between VMs instead: there is no tolerance
+ * to divide, no data centre is known, or each of @a vms VMs can have a part of its own
+ */
+bool part_split(double rate, double burst, unsigned data_centers, unsigned vms,
+		const struct share_tolerance *t, struct part_split *out);
+/** Whether @a team has tokens in the part @a index of each data centre. */
+bool part_has_team(const struct part_split *s, const char *team, unsigned index);
+
+/** A VM that may be asked for tokens. */
+struct part_place {
+	const char *address; /**< NULL: not known, or not to be used */
+	bool near;	     /**< in the data centre of the asking VM */
+	bool tried;	     /**< it had too few tokens in this round */
+};
+
+/**
+ * The place to ask next: near ones first, and among equals another one for each @a salt, so that
+ * the VMs of a data centre do not all ask the same.
+ * @return its index, or -1 when none is left
+ */
+int part_choose(const struct part_place *p, unsigned n, unsigned salt);
+
+#endif
--- a/decide/share.c
+++ b/decide/share.c
@@ -34,8 +34,6 @@
 #define SPLIT_BURST 0.5
 /** Part of what the users tolerate that is used: requests are counted where they arrive, later. */
 #define SPLIT_SAFETY 0.93
-/** Most that is handed out, as a multiple of the rate. */
-#define SPLIT_RATE_MAX 1.5
 /** A burst with fewer tokens than this for each holder is not split. */
 #define SHARE_SPLIT_TOKENS 2
 /** A holder with fewer requests a second than this has nothing new to tell. */
@@ -43,21 +41,24 @@
 /** A holder that has been silent for longer counts as having no demand. */
 #define DEMAND_STALE_US (5 * USEC_PER_SEC)
 
+double share_tolerated(double rate, double burst, const struct share_tolerance *t)
+{
+	return ((rate * t->window_s + burst) * (1 + t->overshoot) + t->slack) * SPLIT_SAFETY;
+}
+
 struct share_split share_split(double rate, double burst, unsigned vms,
 			       const struct share_tolerance *t)
 {
 	struct share_split s = {.moved_rate = rate, .moved_burst = burst};
-	double limit, held, m;
+	double held, m;
 
 	if (t->window_s <= 0 || vms == 0 || rate <= 0)
 		return s;
-	/* Requests that may pass in a window, less the burst that is kept, as a multiple of the
-	 * rate. */
-	limit = (rate * t->window_s + burst) * (1 + t->overshoot) + t->slack;
 	held = burst * SPLIT_BURST;
-	m = (limit * SPLIT_SAFETY - held) / (rate * t->window_s);
-	if (m > SPLIT_RATE_MAX)
-		m = SPLIT_RATE_MAX;
+	/* What may pass in a window, less the burst that is kept, as a multiple of the rate. */
+	m = (share_tolerated(rate, burst, t) - held) / (rate * t->window_s);
+	if (m > SHARE_RATE_MAX)
+		m = SHARE_RATE_MAX;
 	/* Own parts of less than a token would admit nobody. */
 	if (m < 1 || held / 2 < vms)
 		return s;
--- a/decide/share.h
+++ b/decide/share.h
@@ -60,6 +60,11 @@
 	double own_part; /**< of each VM, of all that is handed out */
 };
 
+/** Most that is handed out of a rate, as a multiple of it. */
+#define SHARE_RATE_MAX 1.5
+
+/** Requests of a team that may be let through in a window, with room for those that arrive late. */
+double share_tolerated(double rate, double burst, const struct share_tolerance *t);
 /**
  * Divide @a rate and @a burst among @a vms listed VMs. Parts that move alone serve nobody while the
  * allocator waits to hear from a VM that was lost: after a restart of all VMs that was eleven
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -10,6 +10,7 @@
 #include "stat.h"
 #include "table.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /** VMs of a data centre that watch the store. */
@@ -35,7 +36,29 @@
 
 /* The list of VMs */
 
-static bool vms_parse(const char *text, GArray *listings, JsonParser *parser)
+static const char *text_of(JsonObject *o, const char *name)
+{
+	return json_object_get_string_member_with_default(o, name, "");
+}
+
+static uint64_t hex_of(JsonObject *o, const char *name)
+{
+	return strtoull(json_object_get_string_member_with_default(o, name, "0"), NULL, 16);
+}
+
+static void part_parse(JsonObject *o, GArray *parts)
+{
+	struct fleet_part p = {.incarnation = hex_of(o, "incarnation"),
+			       .lease = hex_of(o, "lease")};
+
+	p.index = (unsigned)json_object_get_int_member_with_default(o, "part", 0);
+	g_strlcpy(p.data_center, text_of(o, "data_center"), sizeof(p.data_center));
+	g_strlcpy(p.vm, text_of(o, "name"), sizeof(p.vm));
+	g_strlcpy(p.address, text_of(o, "address"), sizeof(p.address));
+	g_array_append_val(parts, p);
+}
+
+static bool vms_parse(const char *text, GArray *listings, GArray *parts, JsonParser *parser)
 {
 	JsonArray *list;
 	guint i;
@@ -52,14 +75,15 @@
 		if (!JSON_NODE_HOLDS_OBJECT(node))
 			return false;
 		o = json_node_get_object(node);
-		l.name = json_object_get_string_member_with_default(o, "name", "");
-		l.address = json_object_get_string_member_with_default(o, "address", "");
-		l.data_center = json_object_get_string_member_with_default(o, "data_center", "");
-		l.leaving = strcmp(json_object_get_string_member_with_default(o, "state", "live"),
-				   "leaving") == 0;
-		l.incarnation =
-			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
-				 NULL, 16);
+		if (json_object_has_member(o, "part")) {
+			part_parse(o, parts);
+			continue;
+		}
+		l.name = text_of(o, "name");
+		l.address = text_of(o, "address");
+		l.data_center = text_of(o, "data_center");
+		l.leaving = strcmp(text_of(o, "state"), "leaving") == 0;
+		l.incarnation = hex_of(o, "incarnation");
 		if (l.name[0] != '\0')
 			g_array_append_val(listings, l);
 	}
@@ -69,19 +93,24 @@
 void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text)
 {
 	GArray *listings = g_array_new(FALSE, TRUE, sizeof(struct vm_listing));
+	GArray *parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
 	JsonParser *parser = json_parser_new();
 
-	if (!vms_parse(text, listings, parser)) {
+	if (!vms_parse(text, listings, parts, parser)) {
 		log_warn("vms-malformed", LOG_NUM("revision", revision));
 	} else if (peers_list(&f->peers, revision,
 			      (const struct vm_listing *)(void *)listings->data, listings->len)) {
 		g_free(f->vms_text);
 		f->vms_text = g_strdup(text);
-		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len));
+		g_array_unref(f->parts);
+		f->parts = g_array_ref(parts);
+		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len),
+			 LOG_NUM("parts", parts->len));
 		fleet_members_changed(f);
 		fleet_beat(f);
 	}
 	g_array_unref(listings);
+	g_array_unref(parts);
 	g_object_unref(parser);
 }
 
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -260,6 +260,7 @@
 	store_source.conf_changed = true;
 }
 
+/** A VM of the list, or what one of them holds: the list tells both. */
 static void take_vm(const struct store_item *item)
 {
 	char name[NAME_SIZE];
@@ -290,7 +291,8 @@
 		take_document(item);
 	else if (g_str_has_prefix(item->key, store_source.records->servers_prefix))
 		take_server(item);
-	else if (g_str_has_prefix(item->key, FLEET_STORE_VMS))
+	else if (g_str_has_prefix(item->key, FLEET_STORE_VMS) ||
+		 g_str_has_prefix(item->key, FLEET_STORE_PARTS))
 		take_vm(item);
 	for (i = 0; i < store_source.n_listeners; i++) {
 		if (g_str_has_prefix(item->key, store_source.listeners[i].prefix))
--- a/src/fleet-store.h
+++ b/src/fleet-store.h
@@ -12,6 +12,8 @@
 #define FLEET_STORE_PREFIX "mangoloom/"
 /** One key a VM, under its lease. */
 #define FLEET_STORE_VMS FLEET_STORE_PREFIX "vm/"
+/** One key for each fixed part of the rates (parts.h) that a VM holds, under that VM's lease. */
+#define FLEET_STORE_PARTS FLEET_STORE_PREFIX "part/"
 
 /** A key changed, or was read for the first time; its value is NULL when it is gone. */
 typedef void (*fleet_store_news)(const struct store_item *item, void *owner);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -124,6 +124,19 @@
 	return f->source->listed == NULL || f->source->listed(f);
 }
 
+const struct fleet_part *fleet_part(const struct fleet *f, const char *data_center, unsigned index)
+{
+	guint i;
+
+	for (i = 0; i < f->parts->len; i++) {
+		const struct fleet_part *p = &g_array_index(f->parts, struct fleet_part, i);
+
+		if (p->index == index && strcmp(p->data_center, data_center) == 0)
+			return p;
+	}
+	return NULL;
+}
+
 int64_t fleet_news_age_us(const struct fleet *f)
 {
 	return now_us() - f->news_us;
@@ -324,6 +337,7 @@
 	peers_clear(&f->peers);
 	conf_free(f->conf);
 	g_hash_table_destroy(f->holders);
+	g_array_unref(f->parts);
 	g_free(f->vms_text);
 	g_free(f);
 }
@@ -341,6 +355,7 @@
 
 	f->service.ops = &fleet_ops;
 	f->conf = conf_create();
+	f->parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
 	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
 								    : &fleet_etcd_ops;
 	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -45,12 +45,23 @@
 
 #define FLEET_LISTENERS_MAX 8
 
+/** A fixed part of the teams' rates, as the list of VMs tells who holds it (parts.h). */
+struct fleet_part {
+	char data_center[NAME_SIZE];
+	unsigned index;
+	char vm[NAME_SIZE];
+	char address[ADDRESS_SIZE]; /**< of the VM's RPC port */
+	uint64_t incarnation;	    /**< of the process that holds it */
+	uint64_t lease;		    /**< under which it is held */
+};
+
 struct fleet {
 	struct service service;
 	struct peers peers;
 	struct conf *conf;
 	int64_t list_us; /**< when the list of VMs was last fetched from a peer */
 	char *vms_text;	 /**< the platform's list, as it came, for peers */
+	GArray *parts;	 /**< of struct fleet_part, out of the same list */
 	const struct fleet_source_ops *source;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
@@ -79,6 +90,8 @@
 void fleet_suspect(struct fleet *f, const char *address);
 /** Whether this VM surely still counts as listed for others. */
 bool fleet_surely_listed(struct fleet *f);
+/** Who holds a part, as far as is known; NULL for nobody. */
+const struct fleet_part *fleet_part(const struct fleet *f, const char *data_center, unsigned index);
 /** How long ago the configuration was known to be current. */
 int64_t fleet_news_age_us(const struct fleet *f);
 /** Membership and versions for `mangoloom status`. */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -49,7 +49,7 @@
 	TAILQ_INSERT_TAIL(&k->services, s, link);
 }
 
-struct service *kernel_find(struct kernel *k, const char *name)
+struct service *kernel_look(struct kernel *k, const char *name)
 {
 	struct service *s;
 
@@ -57,7 +57,16 @@
 		if (strcmp(s->ops->name, name) == 0)
 			return s;
 	}
-	g_error("no service is named %s", name);
+	return NULL;
+}
+
+struct service *kernel_find(struct kernel *k, const char *name)
+{
+	struct service *s = kernel_look(k, name);
+
+	if (s == NULL)
+		g_error("no service is named %s", name);
+	return s;
 }
 
 gboolean kernel_start(struct kernel *k, GError **error)
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -52,6 +52,8 @@
 
 struct kernel *kernel_create(const struct settings *settings);
 void kernel_add(struct kernel *k, struct service *s);
+/** @return the service named @a name, NULL when this daemon has none */
+struct service *kernel_look(struct kernel *k, const char *name);
 /** @return the service named @a name; a name that no service has is a broken invariant. */
 struct service *kernel_find(struct kernel *k, const char *name);
 gboolean kernel_start(struct kernel *k, GError **error);
--- a/src/mango.h
+++ b/src/mango.h
@@ -236,6 +236,17 @@
 };
 typedef struct ml_poke ml_poke;
 
+struct ml_tokens_args {
+	ml_name team;
+	u_int want;
+};
+typedef struct ml_tokens_args ml_tokens_args;
+
+struct ml_tokens_res {
+	u_int granted;
+};
+typedef struct ml_tokens_res ml_tokens_res;
+
 struct ml_none {
 	bool_t ok;
 };
@@ -385,6 +396,9 @@
 #define ML_REACH 14
 extern  ml_none * ml_reach_1(ml_reach_args *, CLIENT *);
 extern  ml_none * ml_reach_1_svc(ml_reach_args *, struct svc_req *);
+#define ML_TOKENS 15
+extern  ml_tokens_res * ml_tokens_1(ml_tokens_args *, CLIENT *);
+extern  ml_tokens_res * ml_tokens_1_svc(ml_tokens_args *, struct svc_req *);
 extern int mangoloom_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -430,6 +444,9 @@
 #define ML_REACH 14
 extern  ml_none * ml_reach_1();
 extern  ml_none * ml_reach_1_svc();
+#define ML_TOKENS 15
+extern  ml_tokens_res * ml_tokens_1();
+extern  ml_tokens_res * ml_tokens_1_svc();
 extern int mangoloom_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -458,6 +475,8 @@
 extern  bool_t xdr_ml_share_order (XDR *, ml_share_order*);
 extern  bool_t xdr_ml_share_res (XDR *, ml_share_res*);
 extern  bool_t xdr_ml_poke (XDR *, ml_poke*);
+extern  bool_t xdr_ml_tokens_args (XDR *, ml_tokens_args*);
+extern  bool_t xdr_ml_tokens_res (XDR *, ml_tokens_res*);
 extern  bool_t xdr_ml_none (XDR *, ml_none*);
 extern  bool_t xdr_ml_fate_args (XDR *, ml_fate_args*);
 extern  bool_t xdr_ml_fate_res (XDR *, ml_fate_res*);
@@ -492,6 +511,8 @@
 extern bool_t xdr_ml_share_order ();
 extern bool_t xdr_ml_share_res ();
 extern bool_t xdr_ml_poke ();
+extern bool_t xdr_ml_tokens_args ();
+extern bool_t xdr_ml_tokens_res ();
 extern bool_t xdr_ml_none ();
 extern bool_t xdr_ml_fate_args ();
 extern bool_t xdr_ml_fate_res ();
--- a/src/mango.x
+++ b/src/mango.x
@@ -178,6 +178,15 @@
 	unsigned int allocator;
 };
 
+struct ml_tokens_args {
+	ml_name team;
+	unsigned int want;
+};
+
+struct ml_tokens_res {
+	unsigned int granted;
+};
+
 struct ml_none {
 	bool ok;
 };
@@ -281,5 +290,6 @@
 		ml_owner ML_OWNER(ml_owner) = 12;
 		ml_none ML_YIELD(ml_yield_args) = 13;
 		ml_none ML_REACH(ml_reach_args) = 14;
+		ml_tokens_res ML_TOKENS(ml_tokens_args) = 15;
 	} = 1;
 } = 0x20004d4c;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -430,6 +430,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ml_tokens_args (XDR *xdrs, ml_tokens_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->want))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_tokens_res (XDR *xdrs, ml_tokens_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ml_none (XDR *xdrs, ml_none *objp)
 {
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -35,6 +35,7 @@
 	PROC(ML_OWNER, "owner", ml_owner, ml_owner, true),
 	PROC(ML_YIELD, "yield", ml_yield_args, ml_none, true),
 	PROC(ML_REACH, "reach", ml_reach_args, ml_none, true),
+	PROC(ML_TOKENS, "tokens", ml_tokens_args, ml_tokens_res, true),
 	PROC(ML_FATE, "fate", ml_fate_args, ml_fate_res, false),
 	[ML_STATUS] = {"status", rpc_xdr_none, 0, (xdrproc_t)xdr_ml_status_res,
 		       sizeof(ml_status_res), false},
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -67,7 +67,7 @@
 struct rpc *rpc_of(struct kernel *k);
 
 /** Table of procedures, by number; ends after RPC_PROCS. */
-#define RPC_PROCS 15
+#define RPC_PROCS 16
 extern const struct rpc_proc rpc_procs[RPC_PROCS];
 
 #endif
--- /dev/null
+++ b/src/shares-ask.c
@@ -0,0 +1,163 @@
+/**
+ * @file shares-ask.c
+ * Tokens of the fixed parts that other VMs hold. A round asks one VM after the other, those of this
+ * data centre first, until all that wait have a token or ASKS_MAX had too few.
+ */
+#include "shares-state.h"
+
+#include "log.h"
+#include "rpc.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/**
+ * Longest wait for an answer. One takes 1 to 5 ms between data centres; a VM that says nothing must
+ * not use up the time of a request that the next one has a token for.
+ */
+#define ASK_TIMEOUT_US (150 * USEC_PER_MSEC)
+/** VMs asked in a round. Each costs a call; the tokens of more than these are rarely all spent. */
+#define ASKS_MAX 4
+/** Pause after a round in which nobody had a token. The smallest team gets one each 100 ms. */
+#define DRY_US (50 * USEC_PER_MSEC)
+/** Weight of a round in the average of those in which all that waited got a token. */
+#define GOT_ALPHA 0.2
+/** Below this part of the rounds the team asks for more than its rate. */
+#define GOT_HOPEFUL 0.5
+
+struct ask {
+	struct shares *s;
+	char team[NAME_SIZE];
+	char address[ADDRESS_SIZE];
+	unsigned place;
+	unsigned want;
+};
+
+/** The RPC address of who holds the part, NULL when it is not to be asked. */
+static const char *place_address(struct shares *s, const struct fleet_part *part)
+{
+	const struct fleet *f = fleet_of(s->service.kernel);
+	const struct vm *vm = part != NULL ? peers_find(&f->peers, part->vm) : NULL;
+
+	if (vm == NULL || vm == f->peers.self || !peers_usable(vm) ||
+	    vm->incarnation != part->incarnation)
+		return NULL;
+	return part->address;
+}
+
+static unsigned places_list(struct shares_team *t, struct part_place places[SHARES_PLACES_MAX])
+{
+	struct shares *s = t->s;
+	const struct fleet *f = fleet_of(s->service.kernel);
+	const char *here = f->peers.self->data_center;
+	unsigned i, j, n = 0;
+
+	for (i = 0; i < s->n_data_centers; i++) {
+		for (j = 0; j < PARTS_PER_DC && n < SHARES_PLACES_MAX; j++) {
+			const struct fleet_part *part = fleet_part(f, s->data_center[i], j);
+
+			if (!part_has_team(&t->part, t->name, j))
+				continue;
+			places[n].address = place_address(s, part);
+			places[n].near = strcmp(s->data_center[i], here) == 0;
+			places[n].tried = (t->ask.tried & (1U << n)) != 0;
+			n++;
+		}
+	}
+	return n;
+}
+
+static void round_ends(struct shares_team *t, bool dry, int64_t now)
+{
+	if (t->ask.asked > 0)
+		t->ask.got += GOT_ALPHA * ((dry ? 0 : 1) - t->ask.got);
+	t->ask.tried = 0;
+	t->ask.asked = 0;
+	if (dry)
+		t->ask.dry_until_us = now + DRY_US;
+}
+
+static void on_tokens(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_tokens_res *res = arg_res;
+	struct ask *q = arg;
+	struct shares_team *t = shares_team(q->s, q->team);
+	int64_t now = now_us();
+
+	if (status != RPC_DONE)
+		fleet_suspect(fleet_of(q->s->service.kernel), q->address);
+	if (t != NULL) {
+		double granted = status == RPC_DONE ? MIN(res->granted, q->want) : 0;
+
+		t->ask.out = false;
+		if (granted < q->want)
+			t->ask.tried |= 1U << q->place;
+		t->granted = now - t->ask.sent_us < GRANT_FRESH_US ? granted : 0;
+		team_admit_waiting(t, now);
+		ask_next(t, now);
+	}
+	g_free(q);
+}
+
+static void ask_send(struct shares_team *t, const char *address, unsigned place, int64_t now)
+{
+	ml_tokens_args args = {.team = t->name, .want = t->n_waiting};
+	struct ask *q = g_new0(struct ask, 1);
+
+	q->s = t->s;
+	q->place = place;
+	q->want = t->n_waiting;
+	g_strlcpy(q->team, t->name, sizeof(q->team));
+	g_strlcpy(q->address, address, sizeof(q->address));
+	t->ask.out = true;
+	t->ask.asked++;
+	t->ask.sent_us = now;
+	rpc_start(rpc_of(t->s->service.kernel), address, ML_TOKENS, &args, ASK_TIMEOUT_US,
+		  on_tokens, q);
+}
+
+void ask_next(struct shares_team *t, int64_t now)
+{
+	struct part_place places[SHARES_PLACES_MAX];
+	const char *self = t->s->service.kernel->settings->name;
+	unsigned n;
+	int at;
+
+	if (!t->fixed || t->ask.out || now < t->ask.dry_until_us)
+		return;
+	if (t->n_waiting == 0) {
+		round_ends(t, false, now);
+		return;
+	}
+	n = places_list(t, places);
+	at = t->ask.asked < ASKS_MAX
+		     ? part_choose(places, n, (unsigned)XXH64(self, strlen(self), 0))
+		     : -1;
+	if (at < 0)
+		round_ends(t, true, now);
+	else
+		ask_send(t, places[at].address, (unsigned)at, now);
+}
+
+bool ask_hopeful(const struct shares_team *t)
+{
+	return t->ask.got >= GOT_HOPEFUL;
+}
+
+static void tokens_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_tokens_args *a = args;
+	struct shares_team *t = shares_team(owner, a->team);
+	ml_tokens_res res = {0};
+	int64_t now = now_us();
+
+	shares_check_pause(owner, now);
+	if (t != NULL && t->configured && t->fixed)
+		res.granted = team_grant(t, a->want, now);
+	rpc_reply(rq, &res);
+}
+
+void ask_serve(struct shares *s)
+{
+	rpc_serve(rpc_of(s->service.kernel), ML_TOKENS, tokens_serve, s);
+}
--- /dev/null
+++ b/src/shares-state.h
@@ -0,0 +1,102 @@
+/**
+ * @file shares-state.h
+ * What the parts of the admission service share.
+ *
+ * shares.c        teams, admission, the service
+ * shares-report.c parts of the rates that move between VMs, see decide/share.h
+ * shares-ask.c    tokens of the fixed parts that other VMs hold, see decide/part.h
+ */
+#ifndef SHARES_STATE_H
+#define SHARES_STATE_H
+
+#include "bucket.h"
+#include "fleet.h"
+#include "parts.h"
+#include "share.h"
+#include "shares.h"
+
+/** VMs that allocate, at most. */
+#define ALLOCATORS 8
+/** Tokens from another VM that took longer to arrive are not used: its burst has filled up since.
+ */
+#define GRANT_FRESH_US (100 * USEC_PER_MSEC)
+
+/** Asking other VMs for tokens of a team. */
+struct shares_ask {
+	bool out;	/**< a call is under way */
+	unsigned tried; /**< places asked in this round, a bit each */
+	unsigned asked; /**< calls of this round */
+	int64_t sent_us;
+	int64_t dry_until_us; /**< no place had a token: nothing is asked before */
+	double got;	      /**< part of the last rounds in which all that waited got a token */
+};
+
+struct shares_team {
+	TAILQ_ENTRY(shares_team) link;
+	struct shares *s;
+	char name[NAME_SIZE];
+	double rate;
+	double burst;
+	bool configured;
+	struct bucket bucket;
+	struct admissions waiting;
+	unsigned n_waiting;
+	double granted; /**< single tokens from another VM, for those that wait now */
+
+	bool fixed; /**< it has fixed parts, and nothing of its rate moves */
+	struct part_split part;
+	struct shares_ask ask;
+
+	unsigned role; /**< which of the allocators has it */
+	struct share_split split;
+	struct share_holder holder;
+	int64_t out_us;		   /**< when the open report was sent */
+	struct share_alloc *alloc; /**< when this VM was asked to be the team's allocator */
+	bool whole;		   /**< @a alloc had heard from every VM when last looked at */
+	int64_t census_told_us;	   /**< when it was last logged whom @a alloc waits for */
+};
+TAILQ_HEAD(shares_teams, shares_team);
+
+/** Most places that may be asked for a team: a bit each in shares_ask. */
+#define SHARES_PLACES_MAX 32
+
+struct shares {
+	struct service service;
+	struct shares_teams teams;
+	GHashTable *by_name;
+	struct event *tick;
+	int64_t ticked_us;
+	bool listed;	     /**< this VM surely counts as listed for others */
+	struct parts *parts; /**< NULL where no VM holds fixed parts */
+	unsigned held;	     /**< fixed parts that this VM holds, a bit each */
+	char data_center[SHARES_PLACES_MAX][NAME_SIZE]; /**< those with a listed VM, by name */
+	unsigned n_data_centers;
+
+	char allocator[ALLOCATORS][ADDRESS_SIZE]; /**< to which reports go; empty: to none */
+};
+
+/* shares.c */
+struct shares_team *shares_team(struct shares *s, const char *name);
+/** Bring the bucket to this VM's part. */
+void team_resize(struct shares_team *t, int64_t now);
+/** Admit those that wait as far as there are tokens, and end those that have waited in vain. */
+void team_admit_waiting(struct shares_team *t, int64_t now);
+/** Tokens for another VM's waiting requests, out of this VM's own bucket. */
+unsigned team_grant(struct shares_team *t, unsigned want, int64_t now);
+/** Drop what a loop that stood still may hold, and others have by now. */
+void shares_check_pause(struct shares *s, int64_t now);
+
+/* shares-report.c */
+void report_serve(struct shares *s);
+void report_tick(struct shares *s, int64_t now);
+/** The allocator here, if any, takes in the list of VMs and the team's rate. */
+void report_team_changed(struct shares_team *t);
+
+/* shares-ask.c */
+void ask_serve(struct shares *s);
+/** Ask another VM for those that wait, if one is left to ask. */
+void ask_next(struct shares_team *t, int64_t now);
+/** Whether most of what was asked for came, lately: the team is within its rate. */
+bool ask_hopeful(const struct shares_team *t);
+
+#endif
--- a/src/shares.c
+++ b/src/shares.c
@@ -1,13 +1,11 @@
-/** @file shares.c The service that admits requests and moves parts of teams' rates between VMs. */
-#include "shares.h"
+/** @file shares.c The service that admits requests by their teams' rates. */
+#include "shares-state.h"
 
-#include "bucket.h"
-#include "fleet.h"
 #include "log.h"
 #include "rpc.h"
-#include "share.h"
 #include "stat.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define TICK_US (10 * USEC_PER_MSEC)
@@ -18,64 +16,39 @@
  * or after a wait; with waits of 300 ms nearly all that were served came late.
  */
 #define OVER_US (40 * USEC_PER_MSEC)
-#define REPORT_TIMEOUT_US (400 * USEC_PER_MSEC)
-/** Single tokens that took longer to arrive are not used. */
-#define GRANT_FRESH_US (100 * USEC_PER_MSEC)
-/** A report takes along the teams of the same allocator whose own would be due so soon. */
-#define REPORT_AHEAD_US (500 * USEC_PER_MSEC)
-/** VMs that allocate, at most. */
-#define ALLOCATORS 8
-/** Teams that one report may name. */
-#define REPORT_TEAMS 256
+/**
+ * Longest wait for a token of a team with fixed parts that is within its rate. All parts were asked
+ * within 20 ms; the smallest part, of 2 requests a second, has its next token within this.
+ */
+#define FIXED_HOPE_US (300 * USEC_PER_MSEC)
 /** Most requests of one team that wait for tokens. */
 #define WAITING_MAX 5000
 
-struct shares_team {
-	TAILQ_ENTRY(shares_team) link;
-	struct shares *s;
-	char name[NAME_SIZE];
-	double rate;
-	double burst;
-	bool configured;
-	unsigned role; /**< which of the allocators has it */
-	struct share_split split;
-	struct bucket bucket;
-	struct share_holder holder;
-	int64_t out_us;		   /**< when the open report was sent */
-	struct share_alloc *alloc; /**< when this VM was asked to be the team's allocator */
-	bool whole;		   /**< @a alloc had heard from every VM when last looked at */
-	int64_t census_told_us;	   /**< when it was last logged whom @a alloc waits for */
-	struct admissions waiting;
-	unsigned n_waiting;
-	double granted; /**< single tokens from the allocator, for those that wait now */
-};
-TAILQ_HEAD(shares_teams, shares_team);
-
-struct shares {
-	struct service service;
-	struct shares_teams teams;
-	GHashTable *by_name;
-	struct event *tick;
-	int64_t ticked_us;
-	char allocator[ALLOCATORS][ADDRESS_SIZE]; /**< to which reports go; empty: to none */
-	bool listed;				  /**< this VM surely counts as listed for others */
-};
-
 struct shares *shares_of(struct kernel *k)
 {
 	return (struct shares *)kernel_find(k, "shares");
 }
 
-static struct shares_team *team_find(struct shares *s, const char *name)
+struct shares_team *shares_team(struct shares *s, const char *name)
 {
 	return g_hash_table_lookup(s->by_name, name);
 }
 
-/** Bring the bucket to this VM's part. */
-static void team_resize(struct shares_team *t, int64_t now)
+/** Fixed parts with tokens of the team that this VM holds. */
+static unsigned fixed_held(const struct shares_team *t)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < PARTS_PER_DC; i++)
+		n += (t->s->held & (1U << i)) && part_has_team(&t->part, t->name, i) ? 1 : 0;
+	return n;
+}
+
+void team_resize(struct shares_team *t, int64_t now)
 {
 	double part = (double)t->holder.units / SHARE_WHOLE;
 	const struct share_split *s = &t->split;
+	unsigned n;
 
 	/*
 	 * A VM whose lease has ended is no longer counted by others, who divide the rate without
@@ -83,19 +56,43 @@
 	 */
 	if (!t->s->listed)
 		bucket_resize(&t->bucket, 0, 0, now);
-	else
+	else if (t->fixed) {
+		n = fixed_held(t);
+		bucket_resize(&t->bucket, n * t->part.rate, n * t->part.burst, now);
+	} else
 		bucket_resize(&t->bucket, s->own_rate + s->moved_rate * part,
 			      s->own_burst + s->moved_burst * part, now);
 }
 
-/** VMs among which rates are divided. */
-static unsigned vms_listed(const struct fleet *f)
+static bool data_center_known(const struct shares *s, const char *name)
 {
+	unsigned i;
+
+	for (i = 0; i < s->n_data_centers; i++) {
+		if (strcmp(s->data_center[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/** Note the data centres that have VMs. @return the VMs among which rates are divided */
+static unsigned vms_look(struct shares *s)
+{
+	const struct fleet *f = fleet_of(s->service.kernel);
 	const struct vm *vm;
 	unsigned n = 0;
 
-	TAILQ_FOREACH(vm, &f->peers.vms, link)
-		n += vm->listed ? 1 : 0;
+	s->n_data_centers = 0;
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		if (!vm->listed)
+			continue;
+		n++;
+		if (s->n_data_centers < SHARES_PLACES_MAX / PARTS_PER_DC &&
+		    !data_center_known(s, vm->data_center))
+			g_strlcpy(s->data_center[s->n_data_centers++], vm->data_center, NAME_SIZE);
+	}
+	qsort(s->data_center, s->n_data_centers, NAME_SIZE,
+	      (int (*)(const void *, const void *))strcmp);
 	return n;
 }
 
@@ -108,8 +105,9 @@
 						  .slack = set->rate_slack};
 
 	t->split = share_split(t->rate, t->burst, n, &tolerance);
-	if (t->alloc != NULL)
-		t->alloc->own = t->split.own_part;
+	t->fixed = t->s->parts != NULL &&
+		   part_split(t->rate, t->burst, t->s->n_data_centers, n, &tolerance, &t->part);
+	report_team_changed(t);
 	team_resize(t, now);
 }
 
@@ -121,6 +119,7 @@
 	t->s = s;
 	g_strlcpy(t->name, name, sizeof(t->name));
 	t->role = g_str_hash(t->name) % ALLOCATORS;
+	t->ask.got = 1;
 	TAILQ_INIT(&t->waiting);
 	bucket_init(&t->bucket, 0, 0, 0, now);
 	share_holder_init(&t->holder, s->service.kernel->incarnation, now);
@@ -140,32 +139,12 @@
 	g_free(t);
 }
 
-static void list_vms(struct shares *s, struct share_alloc *alloc)
-{
-	struct fleet *f = fleet_of(s->service.kernel);
-	const char **names = g_new0(const char *, f->peers.n + 1);
-	struct vm *vm;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		/* This VM counts itself as listed only when the platform does. */
-		if (vm->listed && !vm->left && (vm != f->peers.self || f->peers.revision > 0))
-			names[n++] = vm->name;
-	}
-	share_alloc_listed(alloc, names, n, now_us());
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		if (vm->left)
-			share_alloc_left(alloc, vm->name, now_us());
-	}
-	g_free(names);
-}
-
 static void shares_changed(void *owner)
 {
 	struct shares *s = owner;
 	struct fleet *f = fleet_of(s->service.kernel);
 	struct shares_team *t, *next;
-	unsigned n = vms_listed(f);
+	unsigned n = vms_look(s);
 	int64_t now = now_us();
 	GHashTableIter iter;
 	gpointer value;
@@ -178,7 +157,7 @@
 
 		if (e->kind != CONF_TEAM)
 			continue;
-		t = team_find(s, e->team.name);
+		t = shares_team(s, e->team.name);
 		if (t == NULL)
 			t = team_create(s, e->team.name);
 		t->configured = true;
@@ -192,21 +171,33 @@
 		team_split(t, n, now);
 	}
 	TAILQ_FOREACH_SAFE(t, &s->teams, link, next) {
-		if (t->alloc != NULL) {
-			t->alloc->rate = t->rate;
-			t->alloc->burst = t->burst;
-			list_vms(s, t->alloc);
-		}
 		if (!t->configured && t->n_waiting == 0)
 			team_free(t);
 	}
 }
 
+/** Spend only what this VM's lease lets it have now. */
+static void look_at_lease(struct shares *s, int64_t now)
+{
+	bool listed = fleet_surely_listed(fleet_of(s->service.kernel));
+	unsigned held = s->parts != NULL ? parts_held(s->parts) : 0;
+	struct shares_team *t;
+
+	if (listed == s->listed && held == s->held)
+		return;
+	s->listed = listed;
+	s->held = held;
+	log_info("rates", LOG_STR("state", listed ? "in force" : "not listed"),
+		 LOG_NUM("fixed_parts", held));
+	TAILQ_FOREACH(t, &s->teams, link)
+		team_resize(t, now);
+}
+
 /**
  * A loop that stood still may hold parts that others have by now: give them up before any request
  * takes a token.
  */
-static void check_pause(struct shares *s, int64_t now)
+void shares_check_pause(struct shares *s, int64_t now)
 {
 	int64_t gap = now - s->ticked_us;
 	struct shares_team *t;
@@ -214,6 +205,7 @@
 	if (gap < SHARE_PAUSE_MAX_US)
 		return;
 	s->ticked_us = now;
+	look_at_lease(s, now);
 	TAILQ_FOREACH(t, &s->teams, link) {
 		if (!share_holder_paused(&t->holder, gap))
 			continue;
@@ -248,46 +240,62 @@
 static int64_t team_wait_us(struct shares_team *t, int64_t now)
 {
 	double ahead = (double)t->n_waiting + 1;
-	double part = t->bucket.rate > 0 ? t->bucket.rate : t->rate / 2;
+	/* Of fixed parts all can be asked; of one that moves, what is here counts. */
+	double part = !t->fixed && t->bucket.rate > 0 ? t->bucket.rate : t->rate / 2;
 	int64_t wait = (int64_t)((ahead - t->bucket.tokens) / part * (double)USEC_PER_SEC);
 
 	return wait > 0 ? wait : 1;
 }
 
+/** Whether the team as a whole is within its rate, as far as is known here. */
+static bool hopeful(const struct shares_team *t)
+{
+	return t->fixed ? ask_hopeful(t) : share_holder_hopeful(&t->holder);
+}
+
+static int64_t longest_wait_us(const struct shares_team *t)
+{
+	if (!hopeful(t))
+		return OVER_US;
+	return t->fixed ? FIXED_HOPE_US : HOPE_US;
+}
+
 int shares_admit(struct shares *s, const char *team, struct admission *a, int64_t deadline_us,
 		 int64_t *retry_after_us)
 {
-	struct shares_team *t = team_find(s, team);
+	struct shares_team *t = shares_team(s, team);
 	int64_t now = now_us();
 	int64_t limit;
 	bool ok;
 
-	check_pause(s, now);
+	shares_check_pause(s, now);
 	a->team = NULL;
 	/* A team without a rate of its own is not limited. */
 	if (t == NULL || !t->configured)
 		return 1;
 	ok = t->n_waiting == 0 && bucket_take(&t->bucket, 1, now);
-	share_holder_arrival(&t->holder, ok, now);
+	if (!t->fixed)
+		share_holder_arrival(&t->holder, ok, now);
 	if (ok)
 		return 1;
 	*retry_after_us = team_wait_us(t, now);
-	limit = now + (share_holder_hopeful(&t->holder) ? HOPE_US : OVER_US);
+	limit = now + longest_wait_us(t);
 	if (limit > deadline_us)
 		limit = deadline_us;
 	/* A wait that must fail is not begun: the caller hears now, and when to come back. */
 	if (t->n_waiting >= WAITING_MAX)
 		return -1;
-	if (!share_holder_hopeful(&t->holder) && now + *retry_after_us > limit)
+	if (!hopeful(t) && (t->fixed ? now < t->ask.dry_until_us : now + *retry_after_us > limit))
 		return -1;
 	a->team = t;
 	a->until_us = limit;
 	TAILQ_INSERT_TAIL(&t->waiting, a, link);
 	t->n_waiting++;
+	ask_next(t, now);
 	return 0;
 }
 
-static void team_admit_waiting(struct shares_team *t, int64_t now)
+void team_admit_waiting(struct shares_team *t, int64_t now)
 {
 	struct admission *a;
 
@@ -307,283 +315,21 @@
 
 double shares_weight(struct shares *s, const char *team)
 {
-	const struct shares_team *t = team_find(s, team);
+	const struct shares_team *t = shares_team(s, team);
 
 	return t != NULL && t->configured ? t->rate : 1;
 }
 
 bool shares_within_rate(struct shares *s, const char *team)
 {
-	const struct shares_team *t = team_find(s, team);
-
-	return t == NULL || share_holder_hopeful(&t->holder);
-}
-
-/* Holder's side */
-
-struct report {
-	struct shares *s;
-	char address[ADDRESS_SIZE];
-};
-
-static void report_done(enum rpc_status status, const void *arg_res, void *arg)
-{
-	const ml_share_res *res = arg_res;
-	struct report *r = arg;
-	int64_t now = now_us();
-	u_int i;
-
-	if (status != RPC_DONE)
-		fleet_suspect(fleet_of(r->s->service.kernel), r->address);
-	for (i = 0; status == RPC_DONE && i < res->orders.orders_len; i++) {
-		const ml_share_order *wire = &res->orders.orders_val[i];
-		struct share_order o = {
-			.epoch = wire->epoch, .seq = wire->seq, .units = wire->units};
-		struct shares_team *t = team_find(r->s, wire->team);
-
-		o.over = wire->over;
-		if (t == NULL)
-			continue;
-		/*
-		 * Tokens that were long under way would come on top of a burst that has filled up
-		 * again since.
-		 */
-		t->granted = now - t->out_us < GRANT_FRESH_US ? wire->granted : 0;
-		t->out_us = 0;
-		if (share_holder_order(&t->holder, &o, now)) {
-			stat_add(STAT_SHARE_ORDERS, 1);
-			team_resize(t, now);
-			log_debug("share", LOG_STR("team", t->name),
-				  LOG_NUM("units", t->holder.units),
-				  LOG_NUM("epoch", t->holder.epoch));
-		}
-		team_admit_waiting(t, now);
-	}
-	g_free(r);
-}
-
-static void report_send(struct shares *s, const char *address, ml_share_report *reports, unsigned n)
-{
-	struct kernel *k = s->service.kernel;
-	ml_share_args args = {.vm = (char *)k->settings->name, .incarnation = k->incarnation};
-	struct report *r = g_new0(struct report, 1);
-
-	r->s = s;
-	g_strlcpy(r->address, address, sizeof(r->address));
-	args.reports.reports_val = reports;
-	args.reports.reports_len = n;
-	rpc_start(rpc_of(k), r->address, ML_SHARE, &args, REPORT_TIMEOUT_US, report_done, r);
-}
-
-static bool report_due(const struct shares_team *t, int64_t now)
-{
-	if (t->out_us != 0 && now - t->out_us < REPORT_TIMEOUT_US)
-		return false;
-	return t->configured && share_holder_due_us(&t->holder) <= now;
-}
-
-static void report_fill(struct shares_team *t, ml_share_report *wire, int64_t now)
-{
-	struct share_report r = share_holder_report(&t->holder, now);
-
-	t->out_us = now;
-	wire->team = t->name;
-	wire->epoch = r.epoch;
-	wire->seq = r.seq;
-	wire->units = r.units;
-	wire->demand = r.demand;
-	wire->average = r.average;
-	wire->want = t->n_waiting;
-}
-
-/** Room for an allocator's role. */
-#define ROLE_SIZE 16
-
-/** All teams of one allocator report. */
-static void poke_all(struct shares *s, unsigned role)
-{
-	struct shares_team *t;
-
-	TAILQ_FOREACH(t, &s->teams, link) {
-		if (t->role == role)
-			share_holder_poked(&t->holder);
-	}
-}
-
-/**
- * Find the VMs that allocate. One allocator a team would have each VM of a large fleet write to
- * nearly all others every second: 77 VMs with 81 teams sent 3,900 such messages a second.
- *
- * A new allocator gives out nothing before it has heard from every VM. Holders at rest report each
- * SHARE_REPORT_IDLE_US, so its teams were without tokens for that long; told at once, it knows all
- * within two round trips of the change being known.
- */
-static void allocators_look(struct shares *s)
-{
-	struct fleet *f = fleet_of(s->service.kernel);
-	unsigned i;
+	const struct shares_team *t = shares_team(s, team);
 
-	/*
-	 * Before the other VMs are known this one would take itself for all allocators, with an
-	 * epoch that the real one might have to begin again above.
-	 */
-	if (f->peers.revision == 0)
-		return;
-	for (i = 0; i < ALLOCATORS; i++) {
-		char role[ROLE_SIZE];
-		const char *address;
-
-		g_snprintf(role, ROLE_SIZE, "share %u", i);
-		address = fleet_holder_address(f, role);
-		if (address == NULL)
-			address = "";
-		if (strcmp(address, s->allocator[i]) == 0)
-			continue;
-		log_info("rates-by", LOG_NUM("role", i), LOG_STR("address", address),
-			 LOG_STR("before", s->allocator[i]),
-			 LOG_NUM("vms_revision", f->peers.revision));
-		g_strlcpy(s->allocator[i], address, ADDRESS_SIZE);
-		poke_all(s, i);
-	}
+	return t == NULL || hopeful(t);
 }
 
-/** Send what is due, one message to each allocator. */
-static void reports_send(struct shares *s, int64_t now)
+unsigned team_grant(struct shares_team *t, unsigned want, int64_t now)
 {
-	ml_share_report reports[REPORT_TEAMS];
-	struct shares_team *t, *other;
-
-	allocators_look(s);
-	TAILQ_FOREACH(t, &s->teams, link) {
-		const char *address = s->allocator[t->role];
-		unsigned n = 0;
-
-		if (!report_due(t, now) || address[0] == '\0')
-			continue;
-		for (other = t; other != NULL && n < REPORT_TEAMS;
-		     other = TAILQ_NEXT(other, link)) {
-			if (report_due(other, now + REPORT_AHEAD_US) &&
-			    strcmp(s->allocator[other->role], address) == 0)
-				report_fill(other, &reports[n++], now);
-		}
-		report_send(s, address, reports, n);
-	}
-}
-
-/* Allocator's side */
-
-static struct share_alloc *team_alloc(struct shares_team *t)
-{
-	struct shares *s = t->s;
-
-	if (t->alloc == NULL) {
-		t->alloc = g_new0(struct share_alloc, 1);
-		share_alloc_init(t->alloc, (uint32_t)s->service.kernel->incarnation | 1,
-				 s->service.kernel->settings->name, t->rate, t->burst);
-		if (s->service.kernel->settings->platform_kind == PLATFORM_PREPARED)
-			t->alloc->gone_us = 0;
-		t->alloc->own = t->split.own_part;
-		log_info("placement", LOG_STR("choice", "allocator"), LOG_STR("team", t->name));
-		list_vms(s, t->alloc);
-	}
-	return t->alloc;
-}
-
-/** Most holders asked for a report at a time. */
-#define POKES_MAX 16
-
-static void poke_send(struct kernel *k, const char *name, const char *team, unsigned role)
-{
-	const struct vm *vm = peers_find(&fleet_of(k)->peers, name);
-	ml_poke args = {.team = (char *)team, .allocator = role};
-
-	if (vm != NULL)
-		rpc_start(rpc_of(k), vm->address, ML_POKE, &args, REPORT_TIMEOUT_US, NULL, NULL);
-}
-
-/** Ask holders for a report whose units others wait for. */
-static void poke_overfull(struct shares_team *t, int64_t now)
-{
-	struct kernel *k = t->s->service.kernel;
-	const char *vms[POKES_MAX];
-	unsigned n = share_alloc_overfull(t->alloc, vms, POKES_MAX, now);
-	unsigned i;
-
-	for (i = 0; i < n; i++)
-		poke_send(k, vms[i], t->name, t->role);
-}
-
-/** VMs of the largest fleet that is designed for; one report of each is asked for. */
-#define ASKED_MAX 4096
-
-/**
- * Ask the holders that an allocator here has not heard yet. Their teams get nothing new until all
- * are heard, and holders at rest report each SHARE_REPORT_IDLE_US: 15% of a fleet's requests were
- * refused over ten seconds in which VMs restarted one after the other.
- */
-static void ask_unheard(struct shares *s, int64_t now)
-{
-	const char **vms = NULL;
-	struct shares_team *t;
-	bool asked[ALLOCATORS] = {false};
-
-	TAILQ_FOREACH(t, &s->teams, link) {
-		unsigned n, i;
-
-		if (t->alloc == NULL || t->alloc->whole || asked[t->role])
-			continue;
-		if (vms == NULL)
-			vms = g_new(const char *, ASKED_MAX);
-		n = share_alloc_unheard(t->alloc, vms, ASKED_MAX, now);
-		/* A report names all teams of the allocator, so one team's holders stand for all.
-		 */
-		asked[t->role] = n > 0;
-		for (i = 0; i < n; i++)
-			poke_send(s->service.kernel, vms[i], "", t->role);
-	}
-	g_free(vms);
-}
-
-static void poke_serve(struct rpc_request *rq, const void *args, void *owner)
-{
-	const ml_poke *a = args;
-	struct shares *s = owner;
-	struct shares_team *t = team_find(s, a->team);
-	ml_none res = {.ok = true};
-
-	if (t != NULL)
-		share_holder_poked(&t->holder);
-	else if (a->team[0] == '\0')
-		poke_all(s, a->allocator);
-	else
-		res.ok = false;
-	rpc_reply(rq, &res);
-}
-
-/** Between two lines on an allocator that still waits for a VM. */
-#define CENSUS_TOLD_US (1 * USEC_PER_SEC)
-
-/** Log when the allocator may give out all of the rate, and for whom it waits before it may. */
-static void census_log(struct shares_team *t, int64_t now)
-{
-	const struct share_alloc *a = t->alloc;
-	const char *first;
-	unsigned n;
-
-	if (a->whole == t->whole && (a->whole || now - t->census_told_us < CENSUS_TOLD_US))
-		return;
-	t->whole = a->whole;
-	t->census_told_us = now;
-	n = share_alloc_unbound(a, &first);
-	log_info("rates-census", LOG_STR("team", t->name), LOG_NUM("complete", a->whole),
-		 LOG_NUM("epoch", a->epoch), LOG_NUM("unheard", n), LOG_STR("first", first),
-		 LOG_NUM("units_permille", (int64_t)a->budget * 1000 / SHARE_WHOLE));
-}
-
-/** Single tokens for another VM's waiting requests, out of this VM's own part. */
-static u_int grant_tokens(struct shares_team *t, u_int want, int64_t now)
-{
-	u_int granted = 0;
+	unsigned granted = 0;
 
 	/* Those that wait here go first. */
 	if (t->n_waiting > 0)
@@ -593,77 +339,31 @@
 	return granted;
 }
 
-static void share_serve(struct rpc_request *rq, const void *args, void *owner)
-{
-	const ml_share_args *a = args;
-	struct shares *s = owner;
-	ml_share_order *orders = g_new0(ml_share_order, a->reports.reports_len + 1);
-	ml_share_res res = {0};
-	int64_t now = now_us();
-	u_int i;
-
-	check_pause(s, now);
-	for (i = 0; i < a->reports.reports_len; i++) {
-		const ml_share_report *wire = &a->reports.reports_val[i];
-		struct share_report r = {
-			.incarnation = a->incarnation, .epoch = wire->epoch, .seq = wire->seq};
-		struct shares_team *t = team_find(s, wire->team);
-		struct share_order o;
-
-		/* The team is not known here yet: no order, the holder asks again. */
-		if (t == NULL || !t->configured)
-			continue;
-		r.units = wire->units;
-		r.demand = wire->demand;
-		r.average = wire->average;
-		o = share_alloc_report(team_alloc(t), a->vm, &r, now);
-		orders[res.orders.orders_len] = (ml_share_order){.team = wire->team,
-								 .epoch = o.epoch,
-								 .seq = o.seq,
-								 .units = o.units,
-								 .over = o.over};
-		census_log(t, now);
-		poke_overfull(t, now);
-		if (share_alloc_self_short(t->alloc, now))
-			share_holder_poked(&t->holder);
-		if (strcmp(a->vm, s->service.kernel->settings->name) != 0)
-			orders[res.orders.orders_len].granted = grant_tokens(t, wire->want, now);
-		res.orders.orders_len++;
-	}
-	res.orders.orders_val = orders;
-	rpc_reply(rq, &res);
-	g_free(orders);
-}
-
 /* The service */
 
 static void shares_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct shares *s = arg;
-	bool listed = fleet_surely_listed(fleet_of(s->service.kernel));
 	int64_t now = now_us();
 	struct shares_team *t;
 
-	check_pause(s, now);
+	shares_check_pause(s, now);
 	s->ticked_us = now;
-	if (listed != s->listed) {
-		s->listed = listed;
-		log_info("rates", LOG_STR("state", listed ? "in force" : "not listed"));
-		TAILQ_FOREACH(t, &s->teams, link)
-			team_resize(t, now);
-	}
-	TAILQ_FOREACH(t, &s->teams, link)
+	look_at_lease(s, now);
+	TAILQ_FOREACH(t, &s->teams, link) {
 		team_admit_waiting(t, now);
-	ask_unheard(s, now);
-	reports_send(s, now);
+		ask_next(t, now);
+	}
+	report_tick(s, now);
 }
 
 static gboolean shares_start(struct service *service, GError **error)
 {
 	struct shares *s = (struct shares *)service;
 
-	rpc_serve(rpc_of(service->kernel), ML_SHARE, share_serve, s);
-	rpc_serve(rpc_of(service->kernel), ML_POKE, poke_serve, s);
+	s->parts = parts_of(service->kernel);
+	report_serve(s);
+	ask_serve(s);
 	fleet_listen(fleet_of(service->kernel), shares_changed, s);
 	s->ticked_us = now_us();
 	s->tick = kernel_every(service->kernel, TICK_US, shares_tick, s);
@@ -718,7 +418,7 @@
 
 void shares_log(struct shares *s, const char *team, const char *request)
 {
-	const struct shares_team *t = team_find(s, team);
+	const struct shares_team *t = shares_team(s, team);
 
 	if (t == NULL)
 		return;
@@ -729,7 +429,9 @@
 		 LOG_NUM("part_permille", (int64_t)t->holder.units * 1000 / SHARE_WHOLE),
 		 LOG_NUM("demand_milli", t->holder.demand * 1000),
 		 LOG_NUM("team_over", t->holder.over), LOG_NUM("waiting", t->n_waiting),
-		 LOG_NUM("listed", s->listed),
+		 LOG_NUM("listed", s->listed), LOG_NUM("fixed", t->fixed),
+		 LOG_NUM("got_permille", t->ask.got * 1000),
+		 LOG_NUM("dry_ms", (t->ask.dry_until_us - now_us()) / USEC_PER_MSEC),
 		 LOG_NUM("report_age_ms", (now_us() - t->holder.reported_us) / USEC_PER_MSEC));
 }
 
--- /dev/null
+++ b/tests/test-part.c
@@ -0,0 +1,104 @@
+/** @file test-part.c Fixed parts of small teams' rates. */
+#include "harness.h"
+#include "part.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** What the users of both deployments tolerate. */
+static const struct share_tolerance tolerance = {.window_s = 5, .overshoot = 0.1, .slack = 20};
+
+static double most_in_a_window(const struct part_split *s, unsigned data_centers)
+{
+	return (s->rate * tolerance.window_s + s->burst) * s->per_dc * data_centers;
+}
+
+/* All parts together, full and spent at their rate for a window, stay within the tolerance. */
+static void test_parts_stay_within_the_tolerance(void)
+{
+	unsigned dcs, vms;
+	double rate;
+
+	for (rate = 0.5; rate < 400; rate *= 1.3) {
+		for (dcs = 1; dcs <= 5; dcs++) {
+			for (vms = dcs; vms <= 300; vms += 37) {
+				struct part_split s;
+				double most;
+
+				if (!part_split(rate, rate, dcs, vms, &tolerance, &s))
+					continue;
+				most = most_in_a_window(&s, dcs);
+				CHECK(most <= (rate * 5 + rate) * 1.1 + 20, "%f of rate %f", most,
+				      rate);
+				CU_ASSERT_TRUE(s.burst >= 1);
+				CU_ASSERT_TRUE(s.per_dc >= 1 && s.per_dc <= PARTS_PER_DC);
+			}
+		}
+	}
+}
+
+/* One data centre alone serves what its callers usually send: their part of three fifths. */
+static void test_a_cut_off_data_center_serves_its_callers(void)
+{
+	struct part_split s;
+
+	CU_ASSERT_TRUE_FATAL(part_split(8, 8, 5, 81, &tolerance, &s));
+	CHECK(s.rate * s.per_dc >= 8 * 0.6 / 5 * 2, "%f", s.rate);
+	CU_ASSERT_TRUE_FATAL(part_split(105, 105, 5, 81, &tolerance, &s));
+	CHECK(s.rate * s.per_dc >= 105 * 0.6 / 5 * 1.5, "%f", s.rate);
+}
+
+/* A team that can have a part on each VM, or no tolerance at all, is left to share.h. */
+static void test_large_teams_and_strict_rates_are_moved(void)
+{
+	const struct share_tolerance none = {0};
+	struct part_split s;
+
+	CU_ASSERT_FALSE(part_split(200, 200, 3, 6, &tolerance, &s));
+	CU_ASSERT_FALSE(part_split(8, 8, 5, 81, &none, &s));
+	CU_ASSERT_FALSE(part_split(8, 8, 0, 81, &tolerance, &s));
+	CU_ASSERT_FALSE(part_split(0, 8, 5, 81, &tolerance, &s));
+}
+
+static void test_a_team_has_as_many_parts_as_it_says(void)
+{
+	struct part_split s = {.per_dc = 1};
+
+	for (; s.per_dc <= PARTS_PER_DC; s.per_dc++) {
+		unsigned i, n = 0;
+
+		for (i = 0; i < PARTS_PER_DC; i++)
+			n += part_has_team(&s, "clerks", i) ? 1 : 0;
+		CU_ASSERT_EQUAL(n, s.per_dc);
+	}
+}
+
+static void test_near_places_are_asked_first(void)
+{
+	struct part_place p[4] = {
+		{"a", false, false}, {"b", true, false}, {"c", true, false}, {NULL, true, false}};
+	unsigned salt;
+	bool b = false, c = false;
+
+	for (salt = 0; salt < 4; salt++) {
+		int at = part_choose(p, 4, salt);
+
+		b = b || at == 1;
+		c = c || at == 2;
+		CU_ASSERT_TRUE(at == 1 || at == 2);
+	}
+	CU_ASSERT_TRUE(b && c);
+	p[1].tried = p[2].tried = true;
+	CU_ASSERT_EQUAL(part_choose(p, 4, 1), 0);
+	p[0].tried = true;
+	CU_ASSERT_EQUAL(part_choose(p, 4, 1), -1);
+}
+
+static const struct test_case cases[] = {
+	{"parts_stay_within_the_tolerance", test_parts_stay_within_the_tolerance},
+	{"a_cut_off_data_center_serves_its_callers", test_a_cut_off_data_center_serves_its_callers},
+	{"large_teams_and_strict_rates_are_moved", test_large_teams_and_strict_rates_are_moved},
+	{"a_team_has_as_many_parts_as_it_says", test_a_team_has_as_many_parts_as_it_says},
+	{"near_places_are_asked_first", test_near_places_are_asked_first},
+};
+HARNESS_MAIN("part", cases)
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -1,10 +1,14 @@
 /** @file test-shares.c The service that admits requests by their teams' rates, on one VM. */
 #include "fleet.h"
 #include "harness.h"
+#include "parts.h"
 #include "shares.h"
 #include "table.h"
 
+#include <arpa/inet.h>
+
 #include <string.h>
+#include <unistd.h>
 
 #define SELF "127.0.0.1:1"
 #define TEAM "clerks"
@@ -15,10 +19,10 @@
 	struct shares *shares;
 };
 
-static void add_team(struct world *w)
+static void add_team(struct world *w, double rate)
 {
 	struct conf_update u = {.full = true, .version = 1};
-	struct conf_team team = {.name = TEAM, .rate = 100, .burst = 100};
+	struct conf_team team = {.name = TEAM, .rate = rate, .burst = rate};
 	struct conf_entry *e = table_entry_make(CONF_TEAM, &team);
 
 	e->version = 1;
@@ -28,7 +32,7 @@
 	conf_update_clear(&u);
 }
 
-static void world_open(struct world *w)
+static void world_open_rate(struct world *w, double rate)
 {
 	struct service *s;
 
@@ -36,14 +40,20 @@
 	g_strlcpy(w->settings.name, "vm-1", sizeof(w->settings.name));
 	g_strlcpy(w->settings.advertise, SELF, sizeof(w->settings.advertise));
 	w->settings.silent_ms = 600;
+	w->settings.heartbeat_ms = 1000;
+	g_strlcpy(w->settings.data_center, "dc", sizeof(w->settings.data_center));
+	w->settings.rate_window_s = 5;
+	w->settings.rate_overshoot = 0.1;
+	w->settings.rate_slack = 20;
 	w->settings.platform_kind = PLATFORM_ETCD;
 	w->k = kernel_create(&w->settings);
 	rpc_service_create(w->k);
 	fleet_service_create(w->k);
+	parts_service_create(w->k);
 	s = shares_service_create(w->k);
 	w->shares = shares_of(w->k);
 	CU_ASSERT_TRUE(s->ops->start(s, NULL));
-	add_team(w);
+	add_team(w, rate);
 }
 
 static void run_ms(struct world *w, int ms)
@@ -83,7 +93,7 @@
 	const struct vm_listing self = {.name = "vm-1", .address = SELF, .data_center = "dc"};
 	struct world w;
 
-	world_open(&w);
+	world_open_rate(&w, 100);
 	run_ms(&w, 60);
 	CU_ASSERT_FALSE(allocates(&w));
 	peers_list(&fleet_of(w.k)->peers, 5, &self, 1);
@@ -92,7 +102,166 @@
 	CU_ASSERT_TRUE(allocates(&w));
 }
 
+/* A VM that holds a part */
+
+/** Another VM, in this process: it grants what the test says. */
+static struct keeper {
+	struct settings settings;
+	struct kernel *k;
+	char address[ADDRESS_SIZE];
+	unsigned tokens;
+	unsigned calls;
+} keeper;
+
+static void keeper_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_tokens_args *a = args;
+	ml_tokens_res res = {.granted = MIN(a->want, keeper.tokens)};
+
+	keeper.calls++;
+	keeper.tokens -= res.granted;
+	rpc_reply(rq, &res);
+}
+
+/** A port that nobody has now. */
+static void free_address(char address[ADDRESS_SIZE])
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&sin, len), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	g_snprintf(address, ADDRESS_SIZE, "127.0.0.1:%u", ntohs(sin.sin_port));
+}
+
+static void keeper_open(struct world *w)
+{
+	char *text;
+
+	memset(&keeper, 0, sizeof(keeper));
+	g_strlcpy(keeper.settings.name, "vm-2", sizeof(keeper.settings.name));
+	g_strlcpy(keeper.settings.advertise, "127.0.0.1:2", sizeof(keeper.settings.advertise));
+	keeper.settings.silent_ms = 600;
+	keeper.k = kernel_create(&keeper.settings);
+	event_base_free(keeper.k->base);
+	keeper.k->base = w->k->base;
+	rpc_service_create(keeper.k);
+	rpc_serve(rpc_of(keeper.k), ML_TOKENS, keeper_serve, NULL);
+	free_address(keeper.address);
+	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(keeper.k), keeper.address, NULL));
+	text = g_strdup_printf(
+		"[{\"part\":0,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+		"\"incarnation\":\"9\",\"lease\":\"1\"},"
+		"{\"part\":1,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+		"\"incarnation\":\"9\",\"lease\":\"1\"},"
+		"{\"part\":2,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+		"\"incarnation\":\"9\",\"lease\":\"1\"},"
+		"{\"part\":3,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+		"\"incarnation\":\"9\",\"lease\":\"1\"},"
+		"{\"name\":\"vm-1\",\"address\":\"" SELF "\",\"data_center\":\"dc\"},"
+		"{\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+		"\"incarnation\":\"9\"}]",
+		keeper.address, keeper.address, keeper.address, keeper.address, keeper.address);
+	fleet_take_vms(fleet_of(w->k), 5, text);
+	g_free(text);
+}
+
+struct request {
+	struct admission a;
+	int verdict; /**< 1 admitted, -1 refused, 0 waits */
+};
+
+static void on_done(struct admission *a, bool admitted, int64_t retry_after_us)
+{
+	((struct request *)a)->verdict = admitted ? 1 : -1;
+}
+
+static void request(struct world *w, struct request *r)
+{
+	int64_t retry_us;
+
+	memset(r, 0, sizeof(*r));
+	r->a.done = on_done;
+	r->verdict = shares_admit(w->shares, TEAM, &r->a, now_us() + USEC_PER_SEC, &retry_us);
+}
+
+/* A VM without a part has its requests admitted by one that has: each token serves one. */
+static void test_tokens_of_another_vm_are_asked_for(void)
+{
+	struct request r[3];
+	struct world w;
+	int i;
+
+	world_open_rate(&w, 3);
+	keeper_open(&w);
+	keeper.tokens = 2;
+	for (i = 0; i < 3; i++)
+		request(&w, &r[i]);
+	run_ms(&w, 500);
+	CU_ASSERT_EQUAL(r[0].verdict, 1);
+	CU_ASSERT_EQUAL(r[1].verdict, 1);
+	CU_ASSERT_EQUAL(r[2].verdict, -1);
+}
+
+/*
+ * A team is refused at one VM for the rest of the day, though it is far below its rate.
+ * Its requests found no token for a moment, so this VM took the team to be over its rate and
+ * refused at once, without asking; and as it did not ask, nothing could show that there were tokens
+ * again. A refusal at once may only follow an answer of moments ago.
+ */
+static void test_tokens_that_are_back_are_found(void)
+{
+	struct request r;
+	struct world w;
+	int i;
+
+	world_open_rate(&w, 3);
+	keeper_open(&w);
+	for (i = 0; i < 12; i++) {
+		request(&w, &r);
+		run_ms(&w, 60);
+		shares_cancel(&r.a);
+	}
+	CU_ASSERT_FALSE(shares_within_rate(w.shares, TEAM));
+	keeper.tokens = 100;
+	run_ms(&w, 100);
+	request(&w, &r);
+	run_ms(&w, 100);
+	CU_ASSERT_EQUAL(r.verdict, 1);
+}
+
+/* Right after nobody had a token, a team over its rate is refused without a call. */
+static void test_no_tokens_are_not_asked_for_at_once_again(void)
+{
+	struct request r;
+	struct world w;
+	unsigned calls;
+	int i;
+
+	world_open_rate(&w, 3);
+	keeper_open(&w);
+	for (i = 0; i < 12; i++) {
+		request(&w, &r);
+		run_ms(&w, 60);
+		shares_cancel(&r.a);
+	}
+	request(&w, &r);
+	run_ms(&w, 20);
+	calls = keeper.calls;
+	CU_ASSERT_TRUE(calls > 0);
+	request(&w, &r);
+	CU_ASSERT_EQUAL(r.verdict, -1);
+	CU_ASSERT_EQUAL(keeper.calls, calls);
+}
+
 static const struct test_case cases[] = {
 	{"no_allocator_before_the_list_is_known", test_no_allocator_before_the_list_is_known},
+	{"tokens_of_another_vm_are_asked_for", test_tokens_of_another_vm_are_asked_for},
+	{"tokens_that_are_back_are_found", test_tokens_that_are_back_are_found},
+	{"no_tokens_are_not_asked_for_at_once_again",
+	 test_no_tokens_are_not_asked_for_at_once_again},
 };
 HARNESS_MAIN("shares", cases)
