--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -42,6 +42,7 @@
 	uint64_t as_of; /**< revision up to which all changes are known */
 	bool reachable;
 	int64_t checked_us;
+	int64_t own_news_us; /**< last pause after news of our own keys */
 
 	GHashTable *known;   /**< key to revision (uint64_t *), of all that was told */
 	GHashTable *servers; /**< id to struct server */
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -20,10 +20,14 @@
 #define RETRY_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_MAX_US (300 * USEC_PER_MSEC)
 /**
- * Pause of a watch after news of our own keys, to be told of several at once. A change of the
- * configuration waits so much longer at most.
+ * Pause of a watch after news of our own keys, to be told of several at once: the first, doubled up
+ * to the last while they keep coming. A change of the configuration waits so much longer at most.
+ * When 81 VMs start, ten watchers made 430 calls with the first alone.
  */
 #define OWN_NEWS_PAUSE_US (150 * USEC_PER_MSEC)
+#define OWN_NEWS_PAUSE_MAX_US (600 * USEC_PER_MSEC)
+/** A watch that waited for so long heard of something new, not of the same stir. */
+#define OWN_NEWS_CALM_US (1 * USEC_PER_SEC)
 /** A VM that is not a watcher compares its versions with the store this often; heartbeats tell it
  * too. */
 #define OTHER_CHECK_US (60 * USEC_PER_SEC)
@@ -182,6 +186,19 @@
 	return a->items->len > 0;
 }
 
+/**
+ * VMs that start together list themselves one after the other, and each watcher would be told of
+ * each in a call of its own.
+ */
+static int64_t own_news_pause_us(void)
+{
+	if (now_us() - store_source.checked_us > OWN_NEWS_CALM_US)
+		store_source.own_news_us = 0;
+	store_source.own_news_us =
+		CLAMP(store_source.own_news_us * 2, OWN_NEWS_PAUSE_US, OWN_NEWS_PAUSE_MAX_US);
+	return store_source.own_news_us;
+}
+
 static void watched(const struct store_answer *a, void *arg)
 {
 	guint i;
@@ -210,12 +227,8 @@
 	if (a->revision > store_source.as_of)
 		store_source.as_of = a->revision;
 	source_publish();
-	/*
-	 * VMs that start together list themselves one after the other, and each watcher would be
-	 * told of each in a call of its own.
-	 */
 	if (only_own_news(a))
-		kernel_arm(store_source.retry, OWN_NEWS_PAUSE_US);
+		kernel_arm(store_source.retry, own_news_pause_us());
 	else
 		watch_start();
 }
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -207,7 +207,7 @@
 	}
 	/* A newer record than is known here: the claim would only lose against it. */
 	if (g->hint_revision > g->revision) {
-		g->read = false;
+		record_outdated(g);
 		g->hint_revision = 0;
 		return;
 	}
@@ -268,28 +268,38 @@
 		 LOG_NUM("revision", g->revision));
 }
 
+static bool needs_record(const struct owner_group *g, bool successor)
+{
+	return !g->read && (successor || g->outdated || g->invited || og_mine(g));
+}
+
 void claim_tick(struct owner_group *g, int64_t now)
 {
 	struct fleet *f = og_fleet(g);
 	uint64_t lease = fleet_store_lease(f);
+	bool successor;
 
 	notice_owner_back(g);
 	if (g->busy || now < g->next_us || !g->configured || g->o->leaving)
 		return;
 	if (lease == 0 || fleet_store_lease_until_us(f) < now)
 		return;
+	successor = is_successor(g);
 	/*
-	 * Under a new lease, or after the record was never read: others may have taken the group
-	 * while this VM had none, so the store is asked before anything is sent.
+	 * Under a new lease others may have taken the group while this VM had none, so the store is
+	 * asked before anything is sent. A VM that is not to claim the group needs no record: it
+	 * learns the owner from others. Read by all, the records were 656 of the 1,726 calls in a
+	 * quiet minute of 81 VMs.
 	 */
-	if (!g->read || (og_mine(g) && g->state > OWNER_CLAIMING && g->lease != lease)) {
+	if (needs_record(g, successor) ||
+	    (og_mine(g) && g->state > OWNER_CLAIMING && g->lease != lease)) {
 		record_read(g);
 		return;
 	}
 	if (g->state == OWNER_NONE && g->invited) {
 		g->invited = false;
 		claim(g, "invited");
-	} else if (g->state == OWNER_NONE && is_successor(g)) {
+	} else if (g->state == OWNER_NONE && successor) {
 		claim_if_lost(g, now);
 	}
 }
@@ -370,7 +380,7 @@
 	} else if (g != NULL) {
 		claim_stop(g, "asked");
 		if (a->revision > g->revision)
-			g->read = false;
+			record_outdated(g);
 	}
 	rpc_reply(rq, &res);
 }
@@ -385,7 +395,7 @@
 	if (g != NULL && a->claim && !og_mine(g) && !g->o->leaving) {
 		/* What is known here of the record may be older than what the owner has written. */
 		g->invited = true;
-		g->read = false;
+		record_outdated(g);
 	}
 	if (g != NULL && a->vm[0] != '\0')
 		owner_heard(owner, a->pool, a->vm, a->address, a->revision);
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -158,6 +158,7 @@
 	if (g == NULL || item->value == NULL)
 		return;
 	g->read = true;
+	g->outdated = false;
 	if (!record_parse(item->value, &r)) {
 		log_error("record-malformed", LOG_STR("pool", g->pool));
 		return;
@@ -215,6 +216,7 @@
 			a->items->len > 0 ? g_ptr_array_index(a->items, 0) : NULL;
 
 		g->read = true;
+		g->outdated = false;
 		if (item != NULL && item->value != NULL && record_parse(item->value, &r)) {
 			ok = q->text != NULL && strcmp(item->value, q->text) == 0;
 			record_take(g, &r, item->revision);
@@ -267,6 +269,12 @@
 	read_again(g, q);
 }
 
+void record_outdated(struct owner_group *g)
+{
+	g->read = false;
+	g->outdated = true;
+}
+
 void record_read(struct owner_group *g)
 {
 	read_again(g, call_create(g));
--- a/src/owner.c
+++ b/src/owner.c
@@ -360,7 +360,7 @@
 	 * reads the record itself; the others need no more than the address.
 	 */
 	if (og_mine(g) || g->state > OWNER_CLAIMING) {
-		g->read = false;
+		record_outdated(g);
 		g->superseded = revision;
 		claim_superseded(g);
 	}
@@ -371,7 +371,7 @@
 	}
 	/* It was handed to this VM: the record tells the rest. */
 	if (strcmp(vm, o->service.kernel->settings->name) == 0)
-		g->read = false;
+		record_outdated(g);
 }
 
 /* The service */
--- a/src/owner.h
+++ b/src/owner.h
@@ -170,6 +170,7 @@
 	struct lead_record record;
 	uint64_t revision;   /**< of @a record; 0: none is known */
 	bool read;	     /**< the record was looked for */
+	bool outdated;	     /**< another VM knows of a newer one: it is to be read */
 	bool busy;	     /**< a call about the record is under way */
 	int64_t next_us;     /**< no further call before */
 	int64_t asked_us;    /**< when the record's owner was last asked whether it lives */
@@ -280,6 +281,8 @@
 void record_listen(struct owner *o);
 /** Read the record from the store itself, past what the watch has told. */
 void record_read(struct owner_group *g);
+/** Another VM knows of a newer record than this one. */
+void record_outdated(struct owner_group *g);
 typedef void (*record_written)(struct owner_group *g, bool ok);
 /** Write @a r as the group's record if it is still at the known revision. */
 void record_write(struct owner_group *g, const struct lead_record *r, record_written cb);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -1,5 +1,6 @@
 /** @file test-owner.c The owner of a group, with members that a test plays. */
 #include "adapter.h"
+#include "fleet-store-source.h"
 #include "harness.h"
 #include "owner.h"
 #include "session.h"
@@ -88,6 +89,7 @@
 
 static bool store_refuses;
 static unsigned n_commits;
+static unsigned n_gets;
 static uint64_t store_revision;
 
 static struct store_call *store_answer(enum store_status status, uint64_t lease, store_done cb,
@@ -104,6 +106,7 @@
 
 static struct store_call *fake_get(struct store *s, const char *key, store_done cb, void *arg)
 {
+	n_gets++;
 	return store_answer(STORE_DONE, 0, cb, arg);
 }
 
@@ -586,6 +589,46 @@
 	CU_ASSERT_TRUE(owner_took(w.o, POOL, false) < USEC_PER_SEC);
 }
 
+/*
+ * Each VM that starts reads the record of each group: at 81 VMs and 8 groups more than a third of
+ * all calls to the store. Only the VM that is to claim the group needs it, or one that was told of
+ * a newer record.
+ */
+static void test_only_who_may_claim_reads_the_record(void)
+{
+	/* By rendezvous vm-9 is the one to claim this group, not vm-1. */
+	const struct vm_listing l[] = {
+		{.name = "vm-1", .address = SELF, .data_center = "dc"},
+		{.name = "vm-9", .address = "127.0.0.1:2", .data_center = "dc"}};
+	struct owner_group *g;
+	struct peers *peers;
+	struct world w;
+
+	world_open(&w);
+	g = og_find(w.o, POOL);
+	peers = &fleet_of(w.k)->peers;
+	peers_list(peers, 5, l, G_N_ELEMENTS(l));
+	fleet_members_changed(fleet_of(w.k));
+	CU_ASSERT_STRING_EQUAL_FATAL(peers_holder(peers, "group " POOL, NULL)->name, "vm-9");
+	store_source.store = fake_create(w.k, "", 0);
+	store_source.lease = 7;
+	store_source.registered = true;
+	store_source.lease_until_us = now_us() + 10 * USEC_PER_SEC;
+	n_gets = 0;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(n_gets, 0);
+	owner_heard(w.o, POOL, "vm-1", SELF, 9);
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(n_gets, 1);
+	/* The other VM is gone: this one is to claim the group. */
+	record_outdated(g);
+	g->outdated = false;
+	peers_suspect(peers, peers_find(peers, "vm-9"));
+	fleet_members_changed(fleet_of(w.k));
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(n_gets, 2);
+}
+
 static const struct test_case cases[] = {
 	{"one_failure_does_not_refuse_all_that_follows",
 	 test_one_failure_does_not_refuse_all_that_follows},
@@ -606,5 +649,6 @@
 	 test_a_read_asks_for_the_position_that_it_needs},
 	{"old_knowledge_serves_no_read", test_old_knowledge_serves_no_read},
 	{"a_read_is_not_sent_without_a_position", test_a_read_is_not_sent_without_a_position},
+	{"only_who_may_claim_reads_the_record", test_only_who_may_claim_reads_the_record},
 };
 HARNESS_MAIN("owner", cases)
