A read is not judged by terms that its replica's home has not heard of

Cause: after a promotion that discards a write, the new primary's first record has the number of the lost write. A replica that follows it is at the session's position again; whether the write survived was judged by the terms that the home had heard at its last look, up to 150 ms old.

Change: the fate of a write in a term that is not known is unknown, and the read is tried again.

Test: test-token fate_in_a_term_that_is_not_known.

--- a/decide/token.c
+++ b/decide/token.c
@@ -139,6 +139,19 @@
 	return TOKEN_KEPT;
 }
 
+enum token_fate token_fate_in(struct pos pos, uint64_t term, const struct term_history *h)
+{
+	uint64_t known = h->n > 0 ? h->start[h->n - 1].term : 0;
+
+	/*
+	 * A promotion after what is known may have discarded the write: judged without it, the
+	 * session would be shown the past in silence.
+	 */
+	if (term > pos.term && known < term)
+		return TOKEN_UNKNOWN;
+	return token_fate(pos, h);
+}
+
 void term_history_add(struct term_history *h, uint64_t term, uint64_t lsn)
 {
 	if (h->n > 0 && h->start[h->n - 1].term >= term)
--- a/decide/token.h
+++ b/decide/token.h
@@ -30,8 +30,9 @@
 };
 
 enum token_fate {
-	TOKEN_KEPT, /**< the write is in the surviving log */
-	TOKEN_LOST, /**< a promotion discarded the write */
+	TOKEN_KEPT,    /**< the write is in the surviving log */
+	TOKEN_LOST,    /**< a promotion discarded the write */
+	TOKEN_UNKNOWN, /**< nothing is known of the log's newest term */
 };
 
 /** Most pools that one session's token names. */
@@ -65,6 +66,9 @@
 /** Whether the write at @a pos is still in the log whose terms began as @a h tells. */
 enum token_fate token_fate(struct pos pos, const struct term_history *h);
 
+/** The same in a log that has records of @a term, of which @a h may not have heard yet. */
+enum token_fate token_fate_in(struct pos pos, uint64_t term, const struct term_history *h);
+
 /** Note in @a h that @a term began after @a lsn; the oldest entry makes room. */
 void term_history_add(struct term_history *h, uint64_t term, uint64_t lsn);
 
--- a/src/home-job.c
+++ b/src/home-job.c
@@ -195,6 +195,7 @@
 	const ml_exec_args *a = job->args;
 	struct pos token = {a->token.term, a->token.lsn};
 	const struct member_report *own = &m->view.member[m->self].report;
+	enum token_fate fate;
 
 	job->age_us = 0;
 	if (!a->as_replica)
@@ -207,8 +208,12 @@
 		 */
 		if (res->pos.term < token.term || res->pos.lsn < token.lsn)
 			return OUTCOME_BEHIND;
-		if (token_fate(token, &own->terms) == TOKEN_LOST)
+		fate = token_fate_in(token, res->pos.term, &own->terms);
+		if (fate == TOKEN_LOST)
 			return OUTCOME_TOKEN_LOST;
+		/* Tried again until this member has been looked at. */
+		if (fate == TOKEN_UNKNOWN)
+			return OUTCOME_BEHIND;
 	}
 	if (a->max_age_us > 0 && job->age_us > (int64_t)a->max_age_us)
 		return OUTCOME_BEHIND;
--- a/tests/test-token.c
+++ b/tests/test-token.c
@@ -81,11 +81,31 @@
 	CU_ASSERT_EQUAL(token_fate((struct pos){3, 500}, &h), TOKEN_KEPT);
 }
 
+/*
+ * A session reads a past without its acknowledged write, and is told of the loss one read later.
+ * A promotion discards the write; a replica already follows the new primary and answers from the
+ * new term, at a position as high as the write's, before its home has looked at it again. What the
+ * home knows of the terms then ends with the old one, in which the write seems kept.
+ */
+static void test_fate_in_a_term_that_is_not_known(void)
+{
+	struct term_history h = {0};
+
+	term_history_add(&h, 1, 0);
+	CU_ASSERT_EQUAL(token_fate_in((struct pos){1, 11}, 1, &h), TOKEN_KEPT);
+	CU_ASSERT_EQUAL(token_fate_in((struct pos){1, 11}, 2, &h), TOKEN_UNKNOWN);
+	term_history_add(&h, 2, 10);
+	CU_ASSERT_EQUAL(token_fate_in((struct pos){1, 11}, 2, &h), TOKEN_LOST);
+	CU_ASSERT_EQUAL(token_fate_in((struct pos){1, 10}, 2, &h), TOKEN_KEPT);
+	CU_ASSERT_EQUAL(token_fate_in((struct pos){2, 30}, 2, &h), TOKEN_KEPT);
+}
+
 static const struct test_case cases[] = {
 	{"round_trip", test_round_trip},
 	{"refuses_other_texts", test_refuses_other_texts},
 	{"positions_only_rise", test_positions_only_rise},
 	{"too_many_pools", test_too_many_pools},
 	{"fate", test_fate},
+	{"fate_in_a_term_that_is_not_known", test_fate_in_a_term_that_is_not_known},
 };
 HARNESS_MAIN("token", cases)
