Two fixed parts of each data centre for a small team; watchers claim first

A part was also free for 1 to 2 s when its VM left, since the first in rank had to hear of it.

Change: two parts, unless the second token of burst would leave less than 1.2 times the rate; the VMs that watch the store are first to claim.

Test: test-part a_small_team_has_two_parts_in_each_data_center failed before.

--- a/decide/part.c
+++ b/decide/part.c
@@ -10,29 +10,47 @@
 #define PART_BURST_MIN 1.0
 /** Tokens that a part should hold before the team gets a further one in each data centre. */
 #define PART_BURST_GOOD 2.0
+/**
+ * Parts of each data centre that a team should have, so that one VM that leaves does not take all
+ * of a cut-off data centre's tokens along, if what is handed out is still this multiple of the
+ * rate.
+ */
+#define PARTS_GOOD 2
+#define PARTS_RATE_GOOD 1.2
+
+/** Divide into @a per_dc parts of each data centre. @return what is handed out, by the rate */
+static double divide(double rate, double burst, unsigned data_centers, unsigned per_dc,
+		     const struct share_tolerance *t, struct part_split *out)
+{
+	unsigned n = per_dc * data_centers;
+	double held = burst * PART_BURST;
+	double m;
+
+	out->per_dc = per_dc;
+	out->burst = held / n > PART_BURST_MIN ? held / n : PART_BURST_MIN;
+	m = (share_tolerated(rate, burst, t) - out->burst * n) / (rate * t->window_s);
+	if (m > SHARE_RATE_MAX)
+		m = SHARE_RATE_MAX;
+	out->rate = rate * m / n;
+	return m;
+}
 
 bool part_split(double rate, double burst, unsigned data_centers, unsigned vms,
 		const struct share_tolerance *t, struct part_split *out)
 {
-	double limit, held, m;
+	double held = burst * PART_BURST;
 	unsigned n;
 
 	if (t->window_s <= 0 || rate <= 0 || data_centers == 0 ||
 	    share_split(rate, burst, vms, t).own_rate > 0)
 		return false;
-	held = burst * PART_BURST;
 	n = (unsigned)(held / PART_BURST_GOOD / data_centers);
-	out->per_dc = n < 1 ? 1 : n > PARTS_PER_DC ? PARTS_PER_DC : n;
-	n = out->per_dc * data_centers;
-	out->burst = held / n > PART_BURST_MIN ? held / n : PART_BURST_MIN;
-	limit = share_tolerated(rate, burst, t);
-	m = (limit - out->burst * n) / (rate * t->window_s);
-	if (m <= 0)
-		return false;
-	if (m > SHARE_RATE_MAX)
-		m = SHARE_RATE_MAX;
-	out->rate = rate * m / n;
-	return true;
+	n = n > PARTS_PER_DC ? PARTS_PER_DC : n;
+	if (n < PARTS_GOOD)
+		n = divide(rate, burst, data_centers, PARTS_GOOD, t, out) >= PARTS_RATE_GOOD
+			    ? PARTS_GOOD
+			    : 1;
+	return divide(rate, burst, data_centers, n, t, out) > 0;
 }
 
 bool part_has_team(const struct part_split *s, const char *team, unsigned index)
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -17,9 +17,14 @@
 #define WATCHERS 2
 #define FETCH_TIMEOUT_US (2 * USEC_PER_SEC)
 
+unsigned fleet_watch_place(const struct fleet *f)
+{
+	return peers_place(&f->peers, "watch the platform");
+}
+
 bool fleet_is_watcher(const struct fleet *f)
 {
-	return peers_place(&f->peers, "watch the platform") < WATCHERS;
+	return fleet_watch_place(f) < WATCHERS;
 }
 
 /**
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -100,6 +100,8 @@
 /* fleet-conf.c */
 /** Whether this VM is one of those in its data centre that watch the store. */
 bool fleet_is_watcher(const struct fleet *f);
+/** This VM's place among those that watch, or would: 0 is first. */
+unsigned fleet_watch_place(const struct fleet *f);
 /** Ask a seed of the settings for the configuration, while none is known here. */
 void fleet_ask_seed(struct fleet *f);
 /** Take in a list of VMs, as text in JSON; an older one changes nothing. */
--- a/src/parts.c
+++ b/src/parts.c
@@ -12,6 +12,8 @@
  * holds: the first may be turned away by the store, and the others can't know. A claim takes 10 ms.
  */
 #define TURN_US (400 * USEC_PER_MSEC)
+/** VMs of a data centre that watch the store and so know first of a free part; see WATCHERS. */
+#define FIRST_TO_KNOW 2
 /** After a claim that failed; the list tells within a second who was first. */
 #define RETRY_US (1 * USEC_PER_SEC)
 /** A part's key: prefix, data centre, index. */
@@ -152,12 +154,26 @@
 	return held == NULL || strcmp(held->vm, part->parts->service.kernel->settings->name) == 0;
 }
 
+/**
+ * This VM's turn to claim a part that is free. Those that watch the store know of it first; by rank
+ * alone a part was free for 1 to 2 s when its VM left, until the first in rank had heard.
+ */
+static unsigned turn_of(const struct part *part)
+{
+	const struct fleet *f = fleet_here(part->parts);
+	char role[KEY_SIZE];
+
+	if (fleet_is_watcher(f))
+		return (fleet_watch_place(f) + part->index) % FIRST_TO_KNOW;
+	part_key(part, role);
+	return FIRST_TO_KNOW + peers_place(&f->peers, role);
+}
+
 static void part_tick(struct part *part, int64_t now)
 {
 	struct fleet *f = fleet_here(part->parts);
 	const char *here = f->peers.self->data_center;
 	const struct fleet_part *held = fleet_part(f, here, part->index);
-	char role[KEY_SIZE];
 
 	if (holds(part) || part->busy)
 		return;
@@ -171,8 +187,7 @@
 	}
 	if (part->free_us == 0)
 		part->free_us = now;
-	part_key(part, role);
-	if (held == NULL && now - part->free_us < peers_place(&f->peers, role) * TURN_US)
+	if (held == NULL && now - part->free_us < turn_of(part) * TURN_US)
 		return;
 	if (now >= part->next_us)
 		claim(part);
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -17,7 +17,7 @@
  */
 #define ASK_TIMEOUT_US (150 * USEC_PER_MSEC)
 /** VMs asked in a round. Each costs a call; the tokens of more than these are rarely all spent. */
-#define ASKS_MAX 4
+#define ASKS_MAX 6
 /** Pause after a round in which nobody had a token. The smallest team gets one each 100 ms. */
 #define DRY_US (50 * USEC_PER_MSEC)
 /** Weight of a round in the average of those in which all that waited got a token. */
--- a/tests/test-part.c
+++ b/tests/test-part.c
@@ -48,6 +48,23 @@
 	CHECK(s.rate * s.per_dc >= 105 * 0.6 / 5 * 1.5, "%f", s.rate);
 }
 
+/*
+ * A cut-off data centre refuses a small team's requests for as long as the cut lasts: the one VM
+ * that held the team's tokens there had just been stopped. There are two, unless so many tokens of
+ * burst would leave too little rate.
+ */
+static void test_a_small_team_has_two_parts_in_each_data_center(void)
+{
+	const struct share_tolerance strict = {.window_s = 5, .overshoot = 0.1, .slack = 2};
+	struct part_split s;
+
+	CU_ASSERT_TRUE_FATAL(part_split(8, 8, 5, 81, &tolerance, &s));
+	CU_ASSERT_EQUAL(s.per_dc, 2);
+	CHECK(s.rate * s.per_dc * 5 >= 8 * 1.2, "%f", s.rate);
+	CU_ASSERT_TRUE_FATAL(part_split(2, 2, 5, 81, &strict, &s));
+	CU_ASSERT_EQUAL(s.per_dc, 1);
+}
+
 /* A team that can have a part on each VM, or no tolerance at all, is left to share.h. */
 static void test_large_teams_and_strict_rates_are_moved(void)
 {
@@ -97,6 +114,8 @@
 static const struct test_case cases[] = {
 	{"parts_stay_within_the_tolerance", test_parts_stay_within_the_tolerance},
 	{"a_cut_off_data_center_serves_its_callers", test_a_cut_off_data_center_serves_its_callers},
+	{"a_small_team_has_two_parts_in_each_data_center",
+	 test_a_small_team_has_two_parts_in_each_data_center},
 	{"large_teams_and_strict_rates_are_moved", test_large_teams_and_strict_rates_are_moved},
 	{"a_team_has_as_many_parts_as_it_says", test_a_team_has_as_many_parts_as_it_says},
 	{"near_places_are_asked_first", test_near_places_are_asked_first},
