A VM that starts makes no new version; the list of VMs goes by differences

A VM that starts numbers what it reads by the revision of the whole store, which registrations and leases' ends move on; so each start made the configuration look newer, and all 81 VMs fetched and went through the same one again (team-rate, conf and owner lines of all VMs after each start). The list of VMs was sent whole besides, 12 KB.

Change: the version counts the keys of the operators and the servers. The list of VMs is kept by entry (src/fleet-list.c); a peer is told what changed since its revision, or the whole list when that is older than what this VM has followed, since entries may have come and gone before.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -10,7 +10,6 @@
 #include "stat.h"
 #include "table.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /** VMs of a data centre that watch the store. */
@@ -39,86 +38,6 @@
 		fleet_conf_behind(f, set->seed[random_bits() % set->seeds]);
 }
 
-/* The list of VMs */
-
-static const char *text_of(JsonObject *o, const char *name)
-{
-	return json_object_get_string_member_with_default(o, name, "");
-}
-
-static uint64_t hex_of(JsonObject *o, const char *name)
-{
-	return strtoull(json_object_get_string_member_with_default(o, name, "0"), NULL, 16);
-}
-
-static void part_parse(JsonObject *o, GArray *parts)
-{
-	struct fleet_part p = {.incarnation = hex_of(o, "incarnation"),
-			       .lease = hex_of(o, "lease")};
-
-	p.index = (unsigned)json_object_get_int_member_with_default(o, "part", 0);
-	g_strlcpy(p.data_center, text_of(o, "data_center"), sizeof(p.data_center));
-	g_strlcpy(p.vm, text_of(o, "name"), sizeof(p.vm));
-	g_strlcpy(p.address, text_of(o, "address"), sizeof(p.address));
-	g_array_append_val(parts, p);
-}
-
-static bool vms_parse(const char *text, GArray *listings, GArray *parts, JsonParser *parser)
-{
-	JsonArray *list;
-	guint i;
-
-	if (!json_parser_load_from_data(parser, text, -1, NULL) ||
-	    !JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser)))
-		return false;
-	list = json_node_get_array(json_parser_get_root(parser));
-	for (i = 0; i < json_array_get_length(list); i++) {
-		JsonNode *node = json_array_get_element(list, i);
-		struct vm_listing l;
-		JsonObject *o;
-
-		if (!JSON_NODE_HOLDS_OBJECT(node))
-			return false;
-		o = json_node_get_object(node);
-		if (json_object_has_member(o, "part")) {
-			part_parse(o, parts);
-			continue;
-		}
-		l.name = text_of(o, "name");
-		l.address = text_of(o, "address");
-		l.data_center = text_of(o, "data_center");
-		l.leaving = strcmp(text_of(o, "state"), "leaving") == 0;
-		l.incarnation = hex_of(o, "incarnation");
-		if (l.name[0] != '\0')
-			g_array_append_val(listings, l);
-	}
-	return true;
-}
-
-void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text)
-{
-	GArray *listings = g_array_new(FALSE, TRUE, sizeof(struct vm_listing));
-	GArray *parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
-	JsonParser *parser = json_parser_new();
-
-	if (!vms_parse(text, listings, parts, parser)) {
-		log_warn("vms-malformed", LOG_NUM("revision", revision));
-	} else if (peers_list(&f->peers, revision,
-			      (const struct vm_listing *)(void *)listings->data, listings->len)) {
-		g_free(f->vms_text);
-		f->vms_text = g_strdup(text);
-		g_array_unref(f->parts);
-		f->parts = g_array_ref(parts);
-		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len),
-			 LOG_NUM("parts", parts->len));
-		fleet_members_changed(f);
-		fleet_beat(f);
-	}
-	g_array_unref(listings);
-	g_array_unref(parts);
-	g_object_unref(parser);
-}
-
 /* Configuration */
 
 void fleet_take_conf(struct fleet *f, const struct conf_update *u, const char *from)
@@ -148,8 +67,7 @@
 	f->fetching = false;
 	if (status != RPC_DONE)
 		return;
-	if (res->vms[0] != '\0')
-		fleet_take_vms(f, res->vms_revision, res->vms);
+	fleet_list_hear(f, res);
 	u.base = res->base;
 	u.version = res->conf_version;
 	u.full = res->full;
@@ -182,7 +100,7 @@
 {
 	const ml_conf_args *a = args;
 	struct fleet *f = owner;
-	ml_conf_res res = {.vms = ""};
+	ml_conf_res res = {0};
 	struct conf_update u = {0};
 	guint i;
 
@@ -200,10 +118,9 @@
 		res.entries.entries_val[i].removed = e->removed;
 		res.entries.entries_val[i].text = e->text != NULL ? e->text : "";
 	}
-	res.vms_revision = f->peers.revision;
-	if (f->vms_text != NULL && f->peers.revision > a->vms_revision)
-		res.vms = f->vms_text;
+	fleet_list_tell(f, a->vms_revision, &res);
 	rpc_reply(rq, &res);
+	g_free(res.vms.vms_val);
 	g_free(res.entries.entries_val);
 	conf_update_clear(&u);
 }
--- /dev/null
+++ b/src/fleet-list.c
@@ -0,0 +1,250 @@
+/**
+ * @file fleet-list.c
+ * The platform's list of VMs, with the fixed parts of rates that they hold. It is kept by entry, so
+ * that peers tell each other only what changed: whole it is 12 KB at 81 VMs and 460 KB at 3,100,
+ * for each VM that comes or goes.
+ */
+#include "fleet.h"
+
+#include "log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** An entry: a VM, or a part that one holds. */
+struct list_item {
+	char *value;	   /**< as the platform has it; NULL when it is gone */
+	uint64_t revision; /**< of its last change */
+	bool is_part;
+	bool leaving;
+	char name[NAME_SIZE];
+	char address[ADDRESS_SIZE];
+	char data_center[NAME_SIZE];
+	uint64_t incarnation;
+	uint64_t lease;
+	unsigned index; /**< of a part */
+};
+
+static void item_free(gpointer data)
+{
+	struct list_item *item = data;
+
+	g_free(item->value);
+	g_free(item);
+}
+
+GHashTable *fleet_list_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
+}
+
+/* Entries */
+
+static const char *text_of(JsonObject *o, const char *name)
+{
+	return json_object_get_string_member_with_default(o, name, "");
+}
+
+static uint64_t hex_of(JsonObject *o, const char *name)
+{
+	return strtoull(json_object_get_string_member_with_default(o, name, "0"), NULL, 16);
+}
+
+static void item_read(struct list_item *item, JsonObject *o)
+{
+	item->is_part = json_object_has_member(o, "part");
+	item->index = (unsigned)json_object_get_int_member_with_default(o, "part", 0);
+	item->leaving = strcmp(text_of(o, "state"), "leaving") == 0;
+	item->incarnation = hex_of(o, "incarnation");
+	item->lease = hex_of(o, "lease");
+	g_strlcpy(item->name, text_of(o, "name"), sizeof(item->name));
+	g_strlcpy(item->address, text_of(o, "address"), sizeof(item->address));
+	g_strlcpy(item->data_center, text_of(o, "data_center"), sizeof(item->data_center));
+}
+
+/** Parse @a item's value. @return false for one that names no VM. */
+static bool item_parse(struct list_item *item)
+{
+	JsonParser *parser = json_parser_new();
+	bool ok = json_parser_load_from_data(parser, item->value, -1, NULL) &&
+		  json_parser_get_root(parser) != NULL &&
+		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+
+	if (ok)
+		item_read(item, json_node_get_object(json_parser_get_root(parser)));
+	g_object_unref(parser);
+	return ok && item->name[0] != '\0';
+}
+
+void fleet_list_put(struct fleet *f, const char *key, const char *value, uint64_t revision)
+{
+	struct list_item *known = g_hash_table_lookup(f->list, key);
+	struct list_item *item;
+
+	if (known != NULL && known->revision >= revision)
+		return;
+	item = g_new0(struct list_item, 1);
+	item->revision = revision;
+	item->value = g_strdup(value);
+	if (value != NULL && !item_parse(item)) {
+		log_warn("vm-malformed", LOG_STR("key", key), LOG_NUM("revision", revision));
+		item_free(item);
+		return;
+	}
+	g_hash_table_replace(f->list, g_strdup(key), item);
+}
+
+void fleet_list_whole(struct fleet *f, GHashTable *named, uint64_t revision)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, f->list);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct list_item *item = value;
+
+		if (item->value == NULL || item->revision > revision ||
+		    g_hash_table_contains(named, key))
+			continue;
+		g_clear_pointer(&item->value, g_free);
+		item->revision = revision;
+	}
+	f->list_base = revision;
+}
+
+/* In force */
+
+static void listing_add(const struct list_item *item, GArray *listings, GArray *parts)
+{
+	struct vm_listing l = {.name = item->name,
+			       .address = item->address,
+			       .data_center = item->data_center,
+			       .leaving = item->leaving,
+			       .incarnation = item->incarnation};
+	struct fleet_part p = {
+		.index = item->index, .incarnation = item->incarnation, .lease = item->lease};
+
+	if (!item->is_part) {
+		g_array_append_val(listings, l);
+		return;
+	}
+	g_strlcpy(p.data_center, item->data_center, sizeof(p.data_center));
+	g_strlcpy(p.vm, item->name, sizeof(p.vm));
+	g_strlcpy(p.address, item->address, sizeof(p.address));
+	g_array_append_val(parts, p);
+}
+
+void fleet_list_in_force(struct fleet *f, uint64_t revision)
+{
+	GArray *listings = g_array_new(FALSE, TRUE, sizeof(struct vm_listing));
+	GArray *parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->list);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct list_item *)value)->value != NULL)
+			listing_add(value, listings, parts);
+	}
+	if (peers_list(&f->peers, revision, (const struct vm_listing *)(void *)listings->data,
+		       listings->len)) {
+		g_array_unref(f->parts);
+		f->parts = g_array_ref(parts);
+		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len),
+			 LOG_NUM("parts", parts->len));
+		fleet_members_changed(f);
+		fleet_beat(f);
+	}
+	g_array_unref(listings);
+	g_array_unref(parts);
+}
+
+/** The key of an entry in a list that has none: its VM, or its part. */
+static char *key_of(JsonObject *o)
+{
+	if (json_object_has_member(o, "part"))
+		return g_strdup_printf("part/%s/%ld", text_of(o, "data_center"),
+				       (long)json_object_get_int_member(o, "part"));
+	return g_strdup_printf("vm/%s", text_of(o, "name"));
+}
+
+void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text)
+{
+	GHashTable *named = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	JsonParser *parser = json_parser_new();
+	JsonArray *list;
+	guint i;
+
+	if (!json_parser_load_from_data(parser, text, -1, NULL) ||
+	    !JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
+		log_warn("vms-malformed", LOG_NUM("revision", revision));
+		goto out;
+	}
+	list = json_node_get_array(json_parser_get_root(parser));
+	for (i = 0; i < json_array_get_length(list); i++) {
+		JsonNode *node = json_array_get_element(list, i);
+		char *key, *value;
+
+		if (!JSON_NODE_HOLDS_OBJECT(node))
+			continue;
+		key = key_of(json_node_get_object(node));
+		value = json_to_string(node, FALSE);
+		fleet_list_put(f, key, value, revision);
+		g_hash_table_add(named, key);
+		g_free(value);
+	}
+	fleet_list_whole(f, named, revision);
+	fleet_list_in_force(f, revision);
+out:
+	g_hash_table_destroy(named);
+	g_object_unref(parser);
+}
+
+/* Between peers */
+
+void fleet_list_tell(const struct fleet *f, uint64_t known, ml_conf_res *res)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	res->vms_revision = f->peers.revision;
+	if (f->peers.revision <= known)
+		return;
+	/* What was gone before this VM's knowledge began is not known here: the whole list tells.
+	 */
+	res->vms_base = known >= f->list_base ? known : 0;
+	res->vms.vms_val = g_new0(ml_vm_item, g_hash_table_size(f->list) + 1);
+	g_hash_table_iter_init(&iter, f->list);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct list_item *item = value;
+
+		if (item->revision <= res->vms_base || (res->vms_base == 0 && item->value == NULL))
+			continue;
+		res->vms.vms_val[res->vms.vms_len++] =
+			(ml_vm_item){.key = key,
+				     .revision = item->revision,
+				     .removed = item->value == NULL,
+				     .value = item->value != NULL ? item->value : ""};
+	}
+}
+
+void fleet_list_hear(struct fleet *f, const ml_conf_res *res)
+{
+	GHashTable *named;
+	u_int i;
+
+	/* Differences from what was asked from; if more is known since, they still apply. */
+	if (res->vms_revision <= f->peers.revision || res->vms_base > f->peers.revision)
+		return;
+	named = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = 0; i < res->vms.vms_len; i++) {
+		const ml_vm_item *item = &res->vms.vms_val[i];
+
+		fleet_list_put(f, item->key, item->removed ? NULL : item->value, item->revision);
+		g_hash_table_add(named, item->key);
+	}
+	if (res->vms_base == 0)
+		fleet_list_whole(f, named, res->vms_revision);
+	g_hash_table_destroy(named);
+	fleet_list_in_force(f, res->vms_revision);
+}
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -120,10 +120,16 @@
 	g_hash_table_destroy(named);
 }
 
-/** The version for what is known now: above the one in force, if that is of the same revision. */
+/**
+ * The version for what is known now: above the one in force, if that is of the same revision. It
+ * counts the operators' and the servers' keys alone. Ours change whenever a VM comes or goes; a VM
+ * that started gave the same configuration a newer number, and each of 81 VMs fetched 25 KB and
+ * went through all teams and groups for it. On a day on which all VMs restart, 136 MB passed
+ * between data centres with that, and 87 MB without.
+ */
 static uint64_t next_version(const struct conf *conf)
 {
-	uint64_t version = store_source.as_of * VERSION_STEPS;
+	uint64_t version = MIN(store_source.changed, store_source.as_of) * VERSION_STEPS;
 
 	if (conf->version >= version && conf->version + 1 < version + VERSION_STEPS)
 		version = conf->version + 1;
@@ -179,26 +185,6 @@
 	return ok;
 }
 
-static void publish_vms(void)
-{
-	GString *text = g_string_new("[");
-	GList *keys = g_list_sort(g_hash_table_get_keys(store_source.vms), (GCompareFunc)strcmp);
-	GList *l;
-
-	store_source.vms_changed = false;
-	for (l = keys; l != NULL; l = l->next)
-		g_string_append_printf(
-			text, "%s%s", text->len > 1 ? "," : "",
-			(const char *)g_hash_table_lookup(store_source.vms, l->data));
-	g_string_append_c(text, ']');
-	if (store_source.as_of > store_source.vms_published) {
-		store_source.vms_published = store_source.as_of;
-		fleet_take_vms(store_source.f, store_source.as_of, text->str);
-	}
-	g_list_free(keys);
-	g_string_free(text, TRUE);
-}
-
 /* Items */
 
 static void take_document(const struct store_item *item)
@@ -260,23 +246,6 @@
 	store_source.conf_changed = true;
 }
 
-/** A VM of the list, or what one of them holds: the list tells both. */
-static void take_vm(const struct store_item *item)
-{
-	char name[NAME_SIZE];
-	uint64_t incarnation;
-
-	if (item->value == NULL) {
-		g_hash_table_remove(store_source.vms, item->key);
-	} else if (fleet_store_vm_parse(item->value, name, &incarnation)) {
-		g_hash_table_replace(store_source.vms, g_strdup(item->key), g_strdup(item->value));
-	} else {
-		log_warn("vm-malformed", LOG_STR("key", item->key));
-		return;
-	}
-	store_source.vms_changed = true;
-}
-
 void source_take(const struct store_item *item)
 {
 	uint64_t *known = g_hash_table_lookup(store_source.known, item->key);
@@ -287,13 +256,17 @@
 		return;
 	g_hash_table_replace(store_source.known, g_strdup(item->key),
 			     g_memdup2(&item->revision, sizeof(item->revision)));
-	if (strcmp(item->key, store_source.records->document_key) == 0)
+	if (strcmp(item->key, store_source.records->document_key) == 0) {
+		store_source.changed = MAX(store_source.changed, item->revision);
 		take_document(item);
-	else if (g_str_has_prefix(item->key, store_source.records->servers_prefix))
+	} else if (g_str_has_prefix(item->key, store_source.records->servers_prefix)) {
+		store_source.changed = MAX(store_source.changed, item->revision);
 		take_server(item);
-	else if (g_str_has_prefix(item->key, FLEET_STORE_VMS) ||
-		 g_str_has_prefix(item->key, FLEET_STORE_PARTS))
-		take_vm(item);
+	} else if (g_str_has_prefix(item->key, FLEET_STORE_VMS) ||
+		   g_str_has_prefix(item->key, FLEET_STORE_PARTS)) {
+		fleet_list_put(store_source.f, item->key, item->value, item->revision);
+		store_source.vms_changed = true;
+	}
 	for (i = 0; i < store_source.n_listeners; i++) {
 		if (g_str_has_prefix(item->key, store_source.listeners[i].prefix))
 			store_source.listeners[i].cb(item, store_source.listeners[i].owner);
@@ -305,8 +278,10 @@
 	if (!store_source.listed_all)
 		return;
 	store_source.f->news_us = now_us();
-	if (store_source.vms_changed)
-		publish_vms();
+	if (store_source.vms_changed) {
+		store_source.vms_changed = false;
+		fleet_list_in_force(store_source.f, store_source.as_of);
+	}
 	if (store_source.conf_changed)
 		publish_conf();
 }
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -48,8 +48,7 @@
 	GHashTable *servers; /**< id to struct server */
 	struct records_document document;
 	uint64_t document_revision;
-	GHashTable *vms; /**< key to value, of VMs and of the parts that they hold */
-	uint64_t vms_published;
+	uint64_t changed; /**< newest revision of the operators' document and the servers */
 	bool conf_changed;
 	bool vms_changed;
 	struct {
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -105,6 +105,7 @@
 static void list_whole(void)
 {
 	drop_unlisted(store_source.list_revision);
+	fleet_list_whole(store_source.f, store_source.listed, store_source.list_revision);
 	g_hash_table_remove_all(store_source.listed);
 	g_clear_pointer(&store_source.after, g_free);
 	store_source.listed_all = true;
@@ -286,7 +287,6 @@
 							       USEC_PER_MSEC);
 	store_source.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	store_source.vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store_source.retry = event_new(k->base, -1, 0, on_retry, NULL);
 	store_source.tick = kernel_every(k, TICK_US, on_tick, NULL);
@@ -305,7 +305,6 @@
 	records_document_clear(&store_source.document);
 	g_hash_table_destroy(store_source.known);
 	g_hash_table_destroy(store_source.servers);
-	g_hash_table_destroy(store_source.vms);
 	g_hash_table_destroy(store_source.listed);
 	g_free(store_source.after);
 	store_source.store->ops->free(store_source.store);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -338,7 +338,7 @@
 	conf_free(f->conf);
 	g_hash_table_destroy(f->holders);
 	g_array_unref(f->parts);
-	g_free(f->vms_text);
+	g_hash_table_destroy(f->list);
 	g_free(f);
 }
 
@@ -355,6 +355,7 @@
 
 	f->service.ops = &fleet_ops;
 	f->conf = conf_create();
+	f->list = fleet_list_create();
 	f->parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
 	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
 								    : &fleet_etcd_ops;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -5,6 +5,7 @@
  *
  * fleet.c       heartbeats, membership, who is home to what
  * fleet-conf.c  the configuration in force, from peers and to peers
+ * fleet-list.c  the platform's list of VMs, from peers and to peers
  * fleet-etcd.c  configuration and list of VMs from etcd's gateway
  * fleet-store.c the same from a store with leases, with what others keep there
  */
@@ -59,9 +60,10 @@
 	struct service service;
 	struct peers peers;
 	struct conf *conf;
-	int64_t list_us; /**< when the list of VMs was last fetched from a peer */
-	char *vms_text;	 /**< the platform's list, as it came, for peers */
-	GArray *parts;	 /**< of struct fleet_part, out of the same list */
+	int64_t list_us;    /**< when the list of VMs was last fetched from a peer */
+	GHashTable *list;   /**< entries of the platform's list, by key; see fleet-list.c */
+	uint64_t list_base; /**< revision since which each change of the list is known here */
+	GArray *parts;	    /**< of struct fleet_part, out of the same list */
 	const struct fleet_source_ops *source;
 	GHashTable *holders; /**< role to VM, until the membership changes */
 	struct event *heartbeat;
@@ -104,13 +106,28 @@
 unsigned fleet_watch_place(const struct fleet *f);
 /** Ask a seed of the settings for the configuration, while none is known here. */
 void fleet_ask_seed(struct fleet *f);
-/** Take in a list of VMs, as text in JSON; an older one changes nothing. */
-void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text);
 /** Take in a configuration; an older one changes nothing. */
 void fleet_take_conf(struct fleet *f, const struct conf_update *u, const char *from);
 void fleet_conf_serve(struct rpc_request *rq, const void *args, void *owner);
 /** A peer at @a address has a newer version, or a newer list of VMs. */
 void fleet_conf_behind(struct fleet *f, const char *address);
+/* fleet-list.c */
+GHashTable *fleet_list_create(void);
+/** Note an entry as of @a revision; @a value is NULL when it is gone. An older one changes nothing.
+ */
+void fleet_list_put(struct fleet *f, const char *key, const char *value, uint64_t revision);
+/** All that there is at @a revision has been put: the keys of @a named, and nothing else. */
+void fleet_list_whole(struct fleet *f, GHashTable *named, uint64_t revision);
+/** Put the list in force as of @a revision; an older one changes nothing. */
+void fleet_list_in_force(struct fleet *f, uint64_t revision);
+/** Take in a whole list of VMs, as text in JSON; an older one changes nothing. */
+void fleet_take_vms(struct fleet *f, uint64_t revision, const char *text);
+/** Fill in what a peer that knows the list of revision @a known lacks; free res->vms.vms_val. */
+void fleet_list_tell(const struct fleet *f, uint64_t known, ml_conf_res *res);
+/** Take in what a peer told. */
+void fleet_list_hear(struct fleet *f, const ml_conf_res *res);
+
+/* fleet.c */
 /** Tell the listeners. */
 void fleet_notify(struct fleet *f);
 /** The same after a change of the membership: roles may have moved. */
--- a/src/mango.h
+++ b/src/mango.h
@@ -178,6 +178,14 @@
 };
 typedef struct ml_entry ml_entry;
 
+struct ml_vm_item {
+	ml_text key;
+	u_quad_t revision;
+	bool_t removed;
+	ml_text value;
+};
+typedef struct ml_vm_item ml_vm_item;
+
 struct ml_conf_res {
 	u_quad_t base;
 	u_quad_t conf_version;
@@ -187,7 +195,11 @@
 		ml_entry *entries_val;
 	} entries;
 	u_quad_t vms_revision;
-	ml_text vms;
+	u_quad_t vms_base;
+	struct {
+		u_int vms_len;
+		ml_vm_item *vms_val;
+	} vms;
 };
 typedef struct ml_conf_res ml_conf_res;
 
@@ -469,6 +481,7 @@
 extern  bool_t xdr_ml_order_res (XDR *, ml_order_res*);
 extern  bool_t xdr_ml_conf_args (XDR *, ml_conf_args*);
 extern  bool_t xdr_ml_entry (XDR *, ml_entry*);
+extern  bool_t xdr_ml_vm_item (XDR *, ml_vm_item*);
 extern  bool_t xdr_ml_conf_res (XDR *, ml_conf_res*);
 extern  bool_t xdr_ml_share_report (XDR *, ml_share_report*);
 extern  bool_t xdr_ml_share_args (XDR *, ml_share_args*);
@@ -505,6 +518,7 @@
 extern bool_t xdr_ml_order_res ();
 extern bool_t xdr_ml_conf_args ();
 extern bool_t xdr_ml_entry ();
+extern bool_t xdr_ml_vm_item ();
 extern bool_t xdr_ml_conf_res ();
 extern bool_t xdr_ml_share_report ();
 extern bool_t xdr_ml_share_args ();
--- a/src/mango.x
+++ b/src/mango.x
@@ -135,13 +135,21 @@
 	ml_text text;
 };
 
+struct ml_vm_item {
+	ml_text key;
+	unsigned hyper revision;
+	bool removed;
+	ml_text value;
+};
+
 struct ml_conf_res {
 	unsigned hyper base;
 	unsigned hyper conf_version;
 	bool full;
 	ml_entry entries<ML_ENTRIES_MAX>;
 	unsigned hyper vms_revision;
-	ml_text vms;
+	unsigned hyper vms_base;	/* what is told is what changed after it; 0: the whole list */
+	ml_vm_item vms<ML_ENTRIES_MAX>;
 };
 
 struct ml_share_report {
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -329,6 +329,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ml_vm_item (XDR *xdrs, ml_vm_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_text (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->value))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ml_conf_res (XDR *xdrs, ml_conf_res *objp)
 {
@@ -345,7 +361,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->vms_revision))
 		 return FALSE;
-	 if (!xdr_ml_text (xdrs, &objp->vms))
+	 if (!xdr_u_quad_t (xdrs, &objp->vms_base))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->vms.vms_val, (u_int *) &objp->vms.vms_len, ML_ENTRIES_MAX,
+		sizeof (ml_vm_item), (xdrproc_t) xdr_ml_vm_item))
 		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/tests/test-store-list.c
@@ -0,0 +1,143 @@
+/** @file test-store-list.c Versions of the configuration out of a store that the test plays. */
+#include "fleet-store-source.h"
+#include "harness.h"
+#include "table.h"
+
+#include <string.h>
+
+#define DOCUMENT_REVISION 10
+/** Revision of the whole store: our own keys change all the time. */
+#define STORE_REVISION 500
+
+static uint64_t store_revision = STORE_REVISION;
+
+static bool played_document(const char *text, struct records_document *d)
+{
+	struct conf_team team = {.name = "clerks", .rate = 8, .burst = 8};
+	struct records_pool pool = {.name = "p", .connections = 16};
+
+	memset(d, 0, sizeof(*d));
+	d->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
+	d->pools = g_array_new(FALSE, TRUE, sizeof(struct records_pool));
+	g_array_append_val(d->pools, pool);
+	g_ptr_array_add(d->entries, table_entry_make(CONF_TEAM, &team));
+	return true;
+}
+
+static bool played_server(const char *id, const char *text, struct records_server *s)
+{
+	memset(s, 0, sizeof(*s));
+	g_strlcpy(s->pool, "p", sizeof(s->pool));
+	g_strlcpy(s->member.name, id, sizeof(s->member.name));
+	return true;
+}
+
+static const struct records_ops played_records = {.document_key = "doc",
+						  .servers_prefix = "servers/",
+						  .document = played_document,
+						  .server = played_server};
+
+static struct store_call *played_list(struct store *s, const char *prefix, const char *after,
+				      store_done cb, void *arg)
+{
+	struct store_item items[] = {
+		{.key = "doc", .value = "{}", .revision = DOCUMENT_REVISION},
+		{.key = "servers/i-1", .value = "{}", .revision = DOCUMENT_REVISION - 1}};
+	struct store_answer a = {.status = STORE_DONE, .revision = store_revision};
+
+	a.items = g_ptr_array_new();
+	g_ptr_array_add(a.items, &items[0]);
+	g_ptr_array_add(a.items, &items[1]);
+	cb(&a, arg);
+	g_ptr_array_unref(a.items);
+	return NULL;
+}
+
+static struct store_call *played_watch(struct store *s, const char *prefix, uint64_t revision,
+				       int64_t wait_us, store_done cb, void *arg)
+{
+	return (struct store_call *)s;
+}
+
+static struct store_call *played_grant(struct store *s, int64_t ttl_us, store_done cb, void *arg)
+{
+	return NULL;
+}
+
+static struct store *played_create(struct kernel *k, const char *address, int64_t timeout_us);
+
+static void played_free(struct store *s)
+{
+}
+
+static const struct store_ops played_ops = {.create = played_create,
+					    .free = played_free,
+					    .list = played_list,
+					    .watch = played_watch,
+					    .lease_grant = played_grant};
+static const struct adapter played_adapter = {.store = &played_ops, .records = &played_records};
+
+static struct store *played_create(struct kernel *k, const char *address, int64_t timeout_us)
+{
+	static struct store store = {.ops = &played_ops};
+
+	return &store;
+}
+
+/** A VM that has started and read the store. */
+static struct fleet *started(struct settings *settings)
+{
+	struct kernel *k;
+
+	memset(settings, 0, sizeof(*settings));
+	memset(&store_source, 0, sizeof(store_source));
+	g_strlcpy(settings->name, "vm-1", sizeof(settings->name));
+	g_strlcpy(settings->advertise, "127.0.0.1:1", sizeof(settings->advertise));
+	g_strlcpy(settings->data_center, "dc", sizeof(settings->data_center));
+	settings->silent_ms = 600;
+	settings->heartbeat_ms = 1000;
+	settings->platform_kind = PLATFORM_PREPARED;
+	k = kernel_create(settings);
+	k->adapter = &played_adapter;
+	rpc_service_create(k);
+	fleet_service_create(k);
+	fleet_of(k)->source->start(fleet_of(k));
+	return fleet_of(k);
+}
+
+/*
+ * Whenever a VM starts, each VM of the fleet fetches the whole configuration and goes through it.
+ * The VM numbered what it read by the revision of the whole store, which our own keys move on all
+ * the time, so the same configuration looked newer than the one in force everywhere.
+ */
+static void test_a_start_makes_no_new_version(void)
+{
+	struct settings settings;
+	uint64_t first;
+
+	first = started(&settings)->conf->version;
+	CU_ASSERT_TRUE(first > 0);
+	store_revision += 50;
+	CU_ASSERT_EQUAL(started(&settings)->conf->version, first);
+}
+
+/* What an operator, or a server, writes later is newer. */
+static void test_a_change_makes_a_new_version(void)
+{
+	struct store_item item = {.key = "servers/i-2", .value = "{}"};
+	struct settings settings;
+	struct fleet *f = started(&settings);
+	uint64_t first = f->conf->version;
+
+	item.revision = store_revision + 1;
+	source_take(&item);
+	store_source.as_of = store_revision + 1;
+	source_publish();
+	CU_ASSERT_TRUE(f->conf->version > first);
+}
+
+static const struct test_case cases[] = {
+	{"a_start_makes_no_new_version", test_a_start_makes_no_new_version},
+	{"a_change_makes_a_new_version", test_a_change_makes_a_new_version},
+};
+HARNESS_MAIN("store-list", cases)
