--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -60,7 +60,7 @@
 				continue;
 			places[n].address = place_address(s, part);
 			places[n].near = strcmp(s->data_center[i], here) == 0;
-			places[n].tried = (t->ask.tried & (1U << n)) != 0;
+			places[n].tried = (t->ask.tried & (UINT64_C(1) << n)) != 0;
 			n++;
 		}
 	}
@@ -91,7 +91,7 @@
 
 		t->ask.out = false;
 		if (granted < q->want)
-			t->ask.tried |= 1U << q->place;
+			t->ask.tried |= UINT64_C(1) << q->place;
 		t->granted = now - t->ask.sent_us < GRANT_FRESH_US ? granted : 0;
 		team_admit_waiting(t, now);
 		ask_next(t, now);
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -21,10 +21,15 @@
  */
 #define GRANT_FRESH_US (100 * USEC_PER_MSEC)
 
+/** Data centres that may have fixed parts, at most; the users have five. */
+#define SHARES_DCS_MAX 16
+/** Most places that may be asked for a team: a bit each in shares_ask. */
+#define SHARES_PLACES_MAX (SHARES_DCS_MAX * PARTS_PER_DC)
+
 /** Asking other VMs for tokens of a team. */
 struct shares_ask {
 	bool out;	/**< a call is under way */
-	unsigned tried; /**< places asked in this round, a bit each */
+	uint64_t tried; /**< places asked in this round, a bit each */
 	unsigned asked; /**< calls of this round */
 	int64_t sent_us;
 	int64_t dry_until_us; /**< no place had a token: nothing is asked before */
@@ -57,9 +62,6 @@
 };
 TAILQ_HEAD(shares_teams, shares_team);
 
-/** Most places that may be asked for a team: a bit each in shares_ask. */
-#define SHARES_PLACES_MAX 32
-
 struct shares {
 	struct service service;
 	struct shares_teams teams;
@@ -69,7 +71,7 @@
 	bool listed;	     /**< this VM surely counts as listed for others */
 	struct parts *parts; /**< NULL where no VM holds fixed parts */
 	unsigned held;	     /**< fixed parts that this VM holds, a bit each */
-	char data_center[SHARES_PLACES_MAX][NAME_SIZE]; /**< those with a listed VM, by name */
+	char data_center[SHARES_DCS_MAX][NAME_SIZE]; /**< those with a listed VM, by name */
 	unsigned n_data_centers;
 
 	char allocator[ALLOCATORS][ADDRESS_SIZE]; /**< to which reports go; empty: to none */
--- a/src/shares.c
+++ b/src/shares.c
@@ -17,8 +17,8 @@
  */
 #define OVER_US (40 * USEC_PER_MSEC)
 /**
- * Longest wait for a token of a team with fixed parts that is within its rate. All parts were asked
- * within 20 ms; the smallest part, of 2 requests a second, has its next token within this.
+ * Longest wait for a token of a team with fixed parts that is within its rate. A round of asking
+ * takes 20 ms, and all parts of the users' smallest team (8 a second) have a token each 90 ms.
  */
 #define FIXED_HOPE_US (300 * USEC_PER_MSEC)
 /** Most requests of one team that wait for tokens. */
@@ -34,11 +34,25 @@
 	return g_hash_table_lookup(s->by_name, name);
 }
 
+static bool data_center_known(const struct shares *s, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < s->n_data_centers; i++) {
+		if (strcmp(s->data_center[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
 /** Fixed parts with tokens of the team that this VM holds. */
 static unsigned fixed_held(const struct shares_team *t)
 {
 	unsigned i, n = 0;
 
+	/* The split counts the data centres that are noted; another one has no part in it. */
+	if (!data_center_known(t->s, t->s->service.kernel->settings->data_center))
+		return 0;
 	for (i = 0; i < PARTS_PER_DC; i++)
 		n += (t->s->held & (1U << i)) && part_has_team(&t->part, t->name, i) ? 1 : 0;
 	return n;
@@ -64,15 +78,9 @@
 			      s->own_burst + s->moved_burst * part, now);
 }
 
-static bool data_center_known(const struct shares *s, const char *name)
+static int by_name(const void *a, const void *b)
 {
-	unsigned i;
-
-	for (i = 0; i < s->n_data_centers; i++) {
-		if (strcmp(s->data_center[i], name) == 0)
-			return true;
-	}
-	return false;
+	return strcmp(a, b);
 }
 
 /** Note the data centres that have VMs. @return the VMs among which rates are divided */
@@ -87,12 +95,10 @@
 		if (!vm->listed)
 			continue;
 		n++;
-		if (s->n_data_centers < SHARES_PLACES_MAX / PARTS_PER_DC &&
-		    !data_center_known(s, vm->data_center))
+		if (s->n_data_centers < SHARES_DCS_MAX && !data_center_known(s, vm->data_center))
 			g_strlcpy(s->data_center[s->n_data_centers++], vm->data_center, NAME_SIZE);
 	}
-	qsort(s->data_center, s->n_data_centers, NAME_SIZE,
-	      (int (*)(const void *, const void *))strcmp);
+	qsort(s->data_center, s->n_data_centers, NAME_SIZE, by_name);
 	return n;
 }
 
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -1,4 +1,5 @@
 /** @file test-shares.c The service that admits requests by their teams' rates, on one VM. */
+#include "fleet-store-source.h"
 #include "fleet.h"
 #include "harness.h"
 #include "parts.h"
@@ -257,10 +258,59 @@
 	CU_ASSERT_EQUAL(keeper.calls, calls);
 }
 
+/** This VM itself holds all parts of its data centre, under a lease of a second. */
+static void hold_parts(struct world *w)
+{
+	GString *text = g_string_new("[");
+	unsigned i;
+
+	w->settings.platform_kind = PLATFORM_PREPARED;
+	fleet_of(w->k)->source = &fleet_store_ops;
+	store_source.lease = 7;
+	store_source.registered = true;
+	store_source.lease_until_us = now_us() + USEC_PER_SEC;
+	for (i = 0; i < PARTS_PER_DC; i++)
+		g_string_append_printf(text,
+				       "{\"part\":%u,\"name\":\"vm-1\",\"address\":\"" SELF
+				       "\",\"data_center\":\"dc\",\"incarnation\":\"%lx\","
+				       "\"lease\":\"7\"},",
+				       i, w->k->incarnation);
+	g_string_append(text, "{\"name\":\"vm-1\",\"address\":\"" SELF "\",\"data_center\":\"dc\"},"
+			      "{\"name\":\"vm-2\",\"address\":\"127.0.0.1:2\","
+			      "\"data_center\":\"dc\"}]");
+	fleet_take_vms(fleet_of(w->k), 5, text->str);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * A team passes its rate. A VM stands still for longer than its lease, and another one has its
+ * parts by then; when it wakes, requests are read before its timers have looked at the lease.
+ */
+static void test_a_vm_that_stood_still_spends_nothing(void)
+{
+	struct service *parts;
+	struct request r;
+	struct world w;
+
+	world_open_rate(&w, 3);
+	parts = kernel_find(w.k, "parts");
+	CU_ASSERT_TRUE(parts->ops->start(parts, NULL));
+	hold_parts(&w);
+	run_ms(&w, 700);
+	request(&w, &r);
+	CU_ASSERT_EQUAL(r.verdict, 1);
+	run_ms(&w, 200);
+	g_usleep(SHARE_PAUSE_MAX_US + 100 * USEC_PER_MSEC);
+	request(&w, &r);
+	CU_ASSERT_NOT_EQUAL(r.verdict, 1);
+	shares_cancel(&r.a);
+}
+
 static const struct test_case cases[] = {
 	{"no_allocator_before_the_list_is_known", test_no_allocator_before_the_list_is_known},
 	{"tokens_of_another_vm_are_asked_for", test_tokens_of_another_vm_are_asked_for},
 	{"tokens_that_are_back_are_found", test_tokens_that_are_back_are_found},
+	{"a_vm_that_stood_still_spends_nothing", test_a_vm_that_stood_still_spends_nothing},
 	{"no_tokens_are_not_asked_for_at_once_again",
 	 test_no_tokens_are_not_asked_for_at_once_again},
 };
