--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -90,6 +90,8 @@
 	struct kernel *k;
 
 	memset(settings, 0, sizeof(*settings));
+	if (store_source.store != NULL)
+		store_source.f->source->stop(store_source.f);
 	memset(&store_source, 0, sizeof(store_source));
 	g_strlcpy(settings->name, "vm-1", sizeof(settings->name));
 	g_strlcpy(settings->advertise, "127.0.0.1:1", sizeof(settings->advertise));
