--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 UNIT_TESTS = $(filter-out $(B)/tests/test-it-%,$(TESTS))
 IT_TESTS = $(filter $(B)/tests/test-it-%,$(TESTS))
-HARNESS_OBJ = $(B)/tests/harness.o $(B)/tests/harness-sql.o $(B)/tests/harness-line.o $(B)/tests/harness-writer.o
+HARNESS_OBJ = $(B)/tests/harness.o $(B)/tests/harness-sql.o $(B)/tests/harness-line.o $(B)/tests/harness-writer.o $(B)/tests/harness-owner.o
 
 all: $(PROGS) $(STANDINS)
 
--- /dev/null
+++ b/decide/succession.c
@@ -0,0 +1,93 @@
+/** @file succession.c What follows from what is known of a primary that is to be replaced. */
+#include "succession.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** A sender whose primary answered this lately goes on. */
+#define GOES_ON_US (500 * USEC_PER_MSEC)
+/** A primary that a former owner heard this lately lives; senders are asked five times as often. */
+#define HEARD_US (1 * USEC_PER_SEC)
+/** A VM that does not reach a living primary by then gives the group back. */
+#define REACH_US (600 * USEC_PER_MSEC)
+/** A living primary with no sender left has so long to be listed and reached. */
+#define RETURN_US (2500 * USEC_PER_MSEC)
+/** A choice waits so long for members that hold what was acknowledged. */
+#define CHOICE_US (500 * USEC_PER_MSEC)
+
+void succession_begin(struct succession *s, int64_t now_us)
+{
+	struct pos acknowledged = s->acknowledged;
+	int64_t at_us = s->acknowledged_us;
+
+	memset(s, 0, sizeof(*s));
+	s->since_us = now_us;
+	s->acknowledged = acknowledged;
+	s->acknowledged_us = at_us;
+}
+
+void succession_acknowledged(struct succession *s, struct pos pos, int64_t at_us)
+{
+	if (pos.term == 0 || pos_cmp(pos, s->acknowledged) < 0)
+		return;
+	if (pos_cmp(pos, s->acknowledged) > 0 || at_us > s->acknowledged_us)
+		s->acknowledged_us = at_us;
+	s->acknowledged = pos;
+}
+
+void succession_report(struct succession *s, const struct succession_report *r, int64_t now_us)
+{
+	succession_acknowledged(s, r->acknowledged, r->heard_us);
+	if (r->stopped && strcmp(s->vm, r->vm) == 0)
+		s->vm[0] = '\0';
+	/* A primary that was heard only before it fell silent here may be gone. */
+	if (r->primary[0] == '\0' || r->heard_us <= s->since_us || now_us - r->heard_us > HEARD_US)
+		return;
+	if (s->reported_us == 0)
+		s->reported_us = now_us;
+	if (r->heard_us > s->heard_us) {
+		s->heard_us = r->heard_us;
+		snprintf(s->primary, sizeof(s->primary), "%s", r->primary);
+	}
+	if (r->stopped)
+		return;
+	snprintf(s->vm, sizeof(s->vm), "%s", r->vm);
+	s->incarnation = r->incarnation;
+}
+
+bool succession_goes_on(const struct succession_sender *s, int64_t now_us)
+{
+	if (s->leaving || !s->may_send || s->heard_us == 0)
+		return false;
+	return now_us - s->heard_us < (s->quiet_us < GOES_ON_US ? s->quiet_us : GOES_ON_US);
+}
+
+enum succession_verdict succession_judge(const struct succession *s, int64_t now_us)
+{
+	int64_t since = now_us - s->reported_us;
+
+	if (s->heard_us == 0 || now_us - s->heard_us > RETURN_US)
+		return SUCCESSION_CHOOSE;
+	if (since < REACH_US)
+		return SUCCESSION_WAIT;
+	if (s->vm[0] != '\0' && now_us - s->heard_us < HEARD_US)
+		return SUCCESSION_HAND_BACK;
+	return SUCCESSION_WAIT;
+}
+
+bool succession_choice_waits(const struct succession *s, const struct succession_choice *c)
+{
+	return c->may_gain && c->waited_us < CHOICE_US && pos_cmp(c->best, s->acknowledged) < 0;
+}
+
+uint64_t succession_settle(struct succession *s, struct pos start)
+{
+	uint64_t discarded = 0;
+
+	if (s->acknowledged.term != 0 && start.term > s->acknowledged.term &&
+	    start.lsn < s->acknowledged.lsn)
+		discarded = s->acknowledged.lsn - start.lsn;
+	s->acknowledged = (struct pos){0};
+	s->acknowledged_us = 0;
+	return discarded;
+}
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -10,7 +10,7 @@
 
 #define DRAIN_CHECK_US (20 * USEC_PER_MSEC)
 
-int64_t now_us(void)
+static int64_t boot_us(void)
 {
 	struct timespec ts;
 
@@ -22,6 +22,18 @@
 	return (int64_t)ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
+static int64_t (*clock_us)(void) = boot_us;
+
+int64_t now_us(void)
+{
+	return clock_us();
+}
+
+void kernel_set_clock(int64_t (*now)(void))
+{
+	clock_us = now != NULL ? now : boot_us;
+}
+
 uint64_t random_bits(void)
 {
 	uint64_t bits;
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -65,6 +65,8 @@
 
 /** Monotonic microseconds, which also pass while the VM is suspended. */
 int64_t now_us(void);
+/** Take the time from @a now, for a test that plays it; NULL: from the system again. */
+void kernel_set_clock(int64_t (*now)(void));
 /** 64 random bits. */
 uint64_t random_bits(void);
 /** A persistent timer that calls @a cb every @a us; freed by the caller. */
--- a/src/mango.h
+++ b/src/mango.h
@@ -352,9 +352,18 @@
 	ml_name pool;
 	u_quad_t revision;
 	ml_name vm;
+	u_quad_t quiet_us;
 };
 typedef struct ml_yield_args ml_yield_args;
 
+struct ml_yield_res {
+	bool_t stopped;
+	ml_name primary;
+	ml_pos acknowledged;
+	u_quad_t heard_age_us;
+};
+typedef struct ml_yield_res ml_yield_res;
+
 struct ml_reach_args {
 	ml_name pool;
 	ml_name member;
@@ -407,8 +416,8 @@
 extern  ml_owner * ml_owner_1(ml_owner *, CLIENT *);
 extern  ml_owner * ml_owner_1_svc(ml_owner *, struct svc_req *);
 #define ML_YIELD 13
-extern  ml_none * ml_yield_1(ml_yield_args *, CLIENT *);
-extern  ml_none * ml_yield_1_svc(ml_yield_args *, struct svc_req *);
+extern  ml_yield_res * ml_yield_1(ml_yield_args *, CLIENT *);
+extern  ml_yield_res * ml_yield_1_svc(ml_yield_args *, struct svc_req *);
 #define ML_REACH 14
 extern  ml_none * ml_reach_1(ml_reach_args *, CLIENT *);
 extern  ml_none * ml_reach_1_svc(ml_reach_args *, struct svc_req *);
@@ -455,8 +464,8 @@
 extern  ml_owner * ml_owner_1();
 extern  ml_owner * ml_owner_1_svc();
 #define ML_YIELD 13
-extern  ml_none * ml_yield_1();
-extern  ml_none * ml_yield_1_svc();
+extern  ml_yield_res * ml_yield_1();
+extern  ml_yield_res * ml_yield_1_svc();
 #define ML_REACH 14
 extern  ml_none * ml_reach_1();
 extern  ml_none * ml_reach_1_svc();
@@ -502,6 +511,7 @@
 extern  bool_t xdr_ml_run_res (XDR *, ml_run_res*);
 extern  bool_t xdr_ml_owner (XDR *, ml_owner*);
 extern  bool_t xdr_ml_yield_args (XDR *, ml_yield_args*);
+extern  bool_t xdr_ml_yield_res (XDR *, ml_yield_res*);
 extern  bool_t xdr_ml_reach_args (XDR *, ml_reach_args*);
 extern  bool_t xdr_ml_status_res (XDR *, ml_status_res*);
 
@@ -539,6 +549,7 @@
 extern bool_t xdr_ml_run_res ();
 extern bool_t xdr_ml_owner ();
 extern bool_t xdr_ml_yield_args ();
+extern bool_t xdr_ml_yield_res ();
 extern bool_t xdr_ml_reach_args ();
 extern bool_t xdr_ml_status_res ();
 
--- a/src/mango.x
+++ b/src/mango.x
@@ -276,6 +276,14 @@
 	ml_name pool;
 	unsigned hyper revision;
 	ml_name vm;
+	unsigned hyper quiet_us;	/* since when the sender has not heard the primary; 0: stop in any case */
+};
+
+struct ml_yield_res {
+	bool stopped;
+	ml_name primary;		/* none: it knows of none */
+	ml_pos acknowledged;
+	unsigned hyper heard_age_us;
 };
 
 struct ml_reach_args {
@@ -301,7 +309,7 @@
 		ml_none ML_POKE(ml_poke) = 10;
 		ml_run_res ML_RUN(ml_run_args) = 11;
 		ml_owner ML_OWNER(ml_owner) = 12;
-		ml_none ML_YIELD(ml_yield_args) = 13;
+		ml_yield_res ML_YIELD(ml_yield_args) = 13;
 		ml_none ML_REACH(ml_reach_args) = 14;
 		ml_tokens_res ML_TOKENS(ml_tokens_args) = 15;
 	} = 1;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -775,6 +775,24 @@
 		 return FALSE;
 	 if (!xdr_ml_name (xdrs, &objp->vm))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->quiet_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_yield_res (XDR *xdrs, ml_yield_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->stopped))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->primary))
+		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->acknowledged))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->heard_age_us))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -17,6 +17,8 @@
 #define SETTLE_US (120 * USEC_PER_MSEC)
 /** A planned change waits so long for a replica that has everything; then it is called off. */
 #define CAUGHT_UP_US (1500 * USEC_PER_MSEC)
+/** The same where the old primary lives and can't go on. */
+#define CAUGHT_UP_LIVING_US (6 * USEC_PER_SEC)
 /** After a planned change was called off. */
 #define PLANNED_PAUSE_US (1 * USEC_PER_SEC)
 /**
@@ -55,6 +57,15 @@
  */
 #define FIND_FIRST_US (3 * USEC_PER_SEC)
 
+/** It was to leave so long ago that it gets no more statements, whoever may follow it. */
+static bool overstays(const struct owner_member *m, int64_t now)
+{
+	int64_t since = m->listed ? m->leaving_us : m->unlisted_us;
+	int64_t leave_us = m->g->o->service.kernel->settings->leave_ms * USEC_PER_MSEC;
+
+	return now - since > (int64_t)((double)leave_us * LEAVE_PART);
+}
+
 /** The members as candidates; one counts as reached when its look is younger than @a fresh_us. */
 static void candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
 		       int64_t now, int64_t fresh_us)
@@ -65,7 +76,8 @@
 		const struct owner_member *m = &g->member[i];
 
 		c[i] = m->seen;
-		c[i].reached = m->listed && m->seen.reached && now - m->seen_us < fresh_us;
+		c[i].reached = (m->listed || !overstays(m, now)) && m->seen.reached &&
+			       now - m->seen_us < fresh_us;
 		c[i].leaving = m->conf.leaving || !m->listed;
 		names[i] = m->conf.name;
 	}
@@ -81,6 +93,23 @@
 	return lead_find(&g->record, names, c, g->n);
 }
 
+/** A promotion has discarded acknowledged commits, if the new term begins below the last of them.
+ */
+static void note_discarded(struct owner_group *g, const struct owner_member *m)
+{
+	struct succession s = g->succession;
+	uint64_t n = succession_settle(&g->succession, m->seen.received);
+
+	if (n == 0)
+		return;
+	stat_add(STAT_COMMITS_DISCARDED, n);
+	log_warn("commits-discarded", LOG_STR("pool", g->pool), LOG_STR("member", m->conf.name),
+		 LOG_NUM("commits", n), LOG_NUM("acknowledged_term", s.acknowledged.term),
+		 LOG_NUM("acknowledged_lsn", s.acknowledged.lsn),
+		 LOG_NUM("age_us", now_us() - s.acknowledged_us), LOG_NUM("term", m->seen.term),
+		 LOG_NUM("lsn", m->seen.received.lsn));
+}
+
 /** The member at @a i leads from now on. */
 static void lead_begins(struct owner_group *g, int i, const char *why)
 {
@@ -93,13 +122,18 @@
 	g->primary = i;
 	g->term = m->seen.term;
 	g->ordered = false;
+	g->undo.possible = false;
 	m->unheard_us = 0;
 	m->down = false;
+	note_discarded(g, m);
 	marks_new_term(&g->marks, m->seen.received, m->seen_us);
 	log_info("primary", LOG_STR("pool", g->pool), LOG_STR("member", m->conf.name),
 		 LOG_NUM("term", g->term), LOG_NUM("lsn", m->seen.received.lsn),
 		 LOG_NUM("floor", g->record.floor), LOG_STR("why", why));
 	og_state(g, OWNER_SERVING, why);
+	/* A former owner that goes on with this primary gives its callers over. */
+	if (g->record.n > 0)
+		claim_tell_all(g);
 	queue_dispatch(g);
 }
 
@@ -118,18 +152,77 @@
 	g->planned = planned;
 	g->to_leave = false;
 	g->except = -1;
+	if (g->state == OWNER_SERVING) {
+		succession_begin(&g->succession, now_us());
+		succession_acknowledged(&g->succession, g->marks.newest.pos,
+					g->marks.newest.asked_us);
+	}
 	og_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
 	if (!planned && m != NULL)
 		conn_close_all(m);
 	queue_refuse(g, false, OUTCOME_NOT_PRIMARY);
 }
 
+/** Nothing comes from the member, though something was asked. */
+static bool is_silent(const struct owner_member *m, int64_t now)
+{
+	return m->unheard_us != 0 && now - m->unheard_us > LOOK_FRESH_US;
+}
+
+/* Taking a choice back */
+
+/** Write the record as it was before the choice; only while no order has gone out. */
+static void undo_choice(struct owner_group *g, record_written cb)
+{
+	struct lead_record r = g->record;
+
+	r.floor = g->undo.floor;
+	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
+	log_info("choice-taken-back", LOG_STR("pool", g->pool), LOG_STR("member", g->record.target),
+		 LOG_NUM("floor", r.floor), LOG_NUM("revision", g->revision));
+	record_write(g, &r, cb);
+}
+
+static void undone(struct owner_group *g, bool ok)
+{
+	if (ok)
+		g->undo.possible = false;
+	if (g->state == OWNER_RECORDING)
+		og_state(g, OWNER_CHOOSING, ok ? "taken-back" : "not-taken-back");
+}
+
+/**
+ * The primary that a successor was recorded for is back before any order went out. Promoting the
+ * successor all the same would discard what the primary acknowledged meanwhile.
+ */
+static bool take_back_choice(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	struct lead_record r = g->record;
+	int back;
+
+	if (!g->undo.possible || g->planned || g->busy)
+		return false;
+	r.floor = g->undo.floor;
+	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
+	candidates(g, c, names, now, LOOK_FRESH_US);
+	back = lead_find(&r, names, c, g->n);
+	if (back < 0 || g->member[back].conf.leaving || g->member[back].seen_us <= g->chosen_us)
+		return false;
+	og_state(g, OWNER_RECORDING, "came-back");
+	undo_choice(g, undone);
+	return true;
+}
+
 /** The planned change cannot be made now: the old primary goes on. */
 static void call_off(struct owner_group *g, const char *why)
 {
 	log_info("change-called-off", LOG_STR("pool", g->pool), LOG_STR("why", why));
 	g->next_us = now_us() + PLANNED_PAUSE_US;
 	og_state(g, OWNER_SERVING, why);
+	if (g->undo.possible && !g->busy)
+		undo_choice(g, undone);
 	queue_dispatch(g);
 }
 
@@ -152,7 +245,7 @@
 	struct owner_member *m = og_primary(g);
 
 	/* It fell silent meanwhile: no use in waiting for it. */
-	if (m == NULL || (m->unheard_us != 0 && now - m->unheard_us > LOOK_FRESH_US)) {
+	if (m == NULL || is_silent(m, now)) {
 		g->planned = false;
 		if (m != NULL)
 			conn_close_all(m);
@@ -182,11 +275,38 @@
 	return true;
 }
 
+/** The former owner serves through a primary that this VM does not reach: it owns the group again.
+ */
+static void hand_back(struct owner_group *g)
+{
+	const struct vm *vm = peers_find(&og_fleet(g)->peers, g->succession.vm);
+
+	if (vm != NULL && vm->incarnation == g->succession.incarnation)
+		claim_hand_over(g, vm->name, "former-owner-serves");
+}
+
+/** Whether the change is to wait for a primary that others hear. */
+static bool primary_lives(struct owner_group *g, int64_t now)
+{
+	if (g->planned)
+		return false;
+	switch (succession_judge(&g->succession, now)) {
+	case SUCCESSION_CHOOSE:
+		return false;
+	case SUCCESSION_HAND_BACK:
+		hand_back(g);
+		break;
+	case SUCCESSION_WAIT:
+		break;
+	}
+	return true;
+}
+
 static void fence(struct owner_group *g, int64_t now)
 {
 	if (resume(g, now))
 		return;
-	if (g->record.n == 0) {
+	if (!primary_lives(g, now) && g->record.n == 0) {
 		og_state(g, OWNER_CHOOSING, "fenced");
 		return;
 	}
@@ -219,35 +339,80 @@
 	struct lead_record r = g->record;
 
 	g->target = target;
+	g->chosen_us = now_us();
+	if (!g->undo.possible) {
+		g->undo.possible = true;
+		g->undo.floor = r.floor;
+		g_strlcpy(g->undo.target, r.target, sizeof(g->undo.target));
+	}
 	r.floor = MAX(r.floor, highest);
 	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
 	record_write(g, &r, cb);
 }
 
-/**
- * A planned change: the chosen member must have all that the old primary has, which takes no writes
- * any more.
- */
+static void settled_recorded(struct owner_group *g, bool ok)
+{
+	if (g->state != OWNER_CHOOSING)
+		return;
+	if (ok) {
+		g->token = g->revision;
+		return;
+	}
+	g->target = -1;
+	claim_invite(g, "planned-change-not-written");
+}
+
+/** The old primary had to stop before its successor could be chosen. */
+static void choose_settled(struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	int best;
+
+	candidates(g, c, names, now, LOOK_FRESH_US);
+	best = lead_choose(c, g->n, g->primary);
+	if (best < 0)
+		return;
+	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
+		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
+		 LOG_NUM("floor", g->term));
+	record_choice(g, best, g->term, settled_recorded);
+}
+
+/** Whether the chosen member holds all that the old primary has, which takes no writes any more. */
+static bool has_caught_up(const struct owner_group *g)
+{
+	const struct owner_member *old = &g->member[g->primary];
+	const struct owner_member *next = &g->member[g->target];
+
+	return old->seen.reached && next->seen.reached && old->seen_us > g->state_us &&
+	       next->seen_us > g->state_us && pos_cmp(next->seen.received, old->seen.received) >= 0;
+}
+
+/** A planned change: the chosen member must have everything before the order goes out. */
 static void catch_up(struct owner_group *g, int64_t now)
 {
 	const struct owner_member *old = og_primary(g);
-	const struct owner_member *next = &g->member[g->target];
-	bool seen = old != NULL && old->seen.reached && next->seen.reached &&
-		    old->seen_us > g->state_us && next->seen_us > g->state_us;
 
-	if (seen && pos_cmp(next->seen.received, old->seen.received) >= 0) {
-		g->ordered = false;
-		og_state(g, OWNER_ORDERING, "caught-up");
+	if (old == NULL || is_silent(old, now)) {
+		g->planned = false;
+		log_info("old-primary-gone", LOG_STR("pool", g->pool));
 		return;
 	}
-	if (now - g->state_us < CAUGHT_UP_US)
+	if (g->busy)
 		return;
-	if (old != NULL && old->unheard_us == 0) {
-		call_off(g, "replica-behind");
+	if (g->target < 0) {
+		choose_settled(g, now);
+		return;
+	}
+	if (has_caught_up(g)) {
+		g->ordered = false;
+		og_state(g, OWNER_ORDERING, "caught-up");
 		return;
 	}
-	g->planned = false;
-	og_state(g, OWNER_CHOOSING, "old-primary-gone");
+	/* One that may get no more statements can't go on; it keeps what others lack until then. */
+	if (now - g->state_us > CAUGHT_UP_US && !overstays(old, now))
+		call_off(g, "replica-behind");
 }
 
 static void recorded(struct owner_group *g, bool ok)
@@ -294,10 +459,46 @@
 		return false;
 	c[present].leaving = true;
 	next = lead_choose(c, g->n, g->except);
-	return next >= 0 && now - g->state_us < CAUGHT_UP_US &&
+	return next >= 0 && now - g->state_us < CAUGHT_UP_LIVING_US &&
 	       pos_cmp(c[next].received, c[present].received) < 0;
 }
 
+/** Whether some member may yet show, or receive, more than the candidates hold. */
+static bool may_gain(const struct owner_group *g, const struct lead_candidate *c)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		if (g->member[i].listed && !c[i].reached && !g->member[i].refused)
+			return true;
+	}
+	return false;
+}
+
+/** The member at @a best would be promoted: whether the choice waits for what it lacks. */
+static bool wait_for_acknowledged(const struct owner_group *g, const struct lead_candidate *c,
+				  int best, int64_t now)
+{
+	const struct succession_choice choice = {.best = c[best].received,
+						 .may_gain = may_gain(g, c),
+						 .waited_us = now - g->state_us};
+
+	return succession_choice_waits(&g->succession, &choice);
+}
+
+/** The primary is there: it goes on, or hands over in order where it is to leave. */
+static void return_to(struct owner_group *g, int leader)
+{
+	if (!g->member[leader].conf.leaving) {
+		lead_begins(g, leader, "came-back");
+		return;
+	}
+	g->planned = true;
+	g->target = -1;
+	g->primary = leader;
+	g->term = g->member[leader].seen.term;
+}
+
 static void choose(struct owner_group *g, int64_t now)
 {
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
@@ -309,12 +510,14 @@
 		catch_up(g, now);
 		return;
 	}
+	if (take_back_choice(g, now))
+		return;
 	if (!all_seen(g) && now - g->state_us < CHOOSE_US)
 		return;
 	candidates(g, c, names, now, LOOK_FRESH_US);
 	best = lead_find(&g->record, names, c, g->n);
-	if (best >= 0 && !c[best].leaving) {
-		lead_begins(g, best, "came-back");
+	if (best >= 0) {
+		return_to(g, best);
 		return;
 	}
 	present = find_present(c, g->n);
@@ -327,11 +530,14 @@
 		g->except = -1;
 		return;
 	}
-	if (best < 0)
+	if (best < 0 || wait_for_acknowledged(g, c, best, now))
 		return;
 	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
 		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
-		 LOG_NUM("floor", highest));
+		 LOG_NUM("floor", highest),
+		 LOG_NUM("acknowledged_term", g->succession.acknowledged.term),
+		 LOG_NUM("acknowledged_lsn", g->succession.acknowledged.lsn),
+		 LOG_NUM("acknowledged_age_us", now - g->succession.acknowledged_us));
 	og_state(g, OWNER_RECORDING, "chosen");
 	record_choice(g, best, highest, recorded);
 }
@@ -366,6 +572,23 @@
 	g_free(q);
 }
 
+/**
+ * Whether a primary that is back holds what the chosen member lacks. An earlier order may have been
+ * lost; repeating it before the member has caught up would discard that.
+ */
+static bool order_waits(const struct owner_group *g, int64_t now)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+	int present;
+
+	if (now - g->chosen_us > CAUGHT_UP_LIVING_US)
+		return false;
+	candidates(g, c, names, now, LOOK_FRESH_US);
+	present = find_present(c, g->n);
+	return present >= 0 && pos_cmp(c[g->target].received, c[present].received) < 0;
+}
+
 static void order(struct owner_group *g, int64_t now)
 {
 	struct kernel *k = g->o->service.kernel;
@@ -377,7 +600,10 @@
 	 */
 	if (!og_may_send(g))
 		return;
+	if (take_back_choice(g, now) || order_waits(g, now))
+		return;
 	g->ordered = true;
+	g->undo.possible = false;
 	q = g_new0(struct order, 1);
 	q->o = g->o;
 	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
@@ -434,7 +660,7 @@
 {
 	if (m->listed)
 		return m->conf.leaving;
-	return m->unlisted_us != 0 && now - m->unlisted_us > UNLISTED_US;
+	return m->unlisted_us != 0 && now - MAX(m->unlisted_us, m->g->state_us) > UNLISTED_US;
 }
 
 static void planned_recorded(struct owner_group *g, bool ok)
@@ -474,15 +700,6 @@
 	record_choice(g, best, g->term, planned_recorded);
 }
 
-/** It was to leave so long ago that it gets no more statements, whoever may follow it. */
-static bool overstays(const struct owner_member *m, int64_t now)
-{
-	int64_t since = m->listed ? m->leaving_us : m->unlisted_us;
-	int64_t leave_us = m->g->o->service.kernel->settings->leave_ms * USEC_PER_MSEC;
-
-	return now - since > (int64_t)((double)leave_us * LEAVE_PART);
-}
-
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
@@ -494,10 +711,12 @@
 	if (!og_mine(g))
 		return;
 	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now)) {
-		if (overstays(m, now))
-			change_begin(g, false, "overstays");
-		else if (now >= g->next_us && m->unheard_us == 0 && !g->planning)
+		if (overstays(m, now)) {
+			g->target = -1;
+			change_begin(g, !is_silent(m, now), "overstays");
+		} else if (now >= g->next_us && m->unheard_us == 0 && !g->planning) {
 			plan(g, now);
+		}
 		return;
 	}
 	if (steps[g->state] != NULL)
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -58,9 +58,7 @@
 
 /* Telling others */
 
-/** Tell all VMs, so that statements come to the right one before the store's watch has told them.
- */
-static void tell_all(struct owner_group *g)
+void claim_tell_all(struct owner_group *g)
 {
 	struct fleet *f = og_fleet(g);
 	ml_owner args = {.pool = g->pool,
@@ -90,7 +88,7 @@
 	if (g->state == OWNER_CLAIMING)
 		og_state(g, OWNER_NONE, "not-claimed");
 	else if (og_mine(g))
-		tell_all(g);
+		claim_tell_all(g);
 }
 
 /** Whether the record's owner is a process that is known to have ended. */
@@ -424,7 +422,7 @@
 static void handed_over(struct owner_group *g, bool ok)
 {
 	if (ok)
-		tell_all(g);
+		claim_tell_all(g);
 }
 
 void claim_hand_over(struct owner_group *g, const char *to, const char *why)
@@ -483,18 +481,47 @@
 	}
 }
 
+/** Fill in what this VM knows of the primary that it sent to. */
+static void put_primary(struct owner_group *g, ml_yield_res *res, int64_t now)
+{
+	const struct owner_member *m = og_primary(g);
+
+	res->acknowledged = (ml_pos){g->marks.newest.pos.term, g->marks.newest.pos.lsn};
+	if (m == NULL || m->heard_us == 0)
+		return;
+	res->primary = (char *)m->conf.name;
+	res->heard_age_us = (u_quad_t)(now - m->heard_us);
+}
+
+/** Another VM has claimed the group, and asks this one to stop sending to its primary. */
 void claim_yield_serve(struct rpc_request *rq, const void *args, void *owner)
 {
 	const ml_yield_args *a = args;
 	struct owner_group *g = og_find(owner, a->pool);
-	ml_none res = {.ok = true};
+	ml_yield_res res = {.stopped = true, .primary = ""};
+	int64_t now = now_us();
 
 	if (g != NULL && og_mine(g) && a->revision <= g->revision) {
 		/* An order of before this VM's own claim. */
-		res.ok = false;
+		res.stopped = false;
 	} else if (g != NULL) {
-		claim_stop(g, "asked");
-		if (a->revision > g->revision)
+		const struct owner_member *m = og_primary(g);
+		struct succession_sender s = {.may_send = m != NULL && og_may_send(g),
+					      .leaving = g->o->leaving,
+					      .quiet_us = (int64_t)a->quiet_us,
+					      .heard_us = m != NULL ? m->heard_us : 0};
+
+		put_primary(g, &res, now);
+		res.stopped = !succession_goes_on(&s, now);
+		if (res.stopped)
+			claim_stop(g, "asked");
+		else
+			log_info("yield-declined", LOG_STR("pool", g->pool), LOG_STR("peer", a->vm),
+				 LOG_STR("member", m->conf.name),
+				 LOG_NUM("heard_age_us", now - m->heard_us),
+				 LOG_NUM("quiet_us", a->quiet_us),
+				 LOG_NUM("revision", a->revision));
+		if (res.stopped && a->revision > g->revision)
 			record_outdated(g);
 	}
 	rpc_reply(rq, &res);
--- a/src/owner-fence.c
+++ b/src/owner-fence.c
@@ -8,6 +8,8 @@
 #include "fleet-store.h"
 #include "log.h"
 
+#include <string.h>
+
 /** Answer of a sender that is asked to stop; it is asked again after that. */
 #define YIELD_TIMEOUT_US (200 * USEC_PER_MSEC)
 
@@ -15,6 +17,7 @@
 	struct owner *o;
 	char pool[NAME_SIZE];
 	struct lead_vm vm;
+	int64_t asked_us;
 };
 
 /** The sender is known to send no more. */
@@ -28,13 +31,47 @@
 	lead_remove_sender(&g->record, vm);
 }
 
+/** A sender told what it knows of the primary: one that it hears should be in reach here too. */
+static void take_report(const struct fence *f, const ml_yield_res *res)
+{
+	struct owner_group *g = og_find(f->o, f->pool);
+	struct succession_report r = {.stopped = res->stopped, .incarnation = f->vm.incarnation};
+	bool first;
+	unsigned i;
+
+	if (g == NULL || !og_mine(g))
+		return;
+	r.acknowledged = (struct pos){res->acknowledged.term, res->acknowledged.lsn};
+	g_strlcpy(r.vm, f->vm.name, sizeof(r.vm));
+	g_strlcpy(r.primary, res->primary, sizeof(r.primary));
+	if (res->primary[0] != '\0')
+		r.heard_us = f->asked_us - (int64_t)res->heard_age_us;
+	first = g->succession.reported_us == 0;
+	succession_report(&g->succession, &r, now_us());
+	if (g->succession.heard_us == 0)
+		return;
+	if (first)
+		log_info("primary-heard-by", LOG_STR("pool", g->pool), LOG_STR("peer", r.vm),
+			 LOG_STR("member", r.primary), LOG_NUM("stopped", r.stopped),
+			 LOG_NUM("term", r.acknowledged.term), LOG_NUM("lsn", r.acknowledged.lsn),
+			 LOG_NUM("age_us", now_us() - r.heard_us));
+	for (i = 0; i < g->n; i++) {
+		if (strcmp(g->member[i].conf.name, g->succession.primary) == 0 &&
+		    g->member[i].seen_us <= g->state_us)
+			watch_look_anew(&g->member[i]);
+	}
+}
+
 static void yield_answered(enum rpc_status status, const void *arg_res, void *arg)
 {
-	const ml_none *res = arg_res;
+	const ml_yield_res *res = arg_res;
 	struct fence *f = arg;
 
-	if (status == RPC_DONE && res->ok)
-		fenced(f->o, f->pool, &f->vm, "yielded");
+	if (status == RPC_DONE) {
+		take_report(f, res);
+		if (res->stopped)
+			fenced(f->o, f->pool, &f->vm, "yielded");
+	}
 	g_free(f);
 }
 
@@ -69,6 +106,7 @@
 	f->o = g->o;
 	g_strlcpy(f->pool, g->pool, sizeof(f->pool));
 	f->vm = *vm;
+	f->asked_us = now_us();
 	return f;
 }
 
@@ -81,6 +119,8 @@
 	ml_yield_args args = {
 		.pool = g->pool, .revision = g->revision, .vm = (char *)k->settings->name};
 
+	if (!g->planned)
+		args.quiet_us = (u_quad_t)(now_us() - g->succession.since_us);
 	if (peer != NULL && peer != f->peers.self)
 		rpc_start(rpc_of(k), peer->address, ML_YIELD, &args, YIELD_TIMEOUT_US,
 			  yield_answered, fence_create(g, vm));
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -120,6 +120,9 @@
 	g->primary = -1;
 	g->except = -1;
 	g->next_us = 0;
+	g->undo.possible = false;
+	succession_begin(&g->succession, now_us());
+	succession_acknowledged(&g->succession, g->marks.newest.pos, g->marks.newest.asked_us);
 	marks_clear(&g->marks);
 	for (i = 0; i < g->n; i++) {
 		g->member[i].seen_us = 0;
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -65,6 +65,12 @@
 	m->probe.next_us = 0;
 }
 
+void watch_look_anew(struct owner_member *m)
+{
+	watch_close(m);
+	watch_look(m);
+}
+
 void watch_close(struct owner_member *m)
 {
 	if (m->probe.mc != NULL)
@@ -169,6 +175,8 @@
 	switch (g->state) {
 	case OWNER_FINDING:
 	case OWNER_CHOOSING:
+	case OWNER_RECORDING:
+	case OWNER_ORDERING:
 		return EAGER_LOOK_US;
 	case OWNER_AWAITING:
 		return (int)m->index == g->target ? EAGER_LOOK_US : REPLICA_LOOK_US;
@@ -198,6 +206,19 @@
 	return now - m->heard_us >= period && now - m->probe.sent_us >= period;
 }
 
+/**
+ * A primary whose data centre was cut off is back before its entry is listed again. Replacing it
+ * meanwhile would discard what it acknowledged to the callers on its side.
+ */
+static bool may_return(const struct owner_member *m)
+{
+	const struct owner_group *g = m->g;
+
+	if (g->planned || m->conf.address[0] == '\0')
+		return false;
+	return g->state >= OWNER_FINDING && g->state < OWNER_AWAITING && g->state != OWNER_SERVING;
+}
+
 static void probe_tick(struct owner_member *m, int64_t now)
 {
 	if (m->probe.out) {
@@ -205,7 +226,7 @@
 			probe_failed(m, "silent");
 		return;
 	}
-	if (!m->listed || !look_due(m, now))
+	if ((!m->listed && !may_return(m)) || !look_due(m, now))
 		return;
 	m->probe.next_us = 1;
 	if (m->probe.open)
--- a/src/owner.h
+++ b/src/owner.h
@@ -29,6 +29,7 @@
 #include "member.h"
 #include "outcome.h"
 #include "rpc.h"
+#include "succession.h"
 
 struct owner;
 struct owner_group;
@@ -217,6 +218,13 @@
 	uint64_t token;
 	int64_t unserved_us; /**< since when no primary serves */
 	bool ordered;
+	struct succession succession;
+	struct {
+		bool possible; /**< no order for the recorded choice has gone out */
+		uint64_t floor;
+		char target[NAME_SIZE];
+	} undo; /**< what the record said before the choice */
+	int64_t chosen_us;
 	int64_t fence_next_us;
 
 	unsigned n;
@@ -327,6 +335,8 @@
 void claim_store_failed(struct owner_group *g);
 /** Hand the group to a VM of its primary's data centre, if this one is not there. */
 void claim_move_near(struct owner_group *g, int64_t now);
+/** Tell all VMs who owns the group. */
+void claim_tell_all(struct owner_group *g);
 /** Stop sending for the group at once. */
 void claim_stop(struct owner_group *g, const char *why);
 
@@ -347,6 +357,8 @@
 void watch_sent(struct owner_member *m, int64_t now);
 /** Look at a member as soon as possible. */
 void watch_look(struct owner_member *m);
+/** The same, on a new connection: one that was begun during a cut may never open. */
+void watch_look_anew(struct owner_member *m);
 void watch_close(struct owner_member *m);
 /** A replica that answers nothing gets no more statements until it is heard. */
 void watch_judge_replica(struct owner_member *m, int64_t now);
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -33,7 +33,7 @@
 	PROC(ML_POKE, "poke", ml_poke, ml_none, true),
 	PROC(ML_RUN, "run", ml_run_args, ml_run_res, false),
 	PROC(ML_OWNER, "owner", ml_owner, ml_owner, true),
-	PROC(ML_YIELD, "yield", ml_yield_args, ml_none, true),
+	PROC(ML_YIELD, "yield", ml_yield_args, ml_yield_res, true),
 	PROC(ML_REACH, "reach", ml_reach_args, ml_none, true),
 	PROC(ML_TOKENS, "tokens", ml_tokens_args, ml_tokens_res, true),
 	PROC(ML_FATE, "fate", ml_fate_args, ml_fate_res, false),
--- a/src/stat.c
+++ b/src/stat.c
@@ -50,6 +50,7 @@
 	[STAT_CONNECTIONS_LOST] = "connections_lost",
 	[STAT_FAILOVERS_BEGUN] = "failovers_begun",
 	[STAT_FAILOVERS_DONE] = "failovers_done",
+	[STAT_COMMITS_DISCARDED] = "commits_discarded",
 	[STAT_CONFIRMS] = "confirms",
 	[STAT_CONFIRMS_LOST] = "confirms_lost",
 	[STAT_FATES_ASKED] = "fates_asked",
--- a/src/stat.h
+++ b/src/stat.h
@@ -30,6 +30,7 @@
 	STAT_CONNECTIONS_LOST,
 	STAT_FAILOVERS_BEGUN,
 	STAT_FAILOVERS_DONE,
+	STAT_COMMITS_DISCARDED, /**< acknowledged, and lost by a promotion, at most */
 	STAT_CONFIRMS,
 	STAT_CONFIRMS_LOST,
 	STAT_FATES_ASKED,
--- /dev/null
+++ b/tests/test-change.c
@@ -0,0 +1,385 @@
+/** @file test-change.c Changes of primary while cuts heal, and what they may discard. */
+#include "harness-owner.h"
+#include "log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Decisions */
+
+static struct succession_report report(const char *primary, int64_t heard_us, bool stopped)
+{
+	struct succession_report r = {.incarnation = 9, .heard_us = heard_us, .stopped = stopped};
+
+	g_strlcpy(r.vm, "vm-9", sizeof(r.vm));
+	g_strlcpy(r.primary, primary, sizeof(r.primary));
+	r.acknowledged = (struct pos){1, 40};
+	return r;
+}
+
+/* Guards against a change of a primary that serves the callers on its side of a healed cut. */
+static void test_a_primary_that_a_former_owner_hears_is_kept(void)
+{
+	const int64_t t0 = 100 * USEC_PER_SEC, ms = USEC_PER_MSEC;
+	struct succession_report r = report("m0", t0 + 990 * ms, false);
+	struct succession s = {0};
+
+	succession_begin(&s, t0);
+	CU_ASSERT_EQUAL(succession_judge(&s, t0 + 1000 * ms), SUCCESSION_CHOOSE);
+	succession_report(&s, &r, t0 + 1000 * ms);
+	CU_ASSERT_EQUAL(succession_judge(&s, t0 + 1000 * ms), SUCCESSION_WAIT);
+	r.heard_us = t0 + 1590 * ms;
+	succession_report(&s, &r, t0 + 1600 * ms);
+	CU_ASSERT_EQUAL(succession_judge(&s, t0 + 1700 * ms), SUCCESSION_HAND_BACK);
+	CU_ASSERT_STRING_EQUAL(s.vm, "vm-9");
+}
+
+/* Guards against a wait for a primary that ended after its former owner last heard it. */
+static void test_a_primary_heard_before_it_fell_silent_is_replaced(void)
+{
+	const int64_t t0 = 100 * USEC_PER_SEC, ms = USEC_PER_MSEC;
+	struct succession_report r = report("m0", t0 - 10 * ms, true);
+	struct succession_sender sender = {.may_send = true, .heard_us = t0 - 10 * ms};
+	struct succession s = {0};
+
+	succession_begin(&s, t0);
+	succession_report(&s, &r, t0 + 5 * ms);
+	CU_ASSERT_EQUAL(succession_judge(&s, t0 + 5 * ms), SUCCESSION_CHOOSE);
+	sender.quiet_us = 5 * ms;
+	CU_ASSERT_FALSE(succession_goes_on(&sender, t0 + 5 * ms));
+	sender.quiet_us = 2000 * ms;
+	CU_ASSERT_TRUE(succession_goes_on(&sender, t0 + 5 * ms));
+	sender.quiet_us = 0;
+	CU_ASSERT_FALSE(succession_goes_on(&sender, t0 + 5 * ms));
+}
+
+/* Guards against a promotion that discards what a member that is just back still holds. */
+static void test_a_choice_waits_for_what_was_acknowledged(void)
+{
+	struct succession_choice c = {.best = {1, 30}, .may_gain = true};
+	struct succession s = {0};
+
+	succession_acknowledged(&s, (struct pos){1, 40}, 1);
+	CU_ASSERT_TRUE(succession_choice_waits(&s, &c));
+	c.best.lsn = 40;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	c.best.lsn = 39;
+	c.may_gain = false;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	c.may_gain = true;
+	c.waited_us = 2 * USEC_PER_SEC;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	CU_ASSERT_EQUAL(succession_settle(&s, (struct pos){2, 30}), 10);
+	CU_ASSERT_EQUAL(succession_settle(&s, (struct pos){3, 20}), 0);
+}
+
+/*
+ * A data centre with a primary, its owner and callers is cut off; the VM under test, on the other
+ * side, claims the group. The cut heals at any moment, the former owner's lease may end before.
+ */
+
+/** SEED=N plays one of them. */
+#define SEEDS 1500
+#define MEMBERS 3
+#define TERM 1
+#define DEMOTE_US (1 * USEC_PER_SEC)
+/** A look that began during the cut ends, and the next one is answered. */
+#define NOTICE_US (600 * USEC_PER_MSEC)
+
+struct model_member {
+	bool primary;
+	uint64_t term;
+	uint64_t lsn;
+};
+
+static struct model {
+	int64_t now;
+	int64_t heals_us;
+	int64_t lease_us;    /**< end of the former owner's lease */
+	int64_t lag_us;	     /**< after the heal, replicas receive nothing for so long */
+	int64_t unlisted_us; /**< the first primary's entry lapses; it is back after listed_us */
+	int64_t listed_us;
+	unsigned n_dead; /**< connections that were begun before the heal */
+	int store_steps; /**< that an answer of the store takes, in the mean */
+	bool lost_orders;
+	bool stopped; /**< the former owner has */
+	int64_t heard_us;
+	struct model_member member[MEMBERS];
+	uint64_t acknowledged; /**< at TERM */
+	int seed;
+	bool ordered; /**< some order went out */
+	int target;   /**< of an order under way; -1: none */
+	int64_t effect_us;
+	bool ordered_in_reach; /**< the primary could be reached when the first order went out */
+	bool promoted;
+	enum owner_state at_heal;
+	struct owner_group *g;
+} model;
+
+static int64_t model_now(void)
+{
+	return model.now;
+}
+
+static bool cut(void)
+{
+	return model.now < model.heals_us;
+}
+
+static bool model_holds(void)
+{
+	return model.store_steps > 1;
+}
+
+/** The former owner's key stands as long as its lease. */
+static char *model_value(const char *key)
+{
+	if (!g_str_has_suffix(key, "vm-9") || model.now > model.lease_us)
+		return NULL;
+	return g_strdup("{\"name\":\"vm-9\",\"incarnation\":\"9\"}");
+}
+
+static bool former_sends(void)
+{
+	return !model.stopped && model.now < model.lease_us;
+}
+
+static void model_yield(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_yield_args *a = args;
+	ml_yield_res res = {.primary = "m0", .acknowledged = {TERM, model.acknowledged}};
+	struct succession_sender s = {.may_send = former_sends(),
+				      .quiet_us = (int64_t)a->quiet_us,
+				      .heard_us = model.heard_us};
+
+	if (cut())
+		return;
+	res.heard_age_us = (u_quad_t)(model.now - model.heard_us);
+	res.stopped = !succession_goes_on(&s, model.now);
+	model.stopped = model.stopped || res.stopped;
+	rpc_reply(rq, &res);
+}
+
+static void model_promote(const char *member, promoter_done cb, void *arg)
+{
+	bool lost = model.lost_orders && rand() % 4 != 0;
+	bool in_reach = model.now > model.heals_us + NOTICE_US;
+
+	CHECK(model.ordered || !in_reach, "seed %d: a primary in reach is to be replaced",
+	      model.seed);
+	model.ordered = true;
+
+	if (model.target < 0 && !lost) {
+		model.target = member[1] - '0';
+		model.effect_us = model.now + (200 + rand() % 1000) * USEC_PER_MSEC;
+		model.ordered_in_reach = in_reach;
+	}
+	cb(lost ? PROMOTER_UNKNOWN : PROMOTER_ACCEPTED, lost ? 0 : 200, arg);
+}
+
+static void model_promotes(int seed)
+{
+	struct model_member *m;
+
+	if (model.target < 0 || model.now < model.effect_us)
+		return;
+	m = &model.member[model.target];
+	model.target = -1;
+	if (m->primary)
+		return;
+	CHECK(!model.ordered_in_reach || m->lsn >= model.acknowledged,
+	      "seed %d: a primary in reach was replaced at %lu of %lu", seed, m->lsn,
+	      model.acknowledged);
+	m->primary = true;
+	m->term = TERM + 1;
+	model.promoted = true;
+}
+
+/** Whether the VM under test sends to the first primary. */
+static bool successor_sends(void)
+{
+	const struct owner_group *g = model.g;
+
+	return g->state == OWNER_SERVING && g->primary == 0 && g->term == TERM && og_may_send(g);
+}
+
+static void model_writes(void)
+{
+	struct model_member *m = &model.member[0];
+	unsigned i;
+
+	if (m->primary && (former_sends() || successor_sends()) && rand() % 3 == 0)
+		model.acknowledged = ++m->lsn;
+	if (former_sends())
+		model.heard_us = model.now;
+	/* A lease that ended leaves the group to its successor. */
+	model.stopped = model.stopped || model.now >= model.lease_us;
+	if (!cut() && !model.stopped && model.now > model.lease_us - USEC_PER_SEC)
+		model.lease_us = model.now + 12 * USEC_PER_SEC;
+	for (i = 1; i < MEMBERS && !cut() && model.now > model.heals_us + model.lag_us; i++) {
+		if (model.member[i].lsn < m->lsn && !model.member[i].primary)
+			model.member[i].lsn += 1 + (uint64_t)rand() % 3;
+		model.member[i].lsn = MIN(model.member[i].lsn, MAX(m->lsn, model.member[i].lsn));
+	}
+	if (model.promoted && !cut() && model.now > model.effect_us + DEMOTE_US)
+		m->primary = false;
+}
+
+/** Answer the looks at members in reach. */
+static void model_looks(void)
+{
+	unsigned i;
+
+	for (i = 0; i < fake.n_conns; i++) {
+		struct fake_conn *f = fake.conns[i];
+		const struct model_member *m = &model.member[f->id[1] - '0'];
+		struct member_status st = {.primary = m->primary, .term = m->term};
+		member_opened opened = f->opened;
+		member_told told = f->told;
+
+		if (f->closed || (m == model.member && (cut() || i < model.n_dead)))
+			continue;
+		st.received = (struct pos){m->term, m->lsn};
+		f->opened = NULL;
+		f->told = NULL;
+		if (opened != NULL)
+			opened(&f->conn, MEMBER_DONE, st.received, f->arg);
+		else if (told != NULL)
+			told(&f->conn, MEMBER_DONE, &st, f->arg);
+	}
+}
+
+static void unlist(struct conf_pool *pool, const char *member)
+{
+	pool->n--;
+	memmove(pool->member, pool->member + 1, pool->n * sizeof(pool->member[0]));
+}
+
+static void list_again(struct conf_pool *pool, const char *member)
+{
+	memmove(pool->member + 1, pool->member, pool->n * sizeof(pool->member[0]));
+	pool->member[0] = model.g->member[0].conf;
+	pool->n++;
+}
+
+/** The entry of the first primary lapses during a long cut. */
+static void model_lists(struct world *w)
+{
+	bool listed = conf_pool_find(conf_pool(fleet_of(w->k)->conf, POOL), "m0") >= 0;
+
+	if (listed && model.now > model.unlisted_us && model.now < model.listed_us)
+		world_configure(w, unlist, "m0");
+	else if (!listed && model.now > model.listed_us)
+		world_configure(w, list_again, "m0");
+}
+
+static void model_step(struct world *w, int seed)
+{
+	bool was_cut = cut();
+
+	model.now += (2 + rand() % 15) * USEC_PER_MSEC;
+	store_source.lease_until_us = model.now + 10 * USEC_PER_SEC;
+	if (was_cut && !cut()) {
+		model.at_heal = model.g->state;
+		model.n_dead = fake.n_conns;
+	}
+	model_lists(w);
+	model_promotes(seed);
+	model_writes();
+	if (rand() % model.store_steps == 0)
+		fake_store_deliver();
+	model_looks();
+	claim_tick(model.g, model.now);
+	if (model.g->state > OWNER_CLAIMING) {
+		watch_tick(model.g, model.now);
+		change_tick(model.g, model.now);
+	}
+	world_turn(w);
+}
+
+static void model_begin(struct world *w, int seed)
+{
+	static const struct lead_vm former = {.name = "vm-9", .incarnation = 9};
+	struct owner_group *g;
+	unsigned i;
+
+	memset(&model, 0, sizeof(model));
+	srand((unsigned)seed);
+	model.seed = seed;
+	model.now = 1000 * USEC_PER_SEC;
+	kernel_set_clock(model_now);
+	world_open(w);
+	g = model.g = world_join(w);
+	rpc_serve(rpc_of(w->k), ML_YIELD, model_yield, NULL);
+	fake.value = model_value;
+	fake.holds = model_holds;
+	fake.promote = model_promote;
+	model.heals_us = model.now + (200 + rand() % 6000) * USEC_PER_MSEC;
+	model.lease_us =
+		model.now + (rand() % 2 == 0 ? 500 + rand() % 5000 : 12000) * USEC_PER_MSEC;
+	model.lag_us = rand() % 3 == 0 ? rand() % 5000 * USEC_PER_MSEC : 0;
+	model.unlisted_us = model.now + (1000 + rand() % 3000) * USEC_PER_MSEC;
+	model.listed_us = model.heals_us + rand() % 1500 * USEC_PER_MSEC;
+	model.store_steps = rand() % 2 == 0 ? 1 : 1 + rand() % 80;
+	model.lost_orders = rand() % 3 == 0;
+	model.target = -1;
+	model.acknowledged = 20;
+	for (i = 0; i < MEMBERS; i++)
+		model.member[i] = (struct model_member){.primary = i == 0, .term = TERM, .lsn = 20};
+	g->record.owner = former;
+	g_strlcpy(g->record.address, SELF, sizeof(g->record.address));
+	g->revision = 3;
+	g->read = true;
+	g->owner_lost = true;
+	peers_list(&fleet_of(w->k)->peers, 6,
+		   (const struct vm_listing[]){
+			   {.name = "vm-1", .address = SELF, .data_center = "dc"},
+			   {.name = "vm-9", .address = SELF, .data_center = "far"}},
+		   2);
+	peers_suspect(&fleet_of(w->k)->peers, peers_find(&fleet_of(w->k)->peers, "vm-9"));
+}
+
+/*
+ * Guards against a primary that lives being replaced below what it acknowledged: cuts heal in every
+ * state of a change, with slow stores, lost orders, replicas that lag and leases that end.
+ */
+static void test_no_acknowledged_write_of_a_living_primary_is_discarded(void)
+{
+	unsigned healed_in[OWNER_STATES] = {0};
+	struct world w;
+	int seed, step;
+
+	for (seed = 0; seed < SEEDS; seed++) {
+		if (getenv("SEED") != NULL && atoi(getenv("SEED")) != seed)
+			continue;
+		model_begin(&w, seed);
+		/* The suspicion of a VM that is cut off comes back with each beat that is missed.
+		 */
+		for (step = 0;
+		     step < 1500 && (cut() || model.now < model.heals_us + 8 * USEC_PER_SEC);
+		     step++)
+			model_step(&w, seed);
+		log_flush();
+		healed_in[model.at_heal]++;
+		if (og_mine(model.g))
+			CHECK(model.g->state == OWNER_SERVING, "seed %d: state %d at the end", seed,
+			      model.g->state);
+		world_close(&w);
+	}
+	for (step = OWNER_CLAIMING; step < OWNER_STATES; step++) {
+		if (step != OWNER_SERVING && step != OWNER_SETTLING)
+			CHECK(healed_in[step] > 0, "no cut healed in state %d", step);
+	}
+	kernel_set_clock(NULL);
+}
+
+static const struct test_case cases[] = {
+	{"a_primary_that_a_former_owner_hears_is_kept",
+	 test_a_primary_that_a_former_owner_hears_is_kept},
+	{"a_primary_heard_before_it_fell_silent_is_replaced",
+	 test_a_primary_heard_before_it_fell_silent_is_replaced},
+	{"a_choice_waits_for_what_was_acknowledged", test_a_choice_waits_for_what_was_acknowledged},
+	{"no_acknowledged_write_of_a_living_primary_is_discarded",
+	 test_no_acknowledged_write_of_a_living_primary_is_discarded},
+};
+HARNESS_MAIN("change", cases)
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -1,240 +1,10 @@
 /** @file test-owner.c The owner of a group, with members that a test plays. */
-#include "adapter.h"
-#include "fleet-store-source.h"
-#include "harness.h"
-#include "owner.h"
+#include "harness-owner.h"
 #include "session.h"
-#include "shares.h"
-#include "table.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define POOL "p"
-#define SELF "127.0.0.1:1"
-
-/* Members */
-
-struct fake_conn {
-	struct member_conn conn;
-	char id[NAME_SIZE];
-	member_opened opened;
-	member_answered answered;
-	member_told told;
-	void *arg;
-	bool closed;
-};
-
-static struct fake_conn *conns[32];
-static unsigned n_conns;
-static GPtrArray *every_conn;
-static struct member_command sent[64];
-static struct fake_conn *sent_on[64];
-static unsigned n_sent;
-
-static struct member_conn *fake_open(struct kernel *k, const char *address, const char *pool,
-				     const char *team, const char *id, member_opened cb,
-				     member_closed closed, void *arg);
-
-static void fake_run(struct member_conn *c, const struct member_command *commands, unsigned n,
-		     member_answered cb)
-{
-	struct fake_conn *f = (struct fake_conn *)c;
-	unsigned i;
-
-	for (i = 0; i < n; i++) {
-		sent_on[n_sent] = f;
-		sent[n_sent++] = commands[i];
-	}
-	f->answered = cb;
-}
-
-static void fake_order(struct member_conn *c, enum member_order order, uint64_t term,
-		       member_told cb)
-{
-	((struct fake_conn *)c)->told = cb;
-}
-
-static void fake_close(struct member_conn *c)
-{
-	((struct fake_conn *)c)->closed = true;
-}
-
-static const struct member_ops fake_member_ops = {
-	.open = fake_open,
-	.run = fake_run,
-	.order = fake_order,
-	.close = fake_close,
-};
-
-static struct member_conn *fake_open(struct kernel *k, const char *address, const char *pool,
-				     const char *team, const char *id, member_opened cb,
-				     member_closed closed, void *arg)
-{
-	struct fake_conn *f = g_new0(struct fake_conn, 1);
-
-	f->conn.ops = &fake_member_ops;
-	g_strlcpy(f->id, id, sizeof(f->id));
-	f->opened = cb;
-	f->arg = arg;
-	/* Earlier worlds still refer to theirs. */
-	if (every_conn == NULL)
-		every_conn = g_ptr_array_new();
-	g_ptr_array_add(every_conn, f);
-	conns[n_conns++] = f;
-	return &f->conn;
-}
-
-/* The store: it answers at once, and does or refuses what it is asked for. */
-
-static bool store_refuses;
-static unsigned n_commits;
-static unsigned n_gets;
-static uint64_t store_revision;
-
-static struct store_call *store_answer(enum store_status status, uint64_t lease, store_done cb,
-				       void *arg)
-{
-	struct store_answer a = {.status = status, .lease = lease, .ttl_us = 12 * USEC_PER_SEC};
-
-	a.revision = ++store_revision;
-	a.items = g_ptr_array_new();
-	cb(&a, arg);
-	g_ptr_array_unref(a.items);
-	return NULL;
-}
-
-static struct store_call *fake_get(struct store *s, const char *key, store_done cb, void *arg)
-{
-	n_gets++;
-	return store_answer(STORE_DONE, 0, cb, arg);
-}
-
-static struct store_call *fake_list(struct store *s, const char *prefix, const char *after,
-				    bool stale, store_done cb, void *arg)
-{
-	return store_answer(STORE_DONE, 0, cb, arg);
-}
-
-static struct store_call *fake_watch(struct store *s, const char *prefix, uint64_t revision,
-				     int64_t wait_us, store_done cb, void *arg)
-{
-	return (struct store_call *)s;
-}
-
-static struct store_call *fake_commit(struct store *s, const struct store_guard *guards,
-				      unsigned n_guards, const struct store_write *writes,
-				      unsigned n_writes, store_done cb, void *arg)
-{
-	n_commits++;
-	return store_answer(store_refuses ? STORE_REFUSED : STORE_DONE, 0, cb, arg);
-}
-
-static struct store_call *fake_grant(struct store *s, int64_t ttl_us, store_done cb, void *arg)
-{
-	return store_answer(STORE_DONE, 7, cb, arg);
-}
-
-static struct store_call *fake_lease(struct store *s, uint64_t lease, store_done cb, void *arg)
-{
-	return store_answer(STORE_DONE, 7, cb, arg);
-}
-
-static struct store *fake_create(struct kernel *k, const char *address, int64_t timeout_us);
-
-static void fake_free(struct store *s)
-{
-}
-
-static const struct store_ops fake_store_ops = {
-	.create = fake_create,
-	.free = fake_free,
-	.get = fake_get,
-	.list = fake_list,
-	.watch = fake_watch,
-	.commit = fake_commit,
-	.lease_grant = fake_grant,
-	.lease_renew = fake_lease,
-	.lease_end = fake_lease,
-};
-
-static struct store *fake_create(struct kernel *k, const char *address, int64_t timeout_us)
-{
-	static struct store store = {.ops = &fake_store_ops};
-
-	return &store;
-}
-
-static void fake_promote(struct kernel *k, const char *address, const char *pool,
-			 const char *member, const char *holder, uint64_t token, int64_t timeout_us,
-			 promoter_done cb, void *arg)
-{
-}
-
-static const struct promoter_ops fake_promoter_ops = {.promote = fake_promote};
-static const struct records_ops fake_records = {.document_key = "doc",
-						.servers_prefix = "servers/"};
-static const struct adapter fake_adapter = {.member = &fake_member_ops,
-					    .store = &fake_store_ops,
-					    .promoter = &fake_promoter_ops,
-					    .records = &fake_records};
-
-/* One VM that owns nothing */
-
-struct world {
-	struct settings settings;
-	struct kernel *k;
-	struct owner *o;
-	enum outcome outcome; /**< of the last statement; OUTCOMES while it runs */
-};
-
-static void add_pool(struct world *w)
-{
-	struct fleet *f = fleet_of(w->k);
-	struct conf_pool pool = {.name = POOL, .confirm = CONFIRM_PRIMARY, .n = 3};
-	struct conf_update u = {.version = 8, .full = true};
-	unsigned i;
-
-	for (i = 0; i < pool.n; i++) {
-		struct conf_member *m = &pool.member[i];
-
-		g_snprintf(m->name, sizeof(m->name), "m%u", i);
-		g_snprintf(m->address, sizeof(m->address), "127.0.0.1:%u", 100 + i);
-		g_strlcpy(m->data_center, "dc", sizeof(m->data_center));
-		m->slots = 2;
-		m->connections = 16;
-	}
-	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
-	g_ptr_array_add(u.entries, table_entry_make(CONF_POOL, &pool));
-	fleet_take_conf(f, &u, "test");
-	conf_update_clear(&u);
-}
-
-static void world_open(struct world *w)
-{
-	memset(w, 0, sizeof(*w));
-	n_conns = n_sent = 0;
-	g_strlcpy(w->settings.name, "vm-1", sizeof(w->settings.name));
-	g_strlcpy(w->settings.advertise, SELF, sizeof(w->settings.advertise));
-	w->settings.silent_ms = 600;
-	w->settings.leave_ms = 7000;
-	w->settings.platform_kind = PLATFORM_PREPARED;
-	w->k = kernel_create(&w->settings);
-	w->k->adapter = &fake_adapter;
-	rpc_service_create(w->k);
-	fleet_service_create(w->k);
-	shares_service_create(w->k);
-	owner_service_create(w->k);
-	w->o = owner_of(w->k);
-	CU_ASSERT_TRUE(w->o->service.ops->start(&w->o->service, NULL));
-	add_pool(w);
-}
-
-static void world_turn(struct world *w)
-{
-	event_base_loop(w->k->base, EVLOOP_NONBLOCK);
-}
-
 static void on_ran(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_run_res *res = arg_res;
@@ -281,10 +51,11 @@
 	world_open(&w);
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us() - 100 * USEC_PER_MSEC);
 	read_locally(&w, 1500, 800);
-	CU_ASSERT_EQUAL(n_conns, 1);
-	conns[0]->opened(&conns[0]->conn, MEMBER_DONE, (struct pos){1, 23}, conns[0]->arg);
-	CU_ASSERT_EQUAL(n_sent, 1);
-	CU_ASSERT_EQUAL(sent[0].wait_for.lsn, 35);
+	CU_ASSERT_EQUAL(fake.n_conns, 1);
+	fake.conns[0]->opened(&fake.conns[0]->conn, MEMBER_DONE, (struct pos){1, 23},
+			      fake.conns[0]->arg);
+	CU_ASSERT_EQUAL(fake.n_sent, 1);
+	CU_ASSERT_EQUAL(fake.sent[0].wait_for.lsn, 35);
 }
 
 /* Nothing as new as the route asks for is known: no member may be asked at all. */
@@ -295,7 +66,7 @@
 	world_open(&w);
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us() - 2 * USEC_PER_SEC);
 	read_locally(&w, 1500, 800);
-	CU_ASSERT_EQUAL(n_conns, 0);
+	CU_ASSERT_EQUAL(fake.n_conns, 0);
 	CU_ASSERT_EQUAL(w.outcome, OUTCOME_NOT_SENT);
 }
 
@@ -313,93 +84,22 @@
 	world_open(&w);
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us());
 	read_locally(&w, 1500, 800);
-	CU_ASSERT_EQUAL(n_conns, 1);
+	CU_ASSERT_EQUAL(fake.n_conns, 1);
 	g = og_find(w.o, POOL);
 	marks_clear(&g->marks);
-	conns[0]->opened(&conns[0]->conn, MEMBER_DONE, (struct pos){1, 23}, conns[0]->arg);
-	CU_ASSERT_EQUAL(n_sent, 0);
+	fake.conns[0]->opened(&fake.conns[0]->conn, MEMBER_DONE, (struct pos){1, 23},
+			      fake.conns[0]->arg);
+	CU_ASSERT_EQUAL(fake.n_sent, 0);
 	CU_ASSERT_EQUAL(w.outcome, OUTCOMES);
 	marks_new_term(&g->marks, (struct pos){1, 35}, now_us());
 	test_sleep_ms(10);
 	queue_tick(g, now_us());
 	/* The first member has just told that it lacks the position: another one is tried. */
-	CU_ASSERT_EQUAL(n_conns, 2);
-	conns[1]->opened(&conns[1]->conn, MEMBER_DONE, (struct pos){1, 36}, conns[1]->arg);
-	CU_ASSERT_EQUAL(n_sent, 1);
-	CU_ASSERT_EQUAL(sent[0].wait_for.lsn, 35);
-}
-
-/* A VM that owns the group */
-
-/** Answer all looks that are out: m0 leads, the others have @a lsn. */
-static void answer_looks(uint64_t lsn)
-{
-	unsigned i;
-
-	for (i = 0; i < n_conns; i++) {
-		struct fake_conn *f = conns[i];
-		struct member_status st = {.term = 1, .received = {1, lsn}};
-		member_told told = f->told;
-
-		if (f->closed)
-			continue;
-		if (f->opened != NULL) {
-			member_opened opened = f->opened;
-
-			f->opened = NULL;
-			opened(&f->conn, MEMBER_DONE, st.received, f->arg);
-			told = f->told;
-		}
-		st.primary = strcmp(f->id, "m0") == 0;
-		f->told = NULL;
-		if (told != NULL)
-			told(&f->conn, MEMBER_DONE, &st, f->arg);
-	}
-}
-
-static void turn_until(struct world *w, struct owner_group *g, enum owner_state state)
-{
-	int64_t until = test_now_ms() + 3000;
-
-	while (g->state != state && test_now_ms() < until) {
-		event_base_loop(w->k->base, EVLOOP_ONCE);
-		answer_looks(10);
-	}
-	CHECK(g->state == state, "state %d, not %d", g->state, state);
-}
-
-/** Open the world and wait until its VM serves the group, with m0 as the primary. */
-static struct owner_group *world_serve(struct world *w)
-{
-	struct owner_group *g;
-
-	world_open(w);
-	fleet_of(w->k)->source->start(fleet_of(w->k));
-	g = og_find(w->o, POOL);
-	turn_until(w, g, OWNER_SERVING);
-	return g;
-}
-
-static void world_close(struct world *w)
-{
-	fleet_of(w->k)->source->stop(fleet_of(w->k));
-	/* The lease is this world's. */
-	memset(&store_source, 0, sizeof(store_source));
-}
-
-static void set_leaving(struct world *w, const char *member)
-{
-	struct fleet *f = fleet_of(w->k);
-	struct conf_pool pool = *conf_pool(f->conf, POOL);
-	struct conf_update u = {.version = f->conf->version + 1, .full = true};
-	int i = conf_pool_find(&pool, member);
-
-	pool.member[i].leaving = true;
-	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
-	g_ptr_array_add(u.entries, table_entry_make(CONF_POOL, &pool));
-	((struct conf_entry *)g_ptr_array_index(u.entries, 0))->version = u.version;
-	fleet_take_conf(f, &u, "test");
-	conf_update_clear(&u);
+	CU_ASSERT_EQUAL(fake.n_conns, 2);
+	fake.conns[1]->opened(&fake.conns[1]->conn, MEMBER_DONE, (struct pos){1, 36},
+			      fake.conns[1]->arg);
+	CU_ASSERT_EQUAL(fake.n_sent, 1);
+	CU_ASSERT_EQUAL(fake.sent[0].wait_for.lsn, 35);
 }
 
 /*
@@ -415,16 +115,16 @@
 	unsigned before;
 
 	g = world_serve(&w);
-	store_refuses = true;
-	before = n_commits;
+	fake.store_refuses = true;
+	before = fake.n_commits;
 	set_leaving(&w, "m0");
-	while (n_commits == before && test_now_ms() < until) {
+	while (fake.n_commits == before && test_now_ms() < until) {
 		event_base_loop(w.k->base, EVLOOP_ONCE);
 		answer_looks(10);
 	}
 	CU_ASSERT_EQUAL(g->state, OWNER_SERVING);
 	CU_ASSERT_EQUAL(og_wait_us(g, now_us()), 0);
-	store_refuses = false;
+	fake.store_refuses = false;
 	turn_until(&w, g, OWNER_ORDERING);
 	CU_ASSERT_STRING_NOT_EQUAL(g->record.target, "m0");
 	CU_ASSERT_EQUAL(g->record.floor, 1);
@@ -474,14 +174,14 @@
 	struct world w;
 
 	g = world_serve(&w);
-	store_refuses = true;
+	fake.store_refuses = true;
 	set_leaving(&w, "m0");
 	g->member[0].leaving_us -= 6 * USEC_PER_SEC;
 	while (g->state == OWNER_SERVING && test_now_ms() < until)
 		turn_with_reads(&w, g);
 	CU_ASSERT_NOT_EQUAL(g->state, OWNER_SERVING);
 	CU_ASSERT_TRUE(og_wait_us(g, now_us()) > 0);
-	store_refuses = false;
+	fake.store_refuses = false;
 	world_close(&w);
 }
 
@@ -503,7 +203,7 @@
 	owner_told_mark(w.o, POOL, (struct pos){1, 10}, now_us());
 	read_locally(&w, 1500, 800);
 	answer_looks(10);
-	CU_ASSERT_EQUAL(n_sent, 1);
+	CU_ASSERT_EQUAL(fake.n_sent, 1);
 	CU_ASSERT_EQUAL(w.outcome, OUTCOMES);
 	world_close(&w);
 }
@@ -601,24 +301,6 @@
 	CU_ASSERT_TRUE(owner_took(w.o, POOL, false) < USEC_PER_SEC);
 }
 
-/** vm-1 and vm-9, of which vm-9 is the one to claim the group by rendezvous; vm-1 has a lease. */
-static struct owner_group *world_join(struct world *w)
-{
-	const struct vm_listing l[] = {
-		{.name = "vm-1", .address = SELF, .data_center = "dc"},
-		{.name = "vm-9", .address = "127.0.0.1:2", .data_center = "dc"}};
-	struct peers *peers = &fleet_of(w->k)->peers;
-
-	peers_list(peers, 5, l, G_N_ELEMENTS(l));
-	fleet_members_changed(fleet_of(w->k));
-	CU_ASSERT_STRING_EQUAL_FATAL(peers_holder(peers, "group " POOL, NULL)->name, "vm-9");
-	store_source.store = fake_create(w->k, "", 0);
-	store_source.lease = 7;
-	store_source.registered = true;
-	store_source.lease_until_us = now_us() + 10 * USEC_PER_SEC;
-	return og_find(w->o, POOL);
-}
-
 /*
  * Each VM that starts reads the record of each group: at 81 VMs and 8 groups more than a third of
  * all calls to the store. Only the VM that is to claim the group needs it, or one that was told of
@@ -633,19 +315,19 @@
 	world_open(&w);
 	g = world_join(&w);
 	peers = &fleet_of(w.k)->peers;
-	n_gets = 0;
+	fake.n_gets = 0;
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_gets, 0);
+	CU_ASSERT_EQUAL(fake.n_gets, 0);
 	owner_heard(w.o, POOL, "vm-1", SELF, 9);
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_gets, 1);
+	CU_ASSERT_EQUAL(fake.n_gets, 1);
 	/* The other VM is gone: this one is to claim the group. */
 	record_outdated(g);
 	g->outdated = false;
 	peers_suspect(peers, peers_find(peers, "vm-9"));
 	fleet_members_changed(fleet_of(w.k));
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_gets, 2);
+	CU_ASSERT_EQUAL(fake.n_gets, 2);
 }
 
 /*
@@ -734,14 +416,15 @@
 	g = og_find(w.o, POOL);
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us());
 	read_locally(&w, 1500, 800);
-	conns[0]->opened(&conns[0]->conn, MEMBER_DONE, (struct pos){1, 36}, conns[0]->arg);
+	fake.conns[0]->opened(&fake.conns[0]->conn, MEMBER_DONE, (struct pos){1, 36},
+			      fake.conns[0]->arg);
 	conn_tick(&g->member[0], now_us() + USEC_PER_SEC);
-	CU_ASSERT_FALSE(conns[0]->closed);
-	end_read(conns[0]);
+	CU_ASSERT_FALSE(fake.conns[0]->closed);
+	end_read(fake.conns[0]);
 	conn_tick(&g->member[0], now_us());
-	CU_ASSERT_FALSE(conns[0]->closed);
+	CU_ASSERT_FALSE(fake.conns[0]->closed);
 	conn_tick(&g->member[0], now_us() + USEC_PER_SEC);
-	CU_ASSERT_TRUE(conns[0]->closed);
+	CU_ASSERT_TRUE(fake.conns[0]->closed);
 }
 
 /* Hundreds of VMs that read for want of an owner use up the connections of all members. */
@@ -755,19 +438,21 @@
 	g->member[0].conf.connections = 135;
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us());
 	read_locally(&w, 1500, 800);
-	conns[0]->opened(&conns[0]->conn, MEMBER_DONE, (struct pos){1, 36}, conns[0]->arg);
-	end_read(conns[0]);
+	fake.conns[0]->opened(&fake.conns[0]->conn, MEMBER_DONE, (struct pos){1, 36},
+			      fake.conns[0]->arg);
+	end_read(fake.conns[0]);
 	conn_tick(&g->member[0], now_us() + USEC_PER_SEC);
-	CU_ASSERT_TRUE(conns[0]->closed);
+	CU_ASSERT_TRUE(fake.conns[0]->closed);
 	read_near(&w);
-	conns[1]->opened(&conns[1]->conn, MEMBER_DONE, (struct pos){1, 36}, conns[1]->arg);
-	end_read(conns[1]);
+	fake.conns[1]->opened(&fake.conns[1]->conn, MEMBER_DONE, (struct pos){1, 36},
+			      fake.conns[1]->arg);
+	end_read(fake.conns[1]);
 	conn_tick(&g->member[0], now_us() + USEC_PER_SEC);
-	CU_ASSERT_FALSE(conns[1]->closed);
+	CU_ASSERT_FALSE(fake.conns[1]->closed);
 	/* The member refuses one as too many: others want those that rest. */
 	g->member[0].full_us = now_us();
 	conn_tick(&g->member[0], now_us() + USEC_PER_SEC);
-	CU_ASSERT_TRUE(conns[1]->closed);
+	CU_ASSERT_TRUE(fake.conns[1]->closed);
 }
 
 /*
@@ -786,15 +471,16 @@
 	g_strlcpy(g->told_primary, "m0", sizeof(g->told_primary));
 	owner_told_mark(w.o, POOL, (struct pos){1, 35}, now_us());
 	read_near(&w);
-	CU_ASSERT_EQUAL_FATAL(n_conns, 1);
-	CU_ASSERT_STRING_EQUAL(conns[0]->id, "m1");
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, 1);
+	CU_ASSERT_STRING_EQUAL(fake.conns[0]->id, "m1");
 	/* Without any replica the primary has to do. */
-	conns[0]->opened(&conns[0]->conn, MEMBER_LOST, (struct pos){0}, conns[0]->arg);
+	fake.conns[0]->opened(&fake.conns[0]->conn, MEMBER_LOST, (struct pos){0},
+			      fake.conns[0]->arg);
 	g->member[1].down = g->member[2].down = true;
 	test_sleep_ms(10);
 	queue_tick(g, now_us());
-	CU_ASSERT_EQUAL_FATAL(n_conns, 2);
-	CU_ASSERT_STRING_EQUAL(conns[1]->id, "m0");
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, 2);
+	CU_ASSERT_STRING_EQUAL(fake.conns[1]->id, "m0");
 }
 
 /* An owner that few VMs look at is cut off, and its group has none until its lease has ended. */
@@ -813,12 +499,12 @@
 	world_open(&w);
 	g = world_join(&w);
 	store_source.listeners[0].cb(&item, w.o);
-	store_revision = item.revision;
-	n_commits = 0;
+	fake.store_revision = item.revision;
+	fake.n_commits = 0;
 	claim_tick(g, now_us());
 	world_turn(&w);
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_commits, 0);
+	CU_ASSERT_EQUAL(fake.n_commits, 0);
 	rpc_start(rpc_of(w.k), SELF, ML_OWNER, &report, USEC_PER_SEC, NULL, NULL);
 	while (!og_mine(g) && test_now_ms() < until) {
 		world_turn(&w);
@@ -826,7 +512,7 @@
 		test_sleep_ms(5);
 	}
 	CU_ASSERT_TRUE(og_mine(g));
-	CU_ASSERT_EQUAL(n_commits, 1);
+	CU_ASSERT_EQUAL(fake.n_commits, 1);
 }
 
 /* Callers wait for seconds after a loss of all VMs, though the group's owner is back. */
@@ -842,20 +528,20 @@
 	world_open(&w);
 	g = world_join(&w);
 	store_source.listeners[0].cb(&item, w.o);
-	store_revision = item.revision;
-	n_gets = n_commits = 0;
+	fake.store_revision = item.revision;
+	fake.n_gets = fake.n_commits = 0;
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_gets, 0);
-	CU_ASSERT_EQUAL(n_commits, 1);
+	CU_ASSERT_EQUAL(fake.n_gets, 0);
+	CU_ASSERT_EQUAL(fake.n_commits, 1);
 	CU_ASSERT_TRUE(og_mine(g));
 	/* Another VM's group is left to its successor. */
 	world_open(&w);
 	g = world_join(&w);
 	item.value = "{\"vm\":\"vm-9\",\"incarnation\":\"5\",\"address\":\"127.0.0.1:2\"}";
 	store_source.listeners[0].cb(&item, w.o);
-	n_commits = 0;
+	fake.n_commits = 0;
 	claim_tick(g, now_us());
-	CU_ASSERT_EQUAL(n_commits, 0);
+	CU_ASSERT_EQUAL(fake.n_commits, 0);
 }
 
 static const struct test_case cases[] = {
