What a VM does by ticks no longer grows with teams and VMs

Cause. 200 daemons on our stand-ins (2,000 routes, 60 groups, 80 teams, nobody calling) took 11.6 ms of processor a second each: every 10 ms the rates' service looked at each team, every 20 ms each group looked up its owner, every 50 ms each VM was asked when it was heard, every 100 ms each was ranked for the watchers; each change of the membership compared each allocator's holders with each listed VM by name; and services were looked up by comparing names, many times a statement.

Ticks of the rates look at teams with waiting requests only, at 50 ms while nothing waits or moves (the lease is also checked as a request asks); the owner is looked up only after it was lost; the VM of another data centre that was heard last is asked first; the place among watchers is kept until the membership changes; holders are found by hash; services by the very text of their names first. Behaviour is otherwise the same. Messages and bytes by procedure are served on the metrics address (mangoloom_messages_total, mangoloom_message_bytes_total).

--- a/decide/share.c
+++ b/decide/share.c
@@ -218,6 +218,7 @@
 	snprintf(a->self, sizeof(a->self), "%s", self);
 	a->epoch = (UINT64_C(1) << 32) | salt;
 	a->gone_us = SHARE_GONE_US;
+	a->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&a->entries);
 }
 
@@ -225,6 +226,7 @@
 {
 	struct share_entry *e, *next;
 
+	g_clear_pointer(&a->by_vm, g_hash_table_destroy);
 	TAILQ_FOREACH_SAFE(e, &a->entries, link, next) {
 		TAILQ_REMOVE(&a->entries, e, link);
 		free(e);
@@ -233,13 +235,7 @@
 
 static struct share_entry *alloc_find(const struct share_alloc *a, const char *vm)
 {
-	struct share_entry *e;
-
-	TAILQ_FOREACH(e, &a->entries, link) {
-		if (strcmp(e->vm, vm) == 0)
-			return e;
-	}
-	return NULL;
+	return g_hash_table_lookup(a->by_vm, vm);
 }
 
 static struct share_entry *alloc_get(struct share_alloc *a, const char *vm)
@@ -252,6 +248,7 @@
 	if (e == NULL)
 		abort();
 	snprintf(e->vm, sizeof(e->vm), "%s", vm);
+	g_hash_table_insert(a->by_vm, e->vm, e);
 	TAILQ_INSERT_TAIL(&a->entries, e, link);
 	return e;
 }
@@ -271,6 +268,7 @@
 {
 	if (e->bound && !a->whole)
 		a->budget -= e->held < a->budget ? e->held : a->budget;
+	g_hash_table_remove(a->by_vm, e->vm);
 	TAILQ_REMOVE(&a->entries, e, link);
 	free(e);
 }
@@ -342,17 +340,14 @@
 	unsigned i;
 
 	TAILQ_FOREACH(e, &a->entries, link) {
-		bool found = false;
-
-		for (i = 0; i < n && !found; i++)
-			found = strcmp(vms[i], e->vm) == 0;
-		if (e->listed && !found)
-			e->gone_us = now_us;
-		e->listed = found;
+		e->was_listed = e->listed;
+		e->listed = false;
 	}
-	for (i = 0; i < n; i++) {
-		e = alloc_get(a, vms[i]);
-		e->listed = true;
+	for (i = 0; i < n; i++)
+		alloc_get(a, vms[i])->listed = true;
+	TAILQ_FOREACH(e, &a->entries, link) {
+		if (e->was_listed && !e->listed)
+			e->gone_us = now_us;
 	}
 	alloc_census(a, now_us);
 }
--- a/decide/share.h
+++ b/decide/share.h
@@ -14,6 +14,8 @@
 
 #include "types.h"
 
+#include <glib.h>
+
 /** A team's whole rate and burst, in units. */
 #define SHARE_WHOLE 1048576U
 /**
@@ -133,6 +135,7 @@
 	uint64_t incarnation; /**< of the process that was last heard */
 	uint64_t former;      /**< of the process before it, whose late reports say nothing */
 	bool listed;
+	bool was_listed; /**< on the list before, while a new one is taken in */
 	int64_t gone_us; /**< when it left the platform's list */
 	bool bound;	 /**< it reported under this allocator's epoch */
 	uint64_t seq;	 /**< last order sent */
@@ -148,6 +151,7 @@
 TAILQ_HEAD(share_entries, share_entry);
 
 struct share_alloc {
+	GHashTable *by_vm; /**< name to its entry */
 	uint64_t epoch;
 	uint32_t salt;	 /**< tells allocators apart whose epochs would be equal */
 	uint32_t budget; /**< units that the bound holders may hold together */
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -22,12 +22,14 @@
 /** Pause before another VM is asked, after one that sends to others. */
 #define BUSY_PAUSE_US (100 * USEC_PER_MSEC)
 
-unsigned fleet_watch_place(const struct fleet *f)
+unsigned fleet_watch_place(struct fleet *f)
 {
-	return peers_place(&f->peers, "watch the platform");
+	if (f->watch_place < 0)
+		f->watch_place = (int)peers_place(&f->peers, "watch the platform");
+	return (unsigned)f->watch_place;
 }
 
-bool fleet_is_watcher(const struct fleet *f)
+bool fleet_is_watcher(struct fleet *f)
 {
 	return fleet_watch_place(f) < WATCHERS;
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -66,6 +66,7 @@
 {
 	listed_look(f);
 	g_hash_table_remove_all(f->holders);
+	f->watch_place = -1;
 	fleet_notify(f);
 }
 
@@ -397,6 +398,7 @@
 	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
 								    : &fleet_etcd_ops;
 	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->watch_place = -1;
 	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
 		   k->incarnation);
 	listed_look(f);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -73,6 +73,7 @@
 	unsigned n_data_centers;
 	unsigned n_listed;   /**< listed VMs */
 	GHashTable *holders; /**< role to VM, until the membership changes */
+	int watch_place;     /**< this VM's among those that watch the platform; -1: to be found */
 	struct event *heartbeat;
 	bool fetching;		 /**< a peer or the platform is being asked for the configuration */
 	struct page_fetch fetch; /**< what peers have sent of a newer one */
@@ -113,9 +114,9 @@
 
 /* fleet-conf.c */
 /** Whether this VM is one of those in its data centre that watch the store. */
-bool fleet_is_watcher(const struct fleet *f);
+bool fleet_is_watcher(struct fleet *f);
 /** This VM's place among those that watch, or would: 0 is first. */
-unsigned fleet_watch_place(const struct fleet *f);
+unsigned fleet_watch_place(struct fleet *f);
 /** Ask a seed of the settings for the configuration, while none is known here. */
 void fleet_ask_seed(struct fleet *f);
 /** Take in a configuration; an older one changes nothing. */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -65,6 +65,12 @@
 {
 	struct service *s;
 
+	/* Services are looked for many times a statement, mostly by the very text of their names.
+	 */
+	TAILQ_FOREACH(s, &k->services, link) {
+		if (s->ops->name == name)
+			return s;
+	}
 	TAILQ_FOREACH(s, &k->services, link) {
 		if (strcmp(s->ops->name, name) == 0)
 			return s;
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -369,9 +369,12 @@
  */
 static void notice_owner_back(struct owner_group *g)
 {
-	const struct vm *vm = peers_find(&og_fleet(g)->peers, g->record.owner.name);
+	const struct vm *vm;
 
-	if (!g->owner_lost || vm == NULL || !peers_usable(vm) || owner_ended(g))
+	if (!g->owner_lost)
+		return;
+	vm = peers_find(&og_fleet(g)->peers, g->record.owner.name);
+	if (vm == NULL || !peers_usable(vm) || owner_ended(g))
 		return;
 	g->owner_lost = false;
 	log_info("owner-back", LOG_STR("pool", g->pool), LOG_STR("owner", vm->name),
--- a/src/parts.c
+++ b/src/parts.c
@@ -171,7 +171,7 @@
 /** This VM's turn to claim a part that is free. Those that watch the store know of it first. */
 static unsigned turn_of(const struct part *part)
 {
-	const struct fleet *f = fleet_here(part->parts);
+	struct fleet *f = fleet_here(part->parts);
 	char role[KEY_SIZE];
 
 	if (fleet_is_watcher(f))
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -128,6 +128,7 @@
 static void count_bytes(u_int proc, size_t len, bool in)
 {
 	stat_add(in ? STAT_RPC_BYTES_IN : STAT_RPC_BYTES_OUT, len);
+	stat_message(proc, rpc_procs[proc].name, len, in);
 	if (rpc_procs[proc].control)
 		stat_add(in ? STAT_CONTROL_BYTES_IN : STAT_CONTROL_BYTES_OUT, len);
 }
--- a/src/session-leave.c
+++ b/src/session-leave.c
@@ -17,6 +17,8 @@
 /** And those in a transaction, which have had half of the grace by then. */
 #define LEAVE_TX_US (3500 * USEC_PER_MSEC)
 #define TICK_US (50 * USEC_PER_MSEC)
+/** Another data centre that was heard so lately is not looked for among all VMs. */
+#define HEARD_FRESH_US (200 * USEC_PER_MSEC)
 
 bool session_leaving(const struct session *s)
 {
@@ -47,18 +49,30 @@
 }
 
 /** When a VM of another data centre was last heard; 0 when no such VM is known. */
-static int64_t heard_us(struct sessions *all)
+static int64_t heard_us(struct sessions *all, int64_t now)
 {
 	struct kernel *k = all->service.kernel;
 	const struct fleet *f = fleet_of(k);
+	const struct rpc *r = rpc_of(k);
 	const struct vm *vm;
 	bool any = false;
 
+	all->heard_us = MAX(all->heard_us, rpc_heard_us(r, all->heard_from));
+	if (all->heard_from[0] != '\0' && now - all->heard_us < HEARD_FRESH_US)
+		return all->heard_us;
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		int64_t heard;
+
 		if (!vm->listed || strcmp(vm->data_center, f->peers.self->data_center) == 0)
 			continue;
 		any = true;
-		all->heard_us = MAX(all->heard_us, rpc_heard_us(rpc_of(k), vm->address));
+		heard = rpc_heard_us(r, vm->address);
+		if (heard <= all->heard_us)
+			continue;
+		all->heard_us = heard;
+		g_strlcpy(all->heard_from, vm->address, sizeof(all->heard_from));
+		if (now - heard < HEARD_FRESH_US)
+			break;
 	}
 	return any ? all->heard_us : 0;
 }
@@ -67,7 +81,7 @@
 {
 	bool was_away = all->ready.away;
 	unsigned served = all->ready.served, unserved = all->ready.unserved;
-	int64_t heard = heard_us(all);
+	int64_t heard = heard_us(all, now);
 
 	ready_judge(&all->ready, heard, now);
 	if (all->ready.away != was_away)
--- a/src/session-state.h
+++ b/src/session-state.h
@@ -67,7 +67,8 @@
 	struct session_list sessions;
 	struct event *tick;
 	int64_t left_us;
-	int64_t heard_us; /**< when a VM of another data centre was last heard */
+	int64_t heard_us;	       /**< when a VM of another data centre was last heard */
+	char heard_from[ADDRESS_SIZE]; /**< VM of another data centre that was heard then */
 	struct ready ready;
 };
 
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -38,6 +38,8 @@
 
 struct shares_team {
 	TAILQ_ENTRY(shares_team) link;
+	TAILQ_ENTRY(shares_team) busy_link;
+	bool busy; /**< requests wait, or a round of asking is under way */
 	struct shares *s;
 	char name[NAME_SIZE];
 	double rate;
@@ -65,6 +67,9 @@
 struct shares {
 	struct service service;
 	struct shares_teams teams;
+	struct shares_teams busy; /**< those that a tick has to look at */
+	unsigned n_moving;	  /**< teams whose rate moves between VMs */
+	bool idle;		  /**< ticks come at the pace of a VM at rest */
 	GHashTable *by_name;
 	struct event *tick;
 	int64_t started_us;
@@ -89,6 +94,8 @@
 unsigned team_grant(struct shares_team *t, unsigned want, int64_t now);
 /** Drop what a loop that stood still may hold, and others have by now. */
 void shares_check_pause(struct shares *s, int64_t now);
+/** Have ticks look at the team until nothing of it waits. */
+void team_busy(struct shares_team *t);
 
 /* shares-report.c */
 void report_serve(struct shares *s);
--- a/src/shares.c
+++ b/src/shares.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define TICK_US (10 * USEC_PER_MSEC)
+/** While no request waits and no part moves. */
+#define IDLE_TICK_US (50 * USEC_PER_MSEC)
 /** Longest wait for a token, as long as the team is within its rate. */
 #define HOPE_US (1000 * USEC_PER_MSEC)
 /**
@@ -84,6 +86,26 @@
 	team_resize(t, now);
 }
 
+/** Tick often only while something waits or moves. */
+static void shares_pace(struct shares *s)
+{
+	bool idle = TAILQ_EMPTY(&s->busy) && s->n_moving == 0;
+
+	if (idle == s->idle || s->tick == NULL)
+		return;
+	s->idle = idle;
+	kernel_arm(s->tick, idle ? IDLE_TICK_US : TICK_US);
+}
+
+void team_busy(struct shares_team *t)
+{
+	if (t->busy)
+		return;
+	t->busy = true;
+	TAILQ_INSERT_TAIL(&t->s->busy, t, busy_link);
+	shares_pace(t->s);
+}
+
 static struct shares_team *team_create(struct shares *s, const char *name)
 {
 	struct shares_team *t = g_new0(struct shares_team, 1);
@@ -107,6 +129,8 @@
 		share_alloc_clear(t->alloc);
 		g_free(t->alloc);
 	}
+	if (t->busy)
+		TAILQ_REMOVE(&t->s->busy, t, busy_link);
 	TAILQ_REMOVE(&t->s->teams, t, link);
 	g_hash_table_remove(t->s->by_name, t->name);
 	g_free(t);
@@ -162,10 +186,14 @@
 		if (t->configured)
 			team_split(t, now);
 	}
+	s->n_moving = 0;
 	TAILQ_FOREACH_SAFE(t, &s->teams, link, next) {
 		if (!t->configured && t->n_waiting == 0)
 			team_free(t);
+		else
+			s->n_moving += t->fixed ? 0 : 1;
 	}
+	shares_pace(s);
 }
 
 /**
@@ -291,6 +319,7 @@
 	bool ok;
 
 	shares_check_pause(s, now);
+	look_at_lease(s, now);
 	a->team = NULL;
 	a->lent = false;
 	/* A team without a rate of its own is not limited. */
@@ -314,6 +343,7 @@
 	a->until_us = limit;
 	TAILQ_INSERT_TAIL(&t->waiting, a, link);
 	t->n_waiting++;
+	team_busy(t);
 	ask_next(t, now);
 	return 0;
 }
@@ -383,16 +413,22 @@
 {
 	struct shares *s = arg;
 	int64_t now = now_us();
-	struct shares_team *t;
+	struct shares_team *t, *next;
 
 	shares_check_pause(s, now);
 	s->ticked_us = now;
 	look_at_lease(s, now);
-	TAILQ_FOREACH(t, &s->teams, link) {
+	TAILQ_FOREACH_SAFE(t, &s->busy, busy_link, next) {
 		team_admit_waiting(t, now);
 		ask_next(t, now);
+		if (t->n_waiting > 0 || t->ask.asked > 0)
+			continue;
+		t->busy = false;
+		TAILQ_REMOVE(&s->busy, t, busy_link);
 	}
-	report_tick(s, now);
+	if (s->n_moving > 0)
+		report_tick(s, now);
+	shares_pace(s);
 }
 
 static gboolean shares_start(struct service *service, GError **error)
@@ -450,6 +486,7 @@
 
 	s->service.ops = &shares_ops;
 	TAILQ_INIT(&s->teams);
+	TAILQ_INIT(&s->busy);
 	s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	kernel_add(k, &s->service);
 	return &s->service;
--- a/src/stat.c
+++ b/src/stat.c
@@ -72,6 +72,40 @@
 	counters[id] += n;
 }
 
+static struct {
+	const char *name;
+	uint64_t messages[2], bytes[2]; /**< out, in */
+} procedures[STAT_PROCEDURES_MAX];
+
+void stat_message(unsigned procedure, const char *name, uint64_t bytes, bool in)
+{
+	g_assert(procedure < STAT_PROCEDURES_MAX);
+	procedures[procedure].name = name;
+	procedures[procedure].messages[in]++;
+	procedures[procedure].bytes[in] += bytes;
+}
+
+static void put_procedures(struct evbuffer *out)
+{
+	static const char *const directions[] = {"out", "in"};
+	unsigned i, in;
+
+	for (i = 0; i < STAT_PROCEDURES_MAX; i++) {
+		for (in = 0; procedures[i].name != NULL && in < 2; in++) {
+			evbuffer_add_printf(
+				out,
+				"mangoloom_messages_total{procedure=\"%s\",direction=\"%s\"} "
+				"%lu\n",
+				procedures[i].name, directions[in], procedures[i].messages[in]);
+			evbuffer_add_printf(out,
+					    "mangoloom_message_bytes_total{procedure=\"%s\","
+					    "direction=\"%s\"} %lu\n",
+					    procedures[i].name, directions[in],
+					    procedures[i].bytes[in]);
+		}
+	}
+}
+
 void stat_time(enum stat_time_id id, int64_t us)
 {
 	struct histogram *h = &histograms[id];
@@ -137,6 +171,7 @@
 	for (i = 0; i < OUTCOMES; i++)
 		evbuffer_add_printf(out, "mangoloom_outcomes_total{outcome=\"%s\"} %lu\n",
 				    outcome_text((enum outcome)i)->name, outcomes[i]);
+	put_procedures(out);
 	for (i = 0; i < STAT_TIMES; i++)
 		put_histogram(out, (enum stat_time_id)i);
 }
--- a/src/stat.h
+++ b/src/stat.h
@@ -65,6 +65,10 @@
 /** Note that something took @a us. */
 void stat_time(enum stat_time_id id, int64_t us);
 void stat_add(enum stat_id id, uint64_t n);
+/** Procedures of the protocol between daemons whose messages are counted apart, at most. */
+#define STAT_PROCEDURES_MAX 32
+/** Count a message of @a bytes of the procedure numbered @a procedure. */
+void stat_message(unsigned procedure, const char *name, uint64_t bytes, bool in);
 /** Count one request's final outcome. */
 void stat_outcome(enum outcome o);
 /** Write all counters as members of the open JSON object of @a b. */
