The choice of a primary is a file of its own; layers are checked

No behaviour changes; test-owner, test-change and test-evacuation pass.

tests/check-layers, part of `make lint`, fails when a file includes a header of a higher layer. The families as they are fit a table of 14 layers without a change: circles remain inside families only.

--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,7 @@
 	@clang-format -i $(FORMATTED)
 
 lint:
+	@tests/check-layers
 	@clang-format --dry-run -Werror $(FORMATTED)
 	@cppcheck --std=c11 --enable=warning,performance,portability --inline-suppr --error-exitcode=1 --quiet \
 		--suppress=missingInclude --suppress=literalWithCharPtrCompare -j$$(nproc) -Isrc -Idecide \
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -15,10 +15,6 @@
 
 /** Transactions on a primary that leaves may go on for so long before they are rolled back. */
 #define SETTLE_US (120 * USEC_PER_MSEC)
-/** A planned change waits so long for a replica that has everything; then it is called off. */
-#define CAUGHT_UP_US (1500 * USEC_PER_MSEC)
-/** The same where the old primary lives and can't go on. */
-#define CAUGHT_UP_LIVING_US (6 * USEC_PER_SEC)
 /** After a planned change was called off. */
 #define PLANNED_PAUSE_US (1 * USEC_PER_SEC)
 /**
@@ -34,17 +30,8 @@
 #define LEAVE_PART 0.75
 /** The same for one whose data centre is evacuated, which is told with the configuration. */
 #define EVACUATE_PART 0.6
-/** Looks older than this do not decide a choice. */
-#define LOOK_FRESH_US (400 * USEC_PER_MSEC)
 /** The same for the choice of a planned change, which is checked again before it is ordered. */
 #define PLAN_LOOK_FRESH_US (1500 * USEC_PER_MSEC)
-/**
- * A change that could not be written for so long is offered to another VM: the store may turn just
- * this one away, for nine seconds at a time.
- */
-#define INVITE_AFTER_US (200 * USEC_PER_MSEC)
-/** Members that do not answer hold up a choice for so long. */
-#define CHOOSE_US (300 * USEC_PER_MSEC)
 /** Answer to the order. */
 #define ORDER_TIMEOUT_US (600 * USEC_PER_MSEC)
 /** The users' databases take a second to promote; after this another try is made. */
@@ -75,40 +62,13 @@
 	return m->conf.leaving && is_over(m->leaving_us, set->leave_ms, LEAVE_PART, now);
 }
 
-static bool must_leave(const struct owner_member *m, int64_t now)
+bool change_must_leave(const struct owner_member *m, int64_t now)
 {
 	if (m->listed)
 		return conf_member_leaves(&m->conf);
 	return m->unlisted_us != 0 && now - MAX(m->unlisted_us, m->g->state_us) > UNLISTED_US;
 }
 
-/** The members as candidates; one counts as reached when its look is younger than @a fresh_us. */
-static void candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
-		       int64_t now, int64_t fresh_us)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n; i++) {
-		const struct owner_member *m = &g->member[i];
-
-		c[i] = m->seen;
-		c[i].reached = (m->listed || !change_overstays(m, now)) && m->seen.reached &&
-			       now - m->seen_us < fresh_us;
-		c[i].leaving = conf_member_leaves(&m->conf) || !m->listed;
-		names[i] = m->conf.name;
-	}
-}
-
-/** The member that leads as the record has it, or -1. */
-static int find_leader(const struct owner_group *g, int64_t now)
-{
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-
-	candidates(g, c, names, now, LOOK_FRESH_US);
-	return lead_find(&g->record, names, c, g->n);
-}
-
 /** A promotion has discarded acknowledged commits, if the new term begins below the last of them.
  */
 static void note_discarded(struct owner_group *g, const struct owner_member *m)
@@ -126,8 +86,7 @@
 		 LOG_NUM("lsn", m->seen.received.lsn));
 }
 
-/** The member at @a i leads from now on. */
-static void lead_begins(struct owner_group *g, int i, const char *why)
+void change_lead_begins(struct owner_group *g, int i, const char *why)
 {
 	struct owner_member *m = &g->member[i];
 
@@ -179,67 +138,17 @@
 	queue_refuse(g, false, OUTCOME_NOT_PRIMARY);
 }
 
-/** Nothing comes from the member, though something was asked. */
-static bool is_silent(const struct owner_member *m, int64_t now)
+bool change_is_silent(const struct owner_member *m, int64_t now)
 {
-	return m->unheard_us != 0 && now - m->unheard_us > LOOK_FRESH_US;
+	return m->unheard_us != 0 && now - m->unheard_us > CHANGE_LOOK_FRESH_US;
 }
 
-/* Taking a choice back */
-
-/** Write the record as it was before the choice; only while no order has gone out. */
-static void undo_choice(struct owner_group *g, record_written cb)
-{
-	struct lead_record r = g->record;
-
-	r.floor = g->undo.floor;
-	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
-	log_info("choice-taken-back", LOG_STR("pool", g->pool), LOG_STR("member", g->record.target),
-		 LOG_NUM("floor", r.floor), LOG_NUM("revision", g->revision));
-	record_write(g, &r, cb);
-}
-
-static void undone(struct owner_group *g, bool ok)
-{
-	if (ok)
-		g->undo.possible = false;
-	if (g->state == OWNER_RECORDING)
-		og_state(g, OWNER_CHOOSING, ok ? "taken-back" : "not-taken-back");
-}
-
-/**
- * The primary that a successor was recorded for is back before any order went out. Promoting the
- * successor all the same would discard what the primary acknowledged meanwhile.
- */
-static bool take_back_choice(struct owner_group *g, int64_t now)
-{
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	struct lead_record r = g->record;
-	int back;
-
-	if (!g->undo.possible || g->planned || g->busy)
-		return false;
-	r.floor = g->undo.floor;
-	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
-	candidates(g, c, names, now, LOOK_FRESH_US);
-	back = lead_find(&r, names, c, g->n);
-	if (back < 0 || conf_member_leaves(&g->member[back].conf) ||
-	    g->member[back].seen_us <= g->chosen_us)
-		return false;
-	og_state(g, OWNER_RECORDING, "came-back");
-	undo_choice(g, undone);
-	return true;
-}
-
-/** The planned change cannot be made now: the old primary goes on. */
-static void call_off(struct owner_group *g, const char *why)
+void change_call_off(struct owner_group *g, const char *why)
 {
 	log_info("change-called-off", LOG_STR("pool", g->pool), LOG_STR("why", why));
 	g->next_us = now_us() + PLANNED_PAUSE_US;
 	og_state(g, OWNER_SERVING, why);
-	if (g->undo.possible && !g->busy)
-		undo_choice(g, undone);
+	choose_undo(g);
 	queue_dispatch(g);
 }
 
@@ -262,7 +171,7 @@
 	struct owner_member *m = og_primary(g);
 
 	/* It fell silent meanwhile: no use in waiting for it. */
-	if (m == NULL || is_silent(m, now)) {
+	if (m == NULL || change_is_silent(m, now)) {
 		g->planned = false;
 		if (m != NULL)
 			conn_close_all(m);
@@ -284,12 +193,12 @@
  */
 static bool resume(struct owner_group *g, int64_t now)
 {
-	int back = g->planned ? -1 : find_leader(g, now);
+	int back = g->planned ? -1 : choose_leader(g, now);
 
 	if (back < 0 || g->member[back].seen_us <= g->state_us ||
 	    conf_member_leaves(&g->member[back].conf))
 		return false;
-	lead_begins(g, back, "came-back");
+	change_lead_begins(g, back, "came-back");
 	return true;
 }
 
@@ -334,236 +243,6 @@
 	fence_ask(g);
 }
 
-/* Choosing */
-
-/** All members that may be chosen have been looked at since the choice began. */
-static bool all_seen(const struct owner_group *g)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n; i++) {
-		const struct owner_member *m = &g->member[i];
-
-		if (m->listed && !conf_member_leaves(&m->conf) && (int)i != g->primary &&
-		    m->seen_us < g->state_us)
-			return false;
-	}
-	return true;
-}
-
-/** Write to the record that @a target is to lead a term above @a highest. */
-static void record_choice(struct owner_group *g, int target, uint64_t highest, record_written cb)
-{
-	struct lead_record r = g->record;
-
-	g->target = target;
-	g->chosen_us = now_us();
-	if (!g->undo.possible) {
-		g->undo.possible = true;
-		g->undo.floor = r.floor;
-		g_strlcpy(g->undo.target, r.target, sizeof(g->undo.target));
-	}
-	r.floor = MAX(r.floor, highest);
-	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
-	record_write(g, &r, cb);
-}
-
-static void settled_recorded(struct owner_group *g, bool ok)
-{
-	if (g->state != OWNER_CHOOSING)
-		return;
-	if (ok) {
-		g->token = g->revision;
-		return;
-	}
-	g->target = -1;
-	claim_invite(g, "planned-change-not-written");
-}
-
-/** The old primary had to stop before its successor could be chosen. */
-static void choose_settled(struct owner_group *g, int64_t now)
-{
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int best;
-
-	candidates(g, c, names, now, LOOK_FRESH_US);
-	best = lead_choose(c, g->n, g->primary);
-	if (best < 0)
-		return;
-	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
-		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
-		 LOG_NUM("floor", g->term));
-	record_choice(g, best, g->term, settled_recorded);
-}
-
-/** Whether the chosen member holds all that the old primary has, which takes no writes any more. */
-static bool has_caught_up(const struct owner_group *g)
-{
-	const struct owner_member *old = &g->member[g->primary];
-	const struct owner_member *next = &g->member[g->target];
-
-	return old->seen.reached && next->seen.reached && old->seen_us > g->state_us &&
-	       next->seen_us > g->state_us && pos_cmp(next->seen.received, old->seen.received) >= 0;
-}
-
-/** A planned change: the chosen member must have everything before the order goes out. */
-static void catch_up(struct owner_group *g, int64_t now)
-{
-	const struct owner_member *old = og_primary(g);
-
-	if (old == NULL || is_silent(old, now)) {
-		g->planned = false;
-		log_info("old-primary-gone", LOG_STR("pool", g->pool));
-		return;
-	}
-	if (g->busy)
-		return;
-	if (old->listed && !conf_member_leaves(&old->conf)) {
-		call_off(g, "stays");
-		return;
-	}
-	if (g->target < 0) {
-		choose_settled(g, now);
-		return;
-	}
-	if (has_caught_up(g)) {
-		g->ordered = false;
-		og_state(g, OWNER_ORDERING, "caught-up");
-		return;
-	}
-	/* One that may get no more statements can't go on; it keeps what others lack until then. */
-	if (now - g->state_us > CAUGHT_UP_US && !change_overstays(old, now))
-		call_off(g, "replica-behind");
-}
-
-static void recorded(struct owner_group *g, bool ok)
-{
-	if (g->state != OWNER_RECORDING)
-		return;
-	if (!ok) {
-		og_state(g, OWNER_CHOOSING, "record-not-written");
-		if (now_us() - g->unserved_us > INVITE_AFTER_US)
-			claim_invite(g, "record-not-written");
-		return;
-	}
-	g->token = g->revision;
-	g->ordered = false;
-	og_state(g, OWNER_ORDERING, "recorded");
-}
-
-/** The member that leads the newest term seen, or -1. */
-static int find_present(const struct lead_candidate *c, unsigned n)
-{
-	int present = -1;
-	unsigned i;
-
-	for (i = 0; i < n; i++) {
-		if (c[i].reached && c[i].primary && (present < 0 || c[i].term > c[present].term))
-			present = (int)i;
-	}
-	return present;
-}
-
-/**
- * A primary that is back after a successor was recorded. An order to promote it would change
- * nothing, and its term would not be believed: the group stayed without writes for the 2.5 s of
- * AWAIT_US. An earlier order may still take effect, so it cannot just go on either. Nobody sends to
- * it any more; a replica that has all of it takes over.
- * @return whether the choice has to wait for such a replica
- */
-static bool pass_over_present(struct owner_group *g, struct lead_candidate *c, int present,
-			      int64_t now)
-{
-	int next;
-
-	if (present < 0 || g->record.target[0] == '\0')
-		return false;
-	c[present].leaving = true;
-	next = lead_choose(c, g->n, g->except);
-	return next >= 0 && now - g->state_us < CAUGHT_UP_LIVING_US &&
-	       pos_cmp(c[next].received, c[present].received) < 0;
-}
-
-/** Whether some member may yet show, or receive, more than the candidates hold. */
-static bool may_gain(const struct owner_group *g, const struct lead_candidate *c)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n; i++) {
-		if (g->member[i].listed && !c[i].reached && !g->member[i].refused)
-			return true;
-	}
-	return false;
-}
-
-/** The member at @a best would be promoted: whether the choice waits for what it lacks. */
-static bool wait_for_acknowledged(const struct owner_group *g, const struct lead_candidate *c,
-				  int best, int64_t now)
-{
-	const struct succession_choice choice = {.best = c[best].received,
-						 .may_gain = may_gain(g, c),
-						 .waited_us = now - g->state_us};
-
-	return succession_choice_waits(&g->succession, &choice);
-}
-
-/** The primary is there: it goes on, or hands over in order where it is to leave. */
-static void return_to(struct owner_group *g, int leader)
-{
-	if (!conf_member_leaves(&g->member[leader].conf)) {
-		lead_begins(g, leader, "came-back");
-		return;
-	}
-	g->planned = true;
-	g->target = -1;
-	g->primary = leader;
-	g->term = g->member[leader].seen.term;
-}
-
-static void choose(struct owner_group *g, int64_t now)
-{
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	uint64_t highest = g->term;
-	int best, present;
-
-	if (g->planned) {
-		catch_up(g, now);
-		return;
-	}
-	if (take_back_choice(g, now))
-		return;
-	if (!all_seen(g) && now - g->state_us < CHOOSE_US)
-		return;
-	candidates(g, c, names, now, LOOK_FRESH_US);
-	best = lead_find(&g->record, names, c, g->n);
-	if (best >= 0) {
-		return_to(g, best);
-		return;
-	}
-	present = find_present(c, g->n);
-	if (present >= 0)
-		highest = MAX(highest, c[present].term);
-	if (pass_over_present(g, c, present, now))
-		return;
-	best = lead_choose(c, g->n, g->except);
-	if (best < 0 && g->except >= 0) {
-		g->except = -1;
-		return;
-	}
-	if (best < 0 || wait_for_acknowledged(g, c, best, now))
-		return;
-	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
-		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
-		 LOG_NUM("floor", highest),
-		 LOG_NUM("acknowledged_term", g->succession.acknowledged.term),
-		 LOG_NUM("acknowledged_lsn", g->succession.acknowledged.lsn),
-		 LOG_NUM("acknowledged_age_us", now - g->succession.acknowledged_us));
-	og_state(g, OWNER_RECORDING, "chosen");
-	record_choice(g, best, highest, recorded);
-}
-
 /* Ordering and awaiting */
 
 struct order {
@@ -594,23 +273,6 @@
 	g_free(q);
 }
 
-/**
- * Whether a primary that is back holds what the chosen member lacks. An earlier order may have been
- * lost; repeating it before the member has caught up would discard that.
- */
-static bool order_waits(const struct owner_group *g, int64_t now)
-{
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int present;
-
-	if (now - g->chosen_us > CAUGHT_UP_LIVING_US)
-		return false;
-	candidates(g, c, names, now, LOOK_FRESH_US);
-	present = find_present(c, g->n);
-	return present >= 0 && pos_cmp(c[g->target].received, c[present].received) < 0;
-}
-
 static void order(struct owner_group *g, int64_t now)
 {
 	struct kernel *k = g->o->service.kernel;
@@ -622,7 +284,7 @@
 	 */
 	if (!og_may_send(g))
 		return;
-	if (take_back_choice(g, now) || order_waits(g, now))
+	if (choose_take_back(g, now) || choose_order_waits(g, now))
 		return;
 	g->ordered = true;
 	g->undo.possible = false;
@@ -639,11 +301,11 @@
 
 static void await(struct owner_group *g, int64_t now)
 {
-	int found = find_leader(g, now);
+	int found = choose_leader(g, now);
 
 	if (found >= 0) {
 		stat_add(STAT_FAILOVERS_DONE, 1);
-		lead_begins(g, found, "promoted");
+		change_lead_begins(g, found, "promoted");
 		return;
 	}
 	if (now - g->state_us < AWAIT_US)
@@ -668,10 +330,10 @@
 
 static void find(struct owner_group *g, int64_t now)
 {
-	int found = find_leader(g, now);
+	int found = choose_leader(g, now);
 
 	if (found >= 0) {
-		lead_begins(g, found, "found");
+		change_lead_begins(g, found, "found");
 		return;
 	}
 	if (now - g->state_us > (ever_written(g) ? FIND_US : FIND_FIRST_US) && g->n > 0)
@@ -694,7 +356,7 @@
 
 /**
  * The primary is to leave: choose its successor and write that to the record while it still serves.
- * Stopping first cost three seconds without writes when the store turned the owner away just then.
+ * Stopped first, it would be missed for as long as the store turns the owner away.
  */
 static void plan(struct owner_group *g, int64_t now)
 {
@@ -702,7 +364,7 @@
 	const char *names[GROUP_MEMBERS_MAX];
 	int best;
 
-	candidates(g, c, names, now, PLAN_LOOK_FRESH_US);
+	choose_candidates(g, c, names, now, PLAN_LOOK_FRESH_US);
 	best = lead_choose(c, g->n, g->primary);
 	if (best < 0 || g->busy) {
 		g->to_leave = true;
@@ -712,23 +374,23 @@
 	g->planning = true;
 	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
 		 LOG_NUM("floor", MAX(g->record.floor, g->term)));
-	record_choice(g, best, g->term, planned_recorded);
+	choose_record(g, best, g->term, planned_recorded);
 }
 
 void change_tick(struct owner_group *g, int64_t now)
 {
 	static void (*const steps[OWNER_STATES])(struct owner_group *, int64_t) = {
-		[OWNER_FINDING] = find,	   [OWNER_SETTLING] = settle, [OWNER_FENCING] = fence,
-		[OWNER_CHOOSING] = choose, [OWNER_ORDERING] = order,  [OWNER_AWAITING] = await,
+		[OWNER_FINDING] = find,		[OWNER_SETTLING] = settle, [OWNER_FENCING] = fence,
+		[OWNER_CHOOSING] = choose_step, [OWNER_ORDERING] = order,  [OWNER_AWAITING] = await,
 	};
 	struct owner_member *m = og_primary(g);
 
 	if (!og_mine(g))
 		return;
-	if (g->state == OWNER_SERVING && m != NULL && must_leave(m, now)) {
+	if (g->state == OWNER_SERVING && m != NULL && change_must_leave(m, now)) {
 		if (change_overstays(m, now)) {
 			g->target = -1;
-			change_begin(g, !is_silent(m, now), "overstays");
+			change_begin(g, !change_is_silent(m, now), "overstays");
 		} else if (now >= g->next_us && m->unheard_us == 0 && !g->planning) {
 			plan(g, now);
 		}
--- a/src/owner.h
+++ b/src/owner.h
@@ -9,6 +9,7 @@
  * owner-record.c the group's record in the store
  * owner-claim.c  who owns it: claiming, handing over, yielding
  * owner-change.c the change of primary, step by step
+ * owner-choose.c the choice of the next primary
  * owner-fence.c  making sure that nobody else sends to the primary
  * owner-watch.c  looking at the members
  * owner-queue.c  statements that wait, and the member for each
@@ -344,11 +345,38 @@
 void claim_stop(struct owner_group *g, const char *why);
 
 /* owner-change.c */
+/** Looks older than this do not decide a choice. */
+#define CHANGE_LOOK_FRESH_US (400 * USEC_PER_MSEC)
 /** Replace the primary. @param planned it lives, and is to leave */
 void change_begin(struct owner_group *g, bool planned, const char *why);
 void change_tick(struct owner_group *g, int64_t now);
+/** The member at @a i leads from now on. */
+void change_lead_begins(struct owner_group *g, int i, const char *why);
+/** The planned change cannot be made now: the old primary goes on. */
+void change_call_off(struct owner_group *g, const char *why);
+/** Whether a primary is to be replaced though it may live. */
+bool change_must_leave(const struct owner_member *m, int64_t now);
 /** It was to leave so long ago that it gets no more statements, whoever may follow it. */
 bool change_overstays(const struct owner_member *m, int64_t now);
+/** Nothing comes from the member, though something was asked. */
+bool change_is_silent(const struct owner_member *m, int64_t now);
+
+/* owner-choose.c */
+/** The members as candidates; one counts as reached when its look is younger than @a fresh_us. */
+void choose_candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
+		       int64_t now, int64_t fresh_us);
+/** The member that leads as the record has it, or -1. */
+int choose_leader(const struct owner_group *g, int64_t now);
+/** Write to the record that @a target is to lead a term above @a highest. */
+void choose_record(struct owner_group *g, int target, uint64_t highest, record_written cb);
+/** Write the record as it was before the choice, if no order has gone out. */
+void choose_undo(struct owner_group *g);
+/** Take the choice back when the former primary is there again. @return whether that began */
+bool choose_take_back(struct owner_group *g, int64_t now);
+/** Whether the order waits for what a former primary holds and the chosen member lacks. */
+bool choose_order_waits(const struct owner_group *g, int64_t now);
+/** The step of OWNER_CHOOSING. */
+void choose_step(struct owner_group *g, int64_t now);
 
 /* owner-fence.c */
 /** Ask all that may still be sending to stop, and the store whether they still could. */
