A restarted VM tells what servers changed without the whole configuration

Entries of the operators' document carry the document's revision; pools, and the end of evacuations, the revision of what was read. Whoever has the same document is told the pools alone. A label still never exceeds what it was read at, so a VM that is told a difference since a version at or above the document's has that document.

Ruled out: versions for each pool by its servers' revisions (a server that was dropped leaves no key to count).

--- a/decide/conf.c
+++ b/decide/conf.c
@@ -128,7 +128,7 @@
 	g_list_free(ids);
 	g_hash_table_destroy(named);
 	g_queue_clear_full(&c->tombstones, conf_entry_destroy);
-	c->oldest = u->version;
+	c->oldest = u->oldest > 0 ? u->oldest : u->version;
 }
 
 static const struct conf_entry *conf_find(const struct conf *c, const char *kind, const char *name)
--- a/decide/conf.h
+++ b/decide/conf.h
@@ -116,7 +116,9 @@
 struct conf_update {
 	uint64_t base; /**< the entries are those changed after this version */
 	uint64_t version;
-	bool full; /**< the entries are all there are */
+	bool full;	 /**< the entries are all there are */
+	uint64_t oldest; /**< of a full one: changes after this version can be told; 0: none before
+			    @a version */
 	GPtrArray *entries;
 };
 
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -150,6 +150,50 @@
 	return version;
 }
 
+/** An evacuation that ended before this VM read the store is told as removed. */
+static void add_ended_evacuation(const char *data_center, uint64_t version, GPtrArray *entries)
+{
+	struct conf_entry *e;
+	char *id;
+
+	if (g_hash_table_contains(store_source.evacuated, data_center))
+		return;
+	id = g_strdup_printf("evacuation/%s", data_center);
+	e = table_entry_parse(id, version, NULL, NULL);
+	e->removed = true;
+	g_ptr_array_add(entries, e);
+	g_free(id);
+}
+
+/**
+ * The first configuration of a process. Others that have the same document lack at most what the
+ * servers changed since: they are told the pools, and not all routes, teams and keys again.
+ */
+static void date_entries(struct conf_update *u)
+{
+	uint64_t document = store_source.document_revision * VERSION_STEPS;
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	for (i = 0; i < u->entries->len; i++) {
+		struct conf_entry *e = g_ptr_array_index(u->entries, i);
+
+		if (e->kind != CONF_POOL && e->kind != CONF_EVACUATION)
+			e->version = MIN(document, u->version);
+	}
+	g_hash_table_iter_init(&iter, store_source.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct server *s = value;
+
+		if (g_hash_table_add(seen, (char *)s->record.member.data_center))
+			add_ended_evacuation(s->record.member.data_center, u->version, u->entries);
+	}
+	g_hash_table_destroy(seen);
+	u->oldest = MIN(document, u->version);
+}
+
 static void publish_conf(void)
 {
 	struct fleet *f = store_source.f;
@@ -171,6 +215,8 @@
 	add_evacuations(now);
 	u.full = f->conf->version == 0;
 	differences(f->conf, now, &u);
+	if (u.full)
+		date_entries(&u);
 	if (u.entries->len > 0)
 		fleet_take_conf(f, &u, "store");
 	g_ptr_array_unref(now);
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -1,6 +1,7 @@
 /** @file test-store-list.c Versions of the configuration out of a store that the test plays. */
 #include "fleet-store-source.h"
 #include "harness.h"
+#include "page.h"
 #include "table.h"
 
 #include <string.h>
@@ -34,6 +35,7 @@
 	memset(s, 0, sizeof(*s));
 	g_strlcpy(s->pool, "p", sizeof(s->pool));
 	g_strlcpy(s->member.name, id, sizeof(s->member.name));
+	g_strlcpy(s->member.data_center, "dc", sizeof(s->member.data_center));
 	return true;
 }
 
@@ -149,6 +151,47 @@
 	CU_ASSERT_TRUE(f->conf->version > first);
 }
 
+/*
+ * Guards against the whole configuration being sent, by each VM that has restarted, to each that
+ * lacks a change of one server; and against an evacuation that such a VM never heard to end.
+ */
+static void test_a_restarted_vm_tells_what_servers_changed(void)
+{
+	struct store_item item = {.key = "servers/i-2", .value = "{}"};
+	struct settings settings;
+	struct fleet *f;
+	struct page p;
+	guint i, pools = 0, ended = 0;
+
+	started(&settings);
+	item.revision = store_revision + 1;
+	store_source.listed_all = false;
+	f = store_source.f;
+	conf_free(f->conf);
+	f->conf = conf_create();
+	source_take(&item);
+	store_source.as_of = store_revision + 1;
+	store_source.listed_all = true;
+	store_source.conf_changed = true;
+	source_publish();
+	CU_ASSERT_TRUE(f->conf->version > DOCUMENT_REVISION * 8);
+	page_cut(f->conf, DOCUMENT_REVISION * 8, "", 100000, &p);
+	CU_ASSERT_FALSE(p.u.full);
+	for (i = 0; i < p.u.entries->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(p.u.entries, i);
+
+		pools += e->kind == CONF_POOL;
+		ended += e->kind == CONF_EVACUATION && e->removed;
+	}
+	CU_ASSERT_EQUAL(pools, 1);
+	CU_ASSERT_EQUAL(ended, 1);
+	CU_ASSERT_EQUAL(p.u.entries->len, 2);
+	conf_update_clear(&p.u);
+	page_cut(f->conf, DOCUMENT_REVISION * 8 - 1, "", 100000, &p);
+	CU_ASSERT_TRUE(p.u.full);
+	conf_update_clear(&p.u);
+}
+
 /* A VM whose watch broke goes on with a key that was withdrawn meanwhile. */
 static void test_a_list_after_a_broken_watch_is_not_stale(void)
 {
@@ -242,6 +285,8 @@
 	 test_a_vm_that_is_not_listed_yet_watches_nothing},
 	{"a_list_after_a_broken_watch_is_not_stale", test_a_list_after_a_broken_watch_is_not_stale},
 	{"a_start_makes_no_new_version", test_a_start_makes_no_new_version},
+	{"a_restarted_vm_tells_what_servers_changed",
+	 test_a_restarted_vm_tells_what_servers_changed},
 	{"a_change_makes_a_new_version", test_a_change_makes_a_new_version},
 };
 HARNESS_MAIN("store-list", cases)
