An owner that has just restarted is not taken for its former process

All VMs lose their power. The owner's new process takes its group back (revision 292). 0.4 s later another VM, which had not heard of the restart yet, reads that record, compares the process in it with the one that it knows of that VM, and finds them different: the owner "has ended". So its claim names no sender to be fenced, it does not reach the primary, whose connections of before still count, and has another member promoted, beside the owner that serves. Incarnations are random and have no order: what was heard of a VM may be older than the record.

The owner's process has ended only if the platform's list, at a revision not below the record's, names another one. Otherwise it stays a sender: it is asked to stop, and goes on when it hears its primary.

Test: test-owner an_owner_is_not_taken_for_its_former_process fails without the change (no sender is named).

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -91,12 +91,18 @@
 		claim_tell_all(g);
 }
 
-/** Whether the record's owner is a process that is known to have ended. */
+/**
+ * Whether the record's owner is a process that has surely ended: the platform's list, which is as
+ * new as the record, names another one of that VM. What was heard of a VM may be older than the
+ * record; a claim that took the present owner for an ended one would not wait until it stops.
+ */
 static bool owner_ended(const struct owner_group *g)
 {
-	const struct vm *vm = peers_find(&og_fleet(g)->peers, g->record.owner.name);
+	const struct peers *p = &og_fleet(g)->peers;
+	const struct vm *vm = peers_find(p, g->record.owner.name);
 
-	return vm != NULL && vm->incarnation != 0 && vm->incarnation != g->record.owner.incarnation;
+	return vm != NULL && vm->listed_incarnation != 0 && p->revision >= g->revision &&
+	       vm->listed_incarnation != g->record.owner.incarnation;
 }
 
 static void claim(struct owner_group *g, const char *why)
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -544,10 +544,53 @@
 	CU_ASSERT_EQUAL(fake.n_commits, 0);
 }
 
+/*
+ * Guards against a promotion beside an owner that serves: a VM that has not heard of the owner's
+ * restart takes the new process, which the record names, for one that has ended.
+ */
+static void test_an_owner_is_not_taken_for_its_former_process(void)
+{
+	struct vm_listing l[] = {
+		{.name = "vm-1", .address = SELF, .data_center = "dc"},
+		{.name = "vm-9", .address = "127.0.0.1:2", .data_center = "dc", .incarnation = 4}};
+	struct store_item item = {
+		.key = FLEET_STORE_PREFIX "group/" POOL,
+		.value = "{\"vm\":\"vm-9\",\"incarnation\":\"5\",\"address\":\"127.0.0.1:2\"}",
+		.revision = 30};
+	struct owner_group *g;
+	struct peers *peers;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	peers = &fleet_of(w.k)->peers;
+	peers_list(peers, 29, l, G_N_ELEMENTS(l));
+	store_source.listeners[0].cb(&item, w.o);
+	fake.store_revision = item.revision;
+	g->invited = true;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(og_mine(g));
+	CU_ASSERT_EQUAL(g->record.n, 1);
+	/* A list as new as the record tells of a later process: that one has surely ended. */
+	world_open(&w);
+	g = world_join(&w);
+	peers = &fleet_of(w.k)->peers;
+	l[1].incarnation = 6;
+	peers_list(peers, 31, l, G_N_ELEMENTS(l));
+	store_source.listeners[0].cb(&item, w.o);
+	fake.store_revision = item.revision;
+	g->invited = true;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(og_mine(g));
+	CU_ASSERT_EQUAL(g->record.n, 0);
+}
+
 static const struct test_case cases[] = {
 	{"a_group_whose_owner_is_not_reached_is_claimed",
 	 test_a_group_whose_owner_is_not_reached_is_claimed},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
+	{"an_owner_is_not_taken_for_its_former_process",
+	 test_an_owner_is_not_taken_for_its_former_process},
 	{"a_primary_that_is_back_before_the_order_goes_on",
 	 test_a_primary_that_is_back_before_the_order_goes_on},
 	{"a_group_that_was_written_to_does_not_wait_as_at_the_start",
