A change of few entries, or of one VM, costs what it changes

Each version of the configuration, be it the entry of one server, had each VM go through all entries three times (groups, teams, evacuations), divide all teams' rates anew and, for the first peer that asked, sort all entries by name. Each VM that was suspected or heard again had each VM rank all VMs for each role at its next look, fifty times a second for each group.

The configuration knows its pools and which version last changed each kind; owners and rates look at what concerns them, rates also when the list of VMs or one that left changes. The sorted entries are kept and changed in place. A VM that becomes usable, or ceases to be, moves only the roles that it wins or held; a new list still moves all.

Test: sorted_entries_follow_changes (4,000 random changes); test-peers, test-page and test-shares as they were.

--- a/decide/conf.c
+++ b/decide/conf.c
@@ -41,6 +41,7 @@
 
 	c->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, conf_entry_destroy);
 	c->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&c->tombstones);
 	return c;
 }
@@ -50,6 +51,7 @@
 	g_clear_pointer(&c->sorted, g_ptr_array_unref);
 	g_queue_clear_full(&c->tombstones, conf_entry_destroy);
 	g_hash_table_destroy(c->routes);
+	g_hash_table_destroy(c->pools);
 	g_hash_table_destroy(c->entries);
 	g_free(c);
 }
@@ -76,9 +78,58 @@
 		return;
 	if (old->kind == CONF_ROUTE)
 		conf_forget_route(c, old);
+	if (old->kind == CONF_POOL)
+		g_hash_table_remove(c->pools, old->pool.name);
 	g_hash_table_remove(c->entries, id);
 }
 
+/* The sorted entries; a change of few keeps the order of the others. */
+
+/** Index of the first entry whose id is not below @a id. */
+static guint sorted_find(const struct conf *c, const char *id)
+{
+	guint low = 0, high = c->sorted->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		const struct conf_entry *e = g_ptr_array_index(c->sorted, mid);
+
+		if (strcmp(e->id, id) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+/** @a e stands for its id from now on, in place of what did. */
+static void sorted_put(struct conf *c, struct conf_entry *e)
+{
+	const struct conf_entry *at;
+	guint i;
+
+	if (c->sorted == NULL)
+		return;
+	i = sorted_find(c, e->id);
+	at = i < c->sorted->len ? g_ptr_array_index(c->sorted, i) : NULL;
+	if (at != NULL && strcmp(at->id, e->id) == 0)
+		g_ptr_array_index(c->sorted, i) = e;
+	else
+		g_ptr_array_insert(c->sorted, (gint)i, e);
+}
+
+/** A tombstone is forgotten. */
+static void sorted_drop(struct conf *c, const struct conf_entry *e)
+{
+	guint i;
+
+	if (c->sorted == NULL)
+		return;
+	i = sorted_find(c, e->id);
+	if (i < c->sorted->len && g_ptr_array_index(c->sorted, i) == e)
+		g_ptr_array_remove_index(c->sorted, i);
+}
+
 static void conf_bury(struct conf *c, struct conf_entry *e)
 {
 	struct conf_entry *oldest;
@@ -89,21 +140,27 @@
 	oldest = g_queue_pop_head(&c->tombstones);
 	if (oldest->version > c->oldest)
 		c->oldest = oldest->version;
+	sorted_drop(c, oldest);
 	conf_entry_unref(oldest);
 }
 
-static void conf_put(struct conf *c, struct conf_entry *e)
+static void conf_put(struct conf *c, struct conf_entry *e, uint64_t version)
 {
 	const struct conf_entry *old = g_hash_table_lookup(c->entries, e->id);
 
 	if (old != NULL && old->version >= e->version)
 		return;
+	if (old != NULL || !e->removed)
+		c->changed[e->kind] = version;
+	sorted_put(c, e);
 	conf_remove(c, e->id);
 	if (e->removed) {
 		conf_bury(c, e);
 		return;
 	}
 	g_hash_table_insert(c->entries, e->id, conf_entry_add_ref(e));
+	if (e->kind == CONF_POOL)
+		g_hash_table_replace(c->pools, e->pool.name, e);
 	if (e->kind == CONF_ROUTE)
 		g_hash_table_replace(c->routes, route_key(e->route.team, e->route.kind), e);
 }
@@ -122,8 +179,12 @@
 		g_hash_table_add(named, e->id);
 	}
 	for (l = ids; l != NULL; l = l->next) {
-		if (!g_hash_table_contains(named, l->data))
-			conf_remove(c, l->data);
+		const struct conf_entry *e = g_hash_table_lookup(c->entries, l->data);
+
+		if (g_hash_table_contains(named, l->data))
+			continue;
+		c->changed[e->kind] = u->version;
+		conf_remove(c, l->data);
 	}
 	g_list_free(ids);
 	g_hash_table_destroy(named);
@@ -146,11 +207,13 @@
 	gpointer value;
 	unsigned i;
 
-	g_hash_table_iter_init(&iter, c->entries);
+	if (c->changed[CONF_EVACUATION] == 0)
+		return;
+	g_hash_table_iter_init(&iter, c->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct conf_entry *e = value;
 
-		for (i = 0; e->kind == CONF_POOL && i < e->pool.n; i++)
+		for (i = 0; i < e->pool.n; i++)
 			e->pool.member[i].evacuated =
 				conf_evacuated(c, e->pool.member[i].data_center);
 	}
@@ -168,11 +231,12 @@
 		return CONF_OLD;
 	if (!u->full && u->base > c->version)
 		return CONF_GAP;
-	g_clear_pointer(&c->sorted, g_ptr_array_unref);
-	if (u->full)
+	if (u->full) {
+		g_clear_pointer(&c->sorted, g_ptr_array_unref);
 		conf_keep_only(c, u);
+	}
 	for (i = 0; i < u->entries->len; i++)
-		conf_put(c, g_ptr_array_index(u->entries, i));
+		conf_put(c, g_ptr_array_index(u->entries, i), u->version);
 	mark_evacuated(c);
 	c->version = u->version;
 	return CONF_APPLIED;
@@ -186,6 +250,23 @@
 	return strcmp((*x)->id, (*y)->id);
 }
 
+/** Of several tombstones of one id only the newest is told. */
+static void keep_newest(GPtrArray *sorted)
+{
+	guint i, n = 0;
+
+	for (i = 0; i < sorted->len; i++) {
+		struct conf_entry *e = g_ptr_array_index(sorted, i);
+		struct conf_entry *last = n > 0 ? g_ptr_array_index(sorted, n - 1) : NULL;
+
+		if (last == NULL || strcmp(last->id, e->id) != 0)
+			g_ptr_array_index(sorted, n++) = e;
+		else if (e->version > last->version)
+			g_ptr_array_index(sorted, n - 1) = e;
+	}
+	g_ptr_array_set_size(sorted, (gint)n);
+}
+
 const GPtrArray *conf_sorted(struct conf *c)
 {
 	GHashTableIter iter;
@@ -206,6 +287,7 @@
 			g_ptr_array_add(c->sorted, l->data);
 	}
 	g_ptr_array_sort(c->sorted, by_id);
+	keep_newest(c->sorted);
 	return c->sorted;
 }
 
--- a/decide/conf.h
+++ b/decide/conf.h
@@ -105,11 +105,13 @@
 
 struct conf {
 	uint64_t version;
-	uint64_t oldest;     /**< changes after this version can be told as a difference */
-	GHashTable *entries; /**< id to conf_entry */
-	GHashTable *routes;  /**< "team kind" to conf_entry */
-	GQueue tombstones;   /**< removed conf_entry, oldest first */
-	GPtrArray *sorted;   /**< see conf_sorted(); NULL after a change */
+	uint64_t oldest;	      /**< changes after this version can be told as a difference */
+	GHashTable *entries;	      /**< id to conf_entry */
+	GHashTable *routes;	      /**< "team kind" to conf_entry */
+	GHashTable *pools;	      /**< name to conf_entry */
+	uint64_t changed[CONF_KINDS]; /**< version that last changed an entry of the kind */
+	GQueue tombstones;	      /**< removed conf_entry, oldest first */
+	GPtrArray *sorted;	      /**< see conf_sorted(); NULL until it is asked for */
 };
 
 /** A change to a configuration. */
@@ -132,7 +134,7 @@
 void conf_free(struct conf *c);
 enum conf_verdict conf_apply(struct conf *c, const struct conf_update *u);
 void conf_update_clear(struct conf_update *u);
-/** All entries and tombstones by id, until the next change; owned by @a c. */
+/** All entries and tombstones by id; owned by @a c. */
 const GPtrArray *conf_sorted(struct conf *c);
 
 const struct conf_pool *conf_pool(const struct conf *c, const char *name);
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -40,6 +40,7 @@
 	bool suspect; /**< a call to it failed; not used again before it is heard. Known to this VM
 			 alone */
 	uint64_t conf_version; /**< last version that it reported */
+	bool ranked_usable;    /**< as roles were last ranked */
 };
 TAILQ_HEAD(vms, vm);
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include "log.h"
+#include "rank.h"
 #include "stat.h"
 
 #include <stdio.h>
@@ -51,21 +52,70 @@
 	const struct vm *vm;
 
 	f->n_listed = 0;
+	f->n_left = 0;
 	f->n_data_centers = 0;
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		if (!vm->listed)
 			continue;
 		f->n_listed++;
+		f->n_left += vm->left ? 1 : 0;
 		if (f->n_data_centers < FLEET_DCS_MAX && !fleet_lists(f, vm->data_center))
 			g_strlcpy(f->data_center[f->n_data_centers++], vm->data_center, NAME_SIZE);
 	}
 	qsort(f->data_center, f->n_data_centers, NAME_SIZE, by_name);
 }
 
+/** Who holds a role, and the data centre that it is held near to; "" for none. */
+struct role_holder {
+	struct vm *vm;
+	char data_center[NAME_SIZE];
+};
+
+static bool is_near(const struct vm *vm, const struct role_holder *h)
+{
+	return h->data_center[0] != '\0' && strcmp(vm->data_center, h->data_center) == 0;
+}
+
+/** Whether @a vm_arg, which is not usable any more, holds the role. */
+static gboolean held_by(gpointer role, gpointer holder, gpointer vm_arg)
+{
+	return ((const struct role_holder *)holder)->vm == vm_arg;
+}
+
+/** Whether @a vm_arg, which is usable again, comes before the role's holder. */
+static gboolean loses_to(gpointer role, gpointer holder, gpointer vm_arg)
+{
+	const struct role_holder *h = holder;
+	const struct vm *vm = vm_arg;
+
+	return rank_better(rank_weight(role, vm->name), is_near(vm, h),
+			   rank_weight(role, h->vm->name), is_near(h->vm, h));
+}
+
+/** Forget the holders that the changes since the last time can have moved. */
+static void holders_update(struct fleet *f)
+{
+	bool new_list = f->ranked_revision != f->peers.revision;
+	struct vm *vm;
+
+	f->ranked_revision = f->peers.revision;
+	if (new_list)
+		g_hash_table_remove_all(f->holders);
+	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		bool usable = peers_usable(vm);
+
+		if (usable == vm->ranked_usable)
+			continue;
+		vm->ranked_usable = usable;
+		if (!new_list)
+			g_hash_table_foreach_remove(f->holders, usable ? loses_to : held_by, vm);
+	}
+}
+
 void fleet_members_changed(struct fleet *f)
 {
 	listed_look(f);
-	g_hash_table_remove_all(f->holders);
+	holders_update(f);
 	f->watch_place = -1;
 	fleet_notify(f);
 }
@@ -91,17 +141,23 @@
 
 /**
  * The holder of @a role. Ranking thousands of VMs for each request would cost more than the
- * request; the result is kept until fleet_notify(), which follows each change that can move a role.
+ * request; the result is kept until a change that can move the role, see holders_update().
  */
 static struct vm *role_holder(struct fleet *f, const char *role, const char *data_center)
 {
-	struct vm *vm = g_hash_table_lookup(f->holders, role);
+	struct role_holder *h = g_hash_table_lookup(f->holders, role);
+	struct vm *vm;
 
-	if (vm != NULL)
-		return vm;
+	if (h != NULL)
+		return h->vm;
 	vm = peers_holder(&f->peers, role, data_center);
-	if (vm != NULL)
-		g_hash_table_insert(f->holders, g_strdup(role), vm);
+	if (vm == NULL)
+		return NULL;
+	h = g_new0(struct role_holder, 1);
+	h->vm = vm;
+	if (data_center != NULL)
+		g_strlcpy(h->data_center, data_center, sizeof(h->data_center));
+	g_hash_table_insert(f->holders, g_strdup(role), h);
 	return vm;
 }
 
@@ -397,7 +453,8 @@
 	f->parts = g_array_new(FALSE, TRUE, sizeof(struct fleet_part));
 	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
 								    : &fleet_etcd_ops;
-	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->ranked_revision = UINT64_MAX;
 	f->watch_place = -1;
 	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
 		   k->incarnation);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -72,8 +72,10 @@
 	char data_center[FLEET_DCS_MAX][NAME_SIZE]; /**< those with a listed VM, by name */
 	unsigned n_data_centers;
 	unsigned n_listed;   /**< listed VMs */
-	GHashTable *holders; /**< role to VM, until the membership changes */
-	int watch_place;     /**< this VM's among those that watch the platform; -1: to be found */
+	GHashTable *holders; /**< role to struct role_holder, until a change that can move it */
+	uint64_t ranked_revision; /**< of the platform's list that @a holders are of */
+	unsigned n_left;	  /**< listed VMs that have left */
+	int watch_place; /**< this VM's among those that watch the platform; -1: to be found */
 	struct event *heartbeat;
 	bool fetching;		 /**< a peer or the platform is being asked for the configuration */
 	struct page_fetch fetch; /**< what peers have sent of a newer one */
--- a/src/owner.c
+++ b/src/owner.c
@@ -240,26 +240,21 @@
 {
 	struct owner *o = owner;
 	const struct conf *conf = fleet_of(o->service.kernel)->conf;
+	uint64_t version = MAX(conf->changed[CONF_POOL], conf->changed[CONF_EVACUATION]);
 	struct owner_group *g;
 	GHashTableIter iter;
-	gpointer value;
+	gpointer name;
 
-	if (o->conf_version == conf->version)
+	if (o->conf_version == version)
 		return;
-	o->conf_version = conf->version;
-	g_hash_table_iter_init(&iter, conf->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct conf_entry *e = value;
-
-		if (e->kind == CONF_POOL && og_find(o, e->pool.name) == NULL)
-			og_create(o, e->pool.name);
+	o->conf_version = version;
+	g_hash_table_iter_init(&iter, conf->pools);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		if (og_find(o, name) == NULL)
+			og_create(o, name);
 	}
-	TAILQ_FOREACH(g, &o->groups, link) {
-		if (g->conf_version == conf->version)
-			continue;
-		g->conf_version = conf->version;
+	TAILQ_FOREACH(g, &o->groups, link)
 		og_configure(g, conf_pool(conf, g->pool));
-	}
 }
 
 /* Who owns it */
--- a/src/owner.h
+++ b/src/owner.h
@@ -174,7 +174,6 @@
 	TAILQ_ENTRY(owner_group) link;
 	struct owner *o;
 	char pool[NAME_SIZE];
-	uint64_t conf_version;
 	bool configured;
 
 	struct lead_record record;
@@ -256,7 +255,7 @@
 struct owner {
 	struct service service;
 	struct owner_groups groups;
-	uint64_t conf_version; /**< of the configuration that they are from */
+	uint64_t conf_version; /**< that last changed a pool or an evacuation */
 	GHashTable *by_pool;   /**< the same; each statement looks its group up some times */
 	struct event *tick;
 	bool leaving;
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -76,7 +76,9 @@
 	int64_t ticked_us;
 	bool listed;	       /**< this VM surely counts as listed for others */
 	struct parts *parts;   /**< NULL where no VM holds fixed parts */
-	uint64_t conf_version; /**< of the configuration that the teams are from */
+	uint64_t conf_version; /**< that last changed a team */
+	uint64_t vms_revision; /**< of the list of VMs that the rates are divided over */
+	unsigned n_left;       /**< of these, those that have left */
 	double all_rates;      /**< of all configured teams */
 	unsigned held;	       /**< fixed parts that this VM holds, a bit each */
 	unsigned inherited;    /**< those whose unspent tokens it has taken over, a bit each */
--- a/src/shares.c
+++ b/src/shares.c
@@ -159,7 +159,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	s->conf_version = conf->version;
+	s->conf_version = conf->changed[CONF_TEAM];
 	s->all_rates = 0;
 	TAILQ_FOREACH(t, &s->teams, link)
 		t->configured = false;
@@ -179,7 +179,12 @@
 	struct shares_team *t, *next;
 	int64_t now = now_us();
 
-	if (s->conf_version != f->conf->version)
+	if (s->conf_version == f->conf->changed[CONF_TEAM] &&
+	    s->vms_revision == f->peers.revision && s->n_left == f->n_left)
+		return;
+	s->vms_revision = f->peers.revision;
+	s->n_left = f->n_left;
+	if (s->conf_version != f->conf->changed[CONF_TEAM])
 		teams_configure(s, f->conf);
 	/* Each split takes the rates of all teams into account. */
 	TAILQ_FOREACH(t, &s->teams, link) {
--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -9,6 +9,7 @@
 #include "table.h"
 
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 static struct conf_update update(uint64_t base, uint64_t version, bool full)
@@ -88,6 +89,44 @@
 	conf_free(c);
 }
 
+/* Guards against a peer that is told of an entry that is gone: changes must keep the order right.
+ */
+static void test_sorted_entries_follow_changes(void)
+{
+	struct conf *c = with_team();
+	uint64_t version;
+	int round;
+
+	srand(7);
+	for (round = 0, version = 4; round < 4000; round++, version++) {
+		struct conf_update u = update(version - 1, version, false);
+		const GPtrArray *sorted;
+		unsigned live = 0;
+		char id[32];
+		guint i;
+
+		snprintf(id, sizeof(id), "team/t%d", rand() % 1500);
+		add(&u, id, version, rand() % 3 == 0 ? NULL : TEAM("5"));
+		CU_ASSERT_EQUAL(apply(c, u), CONF_APPLIED);
+		/* Sometimes built anew, mostly changed. */
+		if (rand() % 50 == 0)
+			g_clear_pointer(&c->sorted, g_ptr_array_unref);
+		sorted = conf_sorted(c);
+		for (i = 0; i < sorted->len; i++) {
+			const struct conf_entry *e = g_ptr_array_index(sorted, i);
+			const struct conf_entry *next =
+				i + 1 < sorted->len ? g_ptr_array_index(sorted, i + 1) : NULL;
+
+			live += e->removed ? 0 : 1;
+			if (next != NULL && strcmp(e->id, next->id) >= 0)
+				CU_FAIL("not in order");
+		}
+		if (live != g_hash_table_size(c->entries))
+			CU_FAIL("not all entries");
+	}
+	conf_free(c);
+}
+
 static void test_gap_is_not_applied(void)
 {
 	struct conf *c = with_team();
@@ -356,6 +395,7 @@
 static const struct test_case cases[] = {
 	{"never_reverts", test_never_reverts},
 	{"evacuations_mark_members", test_evacuations_mark_members},
+	{"sorted_entries_follow_changes", test_sorted_entries_follow_changes},
 	{"gap_is_not_applied", test_gap_is_not_applied},
 	{"difference_brings_a_peer_up", test_difference_brings_a_peer_up},
 	{"most_exact_route", test_most_exact_route},
