Tests of changes of primary leave nothing unfreed

Heartbeats and questions during a cut are answered with nothing, held answers are given when a world closes, unanswered orders stay reachable.

--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -184,8 +184,15 @@
 			 const char *member, const char *holder, uint64_t token, int64_t timeout_us,
 			 promoter_done cb, void *arg)
 {
-	if (fake.promote != NULL)
+	static GPtrArray *unanswered;
+
+	if (fake.promote != NULL) {
 		fake.promote(member, cb, arg);
+		return;
+	}
+	if (unanswered == NULL)
+		unanswered = g_ptr_array_new();
+	g_ptr_array_add(unanswered, arg);
 }
 
 static const struct promoter_ops fake_promoter_ops = {.promote = fake_promote};
@@ -298,6 +305,9 @@
 
 void world_close(struct world *w)
 {
+	fake.holds = NULL;
+	while (!g_queue_is_empty(&held))
+		fake_store_deliver();
 	if (store_source.tick != NULL)
 		fleet_of(w->k)->source->stop(fleet_of(w->k));
 	/* The lease is this world's. */
--- a/tests/test-change.c
+++ b/tests/test-change.c
@@ -152,14 +152,26 @@
 				      .quiet_us = (int64_t)a->quiet_us,
 				      .heard_us = model.heard_us};
 
-	if (cut())
+	/* As good as no answer: it says nothing. */
+	if (cut()) {
+		res = (ml_yield_res){.primary = ""};
+		rpc_reply(rq, &res);
 		return;
+	}
 	res.heard_age_us = (u_quad_t)(model.now - model.heard_us);
 	res.stopped = !succession_goes_on(&s, model.now);
 	model.stopped = model.stopped || res.stopped;
 	rpc_reply(rq, &res);
 }
 
+/** Nothing is learned of the other VM by heartbeats. */
+static void model_heartbeat(struct rpc_request *rq, const void *args, void *owner)
+{
+	ml_heartbeat res = {.vm = ""};
+
+	rpc_reply(rq, &res);
+}
+
 static void model_promote(const char *member, promoter_done cb, void *arg)
 {
 	bool lost = model.lost_orders && rand() % 4 != 0;
@@ -311,6 +323,7 @@
 	world_open(w);
 	g = model.g = world_join(w);
 	rpc_serve(rpc_of(w->k), ML_YIELD, model_yield, NULL);
+	rpc_serve(rpc_of(w->k), ML_HEARTBEAT, model_heartbeat, NULL);
 	fake.value = model_value;
 	fake.holds = model_holds;
 	fake.promote = model_promote;
