The stand-in demotes a primary that two promotions have replaced

The stand-in keeps one primary to demote: m0 was forgotten, went on as a primary, and was given the newest term, so that the right primary's commits counted as those of a replaced one. The daemons' logs have no statement at m0 or m1 after their successors led.

A promotion demotes whoever was replaced before; the check is as it was.

--- a/tests/standin-prepared-member.c
+++ b/tests/standin-prepared-member.c
@@ -447,6 +447,8 @@
 		if (m == t || m == promotion.old)
 			continue;
 		truncate_log(m, t->log->len);
+		/* One that an earlier promotion replaced must not lead the new term too. */
+		m->primary = false;
 		m->term = t->term;
 	}
 	member_register(t);
