One search, one look-up and one choice of a successor where there were two

Read again as a whole: page.c searched the sorted entries as conf.c does; the evacuate command looked entries up as the tables' commands do (store_find() now serves both); the choice of a planned change stood in plan() and in choose_settled(), the record as it was before a choice in two places. Two comments stood over the wrong constant after lines had moved.

--- a/cmd/mangoloom-cli.h
+++ b/cmd/mangoloom-cli.h
@@ -86,6 +86,8 @@
 /** Read everything. */
 struct store *store_read(struct cli *cli, GError **error);
 void store_free(struct store *s);
+/** The entry named @a id among @a entries; NULL for none. */
+const struct conf_entry *store_find(const GPtrArray *entries, const char *id);
 /** A change to be made: entries to put, and ids to remove. */
 struct store_change {
 	GPtrArray *puts;    /**< of conf_entry */
--- a/cmd/mangoloom-evacuate.c
+++ b/cmd/mangoloom-evacuate.c
@@ -22,18 +22,6 @@
 	return false;
 }
 
-static bool has_entry(const struct store *s, const char *id)
-{
-	guint i;
-
-	for (i = 0; i < s->entries->len; i++) {
-		if (strcmp(((const struct conf_entry *)g_ptr_array_index(s->entries, i))->id, id) ==
-		    0)
-			return true;
-	}
-	return false;
-}
-
 /** Put the evacuation of a data centre in force, or end it, and wait until all VMs know. */
 static int set_evacuated(struct cli *cli, bool on)
 {
@@ -54,7 +42,7 @@
 	g_strlcpy(body.data_center, name, sizeof(body.data_center));
 	e = table_entry_make(CONF_EVACUATION, &body);
 	known = has_members(s, name);
-	is_on = has_entry(s, e->id);
+	is_on = store_find(s->entries, e->id) != NULL;
 	version = s->version;
 	store_free(s);
 	if (on && !known) {
--- a/cmd/mangoloom-store.c
+++ b/cmd/mangoloom-store.c
@@ -9,9 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Tries of one change while answers are lost. */
 /** Tries of a change of one entry, each on top of what others changed. */
 #define ENTRY_TRIES 20
+/** Tries of one change while answers are lost. */
 #define COMMIT_TRIES 5
 #define RETRY_PAUSE_US (200 * USEC_PER_MSEC)
 /** Changes kept in the history. */
@@ -215,6 +215,19 @@
 	return made;
 }
 
+const struct conf_entry *store_find(const GPtrArray *entries, const char *id)
+{
+	guint i;
+
+	for (i = 0; i < entries->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(entries, i);
+
+		if (strcmp(e->id, id) == 0)
+			return e;
+	}
+	return NULL;
+}
+
 /** Make a change of one entry; others may make theirs meanwhile. */
 static uint64_t change_entry(struct cli *cli, struct conf_entry *put, const char *removed,
 			     const char *summary, GError **error)
--- a/cmd/mangoloom-table.c
+++ b/cmd/mangoloom-table.c
@@ -61,19 +61,6 @@
 	return EXIT_OK;
 }
 
-static const struct conf_entry *find(const GPtrArray *entries, const char *id)
-{
-	guint i;
-
-	for (i = 0; i < entries->len; i++) {
-		const struct conf_entry *e = g_ptr_array_index(entries, i);
-
-		if (strcmp(e->id, id) == 0)
-			return e;
-	}
-	return NULL;
-}
-
 /** What has to change in the store for the given tables to be in force. */
 static void change_fill(const struct store *s, const struct tables *t, struct store_change *c)
 {
@@ -87,7 +74,7 @@
 			continue;
 		for (i = 0; i < t->table[which].entries->len; i++) {
 			struct conf_entry *e = g_ptr_array_index(t->table[which].entries, i);
-			const struct conf_entry *old = find(s->entries, e->id);
+			const struct conf_entry *old = store_find(s->entries, e->id);
 
 			if (old != NULL && strcmp(old->text, e->text) == 0)
 				continue;
@@ -98,7 +85,7 @@
 			struct conf_entry *old = g_ptr_array_index(s->entries, i);
 
 			if (!table_holds((enum table_which)which, old->kind) ||
-			    find(t->table[which].entries, old->id) != NULL)
+			    store_find(t->table[which].entries, old->id) != NULL)
 				continue;
 			g_ptr_array_add(c->removes, old->id);
 			c->touches[which] = true;
@@ -266,7 +253,7 @@
 	change_fill(s, &t, &c);
 	for (i = 0; i < c.puts->len; i++) {
 		const struct conf_entry *e = g_ptr_array_index(c.puts, i);
-		const struct conf_entry *old = find(s->entries, e->id);
+		const struct conf_entry *old = store_find(s->entries, e->id);
 
 		if (old != NULL)
 			printf("- %s %s\n", old->id, old->text);
--- a/decide/conf.c
+++ b/decide/conf.c
@@ -85,14 +85,13 @@
 
 /* The sorted entries; a change of few keeps the order of the others. */
 
-/** Index of the first entry whose id is not below @a id. */
-static guint sorted_find(const struct conf *c, const char *id)
+guint conf_sorted_find(const GPtrArray *sorted, const char *id)
 {
-	guint low = 0, high = c->sorted->len;
+	guint low = 0, high = sorted->len;
 
 	while (low < high) {
 		guint mid = low + (high - low) / 2;
-		const struct conf_entry *e = g_ptr_array_index(c->sorted, mid);
+		const struct conf_entry *e = g_ptr_array_index(sorted, mid);
 
 		if (strcmp(e->id, id) < 0)
 			low = mid + 1;
@@ -110,7 +109,7 @@
 
 	if (c->sorted == NULL)
 		return;
-	i = sorted_find(c, e->id);
+	i = conf_sorted_find(c->sorted, e->id);
 	at = i < c->sorted->len ? g_ptr_array_index(c->sorted, i) : NULL;
 	if (at != NULL && strcmp(at->id, e->id) == 0)
 		g_ptr_array_index(c->sorted, i) = e;
@@ -125,7 +124,7 @@
 
 	if (c->sorted == NULL)
 		return;
-	i = sorted_find(c, e->id);
+	i = conf_sorted_find(c->sorted, e->id);
 	if (i < c->sorted->len && g_ptr_array_index(c->sorted, i) == e)
 		g_ptr_array_remove_index(c->sorted, i);
 }
--- a/decide/conf.h
+++ b/decide/conf.h
@@ -136,6 +136,8 @@
 void conf_update_clear(struct conf_update *u);
 /** All entries and tombstones by id; owned by @a c. */
 const GPtrArray *conf_sorted(struct conf *c);
+/** Index of the first of @a sorted whose id is not below @a id. */
+guint conf_sorted_find(const GPtrArray *sorted, const char *id);
 
 const struct conf_pool *conf_pool(const struct conf *c, const char *name);
 /** Index of a member of @a pool, which may be NULL; -1 when it has none of that name. */
--- a/decide/page.c
+++ b/decide/page.c
@@ -11,18 +11,10 @@
 /** Index of the first entry whose id follows @a after. */
 static guint follows(const GPtrArray *sorted, const char *after)
 {
-	guint low = 0, high = sorted->len;
+	guint i = conf_sorted_find(sorted, after);
+	const struct conf_entry *e = i < sorted->len ? g_ptr_array_index(sorted, i) : NULL;
 
-	while (low < high) {
-		guint mid = low + (high - low) / 2;
-		const struct conf_entry *e = g_ptr_array_index(sorted, mid);
-
-		if (strcmp(e->id, after) <= 0)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	return low;
+	return e != NULL && strcmp(e->id, after) == 0 ? i + 1 : i;
 }
 
 static bool is_lacking(const struct conf_update *u, const struct conf_entry *e)
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -30,7 +30,7 @@
 #define LEAVE_PART 0.75
 /** The same for one whose data centre is evacuated, which is told with the configuration. */
 #define EVACUATE_PART 0.6
-/** The same for the choice of a planned change, which is checked again before it is ordered. */
+/** Looks that a planned change is chosen by; the choice is checked again before it is ordered. */
 #define PLAN_LOOK_FRESH_US (1500 * USEC_PER_MSEC)
 /** Answer to the order. */
 #define ORDER_TIMEOUT_US (600 * USEC_PER_MSEC)
@@ -360,19 +360,15 @@
  */
 static void plan(struct owner_group *g, int64_t now)
 {
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int best;
+	int best = choose_successor(g, now, PLAN_LOOK_FRESH_US);
 
-	choose_candidates(g, c, names, now, PLAN_LOOK_FRESH_US);
-	best = lead_choose(c, g->n, g->primary);
 	if (best < 0 || g->busy) {
 		g->to_leave = true;
 		return;
 	}
 	g->to_leave = false;
 	g->planning = true;
-	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
+	log_info("planned", LOG_STR("pool", g->pool), LOG_STR("member", g->member[best].conf.name),
 		 LOG_NUM("floor", MAX(g->record.floor, g->term)));
 	choose_record(g, best, g->term, planned_recorded);
 }
--- a/src/owner-choose.c
+++ b/src/owner-choose.c
@@ -46,18 +46,25 @@
 	return lead_find(&g->record, names, c, g->n);
 }
 
+int choose_successor(const struct owner_group *g, int64_t now, int64_t fresh_us)
+{
+	struct lead_candidate c[GROUP_MEMBERS_MAX];
+	const char *names[GROUP_MEMBERS_MAX];
+
+	choose_candidates(g, c, names, now, fresh_us);
+	return lead_choose(c, g->n, g->primary);
+}
+
 /* Taking a choice back */
 
-/** Write the record as it was before the choice; only while no order has gone out. */
-static void write_undo(struct owner_group *g, record_written cb)
+/** The record as it was before the choice. */
+static struct lead_record undo_record(const struct owner_group *g)
 {
 	struct lead_record r = g->record;
 
 	r.floor = g->undo.floor;
 	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
-	log_info("choice-taken-back", LOG_STR("pool", g->pool), LOG_STR("member", g->record.target),
-		 LOG_NUM("floor", r.floor), LOG_NUM("revision", g->revision));
-	record_write(g, &r, cb);
+	return r;
 }
 
 static void undone(struct owner_group *g, bool ok)
@@ -68,10 +75,20 @@
 		og_state(g, OWNER_CHOOSING, ok ? "taken-back" : "not-taken-back");
 }
 
+/** Only while no order has gone out. */
+static void write_undo(struct owner_group *g)
+{
+	struct lead_record r = undo_record(g);
+
+	log_info("choice-taken-back", LOG_STR("pool", g->pool), LOG_STR("member", g->record.target),
+		 LOG_NUM("floor", r.floor), LOG_NUM("revision", g->revision));
+	record_write(g, &r, undone);
+}
+
 void choose_undo(struct owner_group *g)
 {
 	if (g->undo.possible && !g->busy)
-		write_undo(g, undone);
+		write_undo(g);
 }
 
 /**
@@ -82,20 +99,18 @@
 {
 	struct lead_candidate c[GROUP_MEMBERS_MAX];
 	const char *names[GROUP_MEMBERS_MAX];
-	struct lead_record r = g->record;
+	struct lead_record r = undo_record(g);
 	int back;
 
 	if (!g->undo.possible || g->planned || g->busy)
 		return false;
-	r.floor = g->undo.floor;
-	g_strlcpy(r.target, g->undo.target, sizeof(r.target));
 	choose_candidates(g, c, names, now, CHANGE_LOOK_FRESH_US);
 	back = lead_find(&r, names, c, g->n);
 	if (back < 0 || conf_member_leaves(&g->member[back].conf) ||
 	    g->member[back].seen_us <= g->chosen_us)
 		return false;
 	og_state(g, OWNER_RECORDING, "came-back");
-	write_undo(g, undone);
+	write_undo(g);
 	return true;
 }
 
@@ -147,16 +162,14 @@
 /** The old primary had to stop before its successor could be chosen. */
 static void choose_settled(struct owner_group *g, int64_t now)
 {
-	struct lead_candidate c[GROUP_MEMBERS_MAX];
-	const char *names[GROUP_MEMBERS_MAX];
-	int best;
+	int best = choose_successor(g, now, CHANGE_LOOK_FRESH_US);
+	const struct owner_member *m;
 
-	choose_candidates(g, c, names, now, CHANGE_LOOK_FRESH_US);
-	best = lead_choose(c, g->n, g->primary);
 	if (best < 0)
 		return;
-	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
-		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
+	m = &g->member[best];
+	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", m->conf.name),
+		 LOG_NUM("term", m->seen.received.term), LOG_NUM("lsn", m->seen.received.lsn),
 		 LOG_NUM("floor", g->term));
 	choose_record(g, best, g->term, settled_recorded);
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -364,6 +364,8 @@
 /** The members as candidates; one counts as reached when its look is younger than @a fresh_us. */
 void choose_candidates(const struct owner_group *g, struct lead_candidate *c, const char **names,
 		       int64_t now, int64_t fresh_us);
+/** The member to follow the present primary, or -1; see choose_candidates(). */
+int choose_successor(const struct owner_group *g, int64_t now, int64_t fresh_us);
 /** The member that leads as the record has it, or -1. */
 int choose_leader(const struct owner_group *g, int64_t now);
 /** Write to the record that @a target is to lead a term above @a highest. */
