The log tells the store's era, lists and discarded items

Of the incident with an older store two hypotheses could not be told apart: that VMs discard what they hear as old, and that watches wait for a revision that the store does not have. Nothing was logged when an item was discarded, a list told neither its revision nor what was known before, and the header Store-Era was not read.

Now store-era is logged when an answer tells another era, listed at the end of each list, and item-discarded for each item older than what is known of its key. No behaviour changes.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -377,8 +377,12 @@
 	uint64_t *known = g_hash_table_lookup(store_source.known, item->key);
 
 	/* What is told twice, or late, changes nothing. */
-	if (known != NULL && *known >= item->revision)
+	if (known != NULL && *known >= item->revision) {
+		if (*known > item->revision)
+			log_info("item-discarded", LOG_STR("key", item->key),
+				 LOG_NUM("revision", item->revision), LOG_NUM("known", *known));
 		return;
+	}
 	g_hash_table_replace(store_source.known, g_strdup(item->key),
 			     g_memdup2(&item->revision, sizeof(item->revision)));
 	if (strcmp(item->key, store_source.records->document_key) == 0) {
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -42,6 +42,7 @@
 	uint64_t list_revision; /**< of the list's first page */
 	struct store_call *watch;
 	uint64_t as_of; /**< revision up to which all changes are known */
+	uint64_t era;	/**< of the store, as last told; 0: never */
 	bool reachable;
 	int64_t checked_us;
 	int64_t own_news_us; /**< last pause after news of our own keys */
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -76,6 +76,15 @@
 				 (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
 }
 
+static void era_heard(uint64_t era, void *arg)
+{
+	if (era == store_source.era)
+		return;
+	log_warn("store-era", LOG_NUM("era", era), LOG_NUM("before", store_source.era),
+		 LOG_NUM("as_of", store_source.as_of));
+	store_source.era = era;
+}
+
 static void retry_later(void)
 {
 	store_source.retry_us = CLAMP(store_source.retry_us * 2, RETRY_MIN_US, RETRY_MAX_US);
@@ -117,6 +126,9 @@
 
 static void list_whole(void)
 {
+	log_info("listed", LOG_NUM("revision", store_source.list_revision),
+		 LOG_NUM("known", store_source.as_of),
+		 LOG_NUM("keys", g_hash_table_size(store_source.listed)));
 	drop_unlisted(store_source.list_revision);
 	fleet_list_whole(store_source.f, store_source.listed, store_source.list_revision);
 	g_hash_table_remove_all(store_source.listed);
@@ -312,6 +324,7 @@
 	store_source.store = k->adapter->store->create(k, k->settings->platform[0],
 						       (int64_t)k->settings->platform_timeout_ms *
 							       USEC_PER_MSEC);
+	store_source.store->era = era_heard;
 	store_source.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/store.h
+++ b/src/store.h
@@ -27,6 +27,7 @@
 
 struct store_answer {
 	enum store_status status;
+	uint64_t era;	   /**< rises when the store comes back from an older copy; 0: not told */
 	uint64_t revision; /**< of the whole store: continue a watch from here */
 	uint64_t lease;
 	int64_t ttl_us;
@@ -80,9 +81,14 @@
 	void (*cancel)(struct store_call *call);
 };
 
+/** Hear of the store's era, before the answer that tells it is delivered. */
+typedef void (*store_era)(uint64_t era, void *arg);
+
 /** First member of each implementation. */
 struct store {
 	const struct store_ops *ops;
+	store_era era; /**< may be NULL */
+	void *era_arg;
 };
 
 #endif
