--- a/tests/standin-prepared-store.c
+++ b/tests/standin-prepared-store.c
@@ -39,6 +39,7 @@
 static uint64_t revision = 1;
 static uint64_t compacted;
 static uint64_t next_lease = 100;
+static uint64_t era = 1;
 static enum { STORE_OK, STORE_REFUSE, STORE_SILENT } mode;
 
 int64_t standin_now_us(void)
@@ -66,6 +67,8 @@
 	g_free(it);
 }
 
+static void send_text(struct evhttp_request *req, int code, GString *text);
+
 static gint key_cmp(gconstpointer a, gconstpointer b, gpointer data)
 {
 	return strcmp(a, b);
@@ -109,13 +112,111 @@
 	for (i = 0; i < watches->len; i++) {
 		struct watch *w = g_ptr_array_index(watches, i);
 
-		evhttp_send_reply(w->req, 503, "Cut", NULL);
+		send_text(w->req, 503, NULL);
 		g_free(w->prefix);
 		g_free(w);
 	}
 	g_ptr_array_set_size(watches, 0);
 }
 
+/* A copy of the store, from which it comes back */
+
+/** What the store was when the copy was made. */
+static struct {
+	GTree *items;
+	GHashTable *leases;
+	uint64_t revision;
+} copy;
+
+static gboolean item_copy(gpointer key, gpointer value, gpointer to)
+{
+	struct item *it = g_memdup2(value, sizeof(*it));
+
+	it->value = g_strdup(it->value);
+	g_tree_replace(to, g_strdup(key), it);
+	return FALSE;
+}
+
+static GTree *items_copy(GTree *from)
+{
+	GTree *to = g_tree_new_full(key_cmp, NULL, g_free, item_free);
+
+	g_tree_foreach(from, item_copy, to);
+	return to;
+}
+
+static GHashTable *leases_copy(GHashTable *from)
+{
+	GHashTable *to = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	GHashTableIter iter;
+	gpointer id, lease;
+
+	g_hash_table_iter_init(&iter, from);
+	while (g_hash_table_iter_next(&iter, &id, &lease))
+		g_hash_table_insert(to, id, g_memdup2(lease, sizeof(struct lease)));
+	return to;
+}
+
+void store_copy(void)
+{
+	g_clear_pointer(&copy.items, g_tree_unref);
+	g_clear_pointer(&copy.leases, g_hash_table_unref);
+	copy.items = items_copy(items);
+	copy.leases = leases_copy(standin.leases);
+	copy.revision = revision;
+}
+
+/** Keys of the system under test; all others are written by the operators and the members. */
+static bool is_own(const char *key)
+{
+	return g_str_has_prefix(key, "mangoloom/");
+}
+
+static gboolean write_again(gpointer key, gpointer value, gpointer data)
+{
+	const struct item *it = value, *now = g_tree_lookup(items, key);
+
+	if (!is_own(key) && (now == NULL || strcmp(now->value, it->value) != 0))
+		store_put(key, it->value, 0);
+	return FALSE;
+}
+
+static gboolean note_removed(gpointer key, gpointer value, gpointer data)
+{
+	struct {
+		GTree *before;
+		GPtrArray *gone;
+	} *r = data;
+
+	if (!is_own(key) && g_tree_lookup(r->before, key) == NULL)
+		g_ptr_array_add(r->gone, g_strdup(key));
+	return FALSE;
+}
+
+void store_restore(void)
+{
+	struct {
+		GTree *before;
+		GPtrArray *gone;
+	} r = {items, g_ptr_array_new_with_free_func(g_free)};
+	guint i;
+
+	if (copy.items == NULL)
+		return;
+	era++;
+	items = items_copy(copy.items);
+	g_hash_table_unref(standin.leases);
+	standin.leases = leases_copy(copy.leases);
+	revision = copy.revision;
+	store_compact();
+	g_tree_foreach(r.before, write_again, NULL);
+	g_tree_foreach(items, note_removed, &r);
+	for (i = 0; i < r.gone->len; i++)
+		store_remove(g_ptr_array_index(r.gone, i));
+	g_ptr_array_unref(r.gone);
+	g_tree_unref(r.before);
+}
+
 /* Answers */
 
 static void put_value(GString *out, const char *key, const char *value, uint64_t rev)
@@ -130,7 +231,10 @@
 static void send_text(struct evhttp_request *req, int code, GString *text)
 {
 	struct evbuffer *out = evbuffer_new();
+	char number[32];
 
+	g_snprintf(number, sizeof(number), "%lu", era);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era", number);
 	if (text != NULL) {
 		evbuffer_add(out, text->str, text->len);
 		g_string_free(text, TRUE);
@@ -206,7 +310,7 @@
 	unsigned n = 0;
 	guint i;
 
-	if (after < compacted) {
+	if (after < compacted || after > revision) {
 		send_text(req, 410, NULL);
 		return true;
 	}
--- a/tests/standin-prepared.c
+++ b/tests/standin-prepared.c
@@ -133,6 +133,10 @@
 				json_object_get_boolean_member(o, "refuse_promotions");
 		if (json_object_has_member(o, "compact"))
 			store_compact();
+		if (json_object_has_member(o, "copy"))
+			store_copy();
+		if (json_object_has_member(o, "restore"))
+			store_restore();
 		if (json_object_has_member(o, "put"))
 			store_put(json_object_get_string_member(o, "put"),
 				  json_object_get_string_member(o, "value"), 0);
--- a/tests/standin-prepared.h
+++ b/tests/standin-prepared.h
@@ -78,6 +78,13 @@
 /** "ok", "refuse", "silent". */
 void store_mode(const char *mode);
 void store_compact(void);
+/** Make a copy of the store as it is now, leases included. */
+void store_copy(void);
+/**
+ * The store comes back from the copy under the next era: revisions are given out again, and what
+ * the operators and the members wrote since is written again.
+ */
+void store_restore(void);
 void store_put(const char *key, const char *value, uint64_t lease);
 void store_remove(const char *key);
 
