Revisions are ordered by the store's era first

Callers with a key that an acknowledged configuration had revoked were served for more than 3 s, and four versions in a row were in force nowhere, after the store came back from an older copy.

Cause: whatever a VM keeps of the store is ordered by revision, and takes nothing that is not newer: the keys that were told, the document, the version of the configuration between VMs, the list of VMs, groups' records, fencing tokens. The store gave four revisions out again, so the four documents that got them were discarded. Class: an order by a counter that a third party may set back.

Ruled out: watches that wait for a revision which the store does not have; lists ended at the lower revision and the watches that followed were answered when the versions came.

A guard of a former era is not sent: the store would compare it with a revision that was given out again; the record is read first, and a part's claim asks for a key that does not exist and learns from the conflict. A VM that watches lists anew as soon as any answer tells a new era. The log shows revision and era as two fields.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -57,7 +57,8 @@
 
 		if (e->kind == CONF_EVACUATION)
 			log_info("evacuation", LOG_STR("entry", e->id),
-				 LOG_NUM("in_force", !e->removed), LOG_NUM("version", e->version));
+				 LOG_NUM("in_force", !e->removed),
+				 LOG_REVISION("version", e->version));
 	}
 }
 
@@ -71,7 +72,7 @@
 		return;
 	stat_add(STAT_CONF_APPLIED, 1);
 	log_evacuations(u);
-	log_info("conf", LOG_NUM("version", u->version), LOG_NUM("entries", u->entries->len),
+	log_info("conf", LOG_REVISION("version", u->version), LOG_NUM("entries", u->entries->len),
 		 LOG_STR("from", from));
 	fleet_notify(f);
 	fleet_beat(f);
--- a/src/fleet-list.c
+++ b/src/fleet-list.c
@@ -86,7 +86,7 @@
 	item->revision = revision;
 	item->value = g_strdup(value);
 	if (value != NULL && !item_parse(item)) {
-		log_warn("vm-malformed", LOG_STR("key", key), LOG_NUM("revision", revision));
+		log_warn("vm-malformed", LOG_STR("key", key), LOG_REVISION("revision", revision));
 		item_free(item);
 		return;
 	}
@@ -154,7 +154,7 @@
 		       listings->len)) {
 		g_array_unref(f->parts);
 		f->parts = g_array_ref(parts);
-		log_info("vms", LOG_NUM("revision", revision), LOG_NUM("count", listings->len),
+		log_info("vms", LOG_REVISION("revision", revision), LOG_NUM("count", listings->len),
 			 LOG_NUM("parts", parts->len));
 		fleet_members_changed(f);
 		fleet_beat(f);
@@ -181,7 +181,7 @@
 
 	if (!json_parser_load_from_data(parser, text, -1, NULL) ||
 	    !JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
-		log_warn("vms-malformed", LOG_NUM("revision", revision));
+		log_warn("vms-malformed", LOG_REVISION("revision", revision));
 		goto out;
 	}
 	list = json_node_get_array(json_parser_get_root(parser));
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -136,6 +136,12 @@
 	g_hash_table_destroy(named);
 }
 
+/** The first version of a revision, of the same era. */
+static uint64_t version_of(uint64_t revision)
+{
+	return era_revision(era_of(revision), era_number(revision) * VERSION_STEPS);
+}
+
 /**
  * The version for what is known now: above the one in force, if that is of the same revision. It
  * counts the operators' and the servers' keys alone: ours change whenever a VM comes or goes, and
@@ -143,7 +149,7 @@
  */
 static uint64_t next_version(const struct conf *conf)
 {
-	uint64_t version = MIN(store_source.changed, store_source.as_of) * VERSION_STEPS;
+	uint64_t version = version_of(MIN(store_source.changed, store_source.as_of));
 
 	if (conf->version >= version && conf->version + 1 < version + VERSION_STEPS)
 		version = conf->version + 1;
@@ -171,7 +177,7 @@
  */
 static void date_entries(struct conf_update *u)
 {
-	uint64_t document = store_source.document_revision * VERSION_STEPS;
+	uint64_t document = version_of(store_source.document_revision);
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
 	gpointer value;
@@ -255,12 +261,13 @@
 	if (item->value == NULL || item->revision <= store_source.document_revision)
 		return;
 	if (!store_source.records->document(item->value, &d)) {
-		log_error("document-malformed", LOG_NUM("revision", item->revision));
+		log_error("document-malformed", LOG_REVISION("revision", item->revision));
 		records_document_clear(&d);
 		return;
 	}
-	log_info("document", LOG_NUM("version", d.version), LOG_NUM("revision", item->revision),
-		 LOG_NUM("entries", d.entries->len), LOG_NUM("pools", d.pools->len));
+	log_info("document", LOG_NUM("version", d.version),
+		 LOG_REVISION("revision", item->revision), LOG_NUM("entries", d.entries->len),
+		 LOG_NUM("pools", d.pools->len));
 	records_document_clear(&store_source.document);
 	store_source.document = d;
 	store_source.document_revision = item->revision;
@@ -290,7 +297,7 @@
 	}
 	if (!store_source.records->server(id, item->value, &r)) {
 		log_warn("server-malformed", LOG_STR("member", id),
-			 LOG_NUM("revision", item->revision));
+			 LOG_REVISION("revision", item->revision));
 		return;
 	}
 	s = g_hash_table_lookup(store_source.servers, id);
@@ -299,7 +306,8 @@
 		g_hash_table_insert(store_source.servers, g_strdup(id), s);
 	} else if (s->record.member.leaving != r.member.leaving) {
 		log_info("member-state", LOG_STR("pool", r.pool), LOG_STR("member", id),
-			 LOG_NUM("leaving", r.member.leaving), LOG_NUM("revision", item->revision));
+			 LOG_NUM("leaving", r.member.leaving),
+			 LOG_REVISION("revision", item->revision));
 	}
 	s->record = r;
 	s->lapsed = false;
@@ -380,7 +388,9 @@
 	if (known != NULL && *known >= item->revision) {
 		if (*known > item->revision)
 			log_info("item-discarded", LOG_STR("key", item->key),
-				 LOG_NUM("revision", item->revision), LOG_NUM("known", *known));
+				 LOG_REVISION("revision", item->revision),
+				 LOG_NUM("known", era_number(*known)),
+				 LOG_NUM("known_era", era_of(*known)));
 		return;
 	}
 	g_hash_table_replace(store_source.known, g_strdup(item->key),
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -37,6 +37,7 @@
 
 static void list_next(void);
 static void list_reset(void);
+static void list_begin(void);
 static void watch_start(void);
 
 struct store *fleet_store(struct fleet *f)
@@ -76,13 +77,39 @@
 				 (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
 }
 
+/**
+ * The store has come back from an older copy: what it holds now is read anew, by those that watch
+ * it. The others hear from them.
+ */
+static void era_begins(void)
+{
+	if (store_source.watch != NULL) {
+		store_source.store->ops->cancel(store_source.watch);
+		store_source.watch = NULL;
+	}
+	if (store_source.listed_all && fleet_is_watcher(store_source.f))
+		list_begin();
+}
+
 static void era_heard(uint64_t era, void *arg)
 {
-	if (era == store_source.era)
+	uint64_t before = store_source.era;
+
+	if (era <= before)
 		return;
-	log_warn("store-era", LOG_NUM("era", era), LOG_NUM("before", store_source.era),
-		 LOG_NUM("as_of", store_source.as_of));
 	store_source.era = era;
+	if (before == 0) {
+		log_info("store-era", LOG_NUM("era", era));
+		return;
+	}
+	log_warn("store-era", LOG_NUM("era", era), LOG_NUM("before", before),
+		 LOG_NUM("as_of", era_number(store_source.as_of)));
+	era_begins();
+}
+
+bool fleet_store_is_current(uint64_t revision)
+{
+	return revision == 0 || era_of(revision) == store_source.era;
 }
 
 static void retry_later(void)
@@ -126,8 +153,8 @@
 
 static void list_whole(void)
 {
-	log_info("listed", LOG_NUM("revision", store_source.list_revision),
-		 LOG_NUM("known", store_source.as_of),
+	log_info("listed", LOG_REVISION("revision", store_source.list_revision),
+		 LOG_NUM("known", era_number(store_source.as_of)),
 		 LOG_NUM("keys", g_hash_table_size(store_source.listed)));
 	drop_unlisted(store_source.list_revision);
 	fleet_list_whole(store_source.f, store_source.listed, store_source.list_revision);
@@ -166,6 +193,10 @@
 	store_source.retry_us = 0;
 	if (store_source.after == NULL)
 		store_source.list_revision = a->revision;
+	if (era_of(a->revision) != era_of(store_source.list_revision)) {
+		list_begin();
+		return;
+	}
 	for (i = 0; i < a->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(a->items, i);
 
@@ -206,6 +237,7 @@
 
 static void list_begin(void)
 {
+	event_del(store_source.retry);
 	list_reset();
 	list_next();
 }
@@ -245,7 +277,7 @@
 
 	store_source.watch = NULL;
 	if (a->status == STORE_COMPACTED) {
-		log_info("watch-compacted", LOG_NUM("after", store_source.as_of));
+		log_info("watch-compacted", LOG_REVISION("after", store_source.as_of));
 		list_begin();
 		return;
 	}
@@ -277,6 +309,10 @@
 {
 	if (store_source.watch != NULL || !fleet_is_watcher(store_source.f))
 		return;
+	if (!fleet_store_is_current(store_source.as_of)) {
+		list_begin();
+		return;
+	}
 	store_source.checked_us = now_us();
 	store_source.watch = store_source.store->ops->watch(
 		store_source.store, "", store_source.as_of, WATCH_WAIT_US, watched, NULL);
--- a/src/fleet-store.h
+++ b/src/fleet-store.h
@@ -26,6 +26,8 @@
  * from before the renewal was sent, so the store ends the lease later than that.
  */
 int64_t fleet_store_lease_until_us(struct fleet *f);
+/** Whether @a revision is of the store's present era, so that a write may be guarded by it. */
+bool fleet_store_is_current(uint64_t revision);
 /** The lease itself; 0 when this VM is not listed under one. */
 uint64_t fleet_store_lease(struct fleet *f);
 /** Give the lease up, for a VM that has stopped sending. @return whether it is given up */
--- a/src/log.h
+++ b/src/log.h
@@ -6,6 +6,8 @@
 #ifndef LOG_H
 #define LOG_H
 
+#include "era.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -20,6 +22,9 @@
 #define LOG_STR(k, v) ((struct log_field){.key = (k), .str = (v) != NULL ? (v) : ""})
 #define LOG_NUM(k, v) ((struct log_field){.key = (k), .num = (int64_t)(v)})
 
+/** Two fields: a revision of the store, and its era. */
+#define LOG_REVISION(k, v) LOG_NUM(k, era_number(v)), LOG_NUM("era", era_of(v))
+
 /** Log @a event with fields made by LOG_STR() and LOG_NUM(). */
 #define log_event(level, event, ...)                                                               \
 	log_fields((level), (event), (const struct log_field[]){__VA_ARGS__},                      \
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -256,7 +256,7 @@
 	struct order *q = arg;
 	struct owner_group *g = og_find(q->o, q->pool);
 
-	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_NUM("token", q->token),
+	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_REVISION("token", q->token),
 		 LOG_NUM("code", code));
 	if (g != NULL && g->state == OWNER_ORDERING && g->token == q->token) {
 		if (result == PROMOTER_REFUSED && code == 409) {
@@ -293,7 +293,8 @@
 	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
 	q->token = g->token;
 	log_info("promote", LOG_STR("pool", g->pool),
-		 LOG_STR("member", g->member[g->target].conf.name), LOG_NUM("token", g->token));
+		 LOG_STR("member", g->member[g->target].conf.name),
+		 LOG_REVISION("token", g->token));
 	k->adapter->promoter->promote(k, k->settings->promoter_address, g->pool,
 				      g->member[g->target].conf.name, k->settings->name, g->token,
 				      ORDER_TIMEOUT_US, ordered, q);
--- a/src/owner-choose.c
+++ b/src/owner-choose.c
@@ -81,7 +81,7 @@
 	struct lead_record r = undo_record(g);
 
 	log_info("choice-taken-back", LOG_STR("pool", g->pool), LOG_STR("member", g->record.target),
-		 LOG_NUM("floor", r.floor), LOG_NUM("revision", g->revision));
+		 LOG_NUM("floor", r.floor), LOG_REVISION("revision", g->revision));
 	record_write(g, &r, undone);
 }
 
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -118,7 +118,7 @@
 		return;
 	}
 	log_info("claim", LOG_STR("pool", g->pool), LOG_STR("former", g->record.owner.name),
-		 LOG_NUM("revision", g->revision), LOG_STR("why", why));
+		 LOG_REVISION("revision", g->revision), LOG_STR("why", why));
 	og_state(g, OWNER_CLAIMING, why);
 	record_write(g, &r, claimed);
 }
@@ -289,7 +289,7 @@
 		return;
 	g->report_us = now_us();
 	log_info("owner-unreachable", LOG_STR("pool", g->pool),
-		 LOG_STR("owner", g->record.owner.name), LOG_NUM("revision", g->revision),
+		 LOG_STR("owner", g->record.owner.name), LOG_REVISION("revision", g->revision),
 		 LOG_STR("to", address));
 	args.revision = owner_known_revision(g->o, g->pool);
 	r = g_new0(struct report, 1);
@@ -384,7 +384,7 @@
 		return;
 	g->owner_lost = false;
 	log_info("owner-back", LOG_STR("pool", g->pool), LOG_STR("owner", vm->name),
-		 LOG_NUM("revision", g->revision));
+		 LOG_REVISION("revision", g->revision));
 }
 
 static bool needs_record(const struct owner_group *g, bool successor)
@@ -478,7 +478,7 @@
 	if (g->yielded)
 		return;
 	log_info("yield", LOG_STR("pool", g->pool), LOG_STR("why", why),
-		 LOG_NUM("revision", g->revision));
+		 LOG_REVISION("revision", g->revision));
 	g->yielded = true;
 	g->sending = false;
 	if (g->state > OWNER_CLAIMING)
@@ -529,7 +529,7 @@
 				 LOG_STR("member", m->conf.name),
 				 LOG_NUM("heard_age_us", now - m->heard_us),
 				 LOG_NUM("quiet_us", a->quiet_us),
-				 LOG_NUM("revision", a->revision));
+				 LOG_REVISION("revision", a->revision));
 		if (res.stopped && a->revision > g->revision)
 			record_outdated(g);
 	}
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -101,7 +101,7 @@
 	unsigned i;
 
 	log_warn("owner-ends", LOG_STR("pool", g->pool), LOG_STR("owner", g->record.owner.name),
-		 LOG_NUM("revision", g->revision), LOG_STR("why", why));
+		 LOG_REVISION("revision", g->revision), LOG_STR("why", why));
 	g->sending = !g->yielded;
 	og_state(g, OWNER_NONE, why);
 	queue_refuse(g, true, OUTCOME_LEAVING);
@@ -129,7 +129,7 @@
 		g->member[i].unheard_us = 0;
 		g->member[i].probe.next_us = 0;
 	}
-	log_info("owner", LOG_STR("pool", g->pool), LOG_NUM("revision", g->revision),
+	log_info("owner", LOG_STR("pool", g->pool), LOG_REVISION("revision", g->revision),
 		 LOG_NUM("senders", g->record.n), LOG_STR("why", why));
 	og_state(g, OWNER_FINDING, why);
 }
@@ -150,7 +150,7 @@
 		ownership_begins(g, g->state == OWNER_CLAIMING ? "claimed" : "handed-over");
 	else if (!mine)
 		log_info("owner-known", LOG_STR("pool", g->pool), LOG_STR("owner", r->owner.name),
-			 LOG_NUM("revision", revision));
+			 LOG_REVISION("revision", revision));
 }
 
 static void record_news(const struct store_item *item, void *owner)
@@ -263,7 +263,7 @@
 		return;
 	}
 	log_info("record-write-failed", LOG_STR("pool", q->pool), LOG_NUM("status", a->status),
-		 LOG_NUM("revision", g->revision));
+		 LOG_REVISION("revision", g->revision));
 	if (a->status == STORE_REFUSED || a->status == STORE_NO_LEASE) {
 		g->next_us = now_us() + RETRY_US;
 		claim_store_failed(g);
@@ -298,6 +298,9 @@
 	q->text = record_text(r);
 	q->cb = cb;
 	write.value = q->text;
-	s->ops->commit(s, &guard, 1, &write, 1, write_answered, q);
+	if (!fleet_store_is_current(g->revision))
+		read_again(g, q);
+	else
+		s->ops->commit(s, &guard, 1, &write, 1, write_answered, q);
 	g_free(key);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -99,7 +99,7 @@
 	log_info("group-state", LOG_STR("pool", g->pool), LOG_STR("from", state_names[g->state]),
 		 LOG_STR("to", state_names[state]), LOG_STR("why", why),
 		 LOG_NUM("after_ms", (now_us() - g->state_us) / USEC_PER_MSEC),
-		 LOG_NUM("revision", g->revision));
+		 LOG_REVISION("revision", g->revision));
 	g->state = state;
 	g->state_us = now_us();
 }
--- a/src/parts.c
+++ b/src/parts.c
@@ -136,7 +136,9 @@
 	struct fleet *f = fleet_here(part->parts);
 	struct store *s = fleet_store(f);
 	char key[KEY_SIZE];
-	struct store_guard guard = {.key = key, .revision = part->revision};
+	/* What the key was in a former era tells nothing; one that is there makes a conflict. */
+	bool known = fleet_store_is_current(part->revision);
+	struct store_guard guard = {.key = key, .revision = known ? part->revision : 0};
 	struct store_write write = {.key = key, .lease = fleet_store_lease(f)};
 	char *text;
 
--- a/src/shares-report.c
+++ b/src/shares-report.c
@@ -139,7 +139,7 @@
 			continue;
 		log_info("rates-by", LOG_NUM("role", i), LOG_STR("address", address),
 			 LOG_STR("before", s->allocator[i]),
-			 LOG_NUM("vms_revision", f->peers.revision));
+			 LOG_REVISION("vms_revision", f->peers.revision));
 		g_strlcpy(s->allocator[i], address, ADDRESS_SIZE);
 		poke_all(s, i);
 	}
--- a/src/store.h
+++ b/src/store.h
@@ -2,11 +2,12 @@
  * @file store.h
  * Client of a key-value store with leases, watches and conditional writes: the seam between what is
  * kept and how a store speaks. An implementation only carries calls out; when to call, how often
- * and what to do after a failure is decided by its users.
+ * and what to do after a failure is decided by its users. All revisions are with their era (era.h).
  */
 #ifndef STORE_H
 #define STORE_H
 
+#include "era.h"
 #include "kernel.h"
 
 enum store_status {
@@ -35,7 +36,10 @@
 	bool more;	  /**< a list goes on after its last item */
 };
 
-/** A key that must still be at a revision; 0: must not exist. */
+/**
+ * A key that must still be at a revision; 0: must not exist. The store compares without the era, so
+ * a revision of a former era must not be sent.
+ */
 struct store_guard {
 	const char *key;
 	uint64_t revision;
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -12,7 +12,8 @@
 #define STORE_REVISION 500
 
 static uint64_t store_revision = STORE_REVISION;
-static unsigned n_lists, n_stale_lists;
+static uint64_t era;
+static unsigned n_lists, n_stale_lists, n_cancelled;
 /** Lists that do not name the VM yet. */
 static unsigned n_unlisted;
 static store_done watch_done;
@@ -51,8 +52,14 @@
 		{.key = "doc", .value = "{}", .revision = DOCUMENT_REVISION},
 		{.key = "servers/i-1", .value = "{}", .revision = DOCUMENT_REVISION - 1},
 		{.key = FLEET_STORE_VMS "vm-1", .value = SELF, .revision = DOCUMENT_REVISION + 1}};
-	struct store_answer a = {.status = STORE_DONE, .revision = store_revision};
-
+	struct store_answer a = {.status = STORE_DONE,
+				 .revision = era_revision(era, store_revision)};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(items); i++)
+		items[i].revision = era_revision(era, items[i].revision);
+	if (era != 0)
+		s->era(era, s->era_arg);
 	n_lists++;
 	n_stale_lists += stale ? 1 : 0;
 	a.items = g_ptr_array_new();
@@ -72,6 +79,11 @@
 	return (struct store_call *)s;
 }
 
+static void played_cancel(struct store_call *call)
+{
+	n_cancelled++;
+}
+
 static struct store_call *played_grant(struct store *s, int64_t ttl_us, store_done cb, void *arg)
 {
 	return NULL;
@@ -87,6 +99,7 @@
 					    .free = played_free,
 					    .list = played_list,
 					    .watch = played_watch,
+					    .cancel = played_cancel,
 					    .lease_grant = played_grant};
 static const struct adapter played_adapter = {.store = &played_ops, .records = &played_records};
 
@@ -206,6 +219,29 @@
 	CU_ASSERT_EQUAL(n_stale_lists, 0);
 }
 
+/* Guards against changes being missed by a watch from a revision that is given out again. */
+static void test_another_era_ends_the_watch(void)
+{
+	struct settings settings;
+
+	era = 1;
+	n_lists = n_cancelled = n_unlisted = 0;
+	started(&settings);
+	store_source.store->era(1, NULL);
+	CU_ASSERT_EQUAL(n_lists, 1);
+	era = 2;
+	store_source.store->era(2, NULL);
+	CU_ASSERT_EQUAL(n_cancelled, 1);
+	CU_ASSERT_EQUAL(n_lists, 2);
+	CU_ASSERT_EQUAL(store_source.as_of, era_revision(2, store_revision));
+	CU_ASSERT_FALSE(fleet_store_is_current(era_revision(1, 3)));
+	CU_ASSERT_TRUE(fleet_store_is_current(era_revision(2, 3)));
+	/* An answer of before that comes late changes nothing. */
+	store_source.store->era(1, NULL);
+	CU_ASSERT_TRUE(fleet_store_is_current(era_revision(2, 3)));
+	era = 0;
+}
+
 static unsigned news_of_groups;
 
 static void on_record(const struct store_item *item, void *owner)
@@ -284,6 +320,7 @@
 	{"a_vm_that_is_not_listed_yet_watches_nothing",
 	 test_a_vm_that_is_not_listed_yet_watches_nothing},
 	{"a_list_after_a_broken_watch_is_not_stale", test_a_list_after_a_broken_watch_is_not_stale},
+	{"another_era_ends_the_watch", test_another_era_ends_the_watch},
 	{"a_start_makes_no_new_version", test_a_start_makes_no_new_version},
 	{"a_restarted_vm_tells_what_servers_changed",
 	 test_a_restarted_vm_tells_what_servers_changed},
