What an older copy of the store tells does not undo what is in force

For the time between the store's return from an older copy and the operators' and servers' next writes, a VM that reads it would put an older configuration in force again: a route that was added or a key that was given is refused, a revoked key works. A server that leaves would be used again, and its time to leave would begin anew when it says so a second time.

Cause: since revisions are ordered by era, whatever a new era tells is newer. Class: the order of a carrier taken for the order of what it carries.

Change: the version of the operators' document is an entry of the configuration, and an update with a lower one is old, from the store and from peers. Of a server's entries, one of the same process (born) with a lower sequence changes nothing. A server that starts anew may have any sequence.

Tests, each fails without its half: test-conf an_older_document_is_refused, test-store-list an_older_document_is_not_put_in_force and a_leaving_server_does_not_return_with_its_former_entry.

Left: a VM that starts in between knows neither, and an evacuation that the copy lacks ends until it is written again.

--- a/decide/conf.c
+++ b/decide/conf.c
@@ -218,6 +218,20 @@
 	}
 }
 
+/** Whether @a u is of an older document of the operators, whose versions only go up. */
+static bool is_of_older_document(const struct conf *c, const struct conf_update *u)
+{
+	guint i;
+
+	for (i = 0; i < u->entries->len; i++) {
+		const struct conf_entry *e = g_ptr_array_index(u->entries, i);
+
+		if (e->kind == CONF_DOCUMENT && !e->removed)
+			return e->document.version < conf_document_version(c);
+	}
+	return false;
+}
+
 enum conf_verdict conf_apply(struct conf *c, const struct conf_update *u)
 {
 	guint i;
@@ -228,6 +242,8 @@
 	 */
 	if (u->version <= c->version)
 		return CONF_OLD;
+	if (is_of_older_document(c, u))
+		return CONF_OLD_DOCUMENT;
 	if (!u->full && u->base > c->version)
 		return CONF_GAP;
 	if (u->full) {
@@ -315,6 +331,13 @@
 	return -1;
 }
 
+double conf_document_version(const struct conf *c)
+{
+	const struct conf_entry *e = conf_find(c, "document", CONF_DOCUMENT_NAME);
+
+	return e != NULL ? e->document.version : 0;
+}
+
 bool conf_evacuated(const struct conf *c, const char *data_center)
 {
 	return conf_find(c, "evacuation", data_center) != NULL;
--- a/decide/conf.h
+++ b/decide/conf.h
@@ -17,7 +17,15 @@
 /** Removed entries remembered, so that a VM that is behind can be told of them. */
 #define CONF_TOMBSTONES_MAX 1024
 
-enum conf_kind { CONF_ROUTE, CONF_POOL, CONF_TEAM, CONF_KEY, CONF_EVACUATION, CONF_KINDS };
+enum conf_kind {
+	CONF_ROUTE,
+	CONF_POOL,
+	CONF_TEAM,
+	CONF_KEY,
+	CONF_EVACUATION,
+	CONF_DOCUMENT,
+	CONF_KINDS
+};
 
 struct conf_member {
 	char name[NAME_SIZE];
@@ -80,6 +88,12 @@
 	char data_center[NAME_SIZE];
 };
 
+/** The operators' document that the other entries come from, for a store that keeps one. */
+struct conf_document {
+	char name[NAME_SIZE];
+	double version; /**< the operators' own, a whole number */
+};
+
 /** One entry. Its text is what the platform keeps and what VMs send each other. */
 struct conf_entry {
 	unsigned refs;
@@ -94,6 +108,7 @@
 		struct conf_team team;
 		struct conf_key key;
 		struct conf_evacuation evacuation;
+		struct conf_document document;
 	};
 };
 
@@ -126,8 +141,9 @@
 
 enum conf_verdict {
 	CONF_APPLIED,
-	CONF_OLD, /**< not newer than what is in force */
-	CONF_GAP, /**< starts after the version in force: ask for more */
+	CONF_OLD,	   /**< not newer than what is in force */
+	CONF_OLD_DOCUMENT, /**< of an older document than what is in force */
+	CONF_GAP,	   /**< starts after the version in force: ask for more */
 };
 
 struct conf *conf_create(void);
@@ -142,6 +158,10 @@
 const struct conf_pool *conf_pool(const struct conf *c, const char *name);
 /** Index of a member of @a pool, which may be NULL; -1 when it has none of that name. */
 int conf_pool_find(const struct conf_pool *pool, const char *member);
+/** Name of the only CONF_DOCUMENT. */
+#define CONF_DOCUMENT_NAME "operators"
+/** Version of the operators' document in force; 0 for none. */
+double conf_document_version(const struct conf *c);
 bool conf_evacuated(const struct conf *c, const char *data_center);
 const struct conf_team *conf_team(const struct conf *c, const char *name);
 const struct conf_key *conf_key(const struct conf *c, const char *id);
--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -68,6 +68,10 @@
 
 	if (v == CONF_GAP)
 		f->source->behind(f);
+	if (v == CONF_OLD_DOCUMENT)
+		log_warn("conf-older-document", LOG_REVISION("version", u->version),
+			 LOG_NUM("document", conf_document_version(f->conf)),
+			 LOG_STR("from", from));
 	if (v != CONF_APPLIED)
 		return;
 	stat_add(STAT_CONF_APPLIED, 1);
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -105,6 +105,14 @@
 	}
 }
 
+static void add_document(GPtrArray *entries)
+{
+	struct conf_document d = {.name = CONF_DOCUMENT_NAME,
+				  .version = (double)store_source.document.version};
+
+	g_ptr_array_add(entries, table_entry_make(CONF_DOCUMENT, &d));
+}
+
 /** The entries that differ from what is in force, each with the new version. */
 static void differences(const struct conf *conf, GPtrArray *now, struct conf_update *u)
 {
@@ -219,6 +227,7 @@
 					     g_ptr_array_index(store_source.document.entries, i)));
 	add_pools(now);
 	add_evacuations(now);
+	add_document(now);
 	u.full = f->conf->version == 0;
 	differences(f->conf, now, &u);
 	if (u.full)
@@ -285,6 +294,15 @@
 	log_info("member-lapsed", LOG_STR("pool", s->record.pool), LOG_STR("member", id));
 }
 
+/**
+ * Whether @a r is what the same process of the server said before: the store, back from an older
+ * copy, tells it until the server has written again. One that leaves would be used once more.
+ */
+static bool is_former_entry(const struct records_server *known, const struct records_server *r)
+{
+	return r->born != 0 && r->born == known->born && r->sequence < known->sequence;
+}
+
 static void take_server(const struct store_item *item)
 {
 	const char *id = item->key + strlen(store_source.records->servers_prefix);
@@ -301,6 +319,13 @@
 		return;
 	}
 	s = g_hash_table_lookup(store_source.servers, id);
+	if (s != NULL && is_former_entry(&s->record, &r)) {
+		log_info("member-entry-older", LOG_STR("member", id),
+			 LOG_NUM("sequence", r.sequence), LOG_NUM("known", s->record.sequence),
+			 LOG_REVISION("revision", item->revision));
+		s->lapsed = false;
+		return;
+	}
 	if (s == NULL) {
 		s = g_new0(struct server, 1);
 		g_hash_table_insert(store_source.servers, g_strdup(id), s);
--- a/src/records.h
+++ b/src/records.h
@@ -28,6 +28,8 @@
 struct records_server {
 	char pool[NAME_SIZE];
 	struct conf_member member; /**< connections is left 0 */
+	uint64_t born;		   /**< start of the server's process, in ms */
+	uint64_t sequence;	   /**< counts what that process said */
 };
 
 struct records_ops {
--- a/src/table.c
+++ b/src/table.c
@@ -78,6 +78,12 @@
 	F(conf_evacuation, data_center, "data_center", SCHEMA_NAME, .required = true),
 };
 
+static const struct schema_field document_fields[] = {
+	F(conf_document, name, "name", SCHEMA_NAME, .required = true),
+	F(conf_document, version, "version", SCHEMA_DOUBLE, .required = true, .min = 0,
+	  .max = 9e15),
+};
+
 /** Each kind of entry: its place in the files and its fields. */
 static const struct kind {
 	const char *prefix;
@@ -91,6 +97,7 @@
 	[CONF_KEY] = {"key", key_fields, G_N_ELEMENTS(key_fields), TABLES},
 	[CONF_EVACUATION] = {"evacuation", evacuation_fields, G_N_ELEMENTS(evacuation_fields),
 			     TABLES},
+	[CONF_DOCUMENT] = {"document", document_fields, G_N_ELEMENTS(document_fields), TABLES},
 };
 
 static const char *const member_key[] = {"member", NULL};
@@ -117,6 +124,8 @@
 		return &e->team;
 	case CONF_EVACUATION:
 		return &e->evacuation;
+	case CONF_DOCUMENT:
+		return &e->document;
 	default:
 		return &e->key;
 	}
@@ -267,6 +276,7 @@
 		[CONF_POOL] = sizeof(struct conf_pool),
 		[CONF_TEAM] = sizeof(struct conf_team),
 		[CONF_EVACUATION] = sizeof(struct conf_evacuation),
+		[CONF_DOCUMENT] = sizeof(struct conf_document),
 	};
 	struct conf_entry *e = conf_entry_create("", 0, "");
 
--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -68,6 +68,25 @@
 	conf_free(c);
 }
 
+/* Guards against a peer that read an older copy of the store bringing an older document back. */
+static void test_an_older_document_is_refused(void)
+{
+	struct conf *c = with_team();
+	struct conf_update u = update(3, 4, false);
+
+	add(&u, "document/operators", 4, "{\"name\":\"operators\",\"version\":49}");
+	CU_ASSERT_EQUAL(apply(c, u), CONF_APPLIED);
+	u = update(0, 9, true);
+	add(&u, "document/operators", 9, "{\"name\":\"operators\",\"version\":43}");
+	CU_ASSERT_EQUAL(apply(c, u), CONF_OLD_DOCUMENT);
+	CU_ASSERT_PTR_NOT_NULL(conf_team(c, "t"));
+	CU_ASSERT_EQUAL(conf_document_version(c), 49);
+	u = update(4, 9, false);
+	add(&u, "document/operators", 9, "{\"name\":\"operators\",\"version\":51}");
+	CU_ASSERT_EQUAL(apply(c, u), CONF_APPLIED);
+	conf_free(c);
+}
+
 /* Guards against members that are told to leave for good by an evacuation that has ended. */
 static void test_evacuations_mark_members(void)
 {
@@ -394,6 +413,7 @@
 
 static const struct test_case cases[] = {
 	{"never_reverts", test_never_reverts},
+	{"an_older_document_is_refused", test_an_older_document_is_refused},
 	{"evacuations_mark_members", test_evacuations_mark_members},
 	{"sorted_entries_follow_changes", test_sorted_entries_follow_changes},
 	{"gap_is_not_applied", test_gap_is_not_applied},
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -17,6 +17,10 @@
 /** Lists that do not name the VM yet. */
 static unsigned n_unlisted;
 static store_done watch_done;
+static uint64_t document_version;
+/** What the server's entry says. */
+static uint64_t server_born, server_sequence;
+static bool server_leaving;
 
 static bool played_document(const char *text, struct records_document *d)
 {
@@ -24,6 +28,8 @@
 	struct records_pool pool = {.name = "p", .connections = 16};
 
 	memset(d, 0, sizeof(*d));
+	d->version = document_version;
+	team.rate = team.rate + (double)document_version;
 	d->entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	d->pools = g_array_new(FALSE, TRUE, sizeof(struct records_pool));
 	g_array_append_val(d->pools, pool);
@@ -37,6 +43,9 @@
 	g_strlcpy(s->pool, "p", sizeof(s->pool));
 	g_strlcpy(s->member.name, id, sizeof(s->member.name));
 	g_strlcpy(s->member.data_center, "dc", sizeof(s->member.data_center));
+	s->born = server_born;
+	s->sequence = server_sequence;
+	s->member.leaving = server_leaving;
 	return true;
 }
 
@@ -308,6 +317,58 @@
 	era = 0;
 }
 
+/** The store comes back from an older copy. */
+static void restored(void)
+{
+	era++;
+	store_source.store->era(era, NULL);
+}
+
+/* Guards against a configuration of before being in force until operators have written again. */
+static void test_an_older_document_is_not_put_in_force(void)
+{
+	struct settings settings;
+	struct fleet *f;
+
+	era = 1;
+	n_unlisted = 0;
+	document_version = 49;
+	f = started(&settings);
+	CU_ASSERT_EQUAL(conf_team(f->conf, "clerks")->rate, 8 + 49);
+	document_version = 43;
+	restored();
+	CU_ASSERT_EQUAL(conf_team(f->conf, "clerks")->rate, 8 + 49);
+	document_version = 51;
+	restored();
+	CU_ASSERT_EQUAL(conf_team(f->conf, "clerks")->rate, 8 + 51);
+	document_version = era = 0;
+}
+
+/* Guards against a server that leaves being used again, for as long once more. */
+static void test_a_leaving_server_does_not_return_with_its_former_entry(void)
+{
+	struct settings settings;
+	struct fleet *f;
+
+	era = 1;
+	n_unlisted = 0;
+	server_born = 1000;
+	server_sequence = 50;
+	server_leaving = true;
+	f = started(&settings);
+	CU_ASSERT_TRUE(conf_pool(f->conf, "p")->member[0].leaving);
+	server_sequence = 20;
+	server_leaving = false;
+	restored();
+	CU_ASSERT_TRUE(conf_pool(f->conf, "p")->member[0].leaving);
+	/* Another process under the same id begins anew. */
+	server_born = 2000;
+	server_sequence = 1;
+	restored();
+	CU_ASSERT_FALSE(conf_pool(f->conf, "p")->member[0].leaving);
+	server_born = server_sequence = era = 0;
+}
+
 static unsigned news_of_groups;
 
 static void on_record(const struct store_item *item, void *owner)
@@ -390,6 +451,9 @@
 	{"a_vm_that_the_store_lost_counts_for_a_lease",
 	 test_a_vm_that_the_store_lost_counts_for_a_lease},
 	{"a_first_registration_is_tried_again", test_a_first_registration_is_tried_again},
+	{"an_older_document_is_not_put_in_force", test_an_older_document_is_not_put_in_force},
+	{"a_leaving_server_does_not_return_with_its_former_entry",
+	 test_a_leaving_server_does_not_return_with_its_former_entry},
 	{"a_start_makes_no_new_version", test_a_start_makes_no_new_version},
 	{"a_restarted_vm_tells_what_servers_changed",
 	 test_a_restarted_vm_tells_what_servers_changed},
