The stand-in's operators and members may write again later than the store returns

The stand-in wrote everything again at the moment of the restore, so that no test could see what VMs do with an older document meanwhile. The time is a parameter now; keys that were written since the restore are left as they are. The soak draws it, up to 2 s.

--- a/tests/standin-prepared-store.c
+++ b/tests/standin-prepared-store.c
@@ -172,49 +172,62 @@
 	return g_str_has_prefix(key, "mangoloom/");
 }
 
+/** What the operators and the members had written when the store came back, until it is again. */
+static GTree *to_rewrite;
+static int64_t rewrite_us;
+
+/** Whether the key is as it was in the copy: nobody has written it since. */
+static bool is_as_copied(const struct item *it)
+{
+	return it == NULL || it->revision <= copy.revision;
+}
+
 static gboolean write_again(gpointer key, gpointer value, gpointer data)
 {
 	const struct item *it = value, *now = g_tree_lookup(items, key);
 
-	if (!is_own(key) && (now == NULL || strcmp(now->value, it->value) != 0))
+	if (!is_own(key) && is_as_copied(now) &&
+	    (now == NULL || strcmp(now->value, it->value) != 0))
 		store_put(key, it->value, 0);
 	return FALSE;
 }
 
-static gboolean note_removed(gpointer key, gpointer value, gpointer data)
+static gboolean note_removed(gpointer key, gpointer value, gpointer gone)
 {
-	struct {
-		GTree *before;
-		GPtrArray *gone;
-	} *r = data;
-
-	if (!is_own(key) && g_tree_lookup(r->before, key) == NULL)
-		g_ptr_array_add(r->gone, g_strdup(key));
+	if (!is_own(key) && is_as_copied(value) && g_tree_lookup(to_rewrite, key) == NULL)
+		g_ptr_array_add(gone, g_strdup(key));
 	return FALSE;
 }
 
-void store_restore(void)
+static void rewrite(void)
 {
-	struct {
-		GTree *before;
-		GPtrArray *gone;
-	} r = {items, g_ptr_array_new_with_free_func(g_free)};
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
 	guint i;
 
+	g_tree_foreach(to_rewrite, write_again, NULL);
+	g_tree_foreach(items, note_removed, gone);
+	for (i = 0; i < gone->len; i++)
+		store_remove(g_ptr_array_index(gone, i));
+	g_ptr_array_unref(gone);
+	g_clear_pointer(&to_rewrite, g_tree_unref);
+}
+
+void store_restore(int64_t rewrite_after_us)
+{
 	if (copy.items == NULL)
 		return;
+	if (to_rewrite != NULL)
+		rewrite();
 	era++;
+	to_rewrite = items;
 	items = items_copy(copy.items);
 	g_hash_table_unref(standin.leases);
 	standin.leases = leases_copy(copy.leases);
 	revision = copy.revision;
 	store_compact();
-	g_tree_foreach(r.before, write_again, NULL);
-	g_tree_foreach(items, note_removed, &r);
-	for (i = 0; i < r.gone->len; i++)
-		store_remove(g_ptr_array_index(r.gone, i));
-	g_ptr_array_unref(r.gone);
-	g_tree_unref(r.before);
+	rewrite_us = standin_now_us() + rewrite_after_us;
+	if (rewrite_after_us == 0)
+		rewrite();
 }
 
 /* Answers */
@@ -551,6 +564,8 @@
 			lease_end(GPOINTER_TO_SIZE(l->data));
 	}
 	g_list_free(ids);
+	if (to_rewrite != NULL && now >= rewrite_us)
+		rewrite();
 	while (i < watches->len && mode != STORE_SILENT) {
 		struct watch *w = g_ptr_array_index(watches, i);
 
--- a/tests/standin-prepared.c
+++ b/tests/standin-prepared.c
@@ -136,7 +136,7 @@
 		if (json_object_has_member(o, "copy"))
 			store_copy();
 		if (json_object_has_member(o, "restore"))
-			store_restore();
+			store_restore(json_object_get_int_member(o, "restore") * USEC_PER_MSEC);
 		if (json_object_has_member(o, "put"))
 			store_put(json_object_get_string_member(o, "put"),
 				  json_object_get_string_member(o, "value"), 0);
--- a/tests/standin-prepared.h
+++ b/tests/standin-prepared.h
@@ -82,9 +82,9 @@
 void store_copy(void);
 /**
  * The store comes back from the copy under the next era: revisions are given out again, and what
- * the operators and the members wrote since is written again.
+ * the operators and the members wrote since is written again after @a rewrite_after_us.
  */
-void store_restore(void);
+void store_restore(int64_t rewrite_after_us);
 void store_put(const char *key, const char *value, uint64_t lease);
 void store_remove(const char *key);
 
--- a/tests/test-it-soak.c
+++ b/tests/test-it-soak.c
@@ -25,6 +25,8 @@
 #define EVACUATION_SEEDS 1000000
 
 #define RESTORE_SEEDS 2000000
+/** After a restore, until operators and members have written again. */
+#define REWRITE_MAX_MS 2000
 
 struct soak {
 	struct line_fleet *f;
@@ -211,9 +213,12 @@
 /** The store is away for a moment, and comes back as it was when the fault began. */
 static void store_restored(struct soak *s, int i, bool on)
 {
-	line_fault(s->f, "{\"%s\":1}", on ? "copy" : "restore");
-	if (!on)
-		line_route(s->f, "reset store");
+	if (on) {
+		line_fault(s->f, "{\"copy\":1}");
+		return;
+	}
+	line_fault(s->f, "{\"restore\":%d}", g_rand_int_range(s->rand_restores, 0, REWRITE_MAX_MS));
+	line_route(s->f, "reset store");
 }
 
 static const struct fault restore_faults[] = {
