An evacuation that a restored store lacks goes on

Members of an evacuated data centre would get work again, from the store's return from an older copy until the operators write the evacuation again. A key that the copy lacks counted as removed at once. It is kept like those of VMs and parts, for a lease's length, or until the store tells of it. test-store-list what_the_store_lost_counts_for_a_lease covers both.

mangoloom status tells the store's era and whether it is settled, as store_era and store_settled.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -356,7 +356,7 @@
 	store_source.conf_changed = true;
 }
 
-static bool is_evacuation(const char *key)
+bool source_is_evacuation(const char *key)
 {
 	const char *prefix = store_source.records->evacuations_prefix;
 
@@ -426,7 +426,7 @@
 	} else if (g_str_has_prefix(item->key, store_source.records->servers_prefix)) {
 		store_source.changed = MAX(store_source.changed, item->revision);
 		take_server(item);
-	} else if (is_evacuation(item->key)) {
+	} else if (source_is_evacuation(item->key)) {
 		store_source.changed = MAX(store_source.changed, item->revision);
 		take_evacuation(item);
 	} else if (g_str_has_prefix(item->key, FLEET_STORE_VMS) ||
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -64,7 +64,7 @@
 	uint64_t changed; /**< newest revision of the operators' document and the servers */
 	bool conf_changed;
 	bool vms_changed;
-	bool vms_kept;		 /**< VMs, or parts, that the present era lacks still count */
+	bool keeps;		 /**< keys that the present era lacks still count */
 	void (*rewritten)(void); /**< to be called once this VM's key is written; NULL: nothing */
 	struct {
 		const char *prefix;
@@ -83,6 +83,7 @@
 
 /* fleet-store-items.c */
 
+bool source_is_evacuation(const char *key);
 /** Take in what the store tells of a key. */
 void source_take(const struct store_item *item);
 /** Put what is known in force, when all was read. */
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -127,10 +127,14 @@
 
 /* Lists */
 
-/** VMs, and parts that they hold, may go on for a lease's length though the store has lost them. */
-static bool kept(const char *key)
+/**
+ * Whether a key that the store has lost counts for a lease's length more: VMs, and parts that they
+ * hold, may go on for so long, and the operators write their evacuations again.
+ */
+static bool is_kept(const char *key)
 {
-	return g_str_has_prefix(key, FLEET_STORE_VMS) || g_str_has_prefix(key, FLEET_STORE_PARTS);
+	return g_str_has_prefix(key, FLEET_STORE_VMS) || g_str_has_prefix(key, FLEET_STORE_PARTS) ||
+	       source_is_evacuation(key);
 }
 
 /** Keys of a list that were known and are not told any more are gone. */
@@ -140,15 +144,15 @@
 	GList *keys = g_hash_table_get_keys(store_source.known);
 	GList *l;
 
-	store_source.vms_kept = false;
+	store_source.keeps = false;
 
 	for (l = keys; l != NULL; l = l->next) {
 		struct store_item gone = {.revision = revision};
 
 		if (g_hash_table_contains(store_source.listed, l->data))
 			continue;
-		if (!settled && kept(l->data)) {
-			store_source.vms_kept = true;
+		if (!settled && is_kept(l->data)) {
+			store_source.keeps = true;
 			g_hash_table_add(store_source.listed, g_strdup(l->data));
 			continue;
 		}
@@ -357,7 +361,7 @@
 
 	source_lease_tick(now);
 	source_drop_lapsed(now);
-	if (store_source.vms_kept && era_settled(&store_source.era, 0, LEASE_TTL_US, now))
+	if (store_source.keeps && era_settled(&store_source.era, 0, LEASE_TTL_US, now))
 		source_rewrite_key(now, list_anew);
 	if (!store_source.listed_all || store_source.watch != NULL ||
 	    event_pending(store_source.retry, EV_TIMEOUT, NULL))
@@ -420,9 +424,18 @@
 	return now_us() < fleet_store_lease_until_us(f);
 }
 
+static void store_json(struct fleet *f, JsonBuilder *b)
+{
+	json_builder_set_member_name(b, "store_era");
+	json_builder_add_int_value(b, (gint64)store_source.era.now);
+	json_builder_set_member_name(b, "store_settled");
+	json_builder_add_boolean_value(b, fleet_store_settled(f));
+}
+
 const struct fleet_source_ops fleet_store_ops = {
 	.listed = store_listed,
 	.start = store_start,
 	.stop = store_stop,
 	.behind = store_behind,
+	.json = store_json,
 };
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -491,6 +491,8 @@
 	json_builder_set_member_name(b, "conf_age_ms");
 	json_builder_add_int_value(b, fleet_news_age_us(f) / USEC_PER_MSEC);
 	put_evacuated(f->conf, b);
+	if (f->source->json != NULL)
+		f->source->json(f, b);
 	json_builder_set_member_name(b, "vms");
 	json_builder_begin_array(b);
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -35,6 +35,8 @@
 	bool (*listed)(struct fleet *f);
 	/** What is known here misses changes: read all anew. */
 	void (*behind)(struct fleet *f);
+	/** What `mangoloom status` tells of it. May be NULL. */
+	void (*json)(struct fleet *f, JsonBuilder *b);
 };
 
 /** etcd's gateway. */
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -51,6 +51,7 @@
 
 static const struct records_ops played_records = {.document_key = "doc",
 						  .servers_prefix = "servers/",
+						  .evacuations_prefix = "evacuate/",
 						  .document = played_document,
 						  .server = played_server};
 
@@ -263,13 +264,17 @@
 	era = 0;
 }
 
-/* Guards against a VM that trusts its lease of before a restore being taken for ended. */
-static void test_a_vm_that_the_store_lost_counts_for_a_lease(void)
+/* Guards against a VM that trusts its lease, or an evacuation, being taken for ended by a restore.
+ */
+static void test_what_the_store_lost_counts_for_a_lease(void)
 {
 	struct store_item other = {
 		.key = FLEET_STORE_VMS "vm-2",
 		.value = "{\"name\":\"vm-2\",\"address\":\"127.0.0.1:2\",\"data_center\":\"dc\"}",
 		.revision = era_revision(1, STORE_REVISION + 1)};
+	struct store_item evacuation = {.key = "evacuate/dc",
+					.value = "{}",
+					.revision = era_revision(1, STORE_REVISION + 2)};
 	const struct timeval tick = {.tv_usec = 250000};
 	struct settings settings;
 	struct fleet *f;
@@ -278,13 +283,15 @@
 	n_unlisted = 0;
 	f = started(&settings);
 	source_take(&other);
-	store_source.as_of = other.revision;
+	source_take(&evacuation);
+	store_source.as_of = evacuation.revision;
 	source_publish();
 	CU_ASSERT_PTR_NOT_NULL(peers_find(&f->peers, "vm-2"));
 	era = 2;
 	store_source.store->era(2, NULL);
 	CU_ASSERT_PTR_NOT_NULL(peers_find(&f->peers, "vm-2"));
-	CU_ASSERT_TRUE(store_source.vms_kept);
+	CU_ASSERT_TRUE(conf_evacuated(f->conf, "dc"));
+	CU_ASSERT_TRUE(store_source.keeps);
 	CU_ASSERT_FALSE(fleet_store_settled(f));
 	store_source.era.since_us -= LEASE_TTL_US;
 	store_source.lease = 7;
@@ -295,6 +302,7 @@
 	event_base_loopexit(f->service.kernel->base, &tick);
 	event_base_dispatch(f->service.kernel->base);
 	CU_ASSERT_PTR_NULL(peers_find(&f->peers, "vm-2"));
+	CU_ASSERT_FALSE(conf_evacuated(f->conf, "dc"));
 	era = 0;
 }
 
@@ -448,8 +456,7 @@
 	 test_a_vm_that_is_not_listed_yet_watches_nothing},
 	{"a_list_after_a_broken_watch_is_not_stale", test_a_list_after_a_broken_watch_is_not_stale},
 	{"another_era_ends_the_watch", test_another_era_ends_the_watch},
-	{"a_vm_that_the_store_lost_counts_for_a_lease",
-	 test_a_vm_that_the_store_lost_counts_for_a_lease},
+	{"what_the_store_lost_counts_for_a_lease", test_what_the_store_lost_counts_for_a_lease},
 	{"a_first_registration_is_tried_again", test_a_first_registration_is_tried_again},
 	{"an_older_document_is_not_put_in_force", test_an_older_document_is_not_put_in_force},
 	{"a_leaving_server_does_not_return_with_its_former_entry",
