A sender that a restored store does not name stops

A write could be acknowledged by a primary that another VM has replaced: a former owner of a group goes on with its open transactions, and the owner after it waits for it because the record names it as a sender. A store that came back from an older copy names it no more, so nobody waits.

--- a/decide/lead.c
+++ b/decide/lead.c
@@ -29,6 +29,11 @@
 	return -1;
 }
 
+bool lead_has_sender(const struct lead_record *r, const struct lead_vm *vm)
+{
+	return sender_find(r, vm) >= 0;
+}
+
 bool lead_add_sender(struct lead_record *r, const struct lead_vm *vm)
 {
 	if (sender_find(r, vm) >= 0)
--- a/decide/lead.h
+++ b/decide/lead.h
@@ -35,6 +35,7 @@
 bool lead_vm_equal(const struct lead_vm *a, const struct lead_vm *b);
 /** Note in @a r that @a vm may still be sending. @return false when there is no room. */
 bool lead_add_sender(struct lead_record *r, const struct lead_vm *vm);
+bool lead_has_sender(const struct lead_record *r, const struct lead_vm *vm);
 void lead_remove_sender(struct lead_record *r, const struct lead_vm *vm);
 /**
  * Make @a vm the owner; the one before may still be sending unless it is known to have ended.
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -28,14 +28,6 @@
 /** Between two such reports of one VM on one group. */
 #define REPORT_PAUSE_US (200 * USEC_PER_MSEC)
 
-static struct lead_vm self_vm(const struct owner *o)
-{
-	struct lead_vm vm = {.incarnation = o->service.kernel->incarnation};
-
-	g_strlcpy(vm.name, o->service.kernel->settings->name, sizeof(vm.name));
-	return vm;
-}
-
 /** A question to the owner that is out. */
 struct ask {
 	struct owner *o;
@@ -108,7 +100,7 @@
 static void claim(struct owner_group *g, const char *why)
 {
 	struct lead_record r = g->record;
-	struct lead_vm self = self_vm(g->o);
+	struct lead_vm self = owner_self(g->o);
 
 	/* Right after a restore the list may name a process of before the record's. */
 	bool ended = (owner_ended(g) && fleet_store_settled(og_fleet(g))) ||
@@ -223,7 +215,7 @@
 /** Whether the record names an earlier process of this VM, which has surely ended. */
 static bool was_mine(const struct owner_group *g)
 {
-	const struct lead_vm self = self_vm(g->o);
+	const struct lead_vm self = owner_self(g->o);
 
 	return g->revision != 0 && strcmp(g->record.owner.name, self.name) == 0 &&
 	       g->record.owner.incarnation != self.incarnation;
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -181,10 +181,22 @@
 	return era_of(revision) != era_of(g->revision) && g->lapses != fleet_store_lapses();
 }
 
+/**
+ * The record of another era does not name this VM as a sender, since the store has lost that it was
+ * one: nobody would wait until it stops.
+ */
+static bool is_forgotten_sender(const struct owner_group *g)
+{
+	struct lead_vm self = owner_self(g->o);
+
+	return g->sending && !og_mine(g) && !lead_has_sender(&g->record, &self);
+}
+
 /** The record at @a revision is what the store has. */
 static void record_take(struct owner_group *g, const struct lead_record *r, uint64_t revision)
 {
 	bool mine = g->state > OWNER_CLAIMING;
+	bool new_era = era_of(revision) != era_of(g->revision);
 
 	if (revision <= g->revision)
 		return;
@@ -202,6 +214,8 @@
 	else if (!mine)
 		log_info("owner-known", LOG_STR("pool", g->pool), LOG_STR("owner", r->owner.name),
 			 LOG_REVISION("revision", revision));
+	if (new_era && is_forgotten_sender(g))
+		claim_stop(g, "forgotten");
 }
 
 static void record_news(const struct store_item *item, void *owner)
--- a/src/owner.c
+++ b/src/owner.c
@@ -46,6 +46,14 @@
 	return (struct owner *)kernel_find(k, "owner");
 }
 
+struct lead_vm owner_self(const struct owner *o)
+{
+	struct lead_vm vm = {.incarnation = o->service.kernel->incarnation};
+
+	g_strlcpy(vm.name, o->service.kernel->settings->name, sizeof(vm.name));
+	return vm;
+}
+
 struct fleet *og_fleet(const struct owner_group *g)
 {
 	return fleet_of(g->o->service.kernel);
@@ -447,11 +455,14 @@
 static bool owner_caught_up(void *arg)
 {
 	struct owner *o = arg;
+	uint64_t registration = fleet_store_registration(fleet_of(o->service.kernel));
 	struct owner_group *g;
 
 	TAILQ_FOREACH(g, &o->groups, link) {
 		if (!fleet_store_is_current(g->revision) || g->recovered)
 			return false;
+		if (g->sending && g->registration != registration)
+			return false;
 	}
 	return true;
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -300,6 +300,8 @@
 		 uint64_t revision);
 
 /* owner.c: "og" is for owner_group */
+/** This process. */
+struct lead_vm owner_self(const struct owner *o);
 struct fleet *og_fleet(const struct owner_group *g);
 struct owner_group *og_find(struct owner *o, const char *pool);
 bool og_mine(const struct owner_group *g);
--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -78,11 +78,12 @@
 
 static void held_answer(struct held *h)
 {
-	struct store_answer a = {.status = h->status, .lease = h->lease};
-	struct store_item item = {.key = h->key, .value = h->value, .revision = 1};
+	struct store_answer a = {.status = h->status, .lease = h->lease, .era = fake.store_era};
+	struct store_item item = {.key = h->key, .value = h->value};
 
+	item.revision = era_revision(a.era, 1);
 	a.ttl_us = 12 * USEC_PER_SEC;
-	a.revision = ++fake.store_revision;
+	a.revision = era_revision(a.era, ++fake.store_revision);
 	a.items = g_ptr_array_new();
 	if (h->value != NULL)
 		g_ptr_array_add(a.items, &item);
--- a/tests/harness-owner.h
+++ b/tests/harness-owner.h
@@ -37,7 +37,7 @@
 	bool store_refuses;
 	unsigned n_commits;
 	unsigned n_gets;
-	uint64_t store_revision;
+	uint64_t store_era, store_revision;
 	/** Value of a key that is read, to g_free(); NULL: there are no keys. */
 	char *(*value)(const char *key);
 	/** Whether an answer of the store is held back; NULL: none is. */
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -585,9 +585,47 @@
 	CU_ASSERT_EQUAL(g->record.n, 0);
 }
 
+/** The record of another era, which does not name this VM's @a senders. */
+static void restored_record(struct world *w, const char *senders)
+{
+	char *value = g_strdup_printf("{\"vm\":\"vm-9\",\"incarnation\":\"5\",\"address\":"
+				      "\"127.0.0.1:2\",\"floor\":0,\"target\":\"\","
+				      "\"senders\":[%s]}",
+				      senders);
+	struct store_item item = {.key = FLEET_STORE_PREFIX "group/" POOL,
+				  .value = value,
+				  .revision = era_revision(1, 3)};
+
+	store_source.listeners[0].cb(&item, w->o);
+	g_free(value);
+}
+
+/* Guards against a change of primary that does not wait for a sender whom a restore left out. */
+static void test_a_sender_that_the_store_forgot_stops(void)
+{
+	struct owner_group *g;
+	struct world w;
+	char *self;
+
+	g = world_serve(&w);
+	restored_record(&w, "");
+	CU_ASSERT_FALSE(og_mine(g));
+	CU_ASSERT_TRUE(g->yielded);
+	world_close(&w);
+	/* One that the record names is asked to stop, and may end its transactions before. */
+	g = world_serve(&w);
+	self = g_strdup_printf("{\"vm\":\"vm-1\",\"incarnation\":\"%lx\"}", w.k->incarnation);
+	restored_record(&w, self);
+	g_free(self);
+	CU_ASSERT_FALSE(og_mine(g));
+	CU_ASSERT_FALSE(g->yielded);
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"a_group_whose_owner_is_not_reached_is_claimed",
 	 test_a_group_whose_owner_is_not_reached_is_claimed},
+	{"a_sender_that_the_store_forgot_stops", test_a_sender_that_the_store_forgot_stops},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"an_owner_is_not_taken_for_its_former_process",
 	 test_an_owner_is_not_taken_for_its_former_process},
