Owners go on in a new era until their former lease ends

When the store came back from an older copy, each owner stopped sending from the renewal of its lease until its key was written and its groups' records were read again: some milliseconds in a fleet of six, but seconds in one of 3,100 VMs and 3,700 groups, where that is two writes a VM and a read a group against limits of 400 and 2,000 a second. The first two stand still for nothing: until a VM tells the new era, others wait for as long as its former lease.

Now the listing of before holds to the end of the lease of before, the records are read meanwhile, and the key is written once, by each VM at its own time within 200 writes a second of the fleet. A VM whose lease the store has lost still lists itself at once. The size of the effect was not measured: no stand-in has as many VMs.

--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -10,6 +10,8 @@
 /** After a call that failed: this at least, and a part of the time that is left of the lease. */
 #define LEASE_RETRY_US (500 * USEC_PER_MSEC)
 #define LEASE_RETRY_PART 4
+/** Writes a second of all VMs together that tell a new era. */
+#define ERA_WRITES_PER_S 200
 
 int64_t fleet_store_lease_until_us(struct fleet *f)
 {
@@ -26,6 +28,20 @@
 	return store_source.registered ? store_source.registration : 0;
 }
 
+int64_t fleet_store_trusted_until_us(struct fleet *f, uint64_t registration)
+{
+	if (registration == 0)
+		return 0;
+	if (registration == fleet_store_registration(f))
+		return store_source.lease_until_us;
+	return registration == store_source.former_registration ? store_source.former_until_us : 0;
+}
+
+bool fleet_store_renewed(void)
+{
+	return store_source.lease_era == store_source.era.now;
+}
+
 uint64_t fleet_store_lapses(void)
 {
 	return store_source.lapses;
@@ -47,8 +63,20 @@
 	return CLAMP(left_us / LEASE_RETRY_PART, LEASE_RETRY_US, LEASE_RENEW_US);
 }
 
+/**
+ * What was known under the lease of the era before may be acted on until that lease ends: others
+ * wait for this VM to tell the new era, or for as long.
+ */
+static void keep_former(void)
+{
+	store_source.former_registration = fleet_store_registration(store_source.f);
+	store_source.former_until_us = store_source.lease_until_us;
+}
+
 static void lease_lost(const char *why)
 {
+	if (store_source.registered && store_source.era.now != store_source.lease_era)
+		keep_former();
 	if (store_source.registered)
 		log_warn("lease-lost", LOG_NUM("lease", store_source.lease), LOG_STR("why", why));
 	store_source.lease = 0;
@@ -114,6 +142,14 @@
 	g_free(key);
 }
 
+/** Pause before this VM tells a new era, so that all VMs do not write to the store at once. */
+static int64_t rewrite_delay_us(void)
+{
+	int64_t spread_us = (int64_t)store_source.f->n_listed * USEC_PER_SEC / ERA_WRITES_PER_S;
+
+	return spread_us > 0 ? (int64_t)(random_bits() % (uint64_t)spread_us) : 0;
+}
+
 static void lease_answered(const struct store_answer *a, void *arg)
 {
 	store_source.lease_asked = false;
@@ -133,12 +169,15 @@
 		store_source.lease = a->lease;
 	if (now_us() >= store_source.lease_until_us)
 		store_source.lapses++;
+	if (a->era != store_source.lease_era)
+		keep_former();
 	store_source.lease_until_us =
 		store_source.lease_sent_us + (a->ttl_us > 0 ? MIN(a->ttl_us, LEASE_TTL_US) : 0);
 	store_source.lease_next_us = store_source.lease_sent_us + LEASE_RENEW_US;
-	/* Nothing is sent until the records have been read in the new era. */
-	if (a->era != store_source.lease_era)
-		store_source.registered = false;
+	if (store_source.registered && a->era != store_source.lease_era) {
+		store_source.registration++;
+		store_source.rewrite_next_us = now_us() + rewrite_delay_us();
+	}
 	store_source.lease_era = a->era;
 	if (!store_source.registered)
 		register_vm();
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -27,8 +27,11 @@
 
 	struct era era;
 	uint64_t lease;
-	uint64_t lease_era;	 /**< in which the lease was last granted or renewed */
-	uint64_t registration;	 /**< counts the times that this VM became listed */
+	uint64_t lease_era;    /**< in which the lease was last granted or renewed */
+	uint64_t registration; /**< counts the times that this VM became listed */
+	/** The registration, and the end of the lease, of the era before. */
+	uint64_t former_registration;
+	int64_t former_until_us;
 	uint64_t written_era;	 /**< that its key tells */
 	uint64_t writing_era;	 /**< of the write that is under way */
 	int64_t rewrite_next_us; /**< the key is not written again before */
--- a/src/fleet-store.h
+++ b/src/fleet-store.h
@@ -35,6 +35,13 @@
 uint64_t fleet_store_lease(struct fleet *f);
 /** How often this VM became listed, in a new era too; 0 when it is not. */
 uint64_t fleet_store_registration(struct fleet *f);
+/**
+ * Until when what was read under @a registration may be acted on; 0 for no longer. In a new era
+ * that is to the end of the former lease, unless it is read again.
+ */
+int64_t fleet_store_trusted_until_us(struct fleet *f, uint64_t registration);
+/** Whether this VM's lease was granted or renewed in the present era. */
+bool fleet_store_renewed(void);
 /** How often this VM's lease ended before it was renewed. */
 uint64_t fleet_store_lapses(void);
 /** This VM tells others that it is in a new era once @a cb says so. */
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -389,7 +389,7 @@
 
 static bool needs_record(const struct owner_group *g, bool successor)
 {
-	if (!fleet_store_is_current(g->revision))
+	if (!fleet_store_is_current(g->revision) && fleet_store_renewed())
 		return true;
 	return !g->read && (successor || g->outdated || g->invited || og_mine(g));
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -77,9 +77,8 @@
 {
 	struct fleet *f = og_fleet(g);
 
-	return g->sending && !g->yielded && g->registration != 0 &&
-	       g->registration == fleet_store_registration(f) &&
-	       now_us() < fleet_store_lease_until_us(f) - LEASE_MARGIN_US;
+	return g->sending && !g->yielded &&
+	       now_us() < fleet_store_trusted_until_us(f, g->registration) - LEASE_MARGIN_US;
 }
 
 struct owner_member *og_primary(struct owner_group *g)
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -622,10 +622,34 @@
 	world_close(&w);
 }
 
+/* Guards against all groups standing still while their owners read the records of a new era. */
+static void test_an_owner_goes_on_under_its_former_lease(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned reads;
+
+	g = world_serve(&w);
+	CU_ASSERT_TRUE(og_may_send(g));
+	fake.store_era = 1;
+	store_source.lease_next_us = 0;
+	source_lease_tick(now_us());
+	CU_ASSERT_NOT_EQUAL(g->registration, fleet_store_registration(fleet_of(w.k)));
+	CU_ASSERT_TRUE(og_may_send(g));
+	/* It reads the record, and nothing is sent past the former lease before that. */
+	reads = fake.n_gets;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_gets, reads + 1);
+	store_source.former_until_us = now_us();
+	CU_ASSERT_FALSE(og_may_send(g));
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"a_group_whose_owner_is_not_reached_is_claimed",
 	 test_a_group_whose_owner_is_not_reached_is_claimed},
 	{"a_sender_that_the_store_forgot_stops", test_a_sender_that_the_store_forgot_stops},
+	{"an_owner_goes_on_under_its_former_lease", test_an_owner_goes_on_under_its_former_lease},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"an_owner_is_not_taken_for_its_former_process",
 	 test_an_owner_is_not_taken_for_its_former_process},
