Names of what a restored store brought; groups that are gone delay nothing

Names in the field's terms: an era is observed and published, a record merged, a sender listed. Behaviour stays as it is but for one thing: a VM publishes a new era without waiting for groups that are not configured any more, whose records it never reads again; each restore would have held up changes of primary for a lease's length after a database had been removed.

--- a/decide/era.c
+++ b/decide/era.c
@@ -1,7 +1,7 @@
 /** @file era.c When leases of a former era of the store have surely ended. */
 #include "era.h"
 
-bool era_hear(struct era *e, uint64_t era, int64_t now_us)
+bool era_observe(struct era *e, uint64_t era, int64_t now_us)
 {
 	bool restored = e->now != 0 && era > e->now;
 
--- a/decide/era.h
+++ b/decide/era.h
@@ -37,12 +37,12 @@
  */
 struct era {
 	uint64_t now;	  /**< 0: none was told */
-	int64_t since_us; /**< when it was first told here; 0: it was there when the process began
+	int64_t since_us; /**< when it was first observed; 0: it was there when the process began
 			   */
 };
 
-/** Take in an era that the store tells. @return whether it came back from an older copy */
-bool era_hear(struct era *e, uint64_t era, int64_t now_us);
+/** Note the era of an answer. @return whether the store has come back from an older copy */
+bool era_observe(struct era *e, uint64_t era, int64_t now_us);
 /** A process that begins finds somebody who is not in the present era yet. */
 void era_unsettle(struct era *e, int64_t now_us);
 /**
--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -98,7 +98,7 @@
 		return;
 	}
 	source_heard("register", true);
-	store_source.written_era = store_source.writing_era;
+	store_source.published_era = store_source.publishing_era;
 	if (!store_source.registered)
 		store_source.registration++;
 	store_source.registered = true;
@@ -113,21 +113,21 @@
  * The era that this VM's key tells. Others take it as the word that nothing goes on here by what a
  * former era told, and that all that the store has lost and this VM knows is written again.
  */
-static uint64_t era_to_tell(void)
+static uint64_t era_to_publish(void)
 {
-	bool first = store_source.written_era == 0;
+	bool first = store_source.published_era == 0;
 
 	if (first || store_source.caught_up == NULL ||
 	    store_source.caught_up(store_source.caught_up_owner))
 		return store_source.lease_era;
-	return store_source.written_era;
+	return store_source.published_era;
 }
 
 static void register_vm(void)
 {
 	struct kernel *k = store_source.f->service.kernel;
 	const struct settings *set = k->settings;
-	uint64_t era = era_to_tell();
+	uint64_t era = era_to_publish();
 	char *key = g_strconcat(FLEET_STORE_VMS, set->name, NULL);
 	char *value =
 		g_strdup_printf("{\"name\":\"%s\",\"address\":\"%s\",\"data_center\":\"%s\","
@@ -135,7 +135,7 @@
 				set->name, set->advertise, set->data_center, k->incarnation, era);
 	struct store_write w = {.key = key, .value = value, .lease = store_source.lease};
 
-	store_source.writing_era = era;
+	store_source.publishing_era = era;
 	store_source.lease_asked = true;
 	store_source.store->ops->commit(store_source.store, NULL, 0, &w, 1, registered, NULL);
 	g_free(value);
@@ -195,11 +195,12 @@
 
 void source_lease_tick(int64_t now)
 {
-	bool behind = store_source.registered && store_source.written_era < store_source.lease_era;
+	bool behind =
+		store_source.registered && store_source.published_era < store_source.lease_era;
 
 	if (store_source.lease_asked || store_source.releasing)
 		return;
-	if (behind && era_to_tell() == store_source.lease_era) {
+	if (behind && era_to_publish() == store_source.lease_era) {
 		source_rewrite_key(now, NULL);
 		return;
 	}
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -32,8 +32,8 @@
 	/** The registration, and the end of the lease, of the era before. */
 	uint64_t former_registration;
 	int64_t former_until_us;
-	uint64_t written_era;	 /**< that its key tells */
-	uint64_t writing_era;	 /**< of the write that is under way */
+	uint64_t published_era;	 /**< that its key tells */
+	uint64_t publishing_era; /**< of the write that is under way */
 	int64_t rewrite_next_us; /**< the key is not written again before */
 	uint64_t lapses;	 /**< leases of this VM that ended before the next one began */
 	fleet_store_caught_up caught_up; /**< may be NULL */
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -98,11 +98,11 @@
 		list_anew();
 }
 
-static void era_heard(uint64_t era, void *arg)
+static void on_store_era(uint64_t era, void *arg)
 {
 	uint64_t before = store_source.era.now;
 
-	if (!era_hear(&store_source.era, era, now_us()))
+	if (!era_observe(&store_source.era, era, now_us()))
 		return;
 	log_warn("store-era", LOG_NUM("era", era), LOG_NUM("before", before),
 		 LOG_NUM("as_of", era_number(store_source.as_of)));
@@ -389,7 +389,7 @@
 	store_source.store = k->adapter->store->create(k, k->settings->platform[0],
 						       (int64_t)k->settings->platform_timeout_ms *
 							       USEC_PER_MSEC);
-	store_source.store->era = era_heard;
+	store_source.store->era = on_store_era;
 	store_source.known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_source.evacuated = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -333,7 +333,7 @@
  * After a restore of the store the record may lack a change of primary, until all VMs have written
  * again what they know.
  */
-static bool record_may_lack_a_change(struct owner_group *g)
+static bool awaits_settled_record(struct owner_group *g)
 {
 	if (!fleet_store_settled(og_fleet(g))) {
 		g->unsettled = true;
@@ -351,7 +351,7 @@
 {
 	int found;
 
-	if (record_may_lack_a_change(g)) {
+	if (awaits_settled_record(g)) {
 		g->state_us = now;
 		return;
 	}
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -140,7 +140,7 @@
 }
 
 /** Take over @a r, but for a choice of a primary that the store has lost. */
-static void take_or_recover(struct owner_group *g, const struct lead_record *r, uint64_t revision)
+static void merge_record(struct owner_group *g, const struct lead_record *r, uint64_t revision)
 {
 	struct lead_record known = g->record;
 	bool before = g->recovered;
@@ -185,7 +185,7 @@
  * The record of another era does not name this VM as a sender, since the store has lost that it was
  * one: nobody would wait until it stops.
  */
-static bool is_forgotten_sender(const struct owner_group *g)
+static bool is_unlisted_sender(const struct owner_group *g)
 {
 	struct lead_vm self = owner_self(g->o);
 
@@ -204,7 +204,7 @@
 		record_ownership_ends(g, "lease-ended-before-restore");
 		mine = false;
 	}
-	take_or_recover(g, r, revision);
+	merge_record(g, r, revision);
 	g->revision = revision;
 	g->owner_lost = false;
 	if (mine && !og_mine(g))
@@ -214,8 +214,8 @@
 	else if (!mine)
 		log_info("owner-known", LOG_STR("pool", g->pool), LOG_STR("owner", r->owner.name),
 			 LOG_REVISION("revision", revision));
-	if (new_era && is_forgotten_sender(g))
-		claim_stop(g, "forgotten");
+	if (new_era && is_unlisted_sender(g))
+		claim_stop(g, "not-listed-as-sender");
 }
 
 static void record_news(const struct store_item *item, void *owner)
--- a/src/owner.c
+++ b/src/owner.c
@@ -458,7 +458,8 @@
 	struct owner_group *g;
 
 	TAILQ_FOREACH(g, &o->groups, link) {
-		if (!fleet_store_is_current(g->revision) || g->recovered)
+		/* One that is not configured any more is not read, nor owned. */
+		if (g->configured && (!fleet_store_is_current(g->revision) || g->recovered))
 			return false;
 		if (g->sending && g->registration != registration)
 			return false;
--- a/src/parts.c
+++ b/src/parts.c
@@ -53,7 +53,7 @@
  * Whether the store still has the key of @a revision for all that the lease's holder knows. What a
  * former era said counts as long as the lease of that era does.
  */
-static bool is_kept(uint64_t revision)
+static bool is_of_lease_era(uint64_t revision)
 {
 	return era_of(revision) >= fleet_store_lease_era();
 }
@@ -63,7 +63,7 @@
 	struct fleet *f = fleet_here(part->parts);
 
 	return part->lease != 0 && part->lease == fleet_store_lease(f) && fleet_surely_listed(f) &&
-	       is_kept(part->revision);
+	       is_of_lease_era(part->revision);
 }
 
 unsigned parts_held(const struct parts *p)
@@ -168,7 +168,8 @@
 	const struct kernel *k = part->parts->service.kernel;
 
 	return strcmp(held->vm, k->settings->name) == 0 && held->incarnation == k->incarnation &&
-	       held->lease == fleet_store_lease(fleet_here(part->parts)) && is_kept(held->revision);
+	       held->lease == fleet_store_lease(fleet_here(part->parts)) &&
+	       is_of_lease_era(held->revision);
 }
 
 /**
--- a/src/store.h
+++ b/src/store.h
@@ -85,7 +85,7 @@
 	void (*cancel)(struct store_call *call);
 };
 
-/** Hear of the store's era, before the answer that tells it is delivered. */
+/** Called with the era of an answer, before the answer is delivered. */
 typedef void (*store_era)(uint64_t era, void *arg);
 
 /** First member of each implementation. */
--- a/tests/test-lead.c
+++ b/tests/test-lead.c
@@ -173,12 +173,12 @@
 }
 
 /** What the store tells the VM of its era. */
-static void model_hear(struct model *m, struct model_vm *v)
+static void model_observe(struct model *m, struct model_vm *v)
 {
 	bool first = v->era.now == 0;
 	int i;
 
-	era_hear(&v->era, m->era, m->now);
+	era_observe(&v->era, m->era, m->now);
 	for (i = 0; first && i < VMS; i++) {
 		if (key_there(m, i) && m->vm[i].key_era < m->era)
 			era_unsettle(&v->era, m->now);
@@ -250,7 +250,7 @@
 
 	if (m->now >= v->lease_until || lead_vm_equal(&r.owner, &v->id))
 		return;
-	model_hear(m, v);
+	model_observe(m, v);
 	lead_recover(&r, &v->record);
 	if (!lead_claim(&r, &v->id, "1.1.1.1:1", false))
 		return;
@@ -267,7 +267,7 @@
 {
 	int64_t sent = m->now - rand() % 3;
 
-	model_hear(m, v);
+	model_observe(m, v);
 	/* A lease that the store has ended is a new one: the record is read again under it. */
 	if (m->now >= v->store_until || v->lease_era != m->era)
 		model_read(m, v);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -601,7 +601,7 @@
 }
 
 /* Guards against a change of primary that does not wait for a sender whom a restore left out. */
-static void test_a_sender_that_the_store_forgot_stops(void)
+static void test_a_sender_that_the_record_lost_stops(void)
 {
 	struct owner_group *g;
 	struct world w;
@@ -648,7 +648,7 @@
 static const struct test_case cases[] = {
 	{"a_group_whose_owner_is_not_reached_is_claimed",
 	 test_a_group_whose_owner_is_not_reached_is_claimed},
-	{"a_sender_that_the_store_forgot_stops", test_a_sender_that_the_store_forgot_stops},
+	{"a_sender_that_the_record_lost_stops", test_a_sender_that_the_record_lost_stops},
 	{"an_owner_goes_on_under_its_former_lease", test_an_owner_goes_on_under_its_former_lease},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"an_owner_is_not_taken_for_its_former_process",
--- a/tests/test-parts.c
+++ b/tests/test-parts.c
@@ -238,7 +238,7 @@
 	run(&w);
 	CU_ASSERT_TRUE(held0(&w));
 	/* Others know that this VM may go on until its lease of that era ends. */
-	era_hear(&store_source.era, 2, now_us());
+	era_observe(&store_source.era, 2, now_us());
 	CU_ASSERT_TRUE(held0(&w));
 	store_source.lease_era = 2;
 	CU_ASSERT_FALSE(held0(&w));
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -155,6 +155,14 @@
 	return fleet_of(k);
 }
 
+/** The same, of a store that tells its era. */
+static struct fleet *started_in_first_era(struct settings *settings)
+{
+	era = 1;
+	n_unlisted = 0;
+	return started(settings);
+}
+
 /*
  * Whenever a VM starts, each VM of the fleet fetches the whole configuration and goes through it.
  * The VM numbered what it read by the revision of the whole store, which our own keys move on all
@@ -279,9 +287,7 @@
 	struct settings settings;
 	struct fleet *f;
 
-	era = 1;
-	n_unlisted = 0;
-	f = started(&settings);
+	f = started_in_first_era(&settings);
 	source_take(&other);
 	source_take(&evacuation);
 	store_source.as_of = evacuation.revision;
@@ -313,9 +319,7 @@
 	struct settings settings;
 	struct fleet *f;
 
-	era = 1;
-	n_unlisted = 0;
-	f = started(&settings);
+	f = started_in_first_era(&settings);
 	store_source.lease = 7;
 	store_source.lease_era = 1;
 	store_source.lease_asked = false;
@@ -338,10 +342,8 @@
 	struct settings settings;
 	struct fleet *f;
 
-	era = 1;
-	n_unlisted = 0;
 	document_version = 49;
-	f = started(&settings);
+	f = started_in_first_era(&settings);
 	CU_ASSERT_EQUAL(conf_team(f->conf, "clerks")->rate, 8 + 49);
 	document_version = 43;
 	restored();
@@ -358,12 +360,10 @@
 	struct settings settings;
 	struct fleet *f;
 
-	era = 1;
-	n_unlisted = 0;
 	server_born = 1000;
 	server_sequence = 50;
 	server_leaving = true;
-	f = started(&settings);
+	f = started_in_first_era(&settings);
 	CU_ASSERT_TRUE(conf_pool(f->conf, "p")->member[0].leaving);
 	server_sequence = 20;
 	server_leaving = false;
