Ranking: a new list of VMs weighs the new VMs only

What callers saw: with 984 VMs the fleet is not up when traffic comes; a profile of running daemons has ranking at 4, 8, then 12% of their time.

Cause: each list of VMs that a VM takes in dropped all cached holders of roles, so each of 1,000 groups ranked all VMs again: VMs x groups a list, and a start, a roll or a herd brings a list at each step. Each weight hashed the role's name and the VM's name anew. A first list was sorted in by walking the list for each VM (VMs squared).

Change: a role moves only from a VM that is gone or to one that is new, so only those are looked at (holders_update); VMs that a list removes are kept until then. Weights are of hashes that are made once, mixed by a few instructions. New VMs are sorted in with one walk. Placement of roles is another than before, as the weights are.

--- a/decide/peers.c
+++ b/decide/peers.c
@@ -11,33 +11,51 @@
  */
 #define UPDATE_HEARTBEATS 12
 
-static struct vm *peers_add(struct peers *p, const char *name)
+/** Creates a VM that is in no list yet. */
+static struct vm *vm_create(struct peers *p, const char *name)
 {
 	struct vm *vm = calloc(1, sizeof(*vm));
-	struct vm *at;
 
 	if (vm == NULL)
 		abort();
 	snprintf(vm->name, sizeof(vm->name), "%s", name);
+	vm->hash = rank_hash(vm->name);
 	g_hash_table_insert(p->by_name, vm->name, vm);
 	p->n++;
-	TAILQ_FOREACH(at, &p->vms, link) {
-		if (strcmp(at->name, name) > 0) {
-			TAILQ_INSERT_BEFORE(at, vm, link);
-			return vm;
-		}
-	}
-	TAILQ_INSERT_TAIL(&p->vms, vm, link);
 	return vm;
 }
 
+static int by_name(const void *a, const void *b)
+{
+	return strcmp((*(struct vm *const *)a)->name, (*(struct vm *const *)b)->name);
+}
+
+/** Inserts @a n new VMs into the sorted list, which is walked once for all of them. */
+static void vms_insert(struct peers *p, struct vm **new, unsigned n)
+{
+	struct vm *at = TAILQ_FIRST(&p->vms);
+	unsigned i;
+
+	qsort(new, n, sizeof(*new), by_name);
+	for (i = 0; i < n; i++) {
+		while (at != NULL && strcmp(at->name, new[i]->name) < 0)
+			at = TAILQ_NEXT(at, link);
+		if (at != NULL)
+			TAILQ_INSERT_BEFORE(at, new[i], link);
+		else
+			TAILQ_INSERT_TAIL(&p->vms, new[i], link);
+	}
+}
+
 void peers_init(struct peers *p, const char *self, const char *address, const char *data_center,
 		uint64_t incarnation)
 {
 	memset(p, 0, sizeof(*p));
 	TAILQ_INIT(&p->vms);
+	TAILQ_INIT(&p->removed);
 	p->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	p->self = peers_add(p, self);
+	p->self = vm_create(p, self);
+	TAILQ_INSERT_TAIL(&p->vms, p->self, link);
 	snprintf(p->self->address, sizeof(p->self->address), "%s", address);
 	snprintf(p->self->data_center, sizeof(p->self->data_center), "%s", data_center);
 	p->self->incarnation = incarnation;
@@ -48,6 +66,7 @@
 {
 	struct vm *vm, *next;
 
+	peers_free_removed(p);
 	g_hash_table_destroy(p->by_name);
 	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		TAILQ_REMOVE(&p->vms, vm, link);
@@ -57,6 +76,16 @@
 	p->self = NULL;
 }
 
+void peers_free_removed(struct peers *p)
+{
+	struct vm *vm;
+
+	while ((vm = TAILQ_FIRST(&p->removed)) != NULL) {
+		TAILQ_REMOVE(&p->removed, vm, link);
+		free(vm);
+	}
+}
+
 struct vm *peers_find(const struct peers *p, const char *name)
 {
 	return g_hash_table_lookup(p->by_name, name);
@@ -94,31 +123,38 @@
 bool peers_apply_list(struct peers *p, uint64_t revision, const struct vm_listing *l, unsigned n)
 {
 	struct vm *vm, *next;
-	unsigned i;
+	struct vm **new;
+	unsigned i, n_new = 0;
 
 	if (revision <= p->revision)
 		return false;
+	new = g_new(struct vm *, n + 1);
 	p->revision = revision;
+	peers_free_removed(p);
 	TAILQ_FOREACH(vm, &p->vms, link)
 		vm->listed = vm == p->self;
 	for (i = 0; i < n; i++) {
 		vm = peers_find(p, l[i].name);
 		if (vm == NULL)
-			vm = peers_add(p, l[i].name);
+			vm = new[n_new++] = vm_create(p, l[i].name);
 		vm->listed = true;
 		if (vm == p->self)
 			continue;
+		p->relocated = p->relocated || (vm->data_center[0] != '\0' &&
+						strcmp(vm->data_center, l[i].data_center) != 0);
 		snprintf(vm->address, sizeof(vm->address), "%s", l[i].address);
 		snprintf(vm->data_center, sizeof(vm->data_center), "%s", l[i].data_center);
 		vm_set_listed_incarnation(vm, l[i].incarnation);
 		vm->leaving = vm->leaving || l[i].leaving;
 	}
+	vms_insert(p, new, n_new);
+	g_free(new);
 	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		if (vm->listed)
 			continue;
 		TAILQ_REMOVE(&p->vms, vm, link);
 		g_hash_table_remove(p->by_name, vm->name);
-		free(vm);
+		TAILQ_INSERT_TAIL(&p->removed, vm, link);
 		p->n--;
 	}
 	return true;
@@ -282,8 +318,16 @@
 	return vm->listed && !vm->dead && !vm->leaving && !vm->suspect;
 }
 
-struct vm *peers_holder(const struct peers *p, const char *key, const char *data_center)
+/** Returns the weight of @a vm for a role, and counts it. */
+static uint64_t weigh(struct peers *p, uint64_t key, const struct vm *vm)
 {
+	p->weighed++;
+	return rank_weight(key, vm->hash);
+}
+
+struct vm *peers_holder(struct peers *p, const char *key, const char *data_center)
+{
+	uint64_t hash = rank_hash(key);
 	struct vm *best = NULL;
 	struct vm *vm;
 	uint64_t best_weight = 0;
@@ -298,7 +342,7 @@
 		is_local = data_center != NULL && strcmp(vm->data_center, data_center) == 0;
 		if (best_is_local && !is_local)
 			continue;
-		weight = rank_weight(key, vm->name);
+		weight = weigh(p, hash, vm);
 		if (best != NULL && !rank_better(weight, is_local, best_weight, best_is_local))
 			continue;
 		best = vm;
@@ -308,23 +352,31 @@
 	return best;
 }
 
-struct vm *peers_next_holder(const struct peers *p, const char *key)
+struct vm *peers_next_holder(struct peers *p, const char *key)
 {
+	uint64_t hash = rank_hash(key);
 	struct vm *best = NULL;
 	struct vm *vm;
+	uint64_t best_weight = 0;
 
 	TAILQ_FOREACH(vm, &p->vms, link) {
+		uint64_t weight;
+
 		if (vm == p->self || !peers_usable(vm))
 			continue;
-		if (best == NULL || rank_weight(key, vm->name) > rank_weight(key, best->name))
-			best = vm;
+		weight = weigh(p, hash, vm);
+		if (best != NULL && weight <= best_weight)
+			continue;
+		best = vm;
+		best_weight = weight;
 	}
 	return best;
 }
 
-unsigned peers_own_rank(const struct peers *p, const char *key)
+unsigned peers_own_rank(struct peers *p, const char *key)
 {
-	uint64_t own = rank_weight(key, p->self->name);
+	uint64_t hash = rank_hash(key);
+	uint64_t own = rank_weight(hash, p->self->hash);
 	unsigned rank = 0;
 	struct vm *vm;
 
@@ -333,7 +385,7 @@
 			continue;
 		if (strcmp(vm->data_center, p->self->data_center) != 0)
 			continue;
-		if (rank_weight(key, vm->name) > own)
+		if (weigh(p, hash, vm) > own)
 			rank++;
 	}
 	return rank;
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -27,6 +27,7 @@
 struct vm {
 	TAILQ_ENTRY(vm) link;
 	char name[NAME_SIZE];
+	uint64_t hash;		    /**< rank_hash() of the name */
 	char address[ADDRESS_SIZE]; /**< of its RPC port */
 	char data_center[NAME_SIZE];
 	bool listed;  /**< on the platform's list */
@@ -60,6 +61,9 @@
 	unsigned n;
 	uint64_t revision; /**< revision of the platform's list in use */
 	struct vm *self;
+	struct vms removed; /**< VMs that the last list removed, see peers_free_removed() */
+	bool relocated;	    /**< the data centre of a VM has changed; reset by whoever handles it */
+	uint64_t weighed;   /**< candidates weighed for roles, in total */
 };
 
 /** An entry of the platform's list of VMs. */
@@ -80,6 +84,11 @@
  * not newer than the one in use.
  */
 bool peers_apply_list(struct peers *p, uint64_t revision, const struct vm_listing *l, unsigned n);
+/**
+ * Free the VMs that the last list removed. Until then, pointers to them remain valid; they are not
+ * usable.
+ */
+void peers_free_removed(struct peers *p);
 /**
  * Choose the VMs for this round's heartbeats: neighbours, some suspected VMs, and one at random
  * from the fleet. @return their number.
@@ -103,13 +112,13 @@
  * @return the VM that holds the role @a key, or NULL when no VM is usable. VMs in @a data_center
  * are preferred unless it is NULL.
  */
-struct vm *peers_holder(const struct peers *p, const char *key, const char *data_center);
+struct vm *peers_holder(struct peers *p, const char *key, const char *data_center);
 /** @return the VM that will hold the role @a key once this VM has left, or NULL */
-struct vm *peers_next_holder(const struct peers *p, const char *key);
+struct vm *peers_next_holder(struct peers *p, const char *key);
 /**
  * @return this VM's rank for @a key among the usable VMs of its own data centre, by rendezvous
  * hashing; 0 is first
  */
-unsigned peers_own_rank(const struct peers *p, const char *key);
+unsigned peers_own_rank(struct peers *p, const char *key);
 
 #endif
--- a/decide/rank.h
+++ b/decide/rank.h
@@ -8,8 +8,15 @@
 
 #include "types.h"
 
-/** @return the weight of @a candidate for @a key; the highest weight holds the role */
-uint64_t rank_weight(const char *key, const char *candidate);
+/** @return the hash of a role's or a candidate's name, for rank_weight() */
+uint64_t rank_hash(const char *text);
+
+/**
+ * @return the weight of @a candidate for @a key, both hashed by rank_hash(); the highest weight
+ * holds the role. It costs a few instructions, since a change of the list of VMs weighs every new
+ * VM for every role.
+ */
+uint64_t rank_weight(uint64_t key, uint64_t candidate);
 
 /**
  * @return whether candidate a is preferred to candidate b. Candidates in the data centre concerned
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -68,6 +68,7 @@
 
 /** Cached holder of a role, and the data centre whose VMs are preferred as holder; "" for none. */
 struct role_holder {
+	uint64_t hash; /**< of the role's name */
 	struct vm *vm;
 	char data_center[NAME_SIZE];
 };
@@ -89,28 +90,32 @@
 	const struct role_holder *h = holder;
 	const struct vm *vm = vm_arg;
 
-	return rank_better(rank_weight(role, vm->name), is_preferred(vm, h),
-			   rank_weight(role, h->vm->name), is_preferred(h->vm, h));
+	return rank_better(rank_weight(h->hash, vm->hash), is_preferred(vm, h),
+			   rank_weight(h->hash, h->vm->hash), is_preferred(h->vm, h));
 }
 
-/** Drops cached role holders that may be outdated: the list of VMs or a VM's usability changed. */
+/**
+ * Drops cached role holders that are outdated because VMs were listed, removed or changed their
+ * usability. The others stay: a role moves only from a VM that is gone or to one that is new.
+ */
 static void holders_update(struct fleet *f)
 {
-	bool new_list = f->ranked_revision != f->peers.revision;
 	struct vm *vm;
 
-	f->ranked_revision = f->peers.revision;
-	if (new_list)
+	TAILQ_FOREACH(vm, &f->peers.removed, link)
+		g_hash_table_foreach_remove(f->holders, held_by, vm);
+	peers_free_removed(&f->peers);
+	if (f->peers.relocated)
 		g_hash_table_remove_all(f->holders);
+	f->peers.relocated = false;
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
 		bool usable = peers_usable(vm);
 
 		if (usable == vm->ranked_usable)
 			continue;
 		vm->ranked_usable = usable;
-		if (!new_list)
-			g_hash_table_foreach_remove(f->holders, usable ? is_outranked_by : held_by,
-						    vm);
+		f->peers.weighed += usable ? g_hash_table_size(f->holders) : 0;
+		g_hash_table_foreach_remove(f->holders, usable ? is_outranked_by : held_by, vm);
 	}
 }
 
@@ -156,6 +161,7 @@
 	if (vm == NULL)
 		return NULL;
 	h = g_new0(struct role_holder, 1);
+	h->hash = rank_hash(role);
 	h->vm = vm;
 	if (data_center != NULL)
 		g_strlcpy(h->data_center, data_center, sizeof(h->data_center));
@@ -461,7 +467,6 @@
 	f->source = k->settings->platform_kind == PLATFORM_PREPARED ? &fleet_store_ops
 								    : &fleet_etcd_ops;
 	f->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	f->ranked_revision = UINT64_MAX;
 	f->watch_rank = -1;
 	peers_init(&f->peers, k->settings->name, k->settings->advertise, k->settings->data_center,
 		   k->incarnation);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -81,11 +81,10 @@
 	const struct fleet_source_ops *source;
 	char data_center[FLEET_DATA_CENTERS_MAX][NAME_SIZE]; /**< with a listed VM, sorted */
 	unsigned n_data_centers;
-	unsigned n_listed;	  /**< listed VMs */
-	GHashTable *holders;	  /**< cache: role to struct role_holder; see role_holder() */
-	uint64_t ranked_revision; /**< revision of the list of VMs for which @a holders is valid */
-	unsigned n_left;	  /**< listed VMs that have announced that they left */
-	int watch_rank;		  /**< cached fleet_watch_rank(); -1: not computed */
+	unsigned n_listed;   /**< listed VMs */
+	GHashTable *holders; /**< cache: role to struct role_holder; see role_holder() */
+	unsigned n_left;     /**< listed VMs that have announced that they left */
+	int watch_rank;	     /**< cached fleet_watch_rank(); -1: not computed */
 	struct event *heartbeat;
 	bool fetching;		      /**< a call to a peer for its configuration is in progress */
 	struct page_fetch fetch;      /**< pages of a newer configuration received so far */
