Owner: the timer drives the groups that have something to do

Cause: each VM's timer walked all groups of the fleet 50 times a second, each time asking who is to claim it: 50,000 visits a second at 1,000 groups, for a VM that owns about one.

Change: a group is woken by what gives it something to do (its record, a report, a statement, the membership, the configuration, an era) and sleeps when its tick finds nothing left that no event will announce. Four sleeping groups a tick are looked at in turn, so that one that was not woken waits for seconds at most and not for ever.

Evidence: test-scale timer_visits_only_groups_with_something_to_do: below 32 visits a tick at 250, 500, 1,000 and 2,000 VMs; without sleeping it fails at each size (as many visits a tick as groups). Ruled out: a longer interval, which would delay statements, since the same timer expires and retries them.

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -111,6 +111,11 @@
 	on_restore();
 }
 
+uint64_t fleet_store_era(void)
+{
+	return store_source.era.now;
+}
+
 bool fleet_store_is_current(uint64_t revision)
 {
 	return revision == 0 || era_of(revision) == store_source.era.now;
--- a/src/fleet-store.h
+++ b/src/fleet-store.h
@@ -50,6 +50,8 @@
 uint64_t fleet_store_lapses(void);
 /** Sets the callback that must return true before this VM publishes a new era in its key. */
 void fleet_store_set_caught_up_cb(fleet_store_caught_up_cb cb, void *owner);
+/** Store era that this VM has last seen. */
+uint64_t fleet_store_era(void);
 /** Store era in which this VM's lease was last granted or renewed. */
 uint64_t fleet_store_lease_era(void);
 /** Whether no VM can still trust a lease of a previous era. */
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -235,36 +235,38 @@
 	       now - g->unreachable_reported_us < REPORT_FRESH_US;
 }
 
-static void claim_if_lost(struct owner_group *g, int64_t now)
+/**
+ * Claims the group if its owner is gone, or finds out whether it is.
+ * @return whether to look again although nothing has changed
+ */
+static bool claim_if_lost(struct owner_group *g, int64_t now)
 {
 	const struct vm *vm = peers_find(&owner_group_fleet(g)->peers, g->record.owner.name);
 	bool self = strcmp(g->record.owner.name, g->o->service.kernel->settings->name) == 0;
 
 	if (g->revision == 0) {
 		claim(g, "no-record");
-		return;
+		return true;
 	}
 	/* A newer record exists, so a claim based on the known one would fail. */
 	if (g->hint_revision > g->revision) {
 		record_outdated(g);
 		g->hint_revision = 0;
-		return;
+		return true;
 	}
 	if (self || owner_ended(g)) {
 		claim(g, "owner-restarted");
-		return;
+		return true;
 	}
 	if (vm != NULL && peers_usable(vm) && !is_reported(g, now))
-		return;
-	if (vm != NULL && vm->left) {
+		return false;
+	if (vm != NULL && vm->left)
 		claim(g, "owner-left");
-		return;
-	}
-	if (g->owner_lost || vm == NULL) {
+	else if (g->owner_lost || vm == NULL)
 		claim(g, vm == NULL ? "owner-not-listed" : "owner-silent");
-		return;
-	}
-	check_owner(g, now);
+	else
+		check_owner(g, now);
+	return true;
 }
 
 /** A report of an unreachable owner that is in flight. */
@@ -346,6 +348,7 @@
 	bool listed = fleet_confirmed_listed(owner_group_fleet(g));
 
 	g->unreachable_reported_us = now;
+	owner_group_wake(g);
 	if (revision > g->revision)
 		record_outdated(g);
 	if (!listed ||
@@ -408,17 +411,19 @@
 	       (successor || g->outdated || g->invited || owner_group_is_own(g));
 }
 
-void claim_tick(struct owner_group *g, int64_t now)
+bool claim_tick(struct owner_group *g, int64_t now)
 {
 	struct fleet *f = owner_group_fleet(g);
 	uint64_t registration = fleet_store_registration(f);
 	bool successor;
 
 	detect_owner_return(g);
-	if (g->record_busy || now < g->next_call_us || !g->configured || g->o->leaving)
-		return;
+	if (!g->configured || g->o->leaving)
+		return false;
+	if (g->record_busy || now < g->next_call_us)
+		return true;
 	if (registration == 0 || fleet_store_lease_until_us(f) < now)
-		return;
+		return true;
 	successor = is_successor(g) || is_reported(g, now);
 	/*
 	 * Under a new lease another VM may have taken the group while this VM had none, so the
@@ -428,7 +433,7 @@
 	if (needs_record(g, successor) || (owner_group_is_own(g) && g->state > OWNER_CLAIMING &&
 					   g->registration != registration)) {
 		record_read(g);
-		return;
+		return true;
 	}
 	if (g->recovered && now >= g->recover_at_us && owner_group_is_own(g)) {
 		record_write(g, &g->record, record_rewritten);
@@ -443,8 +448,11 @@
 		 * learn that the owner restarted, while the restarted VM knows at once that its
 		 * previous process has ended.
 		 */
-		claim_if_lost(g, now);
+		return claim_if_lost(g, now);
+	} else {
+		return g->recovered;
 	}
+	return true;
 }
 
 /* Handing a group over */
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -369,6 +369,7 @@
 	job->item.deadline_us = job->deadline_us;
 	job->needs_primary = needs_primary(a);
 	g->n_jobs++;
+	owner_group_wake(g);
 	return job;
 }
 
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -166,6 +166,7 @@
 {
 	bool owned = g->state > OWNER_CLAIMING;
 
+	owner_group_wake(g);
 	log_warn("record-lost", LOG_STR("pool", g->pool), LOG_STR("owner", g->record.owner.name),
 		 LOG_REVISION("revision", g->revision));
 	if (owned)
@@ -204,6 +205,7 @@
 
 	if (revision <= g->revision)
 		return;
+	owner_group_wake(g);
 	if (owned && may_have_missed_change(g, revision)) {
 		record_end_ownership(g, "lease-ended-before-restore");
 		owned = false;
@@ -362,6 +364,7 @@
 
 void record_outdated(struct owner_group *g)
 {
+	owner_group_wake(g);
 	g->record_loaded = false;
 	g->outdated = true;
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -6,8 +6,10 @@
 
 #include <string.h>
 
-/** Interval of the timer that drives all groups. */
+/** Interval of the timer that drives the groups that are awake. */
 #define TICK_US (20 * USEC_PER_MSEC)
+/** Sleeping groups that each tick looks at, in turn, in case one was not woken. */
+#define SWEEP_GROUPS 4
 /**
  * Remaining time of the lease at which this VM stops sending. Clocks of two VMs drift by far less
  * during a lease, and an answer checked now leaves the VM within this time.
@@ -110,8 +112,31 @@
 	return false;
 }
 
+void owner_group_wake(struct owner_group *g)
+{
+	if (g->awake)
+		return;
+	g->awake = true;
+	TAILQ_INSERT_TAIL(&g->o->awake, g, awake_link);
+}
+
+static void owner_group_sleep(struct owner_group *g)
+{
+	g->awake = false;
+	TAILQ_REMOVE(&g->o->awake, g, awake_link);
+}
+
+static void wake_all(struct owner *o)
+{
+	struct owner_group *g;
+
+	TAILQ_FOREACH(g, &o->groups, link)
+		owner_group_wake(g);
+}
+
 void owner_group_set_state(struct owner_group *g, enum owner_state state, const char *why)
 {
+	owner_group_wake(g);
 	if (state == g->state)
 		return;
 	log_info("group-state", LOG_STR("pool", g->pool), LOG_STR("from", state_names[g->state]),
@@ -268,6 +293,8 @@
 	GHashTableIter iter;
 	gpointer name;
 
+	/* The membership may have changed too, and with it the VM that is to claim each group. */
+	wake_all(o);
 	if (o->conf_version == version)
 		return;
 	o->conf_version = version;
@@ -278,6 +305,7 @@
 	}
 	TAILQ_FOREACH(g, &o->groups, link)
 		owner_group_configure(g, conf_pool(conf, g->pool));
+	wake_all(o);
 }
 
 /* Ownership as known to this VM */
@@ -398,6 +426,7 @@
 
 	if (g == NULL || revision <= g->revision || address[0] == '\0')
 		return;
+	owner_group_wake(g);
 	/*
 	 * VMs announce only the owner to each other, not the whole record. A VM that owned the
 	 * group until now reads the record; others need no more than the address.
@@ -446,27 +475,56 @@
 		conn_close_idle(&g->member[i]);
 }
 
+/** Drives the group. @return whether it has anything left to do that no event will announce */
+static bool group_tick(struct owner_group *g, int64_t now)
+{
+	bool claims = claim_tick(g, now);
+
+	if (g->state <= OWNER_CLAIMING && !g->sending && !g->serves_reads && g->n_jobs == 0)
+		return claims || g->state == OWNER_CLAIMING;
+	if (g->state > OWNER_CLAIMING) {
+		watch_tick(g, now);
+		change_tick(g, now);
+		claim_move_to_primary(g, now);
+	}
+	queue_tick(g, now);
+	if (g->serves_reads && g->state <= OWNER_CLAIMING)
+		reading_tick(g, now);
+	if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
+	    TAILQ_EMPTY(&g->running))
+		claim_stop(g, "nothing-open");
+	return true;
+}
+
+/** Wakes the next few sleeping groups in turn, in case one has something to do. */
+static void sweep(struct owner *o)
+{
+	unsigned i;
+
+	for (i = 0; i < SWEEP_GROUPS && !TAILQ_EMPTY(&o->groups); i++) {
+		o->swept = o->swept != NULL ? TAILQ_NEXT(o->swept, link) : NULL;
+		if (o->swept == NULL)
+			o->swept = TAILQ_FIRST(&o->groups);
+		owner_group_wake(o->swept);
+	}
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct owner *o = arg;
+	uint64_t era = fleet_store_era(), lease_era = fleet_store_lease_era();
 	int64_t now = now_us();
-	struct owner_group *g;
-
-	TAILQ_FOREACH(g, &o->groups, link) {
-		claim_tick(g, now);
-		if (g->state <= OWNER_CLAIMING && !g->sending && !g->serves_reads && g->n_jobs == 0)
-			continue;
-		if (g->state > OWNER_CLAIMING) {
-			watch_tick(g, now);
-			change_tick(g, now);
-			claim_move_to_primary(g, now);
-		}
-		queue_tick(g, now);
-		if (g->serves_reads && g->state <= OWNER_CLAIMING)
-			reading_tick(g, now);
-		if (g->sending && g->state <= OWNER_CLAIMING && TAILQ_EMPTY(&g->txs) &&
-		    TAILQ_EMPTY(&g->running))
-			claim_stop(g, "nothing-open");
+	struct owner_group *g, *next;
+
+	if (era != o->era || lease_era != o->lease_era)
+		wake_all(o);
+	o->era = era;
+	o->lease_era = lease_era;
+	sweep(o);
+	TAILQ_FOREACH_SAFE(g, &o->awake, awake_link, next) {
+		o->visits++;
+		if (!group_tick(g, now))
+			owner_group_sleep(g);
 	}
 }
 
@@ -583,6 +641,7 @@
 
 	o->service.ops = &owner_ops;
 	TAILQ_INIT(&o->groups);
+	TAILQ_INIT(&o->awake);
 	o->by_pool = g_hash_table_new(g_str_hash, g_str_equal);
 	kernel_add(k, &o->service);
 	return &o->service;
--- a/src/owner.h
+++ b/src/owner.h
@@ -181,6 +181,8 @@
 
 struct owner_group {
 	TAILQ_ENTRY(owner_group) link;
+	TAILQ_ENTRY(owner_group) awake_link;
+	bool awake; /**< in the list of groups that the timer drives; see owner_group_wake() */
 	struct owner *o;
 	char pool[NAME_SIZE];
 	bool configured;
@@ -266,8 +268,12 @@
 struct owner {
 	struct service service;
 	struct owner_groups groups;
-	uint64_t conf_version; /**< last version with a changed pool or evacuation */
-	GHashTable *by_pool;   /**< pool name to group; looked up several times per statement */
+	struct owner_groups awake; /**< groups that the timer drives */
+	struct owner_group *swept; /**< last sleeping group that the timer has looked at */
+	uint64_t visits;	   /**< groups that the timer has looked at, in total */
+	uint64_t era, lease_era;   /**< of the store and of the lease at the last tick */
+	uint64_t conf_version;	   /**< last version with a changed pool or evacuation */
+	GHashTable *by_pool;	   /**< pool name to group; looked up several times per statement */
 	struct event *tick;
 	bool leaving;
 	int64_t leave_started_us;
@@ -316,6 +322,11 @@
 bool owner_group_is_own(const struct owner_group *g);
 /** Whether this VM may send to the group's primary and trust its answers now. */
 bool owner_group_may_send(const struct owner_group *g);
+/**
+ * Has the timer drive the group until nothing is left to do. Everything that gives a group
+ * something to do calls this; a VM owns few of the fleet's groups, and the others cost it nothing.
+ */
+void owner_group_wake(struct owner_group *g);
 void owner_group_set_state(struct owner_group *g, enum owner_state state, const char *why);
 /** Returns the expected time until a primary serves, in us; 0 if one does. */
 int64_t owner_group_expected_wait_us(const struct owner_group *g, int64_t now);
@@ -336,7 +347,8 @@
 void record_end_ownership(struct owner_group *g, const char *why);
 
 /* owner-claim.c */
-void claim_tick(struct owner_group *g, int64_t now);
+/** @return whether to call it again although nothing has changed */
+bool claim_tick(struct owner_group *g, int64_t now);
 /** Ends ownership after another VM announced a newer record that names itself. */
 void claim_superseded(struct owner_group *g);
 void claim_owner_serve(struct rpc_request *rq, const void *args, void *owner);
--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -341,6 +341,15 @@
 	world_configure(w, leave, member);
 }
 
+void world_hold_lease(struct world *w)
+{
+	store_source.store = fake_create(w->k, "", 0);
+	store_source.lease = 7;
+	store_source.registered = true;
+	store_source.registration = 1;
+	store_source.lease_until_us = now_us() + 10 * USEC_PER_SEC;
+}
+
 struct owner_group *world_join(struct world *w)
 {
 	const struct vm_listing l[] = {
@@ -351,10 +360,6 @@
 	peers_apply_list(peers, 5, l, G_N_ELEMENTS(l));
 	fleet_members_changed(fleet_of(w->k));
 	CU_ASSERT_STRING_EQUAL_FATAL(peers_holder(peers, "group " POOL, NULL)->name, "vm-9");
-	store_source.store = fake_create(w->k, "", 0);
-	store_source.lease = 7;
-	store_source.registered = true;
-	store_source.registration = 1;
-	store_source.lease_until_us = now_us() + 10 * USEC_PER_SEC;
+	world_hold_lease(w);
 	return owner_group_find(w->o, POOL);
 }
--- a/tests/harness-owner.h
+++ b/tests/harness-owner.h
@@ -70,6 +70,8 @@
 /** Opens the world and runs until its VM serves the group, with m0 as the primary. */
 struct owner_group *world_serve(struct world *w);
 void world_close(struct world *w);
+/** Gives this VM a lease. */
+void world_hold_lease(struct world *w);
 /** Lists vm-1, which is this VM and holds a lease, and vm-9, which is to claim the group. */
 struct owner_group *world_join(struct world *w);
 /** Answers all open probes: m0 is the primary, and all members have @a lsn. */
--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -145,7 +145,44 @@
 	large_close(l);
 }
 
+/** Runs the event loop until the timer of the groups has run @a n times. */
+static void run_ticks(struct large *l, unsigned n)
+{
+	const struct timeval tv = {.tv_usec = 20 * USEC_PER_MSEC * n};
+
+	event_base_loopexit(l->w.k->base, &tv);
+	event_base_dispatch(l->w.k->base);
+}
+
+/*
+ * Guards against a VM that spends its time on groups of others: the timer looked at every group of
+ * the fleet 50 times a second, though a VM owns about one.
+ */
+static void test_timer_visits_only_groups_with_something_to_do(void)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct large *l = large_open(sizes[i]);
+		const unsigned ticks = 10;
+		uint64_t before;
+
+		world_hold_lease(&l->w);
+		list_vms(l, l->n, 1);
+		run_ticks(l, ticks);
+		CU_ASSERT_TRUE(fake.n_commits >= 1);
+		CHECK(fake.n_commits < 16, "%u VMs: %u claims", l->n, fake.n_commits);
+		before = l->w.o->visits;
+		run_ticks(l, ticks);
+		CHECK(l->w.o->visits - before < 32 * ticks, "%u VMs: %lu visits", l->n,
+		      (unsigned long)(l->w.o->visits - before));
+		large_close(l);
+	}
+}
+
 static const struct test_case cases[] = {
+	{"timer_visits_only_groups_with_something_to_do",
+	 test_timer_visits_only_groups_with_something_to_do},
 	{"a_new_vm_is_weighed_once_for_each_role", test_a_new_vm_is_weighed_once_for_each_role},
 	{"cached_holders_are_those_of_a_new_ranking",
 	 test_cached_holders_are_those_of_a_new_ranking},
