Lists: pools find their servers, calls their VM, by a hash table

Change: servers are grouped by pool once, lapsed servers are looked for only if one lapsed, VMs are found by address. No behaviour changes but for VMs that share an address: the last one listed is found.

Evidence: the tests of pools, lists and records pass as before.

--- a/decide/peers.c
+++ b/decide/peers.c
@@ -54,12 +54,14 @@
 	TAILQ_INIT(&p->vms);
 	TAILQ_INIT(&p->removed);
 	p->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	p->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	p->self = vm_create(p, self);
 	TAILQ_INSERT_TAIL(&p->vms, p->self, link);
 	snprintf(p->self->address, sizeof(p->self->address), "%s", address);
 	snprintf(p->self->data_center, sizeof(p->self->data_center), "%s", data_center);
 	p->self->incarnation = incarnation;
 	p->self->listed = true;
+	g_hash_table_insert(p->by_address, p->self->address, p->self);
 }
 
 void peers_clear(struct peers *p)
@@ -68,6 +70,7 @@
 
 	peers_free_removed(p);
 	g_hash_table_destroy(p->by_name);
+	g_hash_table_destroy(p->by_address);
 	TAILQ_FOREACH_SAFE(vm, &p->vms, link, next) {
 		TAILQ_REMOVE(&p->vms, vm, link);
 		free(vm);
@@ -91,6 +94,22 @@
 	return g_hash_table_lookup(p->by_name, name);
 }
 
+struct vm *peers_find_address(const struct peers *p, const char *address)
+{
+	return g_hash_table_lookup(p->by_address, address);
+}
+
+/** Gives the VM another address. If two VMs have the same address, the last one is found by it. */
+static void set_address(struct peers *p, struct vm *vm, const char *address)
+{
+	if (strcmp(vm->address, address) == 0)
+		return;
+	if (peers_find_address(p, vm->address) == vm)
+		g_hash_table_remove(p->by_address, vm->address);
+	snprintf(vm->address, sizeof(vm->address), "%s", address);
+	g_hash_table_replace(p->by_address, vm->address, vm);
+}
+
 /** Reset the state of a VM whose process was replaced by the one with @a incarnation. */
 static void vm_reset_state(struct vm *vm, uint64_t incarnation)
 {
@@ -142,7 +161,7 @@
 			continue;
 		p->relocated = p->relocated || (vm->data_center[0] != '\0' &&
 						strcmp(vm->data_center, l[i].data_center) != 0);
-		snprintf(vm->address, sizeof(vm->address), "%s", l[i].address);
+		set_address(p, vm, l[i].address);
 		snprintf(vm->data_center, sizeof(vm->data_center), "%s", l[i].data_center);
 		vm_set_listed_incarnation(vm, l[i].incarnation);
 		vm->leaving = vm->leaving || l[i].leaving;
@@ -154,6 +173,8 @@
 			continue;
 		TAILQ_REMOVE(&p->vms, vm, link);
 		g_hash_table_remove(p->by_name, vm->name);
+		if (peers_find_address(p, vm->address) == vm)
+			g_hash_table_remove(p->by_address, vm->address);
 		TAILQ_INSERT_TAIL(&p->removed, vm, link);
 		p->n--;
 	}
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -58,6 +58,7 @@
 struct peers {
 	struct vms vms; /**< sorted by name, which also is the order of the heartbeat ring */
 	GHashTable *by_name;
+	GHashTable *by_address;
 	unsigned n;
 	uint64_t revision; /**< revision of the platform's list in use */
 	struct vm *self;
@@ -79,6 +80,8 @@
 		uint64_t incarnation);
 void peers_clear(struct peers *p);
 struct vm *peers_find(const struct peers *p, const char *name);
+/** @return the VM with the RPC address @a address, or NULL */
+struct vm *peers_find_address(const struct peers *p, const char *address);
 /**
  * Apply the platform's list at @a revision. @return false, with nothing changed, if the revision is
  * not newer than the one in use.
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -60,39 +60,52 @@
 	return strcmp((*x)->record.member.name, (*y)->record.member.name);
 }
 
-static GPtrArray *servers_sorted(void)
+static void array_free(gpointer data)
 {
-	GPtrArray *all = g_ptr_array_new();
+	g_ptr_array_unref(data);
+}
+
+/** Returns the servers of each pool, sorted: the pool's name to a GPtrArray of struct server. */
+static GHashTable *servers_by_pool(void)
+{
+	GHashTable *pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, array_free);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, store_source.servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct server *s = value;
+		GPtrArray *servers = g_hash_table_lookup(pools, s->record.pool);
+
+		if (servers == NULL) {
+			servers = g_ptr_array_new();
+			g_hash_table_insert(pools, s->record.pool, servers);
+		}
+		g_ptr_array_add(servers, s);
+	}
+	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(all, value);
-	g_ptr_array_sort(all, by_name);
-	return all;
+		g_ptr_array_sort(value, by_name);
+	return pools;
 }
 
 static void add_pools(GPtrArray *entries)
 {
-	GPtrArray *servers = servers_sorted();
+	GHashTable *by_pool = servers_by_pool();
 	guint i, j;
 
 	for (i = 0; i < store_source.document.pools->len; i++) {
 		const struct records_pool *r =
 			&g_array_index(store_source.document.pools, struct records_pool, i);
 		struct conf_pool pool = {.sync = r->sync, .confirm = CONFIRM_PRIMARY};
+		const GPtrArray *servers = g_hash_table_lookup(by_pool, r->name);
 
 		g_strlcpy(pool.name, r->name, sizeof(pool.name));
-		for (j = 0; j < servers->len; j++) {
-			const struct server *s = g_ptr_array_index(servers, j);
-
-			if (strcmp(s->record.pool, r->name) == 0)
-				add_member(&pool, s, r);
-		}
+		for (j = 0; servers != NULL && j < servers->len; j++)
+			add_member(&pool, g_ptr_array_index(servers, j), r);
 		g_ptr_array_add(entries, table_entry_make(CONF_POOL, &pool));
 	}
-	g_ptr_array_unref(servers);
+	g_hash_table_destroy(by_pool);
 }
 
 static void add_evacuations(GPtrArray *entries)
@@ -297,6 +310,7 @@
 		return;
 	s->lapsed = true;
 	s->lapsed_us = now_us();
+	store_source.servers_lapsed = true;
 	log_info("member-lapsed", LOG_STR("pool", s->record.pool), LOG_STR("member", id));
 }
 
@@ -467,12 +481,19 @@
 	gpointer value;
 	bool dropped = false;
 
+	if (!store_source.servers_lapsed || !store_source.reachable)
+		return;
+	store_source.servers_lapsed = false;
 	g_hash_table_iter_init(&iter, store_source.servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct server *s = value;
 
-		if (!s->lapsed || now - s->lapsed_us < LAPSED_KEEP_US || !store_source.reachable)
+		if (!s->lapsed)
+			continue;
+		if (now - s->lapsed_us < LAPSED_KEEP_US) {
+			store_source.servers_lapsed = true;
 			continue;
+		}
 		log_info("member-gone", LOG_STR("pool", s->record.pool),
 			 LOG_STR("member", s->record.member.name));
 		g_hash_table_iter_remove(&iter);
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -63,6 +63,7 @@
 	GPtrArray *pending;    /**< items of an incomplete list; listeners are notified later */
 	GHashTable *known;     /**< key to revision (uint64_t *) of all keys received */
 	GHashTable *servers;   /**< id to struct server */
+	bool servers_lapsed;   /**< a server may be lapsed; source_drop_lapsed() has to look */
 	GHashTable *evacuated; /**< set of the names of evacuated data centres */
 	struct records_document document;
 	uint64_t document_revision;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -207,16 +207,13 @@
 
 void fleet_suspect(struct fleet *f, const char *address)
 {
-	struct vm *vm;
+	struct vm *vm = peers_find_address(&f->peers, address);
 
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		if (strcmp(vm->address, address) != 0 || vm->suspect)
-			continue;
-		log_info("vm-suspect", LOG_STR("peer", vm->name));
-		peers_suspect(&f->peers, vm);
-		fleet_members_changed(f);
+	if (vm == NULL || vm->suspect)
 		return;
-	}
+	log_info("vm-suspect", LOG_STR("peer", vm->name));
+	peers_suspect(&f->peers, vm);
+	fleet_members_changed(f);
 }
 
 bool fleet_confirmed_listed(struct fleet *f)
--- a/src/owner.c
+++ b/src/owner.c
@@ -385,12 +385,11 @@
 	if (strcmp(g->owner_local_address, address) == 0)
 		return g->owner_local;
 	g->owner_local = false;
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		if (strcmp(vm->address, address) != 0)
-			continue;
-		g_strlcpy(g->owner_local_address, address, sizeof(g->owner_local_address));
-		g->owner_local = strcmp(vm->data_center, f->peers.self->data_center) == 0;
-	}
+	vm = peers_find_address(&f->peers, address);
+	if (vm == NULL)
+		return false;
+	g_strlcpy(g->owner_local_address, address, sizeof(g->owner_local_address));
+	g->owner_local = strcmp(vm->data_center, f->peers.self->data_center) == 0;
 	return g->owner_local;
 }
 
