Owner: a list older than the record does not show that its owner is gone

Cause: a VM that is to claim a group and whose list of VMs lacks the record's owner took it for gone (claim why=owner-not-listed). Revisions are of one counter: a list older than the record cannot show that.

Change: with such a list the owner is asked, as one that sends no heartbeats is; only a list as new as the record lets the group be claimed unasked.

Evidence: test-owner owner_that_the_list_lacks_yet_keeps_its_group fails without the change (a claim at once, nobody asked) and passes with it.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -235,6 +235,15 @@
 	       now - g->unreachable_reported_us < REPORT_FRESH_US;
 }
 
+/**
+ * Whether a list of VMs as new as the record lacks the owner, whose lease has ended then. An older
+ * list may lack it because it has only just started.
+ */
+static bool owner_unlisted(const struct owner_group *g)
+{
+	return owner_group_fleet(g)->peers.revision >= g->revision;
+}
+
 /**
  * Claims the group if its owner is gone, or finds out whether it is.
  * @return whether to look again although nothing has changed
@@ -262,8 +271,10 @@
 		return false;
 	if (vm != NULL && vm->left)
 		claim(g, "owner-left");
-	else if (g->owner_lost || vm == NULL)
-		claim(g, vm == NULL ? "owner-not-listed" : "owner-silent");
+	else if (vm == NULL && owner_unlisted(g))
+		claim(g, "owner-not-listed");
+	else if (g->owner_lost)
+		claim(g, "owner-silent");
 	else
 		check_owner(g, now);
 	return true;
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -604,6 +604,52 @@
 	world_close(&w);
 }
 
+/** Answers that this VM serves the group, as another VM would. */
+static void serve_as_owner(struct rpc_request *rq, const void *args, void *arg)
+{
+	ml_owner res = {.pool = "", .vm = "", .address = "", .primary = "", .serving = true};
+
+	(*(unsigned *)arg)++;
+	rpc_reply(rq, &res);
+}
+
+/*
+ * Guards against a second owner as the fleet starts: a VM whose list of VMs is older than the
+ * record does not know the owner yet, took it for gone and claimed its group.
+ */
+static void test_owner_that_the_list_lacks_yet_keeps_its_group(void)
+{
+	const struct vm_listing self = {.name = "vm-1", .address = SELF, .data_center = "dc"};
+	struct store_item item = {
+		.key = FLEET_STORE_PREFIX "group/" POOL,
+		.value = "{\"vm\":\"vm-8\",\"incarnation\":\"5\",\"address\":\"" SELF "\"}",
+		.revision = 30};
+	struct owner_group *g;
+	unsigned i, asked = 0;
+	struct world w;
+
+	world_open(&w);
+	g = owner_group_find(w.o, POOL);
+	peers_apply_list(&fleet_of(w.k)->peers, 5, &self, 1);
+	fleet_members_changed(fleet_of(w.k));
+	world_hold_lease(&w);
+	rpc_serve(rpc_of(w.k), ML_OWNER, serve_as_owner, &asked);
+	store_source.listeners[0].cb(&item, w.o);
+	fake.store_revision = item.revision;
+	fake.n_commits = 0;
+	for (i = 0; i < 3; i++) {
+		claim_tick(g, now_us());
+		world_run_once(&w);
+	}
+	CU_ASSERT_TRUE(asked > 0);
+	CU_ASSERT_EQUAL(fake.n_commits, 0);
+	/* A list as new as the record shows that the lease of the owner has ended. */
+	peers_apply_list(&fleet_of(w.k)->peers, 31, &self, 1);
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, 1);
+	world_close(&w);
+}
+
 /* Guards against a job that no timer looks at, whatever state its group is in. */
 static void test_job_of_an_unserved_group_expires(void)
 {
@@ -783,6 +829,8 @@
 	 test_statement_put_back_is_answered_when_the_group_is_claimed},
 	{"statement_put_back_in_a_long_change_is_refused_at_once",
 	 test_statement_put_back_in_a_long_change_is_refused_at_once},
+	{"owner_that_the_list_lacks_yet_keeps_its_group",
+	 test_owner_that_the_list_lacks_yet_keeps_its_group},
 	{"job_of_an_unserved_group_expires", test_job_of_an_unserved_group_expires},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"restarted_owner_is_not_taken_for_its_previous_process",
