Owner: a new owner is announced to those that need it; the others ask

What callers saw: with 984 VMs the fleet is not up when traffic comes, and all VMs are connected to all (2,383 descriptors, 59.5 MB a VM at peak).

Cause: each claim of a group was sent to every listed VM: groups x VMs calls as the fleet starts, each first one a connection with its buffers at both ends, though a VM uses few of the groups. Connections were never closed; heartbeats to a random VM alone connect everybody in the end.

Change (decide/inform): in fleets of more than 64 VMs an owner is announced to the VM that it was given to, to those that may still send to the primary and to the VM that ranks first for the group, which is the one that others ask. A VM that is asked and does not own the group names the owner that it knows; the statement follows at once. While the known owner seems gone, attempts alternate between it and the VM that is to claim the group. RPC connections without calls for [rpc] idle_ms (15 s) are closed by the caller, unless a transaction is open over them.

Ruled out: closing by the callee, since a call under way would have an unknown outcome; gossip of owners in heartbeats, which still brings every claim to every VM.

Evidence: test-scale (below 16 connections after a VM's claims, at 250 to 2,000 VMs), test-inform, test-owner statement_asks_the_claimer_while_the_ owner_seems_gone, refusal_names_the_known_owner, test-rpc connection_without_ calls_is_closed.

--- a/src/entry.c
+++ b/src/entry.c
@@ -2,6 +2,7 @@
 #include "entry.h"
 
 #include "fleet.h"
+#include "home.h"
 #include "log.h"
 #include "route.h"
 #include "stat.h"
@@ -15,6 +16,9 @@
 /** Time after the deadline of a request for the final response of its home to arrive. */
 #define ANSWER_GRACE_US (100 * USEC_PER_MSEC)
 
+/** Added to the longest idle time of a transaction, for its connection to outlast it. */
+#define KEEP_MARGIN_US (2 * USEC_PER_SEC)
+
 /** State of the members of one pool, as known to this daemon. */
 struct entry_pool {
 	char name[NAME_SIZE];
@@ -143,6 +147,9 @@
 	}
 	if (o != OUTCOME_DONE && o != OUTCOME_SQL_ERROR)
 		a.tx.id = 0;
+	if (a.tx.id != 0)
+		rpc_keep(rpc_of(r->e->service.kernel), r->address,
+			 HOME_TX_IDLE_MAX_US + KEEP_MARGIN_US);
 	if (a.tx.id != 0 && r->tx.id == 0) {
 		g_strlcpy(a.tx.pool, r->pool, sizeof(a.tx.pool));
 		g_strlcpy(a.tx.member, r->member, sizeof(a.tx.member));
--- a/src/home-tx.c
+++ b/src/home-tx.c
@@ -5,9 +5,6 @@
 
 #include "log.h"
 
-/** A transaction idle for longer is rolled back, because it holds one of few connections. */
-#define TX_IDLE_MAX_US (60 * USEC_PER_SEC)
-
 void home_tx_begin(struct home_job *job)
 {
 	struct home_member *m = job->m;
@@ -51,7 +48,8 @@
 	struct home_tx *tx, *next;
 
 	TAILQ_FOREACH_SAFE(tx, &m->txs, link, next) {
-		if (tx->conn->job == NULL && (tx->orphan || now - tx->used_us > TX_IDLE_MAX_US))
+		if (tx->conn->job == NULL &&
+		    (tx->orphan || now - tx->used_us > HOME_TX_IDLE_MAX_US))
 			home_tx_end(m, tx);
 	}
 }
--- a/src/home.h
+++ b/src/home.h
@@ -33,6 +33,8 @@
  * opened to check the member when a kept one does not answer.
  */
 #define HOME_CONTROL_CONNECTIONS 3
+/** A transaction idle for longer is rolled back, because it holds one of few connections. */
+#define HOME_TX_IDLE_MAX_US (60 * USEC_PER_SEC)
 /** Maximum number of transactions that wait for a connection. */
 #define HOME_BEGIN_WAIT_MAX 256
 
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -129,7 +129,7 @@
 	 * learn of this VM.
 	 */
 	if (g->record.n > 0)
-		claim_notify_all(g);
+		claim_notify(g);
 	queue_dispatch(g);
 }
 
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -50,9 +50,31 @@
 
 /* Notifying other VMs */
 
-void claim_notify_all(struct owner_group *g)
+/** Returns the RPC address of the VM that is to claim the group when its owner is gone, or NULL. */
+static const char *successor_address(const struct owner_group *g)
+{
+	char role[NAME_SIZE + 8];
+
+	g_snprintf(role, sizeof(role), "group %s", g->pool);
+	return fleet_holder_address(owner_group_fleet(g), role);
+}
+
+/** Whether the record names @a vm as one that may still send to the primary. */
+static bool is_sender(const struct owner_group *g, const struct vm *vm)
+{
+	unsigned i;
+
+	for (i = 0; i < g->record.n; i++) {
+		if (strcmp(g->record.sender[i].name, vm->name) == 0)
+			return true;
+	}
+	return false;
+}
+
+void claim_notify(struct owner_group *g)
 {
 	struct fleet *f = owner_group_fleet(g);
+	const char *claimer = successor_address(g);
 	ml_owner args = {.pool = g->pool,
 			 .vm = g->record.owner.name,
 			 .address = g->record.address,
@@ -61,7 +83,13 @@
 	struct vm *vm;
 
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		if (vm != f->peers.self && vm->listed && !vm->dead)
+		struct inform_vm target = {.owner = strcmp(vm->name, g->record.owner.name) == 0,
+					   .sender = is_sender(g, vm),
+					   .claimer = claimer != NULL &&
+						      strcmp(vm->address, claimer) == 0};
+
+		if (vm != f->peers.self && vm->listed && !vm->dead &&
+		    inform_notifies(&target, f->n_listed))
 			rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args,
 				  QUERY_TIMEOUT_US, NULL, NULL);
 	}
@@ -80,7 +108,7 @@
 	if (g->state == OWNER_CLAIMING)
 		owner_group_set_state(g, OWNER_NONE, "not-claimed");
 	else if (owner_group_is_own(g))
-		claim_notify_all(g);
+		claim_notify(g);
 }
 
 /**
@@ -203,15 +231,6 @@
 	owner_query(g, g->record.address, owner_answered);
 }
 
-/** Returns the RPC address of the VM that is to claim the group when its owner is gone, or NULL. */
-static const char *successor_address(const struct owner_group *g)
-{
-	char role[NAME_SIZE + 8];
-
-	g_snprintf(role, sizeof(role), "group %s", g->pool);
-	return fleet_holder_address(owner_group_fleet(g), role);
-}
-
 /** Whether this VM is to claim the group when its owner is gone. */
 static bool is_successor(const struct owner_group *g)
 {
@@ -411,7 +430,7 @@
 static void record_rewritten(struct owner_group *g, bool ok)
 {
 	if (ok)
-		claim_notify_all(g);
+		claim_notify(g);
 }
 
 static bool needs_record(const struct owner_group *g, bool successor)
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -76,6 +76,11 @@
 void job_fill_owner(ml_run_res *res, const struct owner_group *g, uint64_t known)
 {
 	res->owner = res->owner_address = "";
+	if (g != NULL && g->hint_revision > MAX(g->revision, known)) {
+		res->owner_address = (char *)g->hint_address;
+		res->owner_revision = g->hint_revision;
+		return;
+	}
 	if (g == NULL || g->revision <= known)
 		return;
 	res->owner = (char *)g->record.owner.name;
--- a/src/owner.c
+++ b/src/owner.c
@@ -322,6 +322,22 @@
 	return fleet_holder_address(fleet_of(o->service.kernel), role);
 }
 
+const char *owner_address_for_attempt(struct owner *o, const char *pool, unsigned attempt)
+{
+	struct fleet *f = fleet_of(o->service.kernel);
+	char role[NAME_SIZE + 8];
+	bool known;
+	const char *address = owner_address(o, pool, &known);
+	const struct vm *vm = address != NULL ? peers_find_address(&f->peers, address) : NULL;
+	const char *claimer;
+
+	if (inform_next_target(known, vm != NULL && peers_usable(vm), attempt) == INFORM_ASK_OWNER)
+		return address;
+	g_snprintf(role, sizeof(role), "group %s", pool);
+	claimer = fleet_holder_address(f, role);
+	return claimer != NULL ? claimer : address;
+}
+
 uint64_t owner_known_revision(struct owner *o, const char *pool)
 {
 	const struct owner_group *g = owner_group_find(o, pool);
@@ -441,7 +457,8 @@
 		g->owner_lost = false;
 	}
 	/* The group was handed to this VM, so the record must be read. */
-	if (strcmp(vm, o->service.kernel->settings->name) == 0)
+	if (strcmp(vm, o->service.kernel->settings->name) == 0 ||
+	    strcmp(address, o->service.kernel->settings->advertise) == 0)
 		record_outdated(g);
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -32,6 +32,7 @@
 #include "conf.h"
 #include "fairq.h"
 #include "fleet.h"
+#include "inform.h"
 #include "keep.h"
 #include "kernel.h"
 #include "lead.h"
@@ -286,6 +287,8 @@
  * that of the VM that is to claim the group, or NULL.
  */
 const char *owner_address(struct owner *o, const char *pool, bool *known);
+/** Returns the RPC address that attempt @a attempt of a statement is sent to, or NULL. */
+const char *owner_address_for_attempt(struct owner *o, const char *pool, unsigned attempt);
 /** Returns the newest revision of the group's record known to this VM. */
 uint64_t owner_known_revision(struct owner *o, const char *pool);
 /**
@@ -366,8 +369,8 @@
 void claim_store_failed(struct owner_group *g);
 /** Hands the group to a VM in the data centre of its primary, if this VM is elsewhere. */
 void claim_move_to_primary(struct owner_group *g, int64_t now);
-/** Notifies all VMs of the owner of the group. */
-void claim_notify_all(struct owner_group *g);
+/** Notifies the VMs that need it of the new owner of the group; others ask (decide/inform.h). */
+void claim_notify(struct owner_group *g);
 /** Stops sending statements for the group at once and closes its connections. */
 void claim_stop(struct owner_group *g, const char *why);
 
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -85,7 +85,8 @@
 	bool vm_name_sent;	 /**< a call with this VM's name was sent */
 	struct evbuffer *unsent; /**< records to be sent once the connection is established */
 	int64_t last_received_us;
-	int64_t ping_sent_us; /**< time of the unanswered ping; 0: none */
+	int64_t keep_until_us; /**< not closed for lack of calls before this time */
+	int64_t ping_sent_us;  /**< time of the unanswered ping; 0: none */
 	struct rpc_calls calls;
 	struct rpc_requests requests;
 };
@@ -556,6 +557,37 @@
 	return call;
 }
 
+void rpc_keep(struct rpc *r, const char *address, int64_t us)
+{
+	struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
+
+	if (c != NULL)
+		c->keep_until_us = MAX(c->keep_until_us, now_us() + us);
+}
+
+unsigned rpc_connections(const struct rpc *r)
+{
+	const struct rpc_conn *c;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(c, &r->conns, link)
+		n++;
+	return n;
+}
+
+/**
+ * Whether a connection without open calls is to be closed. Each VM calls each other one at some
+ * time, so without this all VMs of a fleet would stay connected to all others. Only the caller
+ * closes: a call under way to a peer that closes would have an unknown outcome.
+ */
+static bool rpc_conn_unused(const struct rpc_conn *c, int64_t now)
+{
+	int64_t idle_us = (int64_t)c->rpc->kernel->settings->rpc_idle_ms * USEC_PER_MSEC;
+
+	return idle_us > 0 && c->connected && now - c->last_received_us > idle_us &&
+	       now > c->keep_until_us;
+}
+
 /**
  * Detects silent connections: sends a ping on connections with open calls, and closes those on
  * which the ping stays unanswered.
@@ -570,8 +602,13 @@
 	TAILQ_FOREACH_SAFE(c, &r->conns, link, next) {
 		struct rpc_call *ping;
 
-		if (c->address[0] == '\0' || TAILQ_EMPTY(&c->calls))
+		if (c->address[0] == '\0')
 			continue;
+		if (TAILQ_EMPTY(&c->calls)) {
+			if (rpc_conn_unused(c, now))
+				rpc_conn_close(c);
+			continue;
+		}
 		/*
 		 * A middlebox between two VMs can lose the state of an established connection: data
 		 * is dropped without an error, and all calls run into their deadlines. The missing
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -62,6 +62,13 @@
 void rpc_call_detach(struct rpc_call *call);
 /** Sends the reply to @a rq and frees @a rq. */
 void rpc_reply(struct rpc_request *rq, const void *res);
+/**
+ * Keeps the connection to @a address, if there is one, for @a us from now although it has no calls:
+ * its end would abort the transaction that a VM there has open for this one.
+ */
+void rpc_keep(struct rpc *r, const char *address, int64_t us);
+/** @return the number of open connections, of both directions */
+unsigned rpc_connections(const struct rpc *r);
 /** @return the number of the connection that @a rq arrived on; 0 if this process sent it */
 uint64_t rpc_request_conn(const struct rpc_request *rq);
 /** @return how long calls to @a address have been open without any data from it; 0: no open call */
--- a/src/session-remote.c
+++ b/src/session-remote.c
@@ -30,9 +30,20 @@
 #define SILENCE_LIMIT_US (160 * USEC_PER_MSEC)
 /** Time after which replicas are expected to have a write. The users' replicas lag 8 and 60 ms. */
 #define REPLICA_LAG_US (120 * USEC_PER_MSEC)
+
+/** Added to the longest idle time of a transaction, for its connection to outlast it. */
+#define KEEP_MARGIN_US (2 * USEC_PER_SEC)
 /** Limit of the idle time of a transaction whose route has none. */
 #define DEFAULT_IDLE_TX_MS 30000
 
+/** Returns for how long a transaction of the session may be idle. */
+static int64_t idle_tx_us(const struct session *s)
+{
+	unsigned ms = s->route.idle_tx_ms > 0 ? s->route.idle_tx_ms : DEFAULT_IDLE_TX_MS;
+
+	return (int64_t)ms * USEC_PER_MSEC;
+}
+
 /** Ends the statement with the final response of the owner or reader. */
 static void finish_remote(struct session *s, const ml_run_res *res)
 {
@@ -53,8 +64,11 @@
 			session_tx_end(s);
 		else if (res->transaction == 0 || res->state == TX_FAILED || o != OUTCOME_DONE)
 			s->tx = TX_FAILED;
-		if (res->transaction != 0)
+		if (res->transaction != 0) {
 			g_strlcpy(s->tx_address, s->address, sizeof(s->tx_address));
+			rpc_keep(rpc_of(session_kernel(s)), s->address,
+				 idle_tx_us(s) + KEEP_MARGIN_US);
+		}
 	}
 	/* Later reads of the session must see this write. */
 	if (o == OUTCOME_DONE && s->tx == TX_NONE && pos_cmp(pos, s->written_pos) > 0 &&
@@ -150,6 +164,21 @@
 	return o == OUTCOME_LEAVING || o == OUTCOME_NOT_SENT || o == OUTCOME_NO_CONNECTION;
 }
 
+/** Attempts that may follow answers with a newer owner without a pause. */
+#define REDIRECTS_MAX 3
+
+/** Sends the statement on at once if its answer names a newer owner than the VM it was sent to. */
+static bool follow_redirect(struct session *s, const ml_run_res *res)
+{
+	if (res->owner_revision == 0 || res->owner_address[0] == '\0' ||
+	    strcmp(res->owner_address, s->address) == 0 || s->redirects == REDIRECTS_MAX)
+		return false;
+	s->redirects++;
+	s->reader = READER_OWNER;
+	session_run_remote(s);
+	return true;
+}
+
 /** Returns whether the statement has no lasting effect even if it ran before the call was lost. */
 static bool has_no_lasting_effect(const struct session *s)
 {
@@ -177,6 +206,8 @@
 		if (fall_back_to_owner(s, status, (enum outcome)res->outcome))
 			return;
 		if (!s->closed && may_retry(s, (enum outcome)res->outcome)) {
+			if (s->reader == READER_OWNER && follow_redirect(s, res))
+				return;
 			retry_or_refuse(s, (enum outcome)res->outcome);
 			return;
 		}
@@ -240,7 +271,7 @@
 	a->max_age_us = (u_int)MIN((uint64_t)s->route.max_age_ms * USEC_PER_MSEC, UINT_MAX);
 	a->session = (ml_pos){s->written_pos.term, s->written_pos.lsn};
 	a->deadline_us = left > 0 ? (u_int)MIN(left, UINT_MAX) : 0;
-	a->idle_tx_ms = s->route.idle_tx_ms > 0 ? s->route.idle_tx_ms : DEFAULT_IDLE_TX_MS;
+	a->idle_tx_ms = (u_int)(idle_tx_us(s) / USEC_PER_MSEC);
 	a->owner_revision = owner_known_revision(owner_of(session_kernel(s)), s->route.pool);
 	a->transaction = s->tx_id;
 	if (s->tx != TX_NONE && s->tx_id == 0)
@@ -260,7 +291,6 @@
 	const char *reader_address = local_reader(s);
 	const char *address;
 	ml_run_args args;
-	bool known;
 	guint i;
 
 	if (s->tx_id != 0) {
@@ -272,7 +302,7 @@
 		g_strlcpy(s->address, reader_address, sizeof(s->address));
 	} else {
 		s->reader = READER_OWNER;
-		address = owner_address(owner_of(k), s->route.pool, &known);
+		address = owner_address_for_attempt(owner_of(k), s->route.pool, s->failed_attempts);
 		if (address == NULL) {
 			retry_or_refuse(s, OUTCOME_NOT_SENT);
 			return;
--- a/src/session-state.h
+++ b/src/session-state.h
@@ -53,6 +53,7 @@
 	int64_t started_us;
 	int64_t deadline_us;
 	unsigned failed_attempts;
+	unsigned redirects; /**< attempts that were answered with a newer owner */
 	char address[ADDRESS_SIZE];
 	int64_t sent_us;
 	enum owner_reader reader; /**< which VMs may serve this attempt */
--- a/src/session.c
+++ b/src/session.c
@@ -348,6 +348,7 @@
 	s->local_reader_failed = false;
 	s->st = *st;
 	s->failed_attempts = 0;
+	s->redirects = 0;
 	s->address[0] = '\0';
 	s->started_us = now_us();
 	s->deadline_us = 0;
--- a/src/settings.c
+++ b/src/settings.c
@@ -64,6 +64,7 @@
 	FIELD(rpc_secret, "secret", SCHEMA_PATH),
 	FIELD(heartbeat_ms, "heartbeat_ms", SCHEMA_UINT, .min = 10, .max = 60000,
 	      .fallback = "500"),
+	FIELD(rpc_idle_ms, "idle_ms", SCHEMA_UINT, .min = 1000, .max = DAY_MS, .fallback = "15000"),
 	FIELD(silent_ms, "silent_ms", SCHEMA_UINT, .min = 50, .max = 60000, .fallback = "1200"),
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -62,6 +62,7 @@
 	unsigned seeds;		 /**< number of seed addresses */
 	char rpc_secret[SCHEMA_PATH_SIZE]; /**< key of the hash on RPC messages; empty: no hash */
 	unsigned heartbeat_ms;		   /**< interval between heartbeats to other VMs */
+	unsigned rpc_idle_ms; /**< an RPC connection without calls for this long is closed */
 	unsigned silent_ms; /**< an RPC connection with unanswered calls and no input for this long
 			       is closed */
 
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -650,6 +650,69 @@
 	world_close(&w);
 }
 
+/*
+ * Guards against statements that go to a VM that is gone until the fleet knows: while the owner
+ * seems gone, the VM that is to claim the group is asked as well.
+ */
+static void test_statement_asks_the_claimer_while_the_owner_seems_gone(void)
+{
+	const struct vm_listing l[] = {
+		{.name = "vm-1", .address = SELF, .data_center = "dc"},
+		{.name = "vm-8", .address = "127.0.0.1:8", .data_center = "dc"},
+		{.name = "vm-9", .address = "127.0.0.1:2", .data_center = "dc"}};
+	const char *owner = "127.0.0.1:8", *claimer;
+	struct peers *peers;
+	struct world w;
+
+	world_open(&w);
+	peers = &fleet_of(w.k)->peers;
+	peers_apply_list(peers, 5, l, G_N_ELEMENTS(l));
+	fleet_members_changed(fleet_of(w.k));
+	owner_note_newer_record(w.o, POOL, "vm-8", owner, 3);
+	CU_ASSERT_STRING_EQUAL(owner_address_for_attempt(w.o, POOL, 0), owner);
+	fleet_suspect(fleet_of(w.k), owner);
+	claimer = fleet_holder_address(fleet_of(w.k), "group " POOL);
+	CU_ASSERT_STRING_EQUAL(owner_address_for_attempt(w.o, POOL, 0), claimer);
+	CU_ASSERT_STRING_EQUAL(owner_address_for_attempt(w.o, POOL, 1), owner);
+	world_close(&w);
+}
+
+static void on_redirected(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_run_res *res = arg_res;
+
+	CU_ASSERT_EQUAL(res->outcome, OUTCOME_LEAVING);
+	CU_ASSERT_EQUAL(res->owner_revision, 3);
+	CU_ASSERT_STRING_EQUAL(res->owner_address, "127.0.0.1:8");
+	*(bool *)arg = true;
+}
+
+/*
+ * Guards against callers that never find an owner: not every VM is notified of it, so a VM that is
+ * asked and does not own the group names the owner that it knows.
+ */
+static void test_refusal_names_the_known_owner(void)
+{
+	ml_run_args a = {.request = "r1",
+			 .team = "t",
+			 .pool = POOL,
+			 .text = "READ a",
+			 .operand = "",
+			 .shape = "",
+			 .op = STATEMENT_READ,
+			 .mode = READ_PRIMARY,
+			 .deadline_us = 800 * USEC_PER_MSEC};
+	bool answered = false;
+	struct world w;
+
+	world_open(&w);
+	owner_note_newer_record(w.o, POOL, "vm-8", "127.0.0.1:8", 3);
+	rpc_start(rpc_of(w.k), SELF, ML_RUN, &a, USEC_PER_SEC, on_redirected, &answered);
+	world_run_once(&w);
+	CU_ASSERT_TRUE(answered);
+	world_close(&w);
+}
+
 /* Guards against a job that no timer looks at, whatever state its group is in. */
 static void test_job_of_an_unserved_group_expires(void)
 {
@@ -831,6 +894,9 @@
 	 test_statement_put_back_in_a_long_change_is_refused_at_once},
 	{"owner_that_the_list_lacks_yet_keeps_its_group",
 	 test_owner_that_the_list_lacks_yet_keeps_its_group},
+	{"statement_asks_the_claimer_while_the_owner_seems_gone",
+	 test_statement_asks_the_claimer_while_the_owner_seems_gone},
+	{"refusal_names_the_known_owner", test_refusal_names_the_known_owner},
 	{"job_of_an_unserved_group_expires", test_job_of_an_unserved_group_expires},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"restarted_owner_is_not_taken_for_its_previous_process",
--- a/tests/test-rpc.c
+++ b/tests/test-rpc.c
@@ -188,9 +188,42 @@
 	pair_close(&p);
 }
 
+/** Whether a connection is still open some time after its only call has ended. */
+static bool connection_outlives_idle(struct pair *p, int64_t keep_us)
+{
+	struct ended e = {0};
+
+	call(p, CONNECTED_US, &e);
+	rpc_keep(p->rpc, p->address, keep_us);
+	settle(p);
+	settle(p);
+	settle(p);
+	CU_ASSERT_TRUE(e.called);
+	return rpc_connections(p->rpc) == 1;
+}
+
+/*
+ * Guards against a fleet in which all VMs stay connected to all others, since each calls each at
+ * some time. A connection that a transaction needs must stay, however long its caller rests.
+ */
+static void test_connection_without_calls_is_closed(void)
+{
+	struct pair p;
+
+	pair_open(&p);
+	p.settings.rpc_idle_ms = 1;
+	p.settings.silent_ms = 4 * SETTLE_US / USEC_PER_MSEC;
+	rpc_free(p.rpc);
+	p.rpc = rpc_create(p.kernel);
+	CU_ASSERT_FALSE(connection_outlives_idle(&p, 0));
+	CU_ASSERT_TRUE(connection_outlives_idle(&p, USEC_PER_SEC * 60));
+	pair_close(&p);
+}
+
 static const struct test_case cases[] = {
 	{"not_sent_call_never_reaches_peer", test_not_sent_call_never_reaches_peer},
 	{"unanswered_is_lost", test_unanswered_is_lost},
+	{"connection_without_calls_is_closed", test_connection_without_calls_is_closed},
 	{"refused_is_not_sent", test_refused_is_not_sent},
 	{"unanswered_local_call_ends", test_unanswered_local_call_ends},
 	{"unserved_local_call_is_not_sent", test_unserved_local_call_is_not_sent},
--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -172,6 +172,9 @@
 		run_ticks(l, ticks);
 		CU_ASSERT_TRUE(fake.n_commits >= 1);
 		CHECK(fake.n_commits < 16, "%u VMs: %u claims", l->n, fake.n_commits);
+		/* A claim is no reason to connect to every VM. */
+		CHECK(rpc_connections(rpc_of(l->w.k)) < 16, "%u VMs: %u connections", l->n,
+		      rpc_connections(rpc_of(l->w.k)));
 		before = l->w.o->visits;
 		run_ticks(l, ticks);
 		CHECK(l->w.o->visits - before < 32 * ticks, "%u VMs: %lu visits", l->n,
