Start: in a large fleet a VM lists the VMs, watchers list everything

What callers saw: 271 of 984 VMs were ready as traffic began, 24 s after the start; others had no configuration and refused their callers.

Cause: each VM read all keys of the store (3,000 servers, 1,000 groups, the document, 984 VMs: some 25 pages and 2.5 MB), at once, before its own key was written; such a list lacks the VM itself and the others that start, so it was read up to five times more. 984 VMs x several lists x 2.5 MB stand against 1,000 Mbit/s of the store and 20 Mbit/s of a VM; and each call is counted.

Change: a VM whose first page shows that there are more waits until its key is written, then lists the VMs and the parts that they hold, from a read that may be stale: it is new enough when it has this VM. The two VMs of each data centre that watch the store list all keys; the configuration reaches the others from peers, as a change does. A VM without a configuration 10 to 16 s after that reads it from the store. A list of several stale pages is as old as the oldest of them. Stores whose keys fit a page are read as before.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -451,8 +451,7 @@
 	} else if (source_is_evacuation(item->key)) {
 		store_source.conf_revision = MAX(store_source.conf_revision, item->revision);
 		apply_evacuation(item);
-	} else if (g_str_has_prefix(item->key, FLEET_STORE_VMS) ||
-		   g_str_has_prefix(item->key, FLEET_STORE_PARTS)) {
+	} else if (source_is_vm_key(item->key)) {
 		fleet_list_put(store_source.f, item->key, item->value, item->revision);
 		store_source.vms_changed = true;
 	}
@@ -466,7 +465,8 @@
 {
 	if (!store_source.list_is_complete)
 		return;
-	store_source.f->conf_confirmed_us = now_us();
+	if (!store_source.vms_only)
+		store_source.f->conf_confirmed_us = now_us();
 	if (store_source.vms_changed) {
 		store_source.vms_changed = false;
 		fleet_list_publish(store_source.f, store_source.synced_revision);
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -48,7 +48,19 @@
 	int64_t lease_until_us; /**< when the lease expires, counted from lease_sent_us */
 	int64_t lease_next_us;	/**< earliest time of the next lease call */
 
-	unsigned n_lists;	 /**< complete lists read */
+	/**
+	 * The store has more keys than one page of a list. Then a VM that does not watch the store
+	 * lists only the VMs and the parts that they hold, and gets the configuration from peers.
+	 */
+	bool large;
+	bool lists_vms;		    /**< the current list is of VMs and parts only */
+	unsigned list_prefix;	    /**< index of the prefix that is being listed */
+	bool vms_only;		    /**< the last complete list was of VMs and parts only */
+	bool resync;		    /**< changes were missed: the next list is of all keys */
+	bool awaits_key;	    /**< the list begins once this VM's key is written */
+	int64_t key_wait_until_us;  /**< or at this time */
+	int64_t conf_wait_until_us; /**< without a configuration from peers by then, list all */
+	unsigned n_lists;	    /**< complete lists read */
 	bool initial_list_done;	 /**< a list recent enough for the start of the process was read */
 	bool list_is_complete;	 /**< the current list is complete; a watch continues from it */
 	char *last_listed_key;	 /**< last key of the previous page; NULL before the first */
@@ -87,6 +99,9 @@
 /** Records whether the store answered the call named @a call, and logs a change. */
 void source_set_reachable(const char *call, bool ok);
 
+/** Whether @a key is of a VM or of a part that one holds. */
+bool source_is_vm_key(const char *key);
+
 /* fleet-store-items.c */
 
 bool source_is_evacuation(const char *key);
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -32,11 +32,28 @@
 #define TICK_US (100 * USEC_PER_MSEC)
 /** Delay before the initial list is read again because it was too old to start from. */
 #define INITIAL_LIST_DELAY_US (300 * USEC_PER_MSEC)
+/** Longest wait for this VM's key before the VMs are listed nevertheless. */
+#define KEY_WAIT_US (3 * USEC_PER_SEC)
+/**
+ * Time from this VM's key to its list of VMs: VMs that start together are in the list then, and a
+ * stale read has them too.
+ */
+#define START_SPREAD_US (1200 * USEC_PER_MSEC)
+/**
+ * Time for the configuration to arrive from peers, and a random addition to it, before it is read
+ * from the store. Each peer passes it on to two others at a time; when all VMs start, the fleet has
+ * it after the logarithm of its size in such steps.
+ */
+#define CONF_WAIT_US (10 * USEC_PER_SEC)
+#define CONF_WAIT_SPREAD_US (6 * USEC_PER_SEC)
 /** Retries of the initial list; all but the last one may be stale reads. */
 #define INITIAL_LIST_RETRIES 5
 
 struct store_source store_source;
 
+/** Prefixes of the keys that tell which VMs there are, and what they hold. */
+static const char *const vm_prefixes[] = {FLEET_STORE_PARTS, FLEET_STORE_VMS};
+
 static void list_next(void);
 static void list_reset(void);
 static void list_begin(void);
@@ -134,6 +151,17 @@
 
 /* Lists */
 
+bool source_is_vm_key(const char *key)
+{
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(vm_prefixes); i++) {
+		if (g_str_has_prefix(key, vm_prefixes[i]))
+			return true;
+	}
+	return false;
+}
+
 /**
  * Whether a key that was lost in a restore stays in force for the length of a lease. VMs, and the
  * parts that they hold, may remain active for that long, and operators need time to write
@@ -141,8 +169,7 @@
  */
 static bool survives_restore(const char *key)
 {
-	return g_str_has_prefix(key, FLEET_STORE_VMS) || g_str_has_prefix(key, FLEET_STORE_PARTS) ||
-	       source_is_evacuation(key);
+	return source_is_vm_key(key) || source_is_evacuation(key);
 }
 
 /** Removes the known keys that a complete list does not have any more. */
@@ -157,7 +184,8 @@
 	for (l = keys; l != NULL; l = l->next) {
 		struct store_item removal = {.revision = revision};
 
-		if (g_hash_table_contains(store_source.listed_keys, l->data))
+		if (g_hash_table_contains(store_source.listed_keys, l->data) ||
+		    (store_source.lists_vms && !source_is_vm_key(l->data)))
 			continue;
 		if (!settled && survives_restore(l->data)) {
 			store_source.keeps_lost_keys = true;
@@ -181,7 +209,38 @@
 {
 	const struct fleet *f = store_source.f;
 
-	return !f->self_listed || f->conf->version == 0;
+	return !f->self_listed || (f->conf->version == 0 && !store_source.lists_vms);
+}
+
+/**
+ * Has the VMs listed once this VM's key is written: a list without it is too old. In a large store
+ * each list counts, since all VMs that start together read it at the same time.
+ */
+static void await_key(void)
+{
+	log_info("store-large", LOG_NUM("registered", store_source.registered));
+	store_source.large = true;
+	list_reset();
+	store_source.awaits_key = true;
+	store_source.key_wait_until_us = now_us() + KEY_WAIT_US;
+}
+
+/** Begins the list of VMs that await_key() put off. */
+static void key_tick(int64_t now)
+{
+	if (!store_source.registered && now < store_source.key_wait_until_us)
+		return;
+	store_source.awaits_key = false;
+	kernel_arm(store_source.retry, START_SPREAD_US);
+}
+
+/** Sets when to read the configuration from the store if no peer has sent one. */
+static void await_conf(void)
+{
+	if (store_source.conf_wait_until_us == 0)
+		store_source.conf_wait_until_us =
+			now_us() + CONF_WAIT_US +
+			(int64_t)(random_bits() % (uint64_t)CONF_WAIT_SPREAD_US);
 }
 
 static void list_complete(void)
@@ -201,7 +260,11 @@
 	 */
 	store_source.synced_revision = store_source.list_revision;
 	store_source.vms_changed = true;
-	store_source.conf_changed = true;
+	store_source.vms_only = store_source.lists_vms;
+	store_source.resync = store_source.resync && store_source.vms_only;
+	store_source.conf_changed = !store_source.vms_only;
+	if (store_source.vms_only)
+		await_conf();
 	store_source.n_lists++;
 	source_publish();
 	if (!store_source.initial_list_done && store_source.f->oldest_era < store_source.era.now)
@@ -228,8 +291,15 @@
 		return;
 	}
 	store_source.retry_us = 0;
-	if (store_source.last_listed_key == NULL)
+	if (a->more && store_source.n_lists == 0 && !store_source.large) {
+		await_key();
+		return;
+	}
+	if (store_source.last_listed_key == NULL && store_source.list_prefix == 0)
 		store_source.list_revision = a->revision;
+	/* Pages of stale reads may be of any age: the list is as old as the oldest. */
+	if (era_of(a->revision) == era_of(store_source.list_revision))
+		store_source.list_revision = MIN(store_source.list_revision, a->revision);
 	if (era_of(a->revision) != era_of(store_source.list_revision)) {
 		list_begin();
 		return;
@@ -248,12 +318,34 @@
 		list_next();
 		return;
 	}
+	if (store_source.lists_vms && store_source.list_prefix + 1 < G_N_ELEMENTS(vm_prefixes)) {
+		store_source.list_prefix++;
+		g_clear_pointer(&store_source.last_listed_key, g_free);
+		list_next();
+		return;
+	}
 	list_complete();
 }
 
+/** Whether a list now needs all keys: this VM watches the store, or no peer has a configuration. */
+static bool needs_all_keys(void)
+{
+	const struct fleet *f = store_source.f;
+
+	if (!store_source.large || store_source.resync ||
+	    (f->self_listed && fleet_is_watcher(store_source.f)))
+		return true;
+	return f->conf->version == 0 && store_source.conf_wait_until_us != 0 &&
+	       now_us() >= store_source.conf_wait_until_us;
+}
+
 static void list_next(void)
 {
 	bool retry = !store_source.initial_list_done && store_source.n_lists > 0;
+	bool stale = store_source.lists_vms || retry;
+
+	if (!store_source.initial_list_done && store_source.n_lists >= INITIAL_LIST_RETRIES)
+		stale = false;
 
 	/*
 	 * Lists all keys, which takes one call instead of one for each of three prefixes. The first
@@ -261,14 +353,17 @@
 	 * one, since peers whose first configuration is the new one cannot compute the difference.
 	 */
 	store_source.store->ops->list(
-		store_source.store, "",
-		store_source.last_listed_key != NULL ? store_source.last_listed_key : "",
-		retry && store_source.n_lists < INITIAL_LIST_RETRIES, on_list_page, NULL);
+		store_source.store,
+		store_source.lists_vms ? vm_prefixes[store_source.list_prefix] : "",
+		store_source.last_listed_key != NULL ? store_source.last_listed_key : "", stale,
+		on_list_page, NULL);
 }
 
 static void list_reset(void)
 {
 	store_source.list_is_complete = false;
+	store_source.lists_vms = !needs_all_keys();
+	store_source.list_prefix = 0;
 	g_hash_table_remove_all(store_source.listed_keys);
 	g_clear_pointer(&store_source.last_listed_key, g_free);
 }
@@ -346,7 +441,7 @@
 {
 	if (store_source.watch != NULL || !fleet_is_watcher(store_source.f))
 		return;
-	if (!fleet_store_is_current(store_source.synced_revision)) {
+	if (!fleet_store_is_current(store_source.synced_revision) || store_source.vms_only) {
 		list_begin();
 		return;
 	}
@@ -372,6 +467,8 @@
 
 	source_lease_tick(now);
 	source_drop_lapsed(now);
+	if (store_source.awaits_key)
+		key_tick(now);
 	if (store_source.keeps_lost_keys && era_settled(&store_source.era, 0, LEASE_TTL_US, now))
 		source_rewrite_key(now, relist);
 	if (!store_source.list_is_complete || store_source.watch != NULL ||
@@ -379,7 +476,8 @@
 		return;
 	if (fleet_is_watcher(store_source.f))
 		watch_start();
-	else if (now - store_source.checked_us > RELIST_INTERVAL_US) {
+	else if (now - store_source.checked_us > RELIST_INTERVAL_US ||
+		 (store_source.vms_only && needs_all_keys())) {
 		store_source.checked_us = now;
 		list_begin();
 	}
@@ -387,6 +485,7 @@
 
 static void store_resync(struct fleet *f)
 {
+	store_source.resync = true;
 	if (store_source.list_is_complete && store_source.watch == NULL)
 		list_begin();
 }
