Membership: a heartbeat and a change of one VM cost what they concern

Cause (perf of a quarter of the fleet, 246 VMs, mean 0.0103 cores a VM): strcmp 11.6%, peers_collect_updates 6.2%, hash look-ups and formatting of roles some 15%, peers_targets 1.9%. Each heartbeat walked all VMs for the updates that it carries, for suspects and for its random target; data centres were compared as texts; each change of one VM's state made every group look up who is to claim it.

Change: VMs with an update to carry are in a list, in the order in which heartbeats had room for them (before, the first 16 by name went first); suspects are counted; the VMs are in an array as well; data centres are interned. The fleet names the roles whose holder it drops, so that a change of a VM wakes the groups that it concerns and those that this VM is to claim.

Evidence: the tests of peers, ranking and groups pass; test-scale bounds the visits.

--- a/decide/peers.c
+++ b/decide/peers.c
@@ -20,11 +20,46 @@
 		abort();
 	snprintf(vm->name, sizeof(vm->name), "%s", name);
 	vm->hash = rank_hash(vm->name);
+	vm->peers = p;
 	g_hash_table_insert(p->by_name, vm->name, vm);
 	p->n++;
 	return vm;
 }
 
+static void set_data_center(struct vm *vm, const char *data_center)
+{
+	snprintf(vm->data_center, sizeof(vm->data_center), "%s", data_center);
+	vm->dc = g_intern_string(vm->data_center);
+}
+
+static void set_suspect(struct vm *vm, bool suspect)
+{
+	if (vm->suspect == suspect)
+		return;
+	vm->suspect = suspect;
+	vm->peers->n_suspects += suspect ? 1 : -1U;
+}
+
+/** Sets for how many more heartbeats the update about @a vm is sent. */
+static void set_heartbeats(struct vm *vm, unsigned n)
+{
+	if (vm->heartbeats_left == 0 && n > 0)
+		TAILQ_INSERT_TAIL(&vm->peers->updates, vm, update_link);
+	if (vm->heartbeats_left > 0 && n == 0)
+		TAILQ_REMOVE(&vm->peers->updates, vm, update_link);
+	vm->heartbeats_left = n;
+}
+
+static void order_update(struct peers *p)
+{
+	struct vm *vm;
+	unsigned i = 0;
+
+	p->order = g_renew(struct vm *, p->order, p->n);
+	TAILQ_FOREACH(vm, &p->vms, link)
+		p->order[i++] = vm;
+}
+
 static int by_name(const void *a, const void *b)
 {
 	return strcmp((*(struct vm *const *)a)->name, (*(struct vm *const *)b)->name);
@@ -53,12 +88,14 @@
 	memset(p, 0, sizeof(*p));
 	TAILQ_INIT(&p->vms);
 	TAILQ_INIT(&p->removed);
+	TAILQ_INIT(&p->updates);
 	p->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	p->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	p->self = vm_create(p, self);
 	TAILQ_INSERT_TAIL(&p->vms, p->self, link);
 	snprintf(p->self->address, sizeof(p->self->address), "%s", address);
-	snprintf(p->self->data_center, sizeof(p->self->data_center), "%s", data_center);
+	set_data_center(p->self, data_center);
+	order_update(p);
 	p->self->incarnation = incarnation;
 	p->self->listed = true;
 	g_hash_table_insert(p->by_address, p->self->address, p->self);
@@ -75,6 +112,8 @@
 		TAILQ_REMOVE(&p->vms, vm, link);
 		free(vm);
 	}
+	g_free(p->order);
+	p->order = NULL;
 	p->n = 0;
 	p->self = NULL;
 }
@@ -119,8 +158,8 @@
 	vm->leaving = false;
 	vm->left = false;
 	vm->dead = false;
-	vm->suspect = false;
-	vm->heartbeats_left = 0;
+	set_suspect(vm, false);
+	set_heartbeats(vm, 0);
 }
 
 /**
@@ -162,7 +201,7 @@
 		p->relocated = p->relocated || (vm->data_center[0] != '\0' &&
 						strcmp(vm->data_center, l[i].data_center) != 0);
 		set_address(p, vm, l[i].address);
-		snprintf(vm->data_center, sizeof(vm->data_center), "%s", l[i].data_center);
+		set_data_center(vm, l[i].data_center);
 		vm_set_listed_incarnation(vm, l[i].incarnation);
 		vm->leaving = vm->leaving || l[i].leaving;
 	}
@@ -175,9 +214,12 @@
 		g_hash_table_remove(p->by_name, vm->name);
 		if (peers_find_address(p, vm->address) == vm)
 			g_hash_table_remove(p->by_address, vm->address);
+		set_suspect(vm, false);
+		set_heartbeats(vm, 0);
 		TAILQ_INSERT_TAIL(&p->removed, vm, link);
 		p->n--;
 	}
+	order_update(p);
 	return true;
 }
 
@@ -205,34 +247,32 @@
 	struct vm *vm;
 	unsigned n = 0;
 	unsigned suspects;
-	unsigned skip;
 
 	for (vm = vm_next(p, p->self); vm != p->self && n < PEERS_NEIGHBOURS; vm = vm_next(p, vm)) {
 		/*
 		 * Dead VMs are contacted by the random choice alone: dead neighbours in the ring
 		 * would otherwise use up the heartbeats meant for live ones.
 		 */
-		if (vm->dead || strcmp(vm->data_center, p->self->data_center) != 0)
+		if (vm->dead || vm->dc != p->self->dc)
 			continue;
 		out[n++] = vm;
 	}
 	if (p->n < 2)
 		return n;
 	suspects = n;
-	TAILQ_FOREACH(vm, &p->vms, link) {
+	for (vm = TAILQ_FIRST(&p->vms); vm != NULL && p->n_suspects > 0;
+	     vm = TAILQ_NEXT(vm, link)) {
 		if (vm->suspect && !vm->dead && n - suspects < PEERS_SUSPECTS)
 			n = add_target(out, n, vm);
 	}
-	vm = p->self;
-	for (skip = (unsigned)(random % (p->n - 1)) + 1; skip > 0; skip--)
-		vm = vm_next(p, vm);
-	return add_target(out, n, vm);
+	vm = p->order[random % p->n];
+	return add_target(out, n, vm != p->self ? vm : vm_next(p, vm));
 }
 
 static void vm_publish_state(struct vm *vm)
 {
 	vm->update_seq++;
-	vm->heartbeats_left = UPDATE_HEARTBEATS;
+	set_heartbeats(vm, UPDATE_HEARTBEATS);
 }
 
 void peers_record_contact(struct vm *vm, uint64_t incarnation, uint64_t conf_version)
@@ -240,11 +280,11 @@
 	if (incarnation != vm->incarnation) {
 		vm_reset_state(vm, incarnation);
 		vm->conf_version = conf_version;
-		vm->heartbeats_left = UPDATE_HEARTBEATS;
+		set_heartbeats(vm, UPDATE_HEARTBEATS);
 		return;
 	}
 	vm->misses = 0;
-	vm->suspect = false;
+	set_suspect(vm, false);
 	if (conf_version > vm->conf_version)
 		vm->conf_version = conf_version;
 	if (vm->dead) {
@@ -266,7 +306,7 @@
 void peers_suspect(struct peers *p, struct vm *vm)
 {
 	if (vm != p->self)
-		vm->suspect = true;
+		set_suspect(vm, true);
 }
 
 void peers_leave(struct peers *p)
@@ -307,30 +347,31 @@
 	vm->dead = update->dead;
 	vm->leaving = update->leaving;
 	vm->left = update->leaving;
-	vm->heartbeats_left = UPDATE_HEARTBEATS;
+	set_heartbeats(vm, UPDATE_HEARTBEATS);
 	if (!vm->dead)
 		vm->misses = 0;
 }
 
 unsigned peers_collect_updates(struct peers *p, struct vm_update out[PEERS_UPDATES_MAX])
 {
+	struct vms again = TAILQ_HEAD_INITIALIZER(again);
 	struct vm *vm;
 	unsigned n = 0;
 
-	TAILQ_FOREACH(vm, &p->vms, link) {
-		struct vm_update *update = &out[n];
+	while (n < PEERS_UPDATES_MAX && (vm = TAILQ_FIRST(&p->updates)) != NULL) {
+		struct vm_update *update = &out[n++];
 
-		if (vm->heartbeats_left == 0)
-			continue;
-		vm->heartbeats_left--;
 		snprintf(update->vm, sizeof(update->vm), "%s", vm->name);
 		update->incarnation = vm->incarnation;
 		update->seq = vm->update_seq;
 		update->dead = vm->dead;
 		update->leaving = vm->left;
-		if (++n == PEERS_UPDATES_MAX)
-			break;
+		TAILQ_REMOVE(&p->updates, vm, update_link);
+		if (--vm->heartbeats_left > 0)
+			TAILQ_INSERT_TAIL(&again, vm, update_link);
 	}
+	/* The next heartbeat begins with the updates that this one had no room for. */
+	TAILQ_CONCAT(&p->updates, &again, update_link);
 	return n;
 }
 
@@ -348,6 +389,7 @@
 
 struct vm *peers_holder(struct peers *p, const char *key, const char *data_center)
 {
+	const char *dc = data_center != NULL ? g_intern_string(data_center) : NULL;
 	uint64_t hash = rank_hash(key);
 	struct vm *best = NULL;
 	struct vm *vm;
@@ -360,7 +402,7 @@
 
 		if (!peers_usable(vm))
 			continue;
-		is_local = data_center != NULL && strcmp(vm->data_center, data_center) == 0;
+		is_local = dc != NULL && vm->dc == dc;
 		if (best_is_local && !is_local)
 			continue;
 		weight = weigh(p, hash, vm);
@@ -404,7 +446,7 @@
 	TAILQ_FOREACH(vm, &p->vms, link) {
 		if (vm == p->self || !peers_usable(vm))
 			continue;
-		if (strcmp(vm->data_center, p->self->data_center) != 0)
+		if (vm->dc != p->self->dc)
 			continue;
 		if (weigh(p, hash, vm) > own)
 			rank++;
--- a/decide/peers.h
+++ b/decide/peers.h
@@ -30,9 +30,12 @@
 	uint64_t hash;		    /**< rank_hash() of the name */
 	char address[ADDRESS_SIZE]; /**< of its RPC port */
 	char data_center[NAME_SIZE];
-	bool listed;  /**< on the platform's list */
-	bool leaving; /**< about to leave, by itself or by the platform's list */
-	bool left;    /**< it has announced that it leaves, after it gave up all that it held */
+	const char *dc; /**< @a data_center, interned: equal names are the same pointer */
+	struct peers *peers;
+	TAILQ_ENTRY(vm) update_link; /**< in peers.updates while heartbeats_left > 0 */
+	bool listed;		     /**< on the platform's list */
+	bool leaving;		     /**< about to leave, by itself or by the platform's list */
+	bool left; /**< it has announced that it leaves, after it gave up all that it held */
 	bool dead;
 	uint64_t incarnation;	     /**< random identifier of its process; 0: not known */
 	uint64_t listed_incarnation; /**< incarnation in the platform's list; 0: none */
@@ -60,6 +63,9 @@
 	GHashTable *by_name;
 	GHashTable *by_address;
 	unsigned n;
+	struct vm **order;  /**< all VMs, as in @a vms */
+	struct vms updates; /**< VMs with an update that heartbeats still carry */
+	unsigned n_suspects;
 	uint64_t revision; /**< revision of the platform's list in use */
 	struct vm *self;
 	struct vms removed; /**< VMs that the last list removed, see peers_free_removed() */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -22,6 +22,14 @@
 	f->n_listeners++;
 }
 
+void fleet_listen_roles(struct fleet *f, fleet_role_dropped cb, void *owner)
+{
+	g_assert(f->n_role_listeners < FLEET_ROLE_LISTENERS_MAX);
+	f->role_listeners[f->n_role_listeners].cb = cb;
+	f->role_listeners[f->n_role_listeners].owner = owner;
+	f->n_role_listeners++;
+}
+
 void fleet_notify(struct fleet *f)
 {
 	unsigned i;
@@ -66,32 +74,57 @@
 	qsort(f->data_center, f->n_data_centers, NAME_SIZE, by_name);
 }
 
-/** Cached holder of a role, and the data centre whose VMs are preferred as holder; "" for none. */
+/** Cached holder of a role, and the data centre whose VMs are preferred as holder. */
 struct role_holder {
 	uint64_t hash; /**< of the role's name */
 	struct vm *vm;
-	char data_center[NAME_SIZE];
+	const char *dc; /**< interned; NULL for none */
+};
+
+/** A VM whose usability changed, for the functions that look for the roles that it affects. */
+struct vm_change {
+	struct fleet *f;
+	const struct vm *vm;
 };
 
+/** Notifies of a role whose holder is no longer known. */
+static gboolean drop_role(struct fleet *f, const char *role)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_role_listeners; i++)
+		f->role_listeners[i].cb(f->role_listeners[i].owner, role);
+	return TRUE;
+}
+
 static bool is_preferred(const struct vm *vm, const struct role_holder *h)
 {
-	return h->data_center[0] != '\0' && strcmp(vm->data_center, h->data_center) == 0;
+	return vm->dc == h->dc;
 }
 
-/** Whether @a vm_arg, which became unusable, holds the role. */
-static gboolean held_by(gpointer role, gpointer holder, gpointer vm_arg)
+/** Drops the role if the VM, which became unusable, holds it. */
+static gboolean drop_if_held(gpointer role, gpointer holder, gpointer arg)
 {
-	return ((const struct role_holder *)holder)->vm == vm_arg;
+	const struct vm_change *change = arg;
+
+	return ((const struct role_holder *)holder)->vm == change->vm && drop_role(change->f, role);
 }
 
-/** Whether @a vm_arg, which became usable, ranks above the role's holder. */
-static gboolean is_outranked_by(gpointer role, gpointer holder, gpointer vm_arg)
+/** Drops the role if the VM, which became usable, ranks above its holder. */
+static gboolean drop_if_outranked(gpointer role, gpointer holder, gpointer arg)
 {
+	const struct vm_change *change = arg;
 	const struct role_holder *h = holder;
-	const struct vm *vm = vm_arg;
+	const struct vm *vm = change->vm;
 
 	return rank_better(rank_weight(h->hash, vm->hash), is_preferred(vm, h),
-			   rank_weight(h->hash, h->vm->hash), is_preferred(h->vm, h));
+			   rank_weight(h->hash, h->vm->hash), is_preferred(h->vm, h)) &&
+	       drop_role(change->f, role);
+}
+
+static gboolean drop_any(gpointer role, gpointer holder, gpointer f)
+{
+	return drop_role(f, role);
 }
 
 /**
@@ -102,20 +135,25 @@
 {
 	struct vm *vm;
 
-	TAILQ_FOREACH(vm, &f->peers.removed, link)
-		g_hash_table_foreach_remove(f->holders, held_by, vm);
+	TAILQ_FOREACH(vm, &f->peers.removed, link) {
+		struct vm_change change = {.f = f, .vm = vm};
+
+		g_hash_table_foreach_remove(f->holders, drop_if_held, &change);
+	}
 	peers_free_removed(&f->peers);
 	if (f->peers.relocated)
-		g_hash_table_remove_all(f->holders);
+		g_hash_table_foreach_remove(f->holders, drop_any, f);
 	f->peers.relocated = false;
 	TAILQ_FOREACH(vm, &f->peers.vms, link) {
+		struct vm_change change = {.f = f, .vm = vm};
 		bool usable = peers_usable(vm);
 
 		if (usable == vm->ranked_usable)
 			continue;
 		vm->ranked_usable = usable;
 		f->peers.weighed += usable ? g_hash_table_size(f->holders) : 0;
-		g_hash_table_foreach_remove(f->holders, usable ? is_outranked_by : held_by, vm);
+		g_hash_table_foreach_remove(f->holders, usable ? drop_if_outranked : drop_if_held,
+					    &change);
 	}
 }
 
@@ -163,8 +201,7 @@
 	h = g_new0(struct role_holder, 1);
 	h->hash = rank_hash(role);
 	h->vm = vm;
-	if (data_center != NULL)
-		g_strlcpy(h->data_center, data_center, sizeof(h->data_center));
+	h->dc = data_center != NULL ? g_intern_string(data_center) : NULL;
 	g_hash_table_insert(f->holders, g_strdup(role), h);
 	return vm;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -53,7 +53,11 @@
 /** Called when the membership or the configuration has changed. */
 typedef void (*fleet_changed)(void *owner);
 
+/** Called when the holder of @a role is no longer known: it has changed, or may have. */
+typedef void (*fleet_role_dropped)(void *owner, const char *role);
+
 #define FLEET_LISTENERS_MAX 8
+#define FLEET_ROLE_LISTENERS_MAX 2
 /** Maximum number of data centres; those beyond it are left out of fleet.data_center. */
 #define FLEET_DATA_CENTERS_MAX 16
 
@@ -96,11 +100,17 @@
 		void *owner;
 	} listeners[FLEET_LISTENERS_MAX];
 	unsigned n_listeners;
+	struct {
+		fleet_role_dropped cb;
+		void *owner;
+	} role_listeners[FLEET_ROLE_LISTENERS_MAX];
+	unsigned n_role_listeners;
 };
 
 struct service *fleet_service_create(struct kernel *k);
 struct fleet *fleet_of(struct kernel *k);
 void fleet_listen(struct fleet *f, fleet_changed cb, void *owner);
+void fleet_listen_roles(struct fleet *f, fleet_role_dropped cb, void *owner);
 /** Returns the RPC address of the member's home; NULL if none is known. */
 const char *fleet_home_address(struct fleet *f, const char *pool, const char *member);
 /** Whether @a data_center has a usable VM, which can be home to its members. */
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -53,10 +53,7 @@
 /** Returns the RPC address of the VM that is to claim the group when its owner is gone, or NULL. */
 static const char *successor_address(const struct owner_group *g)
 {
-	char role[NAME_SIZE + 8];
-
-	g_snprintf(role, sizeof(role), "group %s", g->pool);
-	return fleet_holder_address(owner_group_fleet(g), role);
+	return fleet_holder_address(owner_group_fleet(g), g->role);
 }
 
 /** Whether the record names @a vm as one that may still send to the primary. */
@@ -441,6 +438,19 @@
 	       (successor || g->outdated || g->invited || owner_group_is_own(g));
 }
 
+/** Returns whether this VM is to claim the group if its owner is gone, and records that. */
+static bool update_claimer(struct owner_group *g)
+{
+	bool claimer = is_successor(g);
+
+	if (claimer && !g->claimer)
+		TAILQ_INSERT_TAIL(&g->o->claims, g, claim_link);
+	if (!claimer && g->claimer)
+		TAILQ_REMOVE(&g->o->claims, g, claim_link);
+	g->claimer = claimer;
+	return claimer;
+}
+
 bool claim_tick(struct owner_group *g, int64_t now)
 {
 	struct fleet *f = owner_group_fleet(g);
@@ -454,7 +464,7 @@
 		return true;
 	if (registration == 0 || fleet_store_lease_until_us(f) < now)
 		return true;
-	successor = is_successor(g) || is_reported(g, now);
+	successor = update_claimer(g) || is_reported(g, now);
 	/*
 	 * Under a new lease another VM may have taken the group while this VM had none, so the
 	 * record is read before anything is sent. A VM that is not to claim the group needs no
@@ -480,7 +490,7 @@
 		 */
 		return claim_if_lost(g, now);
 	} else {
-		return g->recovered;
+		return g->recovered || g->owner_lost;
 	}
 	return true;
 }
@@ -507,7 +517,6 @@
 {
 	const struct owner_member *m = owner_group_primary(g);
 	struct fleet *f = owner_group_fleet(g);
-	char role[NAME_SIZE + 8];
 	struct vm *vm;
 
 	if (m == NULL || g->state != OWNER_SERVING || now - g->state_us < MOVE_AFTER_US ||
@@ -515,8 +524,7 @@
 	    strcmp(m->conf.data_center, f->peers.self->data_center) == 0)
 		return;
 	g->last_move_us = now;
-	g_snprintf(role, sizeof(role), "group %s", g->pool);
-	vm = peers_holder(&f->peers, role, m->conf.data_center);
+	vm = peers_holder(&f->peers, g->role, m->conf.data_center);
 	if (vm == NULL || vm->incarnation == 0 || strcmp(vm->data_center, m->conf.data_center) != 0)
 		return;
 	claim_hand_over(g, vm->name, "near-primary");
--- a/src/owner.c
+++ b/src/owner.c
@@ -274,6 +274,7 @@
 
 	g->o = o;
 	g_strlcpy(g->pool, pool, sizeof(g->pool));
+	g_snprintf(g->role, sizeof(g->role), OWNER_ROLE "%s", pool);
 	g->primary = -1;
 	g->excluded = -1;
 	g->state_us = now_us();
@@ -293,8 +294,9 @@
 	GHashTableIter iter;
 	gpointer name;
 
-	/* The membership may have changed too, and with it the VM that is to claim each group. */
-	wake_all(o);
+	/* The membership may have changed, so the owner of a group that this VM is to claim too. */
+	TAILQ_FOREACH(g, &o->claims, claim_link)
+		owner_group_wake(g);
 	if (o->conf_version == version)
 		return;
 	o->conf_version = version;
@@ -308,24 +310,36 @@
 	wake_all(o);
 }
 
+/** The VM that is to claim a group may be another now. */
+static void role_dropped(void *owner, const char *role)
+{
+	struct owner_group *g;
+
+	if (!g_str_has_prefix(role, OWNER_ROLE))
+		return;
+	g = owner_group_find(owner, role + strlen(OWNER_ROLE));
+	if (g != NULL)
+		owner_group_wake(g);
+}
+
 /* Ownership as known to this VM */
 
 const char *owner_address(struct owner *o, const char *pool, bool *known)
 {
 	struct owner_group *g = owner_group_find(o, pool);
-	char role[NAME_SIZE + 8];
+	char role[sizeof(g->role)];
 
 	*known = g != NULL && !g->owner_lost && (g->revision != 0 || g->hint_revision != 0);
 	if (*known)
 		return g->hint_revision > g->revision ? g->hint_address : g->record.address;
-	g_snprintf(role, sizeof(role), "group %s", pool);
+	g_snprintf(role, sizeof(role), OWNER_ROLE "%s", pool);
 	return fleet_holder_address(fleet_of(o->service.kernel), role);
 }
 
 const char *owner_address_for_attempt(struct owner *o, const char *pool, unsigned attempt)
 {
+	const struct owner_group *g = owner_group_find(o, pool);
 	struct fleet *f = fleet_of(o->service.kernel);
-	char role[NAME_SIZE + 8];
 	bool known;
 	const char *address = owner_address(o, pool, &known);
 	const struct vm *vm = address != NULL ? peers_find_address(&f->peers, address) : NULL;
@@ -333,8 +347,7 @@
 
 	if (inform_next_target(known, vm != NULL && peers_usable(vm), attempt) == INFORM_ASK_OWNER)
 		return address;
-	g_snprintf(role, sizeof(role), "group %s", pool);
-	claimer = fleet_holder_address(f, role);
+	claimer = g != NULL ? fleet_holder_address(f, g->role) : NULL;
 	return claimer != NULL ? claimer : address;
 }
 
@@ -571,6 +584,7 @@
 	rpc_serve(r, ML_REACH, watch_reach_serve, o);
 	rpc_on_closed(r, tx_closed, o);
 	fleet_listen(fleet_of(s->kernel), conf_changed, o);
+	fleet_listen_roles(fleet_of(s->kernel), role_dropped, o);
 	record_listen(o);
 	fleet_store_set_caught_up_cb(owner_caught_up, o);
 	o->tick = kernel_every(s->kernel, TICK_US, on_tick, o);
@@ -587,13 +601,11 @@
 	o->leaving = true;
 	o->leave_started_us = now_us();
 	TAILQ_FOREACH(g, &o->groups, link) {
-		char role[NAME_SIZE + 8];
 		struct vm *vm;
 
 		if (!owner_group_is_own(g))
 			continue;
-		g_snprintf(role, sizeof(role), "group %s", g->pool);
-		vm = peers_next_holder(&f->peers, role);
+		vm = peers_next_holder(&f->peers, g->role);
 		if (vm != NULL)
 			claim_hand_over(g, vm->name, "leaving");
 	}
@@ -658,6 +670,7 @@
 	o->service.ops = &owner_ops;
 	TAILQ_INIT(&o->groups);
 	TAILQ_INIT(&o->awake);
+	TAILQ_INIT(&o->claims);
 	o->by_pool = g_hash_table_new(g_str_hash, g_str_equal);
 	kernel_add(k, &o->service);
 	return &o->service;
--- a/src/owner.h
+++ b/src/owner.h
@@ -56,6 +56,8 @@
 	READER_ANY, /**< the entry VM, from any reachable replica, while the owner is unreachable */
 };
 
+/** Prefix of the role of the VM that is to claim a group whose owner is gone. */
+#define OWNER_ROLE "group "
 /** Number of priority classes. A route with a higher priority number is in the last class. */
 #define OWNER_PRIORITIES 4
 /** Size of a prepared statement's name: 'r' or 'w', '_', and the shape of the statement. */
@@ -184,8 +186,11 @@
 	TAILQ_ENTRY(owner_group) link;
 	TAILQ_ENTRY(owner_group) awake_link;
 	bool awake; /**< in the list of groups that the timer drives; see owner_group_wake() */
+	TAILQ_ENTRY(owner_group) claim_link;
+	bool claimer; /**< in the list of groups that this VM is to claim if their owner is gone */
 	struct owner *o;
 	char pool[NAME_SIZE];
+	char role[NAME_SIZE + sizeof(OWNER_ROLE)]; /**< of the VM that is to claim the group */
 	bool configured;
 
 	struct lead_record record;
@@ -269,12 +274,13 @@
 struct owner {
 	struct service service;
 	struct owner_groups groups;
-	struct owner_groups awake; /**< groups that the timer drives */
-	struct owner_group *swept; /**< last sleeping group that the timer has looked at */
-	uint64_t visits;	   /**< groups that the timer has looked at, in total */
-	uint64_t era, lease_era;   /**< of the store and of the lease at the last tick */
-	uint64_t conf_version;	   /**< last version with a changed pool or evacuation */
-	GHashTable *by_pool;	   /**< pool name to group; looked up several times per statement */
+	struct owner_groups awake;  /**< groups that the timer drives */
+	struct owner_groups claims; /**< groups that this VM is to claim if their owner is gone */
+	struct owner_group *swept;  /**< last sleeping group that the timer has looked at */
+	uint64_t visits;	    /**< groups that the timer has looked at, in total */
+	uint64_t era, lease_era;    /**< of the store and of the lease at the last tick */
+	uint64_t conf_version;	    /**< last version with a changed pool or evacuation */
+	GHashTable *by_pool; /**< pool name to group; looked up several times per statement */
 	struct event *tick;
 	bool leaving;
 	int64_t leave_started_us;
