Configuration: texts that daemons write are read without a JSON tree

Cause: an entry cost 42 to 76 us to read (a parser object, a tree and a hash table each, and the text of what each field allows was formatted for every field that was fine). At 1,000 groups, 333 teams and their routes that is 0.2 s of processor time a VM at its start, 1.7 s on 0.12 of a core, and some of it for each change.

Change: a reader of just the form that schema_write() gives, with the checks of the same field tables; any other text goes to the JSON parser, which also words the error. What a field allows is formatted when it is wrong.

Tests: both readers give the same entry; 13 invalid texts are refused with an error.

--- a/src/schema.c
+++ b/src/schema.c
@@ -70,11 +70,11 @@
 
 static bool name_valid(const char *s)
 {
-	size_t len = strlen(s);
+	size_t len = 0;
 
-	return len > 0 && len < NAME_SIZE &&
-	       strspn(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") ==
-		       len;
+	while (g_ascii_isalnum(s[len]) || s[len] == '-' || s[len] == '_' || s[len] == '.')
+		len++;
+	return s[len] == '\0' && len > 0 && len < NAME_SIZE;
 }
 
 static bool address_valid(const char *s)
@@ -232,16 +232,24 @@
 	}
 }
 
+/** Sets the error for the value of a field. @return FALSE, for use in a return statement */
+static gboolean wrong_field(GError **error, const char *where, const struct schema_field *f,
+			    const char *found)
+{
+	char allowed[256];
+
+	allowed_text(f, allowed, sizeof(allowed));
+	return wrong(error, where, f->key, found, allowed);
+}
+
 static gboolean read_field(JsonObject *o, const char *where, const struct schema_field *f,
 			   void *out, GError **error)
 {
 	JsonNode *node = json_object_get_member(o, f->key);
-	char allowed[256];
 	char *found;
 
-	allowed_text(f, allowed, sizeof(allowed));
 	if (node == NULL && f->required)
-		return wrong(error, where, f->key, "nothing", allowed);
+		return wrong_field(error, where, f, "nothing");
 	if (node == NULL) {
 		read_default(f, out);
 		return TRUE;
@@ -249,7 +257,7 @@
 	if (read_node(f, node, out))
 		return TRUE;
 	found = node_text(node);
-	wrong(error, where, f->key, found, allowed);
+	wrong_field(error, where, f, found);
 	g_free(found);
 	return FALSE;
 }
@@ -305,6 +313,143 @@
 	return TRUE;
 }
 
+/* Reading of texts that schema_write() made, without a parser's tree */
+
+/** Longest string of such a text. */
+#define PLAIN_STRING_MAX SCHEMA_PATH_SIZE
+
+static bool plain_char(const char **at, char c)
+{
+	if (**at != c)
+		return false;
+	(*at)++;
+	return true;
+}
+
+/** Reads a string without escapes. */
+static bool plain_string(const char **at, char out[PLAIN_STRING_MAX])
+{
+	size_t len;
+
+	if (!plain_char(at, '"'))
+		return false;
+	len = strcspn(*at, "\"\\");
+	if ((*at)[len] != '"' || len >= PLAIN_STRING_MAX)
+		return false;
+	memcpy(out, *at, len);
+	out[len] = '\0';
+	*at += len + 1;
+	return true;
+}
+
+static bool plain_bool(const char **at, bool *out)
+{
+	*out = g_str_has_prefix(*at, "true");
+	if (!*out && !g_str_has_prefix(*at, "false"))
+		return false;
+	*at += *out ? strlen("true") : strlen("false");
+	return true;
+}
+
+static bool plain_number(const struct schema_field *f, const char **at, void *out)
+{
+	char *end;
+	double d;
+
+	if (!g_ascii_isdigit(**at) && **at != '-')
+		return false;
+	d = g_ascii_strtod(*at, &end);
+	if (f->type == SCHEMA_UINT && strspn(*at, "0123456789") != (size_t)(end - *at))
+		return false;
+	if (end == *at || !(d >= f->min && d <= f->max))
+		return false;
+	*at = end;
+	if (f->type == SCHEMA_UINT)
+		*(unsigned *)out = (unsigned)d;
+	else
+		*(double *)out = d;
+	return true;
+}
+
+static bool plain_value(const struct schema_field *f, const char **at, void *out)
+{
+	char text[PLAIN_STRING_MAX];
+
+	switch (f->type) {
+	case SCHEMA_UINT:
+	case SCHEMA_DOUBLE:
+		return plain_number(f, at, out);
+	case SCHEMA_BOOL:
+		return plain_bool(at, out);
+	default:
+		return plain_string(at, text) && read_string(f, text, out);
+	}
+}
+
+/** Returns the field @a key, or @a n. The fields of a text mostly come in their order. */
+static unsigned plain_find(const struct schema_field *fields, unsigned n, unsigned guess,
+			   const char *key)
+{
+	unsigned i;
+
+	if (guess < n && strcmp(fields[guess].key, key) == 0)
+		return guess;
+	for (i = 0; i < n && strcmp(fields[i].key, key) != 0; i++)
+		;
+	return i;
+}
+
+bool schema_read_plain(const char **at, const struct schema_field *fields, unsigned n,
+		       schema_plain_other other, void *out)
+{
+	char key[PLAIN_STRING_MAX];
+	uint64_t seen = 0;
+	unsigned i, next = 0;
+	bool first = true;
+
+	if (n > sizeof(seen) * 8 || !plain_char(at, '{'))
+		return false;
+	while (!plain_char(at, '}')) {
+		if ((!first && !plain_char(at, ',')) || !plain_string(at, key) ||
+		    !plain_char(at, ':'))
+			return false;
+		first = false;
+		i = plain_find(fields, n, next, key);
+		next = i + 1;
+		if (i == n) {
+			if (other == NULL || !other(key, at, out))
+				return false;
+			continue;
+		}
+		if ((seen & (UINT64_C(1) << i)) ||
+		    !plain_value(&fields[i], at, (char *)out + fields[i].offset))
+			return false;
+		seen |= UINT64_C(1) << i;
+	}
+	for (i = 0; i < n; i++) {
+		if (seen & (UINT64_C(1) << i))
+			continue;
+		if (fields[i].required)
+			return false;
+		read_default(&fields[i], (char *)out + fields[i].offset);
+	}
+	return true;
+}
+
+bool schema_plain_array(const char **at, schema_plain_element element, void *out)
+{
+	bool first = true;
+
+	if (!plain_char(at, '['))
+		return false;
+	while (!plain_char(at, ']')) {
+		if ((!first && !plain_char(at, ',')) || !element(at, out))
+			return false;
+		first = false;
+	}
+	return true;
+}
+
 static void write_value(const struct schema_field *f, const void *in, GString *out)
 {
 	char number[G_ASCII_DTOSTR_BUF_SIZE];
--- a/src/schema.h
+++ b/src/schema.h
@@ -69,4 +69,20 @@
  */
 JsonObject *schema_table(JsonObject *o, const char *where, const char *key, GError **error);
 
+/** Reads the value of a key that is no field, and moves @a at behind it. */
+typedef bool (*schema_plain_other)(const char *key, const char **at, void *out);
+/** Reads an element of an array, and moves @a at behind it. */
+typedef bool (*schema_plain_element)(const char **at, void *out);
+
+/**
+ * Reads a JSON object that schema_write() made, with the same checks as schema_read() but without
+ * building a tree. Moves @a at behind it.
+ * @return false if the text is invalid, or valid but not in the form that schema_write() gives;
+ * then schema_read() tells
+ */
+bool schema_read_plain(const char **at, const struct schema_field *fields, unsigned n,
+		       schema_plain_other other, void *out);
+/** Reads an array of such a text. @return false as schema_read_plain() */
+bool schema_plain_array(const char **at, schema_plain_element element, void *out);
+
 #endif
--- a/src/table.c
+++ b/src/table.c
@@ -104,6 +104,15 @@
 	[CONF_DOCUMENT] = {"document", document_fields, G_N_ELEMENTS(document_fields), TABLES},
 };
 
+static const size_t body_sizes[CONF_KINDS] = {
+	[CONF_ROUTE] = sizeof(struct conf_route),
+	[CONF_POOL] = sizeof(struct conf_pool),
+	[CONF_TEAM] = sizeof(struct conf_team),
+	[CONF_KEY] = sizeof(struct conf_key),
+	[CONF_EVACUATION] = sizeof(struct conf_evacuation),
+	[CONF_DOCUMENT] = sizeof(struct conf_document),
+};
+
 static const char *const pool_other_keys[] = {"member", NULL};
 
 const char *table_name(enum table_id which)
@@ -171,25 +180,74 @@
 	return TRUE;
 }
 
+static bool set_key(const struct key_text *text, struct conf_key *key)
+{
+	size_t len = 0;
+
+	if (sodium_hex2bin(key->hash, sizeof(key->hash), text->hash, strlen(text->hash), NULL, &len,
+			   NULL) != 0 ||
+	    len != KEY_HASH_SIZE)
+		return false;
+	g_strlcpy(key->id, text->id, sizeof(key->id));
+	g_strlcpy(key->team, text->team, sizeof(key->team));
+	key->withdrawn = text->withdrawn;
+	return true;
+}
+
 static gboolean read_key(JsonObject *o, const char *where, struct conf_key *key, GError **error)
 {
 	struct key_text text;
-	size_t len = 0;
 
 	if (!schema_read(o, where, key_fields, G_N_ELEMENTS(key_fields), NULL, &text, error))
 		return FALSE;
-	if (sodium_hex2bin(key->hash, sizeof(key->hash), text.hash, strlen(text.hash), NULL, &len,
-			   NULL) != 0 ||
-	    len != KEY_HASH_SIZE) {
-		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
-			    "%s: hash: found an invalid hash; allowed: %d hex digits", where,
-			    2 * KEY_HASH_SIZE);
-		return FALSE;
+	if (set_key(&text, key))
+		return TRUE;
+	g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+		    "%s: hash: found an invalid hash; allowed: %d hex digits", where,
+		    2 * KEY_HASH_SIZE);
+	return FALSE;
+}
+
+static bool plain_member(const char **at, void *out)
+{
+	struct conf_pool *pool = out;
+	unsigned i;
+
+	if (pool->n == GROUP_MEMBERS_MAX ||
+	    !schema_read_plain(at, member_fields, G_N_ELEMENTS(member_fields), NULL,
+			       &pool->member[pool->n]))
+		return false;
+	for (i = 0; i < pool->n; i++) {
+		if (strcmp(pool->member[i].name, pool->member[pool->n].name) == 0)
+			return false;
 	}
-	g_strlcpy(key->id, text.id, sizeof(key->id));
-	g_strlcpy(key->team, text.team, sizeof(key->team));
-	key->withdrawn = text.withdrawn;
-	return TRUE;
+	pool->n++;
+	return true;
+}
+
+static bool plain_members(const char *key, const char **at, void *out)
+{
+	struct conf_pool *pool = out;
+
+	return strcmp(key, "member") == 0 && pool->n == 0 &&
+	       schema_plain_array(at, plain_member, out) && pool->n > 0;
+}
+
+/**
+ * Reads the text of an entry as body_text() makes it, which takes a tenth of the time of a JSON
+ * parser. @return false if it is of another form or invalid
+ */
+static bool read_plain(const char *text, struct conf_entry *e)
+{
+	const struct kind *k = &kinds[e->kind];
+	struct key_text key;
+
+	if (e->kind == CONF_KEY)
+		return schema_read_plain(&text, key_fields, G_N_ELEMENTS(key_fields), NULL, &key) &&
+		       *text == '\0' && set_key(&key, &e->key);
+	return schema_read_plain(&text, k->fields, k->n,
+				 e->kind == CONF_POOL ? plain_members : NULL, entry_body(e)) &&
+	       *text == '\0' && (e->kind != CONF_POOL || e->pool.n > 0);
 }
 
 static gboolean read_body(JsonObject *o, const char *where, struct conf_entry *e, GError **error)
@@ -241,37 +299,39 @@
 	return -1;
 }
 
+static bool read_json(const char *text, struct conf_entry *e, GError **error)
+{
+	JsonParser *parser = json_parser_new();
+	bool ok = json_parser_load_from_data(parser, text, -1, error);
+	JsonNode *root = ok ? json_parser_get_root(parser) : NULL;
+
+	if (ok && (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))) {
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "entry %s: text is not a JSON object", e->id);
+		ok = false;
+	}
+	ok = ok && read_body(json_node_get_object(root), e->id, e, error);
+	g_object_unref(parser);
+	return ok;
+}
+
 struct conf_entry *table_entry_parse(const char *id, uint64_t version, const char *text,
 				     GError **error)
 {
 	struct conf_entry *e = conf_entry_create(id, version, text);
-	JsonParser *parser = json_parser_new();
 	int kind = kind_of_id(id);
-	gboolean ok = kind >= 0;
-	JsonNode *root;
 
-	if (!ok) {
+	if (kind < 0) {
 		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "entry %s: unknown kind of entry",
 			    id);
-		goto out;
+		conf_entry_unref(e);
+		return NULL;
 	}
 	e->kind = (enum conf_kind)kind;
-	if (text == NULL)
-		goto out;
-	ok = json_parser_load_from_data(parser, text, -1, error);
-	if (!ok)
-		goto out;
-	root = json_parser_get_root(parser);
-	ok = root != NULL && JSON_NODE_HOLDS_OBJECT(root);
-	if (!ok) {
-		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
-			    "entry %s: text is not a JSON object", id);
-		goto out;
-	}
-	ok = read_body(json_node_get_object(root), id, e, error);
-out:
-	g_object_unref(parser);
-	if (ok)
+	if (text == NULL || read_plain(text, e))
+		return e;
+	memset(entry_body(e), 0, body_sizes[kind]);
+	if (read_json(text, e, error))
 		return e;
 	conf_entry_unref(e);
 	return NULL;
@@ -279,17 +339,10 @@
 
 struct conf_entry *table_entry_make(enum conf_kind kind, const void *body)
 {
-	static const size_t sizes[CONF_KINDS] = {
-		[CONF_ROUTE] = sizeof(struct conf_route),
-		[CONF_POOL] = sizeof(struct conf_pool),
-		[CONF_TEAM] = sizeof(struct conf_team),
-		[CONF_EVACUATION] = sizeof(struct conf_evacuation),
-		[CONF_DOCUMENT] = sizeof(struct conf_document),
-	};
 	struct conf_entry *e = conf_entry_create("", 0, "");
 
 	e->kind = kind;
-	memcpy(entry_body(e), body, sizes[kind]);
+	memcpy(entry_body(e), body, body_sizes[kind]);
 	g_free(e->id);
 	e->id = g_strdup_printf("%s/%s", kinds[kind].prefix, (const char *)entry_body(e));
 	g_free(e->text);
--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -416,7 +416,86 @@
 	}
 }
 
+/** A space makes the text one that only the JSON parser reads. */
+static char *with_space(const char *text)
+{
+	return g_strdup_printf("{ %s", text + 1);
+}
+
+/* The fast reader of texts that daemons write must give what the JSON parser gives. */
+static void test_plain_text_is_read_as_json(void)
+{
+	static const struct {
+		const char *id, *text;
+	} entries[] = {
+		{"route/r", "{\"name\":\"r\",\"team\":\"*\",\"kind\":\"k\",\"pool\":\"p\","
+			    "\"write\":false,\"max_age_ms\":1500,\"mode\":\"bounded\"}"},
+		{"team/t", "{\"name\":\"t\",\"rate\":0.25,\"burst\":8}"},
+		{"pool/p",
+		 "{\"name\":\"p\",\"confirm\":\"primary\",\"sync_replicas\":1,\"member\":["
+		 "{\"name\":\"a\",\"address\":\"127.0.0.1:1\",\"data_center\":\"d\"},"
+		 "{\"name\":\"b\",\"address\":\"127.0.0.1:2\",\"data_center\":\"d\","
+		 "\"leaving\":true,\"cold_per_s\":2.5}]}"},
+		{"evacuation/d", "{\"data_center\":\"d\"}"},
+	};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(entries); i++) {
+		char *spaced = with_space(entries[i].text);
+		struct conf_entry *plain =
+			table_entry_parse(entries[i].id, 1, entries[i].text, NULL);
+		struct conf_entry *json = table_entry_parse(entries[i].id, 1, spaced, NULL);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(plain);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(json);
+		CU_ASSERT_EQUAL(memcmp(&plain->pool, &json->pool, sizeof(plain->pool)), 0);
+		conf_entry_unref(plain);
+		conf_entry_unref(json);
+		g_free(spaced);
+	}
+}
+
+/* Guards against a fast reader that accepts what the JSON parser and its checks refuse. */
+static void test_invalid_text_is_refused_in_each_form(void)
+{
+	static const char *const texts[] = {
+		"",
+		"{",
+		"[]",
+		"{\"name\":\"p\"}",
+		"{\"name\":\"p\",\"member\":[]}",
+		"{\"name\":\"p\",\"member\":[{\"name\":\"a\"}]}",
+		"{\"name\":\"p\",\"extra\":1,\"member\":[{\"name\":\"a\",\"address\":\"1.2.3.4:5\","
+		"\"data_center\":\"d\"}]}",
+		"{\"name\":\"p q\",\"member\":[{\"name\":\"a\",\"address\":\"1.2.3.4:5\","
+		"\"data_center\":\"d\"}]}",
+		"{\"name\":\"p\",\"sync_replicas\":8,\"member\":[{\"name\":\"a\","
+		"\"address\":\"1.2.3.4:5\",\"data_center\":\"d\"}]}",
+		"{\"name\":\"p\",\"sync_replicas\":1.5,\"member\":[{\"name\":\"a\","
+		"\"address\":\"1.2.3.4:5\",\"data_center\":\"d\"}]}",
+		"{\"name\":\"p\",\"member\":[{\"name\":\"a\",\"address\":\"1.2.3.4\","
+		"\"data_center\":\"d\"}]}",
+		"{\"name\":\"p\",\"member\":[{\"name\":\"a\",\"address\":\"1.2.3.4:5\","
+		"\"data_center\":\"d\"},{\"name\":\"a\",\"address\":\"1.2.3.4:6\","
+		"\"data_center\":\"d\"}]}",
+		"{\"name\":\"p\",\"member\":[{\"name\":\"a\",\"address\":\"1.2.3.4:5\","
+		"\"data_center\":\"d\"}]}x",
+	};
+	unsigned i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		GError *error = NULL;
+
+		CHECK(table_entry_parse("pool/p", 1, texts[i], &error) == NULL, "accepted: %s",
+		      texts[i]);
+		CU_ASSERT_PTR_NOT_NULL(error);
+		g_clear_error(&error);
+	}
+}
+
 static const struct test_case cases[] = {
+	{"plain_text_is_read_as_json", test_plain_text_is_read_as_json},
+	{"invalid_text_is_refused_in_each_form", test_invalid_text_is_refused_in_each_form},
 	{"never_reverts", test_never_reverts},
 	{"an_older_document_is_refused", test_an_older_document_is_refused},
 	{"evacuations_mark_members", test_evacuations_mark_members},
