Sessions: the last contact with another data centre is looked up by connection

Change: the few open connections are walked, and of those only the ones with newer data are matched with the list of VMs. Test: test-rpc last_contact_is_of_wanted_connections; test-it-line plays the cut.

--- a/src/rpc.c
+++ b/src/rpc.c
@@ -673,11 +673,16 @@
 	return now_us() - since;
 }
 
-int64_t rpc_last_received_us(const struct rpc *r, const char *address)
+int64_t rpc_last_received_from(const struct rpc *r, rpc_wanted wanted, void *arg, int64_t since_us)
 {
-	const struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
+	const struct rpc_conn *c;
 
-	return c != NULL && c->connected ? c->last_received_us : 0;
+	TAILQ_FOREACH(c, &r->conns, link) {
+		if (c->address[0] != '\0' && c->connected && c->last_received_us > since_us &&
+		    wanted(c->address, arg))
+			since_us = c->last_received_us;
+	}
+	return since_us;
 }
 
 bool rpc_flushed(const struct rpc *r)
--- a/src/session-leave.c
+++ b/src/session-leave.c
@@ -18,10 +18,7 @@
 /** Time until sessions in a transaction are closed too; half of the grace period of a shutdown. */
 #define DRAIN_TX_US (3500 * USEC_PER_MSEC)
 #define TICK_US (50 * USEC_PER_MSEC)
-/**
- * While the VM of the last contact with another data centre was in contact this recently, the
- * other VMs are not checked.
- */
+/** After a contact with another data centre this recent, no later one is looked for. */
 #define RECENT_CONTACT_US (200 * USEC_PER_MSEC)
 
 bool session_must_close(const struct session *s)
@@ -53,35 +50,35 @@
 	}
 }
 
+/** Whether @a address is of a listed VM in another data centre. */
+static bool is_elsewhere(const char *address, void *fleet)
+{
+	const struct fleet *f = fleet;
+	const struct vm *vm = peers_find_address(&f->peers, address);
+
+	return vm != NULL && vm->listed && vm->dc != f->peers.self->dc;
+}
+
+/** Whether the fleet lists a VM in another data centre. */
+static bool has_elsewhere(const struct fleet *f)
+{
+	return f->n_data_centers > 1 ||
+	       (f->n_data_centers == 1 &&
+		strcmp(f->data_center[0], f->peers.self->data_center) != 0);
+}
+
 /** Returns the time of the last contact with another data centre; 0 if no VM there is known. */
 static int64_t last_contact_us(struct sessions *all, int64_t now)
 {
 	struct kernel *k = all->service.kernel;
-	const struct fleet *f = fleet_of(k);
-	const struct rpc *r = rpc_of(k);
-	const struct vm *vm;
-	bool known = false;
-
-	all->last_contact_us =
-		MAX(all->last_contact_us, rpc_last_received_us(r, all->last_contact_address));
-	if (all->last_contact_address[0] != '\0' && now - all->last_contact_us < RECENT_CONTACT_US)
-		return all->last_contact_us;
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		int64_t contact_us;
-
-		if (!vm->listed || strcmp(vm->data_center, f->peers.self->data_center) == 0)
-			continue;
-		known = true;
-		contact_us = rpc_last_received_us(r, vm->address);
-		if (contact_us <= all->last_contact_us)
-			continue;
-		all->last_contact_us = contact_us;
-		g_strlcpy(all->last_contact_address, vm->address,
-			  sizeof(all->last_contact_address));
-		if (now - contact_us < RECENT_CONTACT_US)
-			break;
-	}
-	return known ? all->last_contact_us : 0;
+	struct fleet *f = fleet_of(k);
+
+	if (!has_elsewhere(f))
+		return 0;
+	if (now - all->last_contact_us >= RECENT_CONTACT_US)
+		all->last_contact_us =
+			rpc_last_received_from(rpc_of(k), is_elsewhere, f, all->last_contact_us);
+	return all->last_contact_us;
 }
 
 static void update_ready(struct sessions *all, int64_t now)
--- a/src/session-state.h
+++ b/src/session-state.h
@@ -70,7 +70,6 @@
 	struct event *tick;
 	int64_t drain_started_us;
 	int64_t last_contact_us; /**< last message from a VM of another data centre */
-	char last_contact_address[ADDRESS_SIZE]; /**< address of that VM */
 	struct ready ready;
 };
 
--- a/tests/test-rpc.c
+++ b/tests/test-rpc.c
@@ -220,10 +220,36 @@
 	pair_close(&p);
 }
 
+static bool every_address(const char *address, void *arg)
+{
+	return true;
+}
+
+static bool no_address(const char *address, void *arg)
+{
+	return false;
+}
+
+/* Guards against a VM that takes itself for cut off from the others, or does not notice it. */
+static void test_last_contact_is_of_wanted_connections(void)
+{
+	struct ended e = {0};
+	struct pair p;
+
+	pair_open(&p);
+	CU_ASSERT_EQUAL(rpc_last_received_from(p.rpc, every_address, NULL, 7), 7);
+	call(&p, CONNECTED_US, &e);
+	settle(&p);
+	CU_ASSERT_EQUAL(rpc_last_received_from(p.rpc, no_address, NULL, 7), 7);
+	CU_ASSERT_TRUE(rpc_last_received_from(p.rpc, every_address, NULL, 7) > 7);
+	pair_close(&p);
+}
+
 static const struct test_case cases[] = {
 	{"not_sent_call_never_reaches_peer", test_not_sent_call_never_reaches_peer},
 	{"unanswered_is_lost", test_unanswered_is_lost},
 	{"connection_without_calls_is_closed", test_connection_without_calls_is_closed},
+	{"last_contact_is_of_wanted_connections", test_last_contact_is_of_wanted_connections},
 	{"refused_is_not_sent", test_refused_is_not_sent},
 	{"unanswered_local_call_ends", test_unanswered_local_call_ends},
 	{"unserved_local_call_is_not_sent", test_unserved_local_call_is_not_sent},
