Owner: groups that a VM does not use take no memory for their members

What was seen: playing the whole fleet, a VM grows from 8 to 24 to 36 MB when the configuration reaches it, and the 984 of them pass half of this machine.

Cause: each of 1,000 groups took 11.5 KB (members 3.7, a ring of marks 4.8) on every VM; pages of 128 KB and lists raised the allocator's thresholds, so that freed memory stayed.

Change: the members' state is allocated when a VM claims the group or gets a statement for it, the ring with the first mark; the allocator's thresholds are fixed. Tests: test-scale (fewer than 16 groups used of 250 to 2,000), test-owner, test-marks.

--- a/cmd/mangoloomd.c
+++ b/cmd/mangoloomd.c
@@ -18,6 +18,7 @@
 
 #include <argtable2.h>
 #include <event2/event.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <sys/resource.h>
@@ -57,6 +58,19 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/** Size from which memory is returned to the system when it is freed. */
+#define MALLOC_LARGE_BYTES (64 * 1024)
+
+/**
+ * Keeps the allocator from raising its thresholds: pages of the configuration and lists of VMs are
+ * large, and needed for a moment only.
+ */
+static void set_malloc_limits(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MALLOC_LARGE_BYTES);
+	mallopt(M_TRIM_THRESHOLD, 2 * MALLOC_LARGE_BYTES);
+}
+
 /** Creates the services in the order in which they start; they stop in reverse order. */
 static void services_create(struct kernel *k)
 {
@@ -92,6 +106,7 @@
 	if (settings->platform_kind == PLATFORM_PREPARED)
 		k->adapter = &platform_adapter;
 	signal(SIGPIPE, SIG_IGN);
+	set_malloc_limits();
 	raise_file_limit();
 	event_add(sigterm, NULL);
 	event_add(sigint, NULL);
--- a/decide/marks.c
+++ b/decide/marks.c
@@ -1,11 +1,17 @@
 /** @file marks.c High-water marks of the primary's log over time. */
 #include "marks.h"
 
-#include <string.h>
+#include <glib.h>
 
 void marks_clear(struct marks *m)
 {
-	memset(m, 0, sizeof(*m));
+	*m = (struct marks){.mark = m->mark};
+}
+
+void marks_free(struct marks *m)
+{
+	g_free(m->mark);
+	*m = (struct marks){0};
 }
 
 static struct mark *mark_at(struct marks *m, unsigned i)
@@ -19,6 +25,8 @@
 
 	if (pos.term == 0)
 		return;
+	if (m->mark == NULL)
+		m->mark = g_new(struct mark, MARKS_MAX);
 	if (m->term_start.term == 0)
 		m->term_start = pos;
 	/* Answers may arrive in a different order than their statements were sent. */
--- a/decide/marks.h
+++ b/decide/marks.h
@@ -26,13 +26,16 @@
 struct marks {
 	unsigned first; /**< index of the oldest mark in the ring buffer */
 	unsigned n;
-	struct mark mark[MARKS_MAX];
+	struct mark *mark;     /**< ring buffer, allocated with the first mark */
 	struct mark newest;    /**< highest position and latest time of all answers, also of those
 				  closer than MARKS_INTERVAL_US */
 	struct pos term_start; /**< first position seen in the current term */
 };
 
+/** Forgets all marks. A struct of zeros has none. */
 void marks_clear(struct marks *m);
+/** Frees the ring buffer; @a m has no marks then. */
+void marks_free(struct marks *m);
 /** Records that the primary answered a statement sent at @a asked_us with log position @a pos. */
 void marks_add(struct marks *m, struct pos pos, int64_t asked_us);
 /**
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -128,6 +128,8 @@
 	struct lead_record r = g->record;
 	struct lead_vm self = owner_self(g->o);
 
+	owner_group_use(g);
+
 	/* Right after a restore of the store the list may name a process from before the record. */
 	bool ended = (owner_ended(g) && fleet_store_settled(owner_group_fleet(g))) ||
 		     strcmp(r.owner.name, self.name) == 0;
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -368,6 +368,7 @@
 	job->deadline_us = job->received_us + (int64_t)a->deadline_us;
 	job->item.deadline_us = job->deadline_us;
 	job->needs_primary = needs_primary(a);
+	owner_group_use(g);
 	g->n_jobs++;
 	owner_group_wake(g);
 	return job;
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -124,6 +124,7 @@
 {
 	unsigned i;
 
+	owner_group_use(g);
 	g->yielded = false;
 	g->sending = true;
 	g->primary = -1;
--- a/src/owner.c
+++ b/src/owner.c
@@ -245,7 +245,7 @@
 	m->listed = true;
 }
 
-static void owner_group_configure(struct owner_group *g, const struct conf_pool *pool)
+static void configure_members(struct owner_group *g, const struct conf_pool *pool)
 {
 	unsigned i;
 
@@ -265,9 +265,23 @@
 		watch_close(m);
 		conn_close_idle(m);
 	}
+}
+
+static void owner_group_configure(struct owner_group *g, const struct conf_pool *pool)
+{
+	if (g->member != NULL)
+		configure_members(g, pool);
 	g->configured = pool != NULL;
 }
 
+void owner_group_use(struct owner_group *g)
+{
+	if (g->member != NULL)
+		return;
+	g->member = g_new0(struct owner_member, GROUP_MEMBERS_MAX);
+	configure_members(g, conf_pool(owner_group_fleet(g)->conf, g->pool));
+}
+
 static struct owner_group *owner_group_create(struct owner *o, const char *pool)
 {
 	struct owner_group *g = g_new0(struct owner_group, 1);
@@ -649,6 +663,8 @@
 		TAILQ_REMOVE(&o->groups, g, link);
 		g_hash_table_remove(o->by_pool, g->pool);
 		queue_clear(g);
+		marks_free(&g->marks);
+		g_free(g->member);
 		g_free(g);
 	}
 	g_hash_table_destroy(o->by_pool);
--- a/src/owner.h
+++ b/src/owner.h
@@ -250,7 +250,9 @@
 	int64_t fence_next_us; /**< other senders are not asked to stop before this time */
 
 	unsigned n;
-	struct owner_member member[GROUP_MEMBERS_MAX];
+	/** GROUP_MEMBERS_MAX of them; NULL while this VM has not used the group, as most VMs do not
+	 */
+	struct owner_member *member;
 	int primary; /**< index of the primary, or -1 */
 	uint64_t term;
 	struct marks marks;
@@ -326,6 +328,8 @@
 /* owner.c */
 /** Returns the name and incarnation of this process. */
 struct lead_vm owner_self(const struct owner *o);
+/** Gives the group its members, before this VM owns it or sends a statement to one of them. */
+void owner_group_use(struct owner_group *g);
 struct fleet *owner_group_fleet(const struct owner_group *g);
 struct owner_group *owner_group_find(struct owner *o, const char *pool);
 bool owner_group_is_own(const struct owner_group *g);
--- a/tests/test-marks.c
+++ b/tests/test-marks.c
@@ -11,7 +11,7 @@
 
 static void test_oldest_sufficient_mark_is_required(void)
 {
-	struct marks m;
+	struct marks m = {0};
 	struct pos need;
 	int i;
 
@@ -23,6 +23,7 @@
 	CU_ASSERT_EQUAL(need.lsn, 30);
 	CU_ASSERT_TRUE(marks_required(&m, 1000 * USEC_PER_MSEC, &need));
 	CU_ASSERT_EQUAL(need.lsn, 100);
+	marks_free(&m);
 }
 
 /*
@@ -32,13 +33,14 @@
  */
 static void test_outdated_mark_is_not_sufficient(void)
 {
-	struct marks m;
+	struct marks m = {0};
 	struct pos need;
 
 	marks_clear(&m);
 	marks_add(&m, at(1, 5), 100);
 	CU_ASSERT_FALSE(marks_required(&m, 101, &need));
 	CU_ASSERT_TRUE(marks_required(&m, 100, &need));
+	marks_free(&m);
 }
 
 /*
@@ -48,7 +50,7 @@
  */
 static void test_a_discarded_write_is_not_required(void)
 {
-	struct marks m;
+	struct marks m = {0};
 	struct pos need;
 
 	marks_clear(&m);
@@ -61,6 +63,7 @@
 	CU_ASSERT_EQUAL(need.lsn, 41);
 	marks_new_term(&m, at(3, 60), 4000);
 	CU_ASSERT_EQUAL(marks_in_current_term(&m, at(2, 70)).lsn, 60);
+	marks_free(&m);
 }
 
 /**
@@ -70,7 +73,7 @@
  */
 static void test_random_order_of_answers(void)
 {
-	struct marks m;
+	struct marks m = {0};
 	int64_t when[400];
 	uint64_t lsn[400];
 	int round, i;
@@ -102,6 +105,7 @@
 			CHECK(need.lsn <= top, "round %d", round);
 		}
 	}
+	marks_free(&m);
 }
 
 static const struct test_case cases[] = {
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -448,6 +448,7 @@
 
 	world_open(&w);
 	g = owner_group_find(w.o, POOL);
+	owner_group_use(g);
 	g->member[0].conf.connections = 135;
 	owner_update_mark(w.o, POOL, (struct pos){1, 35}, now_us());
 	read_locally(&w, 1500, 800);
--- a/tests/test-scale.c
+++ b/tests/test-scale.c
@@ -154,6 +154,17 @@
 	event_base_dispatch(l->w.k->base);
 }
 
+/** Returns how many groups have taken memory for their members. */
+static unsigned used_groups(const struct large *l)
+{
+	const struct owner_group *g;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(g, &l->w.o->groups, link)
+		n += g->member != NULL ? 1 : 0;
+	return n;
+}
+
 /*
  * Guards against a VM that spends its time on groups of others: the timer looked at every group of
  * the fleet 50 times a second, though a VM owns about one.
@@ -175,6 +186,7 @@
 		/* A claim is no reason to connect to every VM. */
 		CHECK(rpc_connections(rpc_of(l->w.k)) < 16, "%u VMs: %u connections", l->n,
 		      rpc_connections(rpc_of(l->w.k)));
+		CHECK(used_groups(l) < 16, "%u VMs: %u groups used", l->n, used_groups(l));
 		before = l->w.o->visits;
 		run_ticks(l, ticks);
 		CHECK(l->w.o->visits - before < 32 * ticks, "%u VMs: %lu visits", l->n,
