--- a/tests/test-store-start.c
+++ b/tests/test-store-start.c
@@ -129,7 +129,12 @@
 
 static struct store *fake_create(struct kernel *k, const char *address, int64_t timeout_us);
 
+static void fake_free(struct store *s)
+{
+}
+
 static const struct store_ops fake_ops = {.create = fake_create,
+					  .free = fake_free,
 					  .list = fake_list,
 					  .watch = fake_watch,
 					  .commit = fake_commit,
@@ -153,6 +158,8 @@
 {
 	int i;
 
+	if (fake.keys != NULL)
+		g_ptr_array_unref(fake.keys);
 	memset(&fake, 0, sizeof(fake));
 	fake.keys = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(fake.keys, g_strdup("op/doc"));
@@ -168,6 +175,8 @@
 	struct kernel *k;
 
 	memset(settings, 0, sizeof(*settings));
+	if (store_source.store != NULL)
+		store_source.f->source->stop(store_source.f);
 	memset(&store_source, 0, sizeof(store_source));
 	g_strlcpy(settings->name, name, sizeof(settings->name));
 	g_strlcpy(settings->advertise, "127.0.0.1:1", sizeof(settings->advertise));
@@ -224,8 +233,6 @@
 		CU_ASSERT_EQUAL(f->peers.n, VMS);
 		if (fleet_is_watcher(f) == watcher)
 			return f;
-		event_free(store_source.tick);
-		event_free(store_source.retry);
 	}
 	CU_FAIL_FATAL("no VM of this rank");
 	return NULL;
