Start: VMs read the configuration from the store one after the other

Cause: the configuration (2 MB as entries) did not reach all VMs from ten watchers in 10 to 16 s, at two peers at a time over 20 Mbit/s; then all that lacked it read all keys of the store at the same time, which its 1,000 Mbit/s carry in 20 s, and calls timed out.

Change: such a VM reads what the configuration is made of (not the daemons' keys, in stale reads) at a random time within 12 ms for each VM of the fleet, unless a peer was faster; peers and store bring it together. What was read is freed on a VM that does not watch the store.

Evidence: test-store-start.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -465,7 +465,7 @@
 {
 	if (!store_source.list_is_complete)
 		return;
-	if (!store_source.vms_only)
+	if (!store_source.partial)
 		store_source.f->conf_confirmed_us = now_us();
 	if (store_source.vms_changed) {
 		store_source.vms_changed = false;
@@ -475,6 +475,21 @@
 		publish_conf();
 }
 
+static gboolean is_conf_key(gpointer key, gpointer revision, gpointer arg)
+{
+	return !g_str_has_prefix(key, FLEET_STORE_PREFIX);
+}
+
+void source_forget_conf(void)
+{
+	g_hash_table_foreach_remove(store_source.known, is_conf_key, NULL);
+	g_hash_table_remove_all(store_source.servers);
+	g_hash_table_remove_all(store_source.evacuated);
+	records_document_clear(&store_source.document);
+	store_source.document_revision = 0;
+	store_source.conf_revision = 0;
+}
+
 void source_drop_lapsed(int64_t now)
 {
 	GHashTableIter iter;
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -19,6 +19,14 @@
 	uint64_t revision;
 };
 
+/** Which keys a list covers. */
+enum list_scope {
+	LIST_ALL,
+	LIST_VMS,  /**< VMs and the parts of the rates that they hold */
+	LIST_CONF, /**< what the configuration is made of: no keys of the daemons */
+	LIST_SCOPES
+};
+
 struct store_source {
 	struct fleet *f;
 	const struct records_ops *records;
@@ -50,16 +58,16 @@
 
 	/**
 	 * The store has more keys than one page of a list. Then a VM that does not watch the store
-	 * lists only the VMs and the parts that they hold, and gets the configuration from peers.
+	 * does not read all of it.
 	 */
 	bool large;
-	bool lists_vms;		    /**< the current list is of VMs and parts only */
+	enum list_scope scope;	    /**< of the current list */
 	unsigned list_prefix;	    /**< index of the prefix that is being listed */
-	bool vms_only;		    /**< the last complete list was of VMs and parts only */
+	bool partial;		    /**< no complete list was of all keys since the start */
 	bool resync;		    /**< changes were missed: the next list is of all keys */
 	bool awaits_key;	    /**< the list begins once this VM's key is written */
 	int64_t key_wait_until_us;  /**< or at this time */
-	int64_t conf_wait_until_us; /**< without a configuration from peers by then, list all */
+	int64_t conf_wait_until_us; /**< without a configuration from peers by then, read it */
 	unsigned n_lists;	    /**< complete lists read */
 	bool initial_list_done;	 /**< a list recent enough for the start of the process was read */
 	bool list_is_complete;	 /**< the current list is complete; a watch continues from it */
@@ -111,6 +119,8 @@
 void source_publish(void);
 /** Notifies the listeners of the pending items; call it after the groups are configured. */
 void source_notify_pending(void);
+/** Frees what the configuration was made of, on a VM that does not watch its changes. */
+void source_forget_conf(void);
 /** Drops backend servers whose records were removed at least LAPSED_KEEP_US ago. */
 void source_drop_lapsed(int64_t now);
 
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -40,19 +40,26 @@
  */
 #define START_SPREAD_US (1200 * USEC_PER_MSEC)
 /**
- * Time for the configuration to arrive from peers, and a random addition to it, before it is read
- * from the store. Each peer passes it on to two others at a time; when all VMs start, the fleet has
- * it after the logarithm of its size in such steps.
+ * A VM that has a list of the VMs but no configuration reads that from the store after a random
+ * time of up to this for each VM of the fleet, unless a peer has sent one by then. So the store's
+ * link carries the reads of VMs that start together one after the other.
  */
-#define CONF_WAIT_US (10 * USEC_PER_SEC)
-#define CONF_WAIT_SPREAD_US (6 * USEC_PER_SEC)
+#define CONF_READ_SPREAD_US (12 * USEC_PER_MSEC)
+/** Least time for peers to send the configuration, and pause before it is read once more. */
+#define CONF_WAIT_US (500 * USEC_PER_MSEC)
 /** Retries of the initial list; all but the last one may be stale reads. */
 #define INITIAL_LIST_RETRIES 5
 
 struct store_source store_source;
 
-/** Prefixes of the keys that tell which VMs there are, and what they hold. */
-static const char *const vm_prefixes[] = {FLEET_STORE_PARTS, FLEET_STORE_VMS};
+/** Prefixes that a list of each scope reads one after the other. */
+static const char *const scope_prefixes[LIST_SCOPES][2] = {
+	[LIST_ALL] = {""},
+	[LIST_VMS] = {FLEET_STORE_PARTS, FLEET_STORE_VMS},
+	[LIST_CONF] = {""},
+};
+/** Key behind which the list begins, above all keys of the daemons: '0' follows '/'. */
+#define CONF_AFTER "mangoloom0"
 
 static void list_next(void);
 static void list_reset(void);
@@ -153,13 +160,20 @@
 
 bool source_is_vm_key(const char *key)
 {
-	unsigned i;
+	return g_str_has_prefix(key, FLEET_STORE_VMS) || g_str_has_prefix(key, FLEET_STORE_PARTS);
+}
 
-	for (i = 0; i < G_N_ELEMENTS(vm_prefixes); i++) {
-		if (g_str_has_prefix(key, vm_prefixes[i]))
-			return true;
+/** Whether the current list covers @a key. */
+static bool in_scope(const char *key)
+{
+	switch (store_source.scope) {
+	case LIST_VMS:
+		return source_is_vm_key(key);
+	case LIST_CONF:
+		return !g_str_has_prefix(key, FLEET_STORE_PREFIX);
+	default:
+		return true;
 	}
-	return false;
 }
 
 /**
@@ -184,8 +198,7 @@
 	for (l = keys; l != NULL; l = l->next) {
 		struct store_item removal = {.revision = revision};
 
-		if (g_hash_table_contains(store_source.listed_keys, l->data) ||
-		    (store_source.lists_vms && !source_is_vm_key(l->data)))
+		if (g_hash_table_contains(store_source.listed_keys, l->data) || !in_scope(l->data))
 			continue;
 		if (!settled && survives_restore(l->data)) {
 			store_source.keeps_lost_keys = true;
@@ -209,7 +222,7 @@
 {
 	const struct fleet *f = store_source.f;
 
-	return !f->self_listed || (f->conf->version == 0 && !store_source.lists_vms);
+	return !f->self_listed || (f->conf->version == 0 && store_source.scope == LIST_ALL);
 }
 
 /**
@@ -237,10 +250,25 @@
 /** Sets when to read the configuration from the store if no peer has sent one. */
 static void await_conf(void)
 {
-	if (store_source.conf_wait_until_us == 0)
-		store_source.conf_wait_until_us =
-			now_us() + CONF_WAIT_US +
-			(int64_t)(random_bits() % (uint64_t)CONF_WAIT_SPREAD_US);
+	uint64_t spread_us = (uint64_t)store_source.f->n_listed * CONF_READ_SPREAD_US + 1;
+
+	if (store_source.scope == LIST_CONF)
+		spread_us = 1;
+	store_source.conf_wait_until_us =
+		now_us() + CONF_WAIT_US + (int64_t)(random_bits() % spread_us);
+}
+
+/** Which keys the next list has to cover. */
+static enum list_scope next_scope(void)
+{
+	struct fleet *f = store_source.f;
+
+	if (!store_source.large || store_source.resync || (f->self_listed && fleet_is_watcher(f)))
+		return LIST_ALL;
+	if (f->conf->version == 0 && store_source.conf_wait_until_us != 0 &&
+	    now_us() >= store_source.conf_wait_until_us)
+		return LIST_CONF;
+	return LIST_VMS;
 }
 
 static void list_complete(void)
@@ -249,8 +277,13 @@
 		 LOG_NUM("known", era_number(store_source.synced_revision)),
 		 LOG_NUM("keys", g_hash_table_size(store_source.listed_keys)));
 	drop_unlisted(store_source.list_revision);
-	fleet_list_remove_unlisted(store_source.f, store_source.listed_keys,
-				   store_source.list_revision);
+	if (store_source.scope != LIST_CONF) {
+		fleet_list_remove_unlisted(store_source.f, store_source.listed_keys,
+					   store_source.list_revision);
+		store_source.vms_changed = true;
+	}
+	if (store_source.scope != LIST_VMS)
+		store_source.conf_changed = true;
 	g_hash_table_remove_all(store_source.listed_keys);
 	g_clear_pointer(&store_source.last_listed_key, g_free);
 	store_source.list_is_complete = true;
@@ -259,14 +292,14 @@
 	 * page's revision, so it returns all changes made while the others were read.
 	 */
 	store_source.synced_revision = store_source.list_revision;
-	store_source.vms_changed = true;
-	store_source.vms_only = store_source.lists_vms;
-	store_source.resync = store_source.resync && store_source.vms_only;
-	store_source.conf_changed = !store_source.vms_only;
-	if (store_source.vms_only)
-		await_conf();
+	store_source.partial = store_source.scope != LIST_ALL;
+	store_source.resync = store_source.resync && store_source.partial;
 	store_source.n_lists++;
 	source_publish();
+	if (store_source.scope == LIST_CONF)
+		source_forget_conf();
+	if (store_source.partial && store_source.f->conf->version == 0)
+		await_conf();
 	if (!store_source.initial_list_done && store_source.f->oldest_era < store_source.era.now)
 		era_mark_unsettled(&store_source.era, now_us());
 	source_notify_pending();
@@ -318,7 +351,7 @@
 		list_next();
 		return;
 	}
-	if (store_source.lists_vms && store_source.list_prefix + 1 < G_N_ELEMENTS(vm_prefixes)) {
+	if (store_source.list_prefix == 0 && scope_prefixes[store_source.scope][1] != NULL) {
 		store_source.list_prefix++;
 		g_clear_pointer(&store_source.last_listed_key, g_free);
 		list_next();
@@ -327,22 +360,14 @@
 	list_complete();
 }
 
-/** Whether a list now needs all keys: this VM watches the store, or no peer has a configuration. */
-static bool needs_all_keys(void)
-{
-	const struct fleet *f = store_source.f;
-
-	if (!store_source.large || store_source.resync ||
-	    (f->self_listed && fleet_is_watcher(store_source.f)))
-		return true;
-	return f->conf->version == 0 && store_source.conf_wait_until_us != 0 &&
-	       now_us() >= store_source.conf_wait_until_us;
-}
-
 static void list_next(void)
 {
 	bool retry = !store_source.initial_list_done && store_source.n_lists > 0;
-	bool stale = store_source.lists_vms || retry;
+	bool stale = store_source.scope != LIST_ALL || retry;
+	const char *after = store_source.last_listed_key;
+
+	if (after == NULL)
+		after = store_source.scope == LIST_CONF ? CONF_AFTER : "";
 
 	if (!store_source.initial_list_done && store_source.n_lists >= INITIAL_LIST_RETRIES)
 		stale = false;
@@ -352,17 +377,15 @@
 	 * list may not be stale: a VM that starts with an old configuration must fetch the full new
 	 * one, since peers whose first configuration is the new one cannot compute the difference.
 	 */
-	store_source.store->ops->list(
-		store_source.store,
-		store_source.lists_vms ? vm_prefixes[store_source.list_prefix] : "",
-		store_source.last_listed_key != NULL ? store_source.last_listed_key : "", stale,
-		on_list_page, NULL);
+	store_source.store->ops->list(store_source.store,
+				      scope_prefixes[store_source.scope][store_source.list_prefix],
+				      after, stale, on_list_page, NULL);
 }
 
 static void list_reset(void)
 {
 	store_source.list_is_complete = false;
-	store_source.lists_vms = !needs_all_keys();
+	store_source.scope = next_scope();
 	store_source.list_prefix = 0;
 	g_hash_table_remove_all(store_source.listed_keys);
 	g_clear_pointer(&store_source.last_listed_key, g_free);
@@ -441,7 +464,7 @@
 {
 	if (store_source.watch != NULL || !fleet_is_watcher(store_source.f))
 		return;
-	if (!fleet_store_is_current(store_source.synced_revision) || store_source.vms_only) {
+	if (!fleet_store_is_current(store_source.synced_revision) || store_source.partial) {
 		list_begin();
 		return;
 	}
@@ -477,7 +500,7 @@
 	if (fleet_is_watcher(store_source.f))
 		watch_start();
 	else if (now - store_source.checked_us > RELIST_INTERVAL_US ||
-		 (store_source.vms_only && needs_all_keys())) {
+		 (store_source.partial && next_scope() != LIST_VMS)) {
 		store_source.checked_us = now;
 		list_begin();
 	}
--- a/tests/test-store-start.c
+++ b/tests/test-store-start.c
@@ -255,6 +255,10 @@
 	CU_ASSERT_TRUE(store_source.conf_wait_until_us > now_us());
 	store_source.conf_wait_until_us = now_us();
 	CU_ASSERT_TRUE(run_until(f, has_conf));
+	/* Only what the configuration is made of is read, and it is not kept beside it. */
+	CU_ASSERT_EQUAL(fake.n_full_pages, 1 + (1 + SERVERS + PAGE_ITEMS - 1) / PAGE_ITEMS);
+	CU_ASSERT_EQUAL(g_hash_table_size(store_source.servers), 0);
+	CU_ASSERT_EQUAL(f->peers.n, VMS);
 }
 
 /* Guards against a watcher that has only the VMs: nobody would bring the configuration. */
@@ -264,7 +268,7 @@
 	struct fleet *f = start_as(&settings, true);
 
 	CU_ASSERT_TRUE(run_until(f, has_conf));
-	CU_ASSERT_FALSE(store_source.vms_only);
+	CU_ASSERT_FALSE(store_source.partial);
 	CU_ASSERT_PTR_NOT_NULL(store_source.watch);
 }
 
