Start: a store that grows while the fleet starts is not read whole

What was seen (logs of 11 of 984 VMs, stopped once it was clear): as the VMs start, the store has no keys; servers register at 320 a second, and the operators write their document 13 s later. The first list was complete, so the store passed for a small one, and each VM read everything again every 5 s until there was a document.

Change: any page with more behind it shows a large store, not the first alone. A list for the configuration ends with its first page if that has no document, which sorts before the servers; the next look is at a random time again. The spread is 8 ms a VM.

Evidence: test-store-start a_store_that_grows_is_not_read_whole (before: as many full lists as retries).

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -44,8 +44,8 @@
  * time of up to this for each VM of the fleet, unless a peer has sent one by then. So the store's
  * link carries the reads of VMs that start together one after the other.
  */
-#define CONF_READ_SPREAD_US (12 * USEC_PER_MSEC)
-/** Least time for peers to send the configuration, and pause before it is read once more. */
+#define CONF_READ_SPREAD_US (8 * USEC_PER_MSEC)
+/** Least time for peers to send the configuration. */
 #define CONF_WAIT_US (500 * USEC_PER_MSEC)
 /** Retries of the initial list; all but the last one may be stale reads. */
 #define INITIAL_LIST_RETRIES 5
@@ -252,8 +252,6 @@
 {
 	uint64_t spread_us = (uint64_t)store_source.f->n_listed * CONF_READ_SPREAD_US + 1;
 
-	if (store_source.scope == LIST_CONF)
-		spread_us = 1;
 	store_source.conf_wait_until_us =
 		now_us() + CONF_WAIT_US + (int64_t)(random_bits() % spread_us);
 }
@@ -313,8 +311,19 @@
 	watch_start();
 }
 
+/** Ends a list of the configuration whose first page shows that there is no document yet. */
+static void conf_missing(void)
+{
+	log_info("conf-missing", LOG_REVISION("revision", store_source.list_revision));
+	list_reset();
+	store_source.list_is_complete = true;
+	source_forget_conf();
+	await_conf();
+}
+
 static void on_list_page(const struct store_answer *a, void *arg)
 {
+	bool first = store_source.last_listed_key == NULL && store_source.list_prefix == 0;
 	guint i;
 
 	source_set_reachable("list", a->status == STORE_DONE);
@@ -324,11 +333,11 @@
 		return;
 	}
 	store_source.retry_us = 0;
-	if (a->more && store_source.n_lists == 0 && !store_source.large) {
+	if (a->more && !store_source.large) {
 		await_key();
 		return;
 	}
-	if (store_source.last_listed_key == NULL && store_source.list_prefix == 0)
+	if (first)
 		store_source.list_revision = a->revision;
 	/* Pages of stale reads may be of any age: the list is as old as the oldest. */
 	if (era_of(a->revision) == era_of(store_source.list_revision))
@@ -343,6 +352,10 @@
 		g_hash_table_add(store_source.listed_keys, g_strdup(item->key));
 		source_apply_item(item);
 	}
+	if (first && store_source.scope == LIST_CONF && store_source.document.entries == NULL) {
+		conf_missing();
+		return;
+	}
 	if (a->more && a->items->len > 0) {
 		const struct store_item *last = g_ptr_array_index(a->items, a->items->len - 1);
 
--- a/tests/test-store-start.c
+++ b/tests/test-store-start.c
@@ -20,6 +20,8 @@
 	unsigned n_full_pages; /**< pages of lists of all keys */
 	unsigned n_vm_pages;   /**< pages of lists of VMs and parts */
 	unsigned n_strict;     /**< pages of lists of VMs that had to be current */
+	bool empty;	       /**< the store has no keys yet */
+	bool no_document;
 } fake;
 
 static char *value_of(const char *key)
@@ -69,7 +71,8 @@
 static struct store_call *fake_list(struct store *s, const char *prefix, const char *after,
 				    bool stale, store_done cb, void *arg)
 {
-	struct store_answer a = {.status = STORE_DONE, .revision = 500};
+	static uint64_t revision = 500;
+	struct store_answer a = {.status = STORE_DONE, .revision = ++revision};
 	guint i;
 
 	fake.n_full_pages += prefix[0] == '\0' ? 1 : 0;
@@ -80,7 +83,8 @@
 		char *key = g_ptr_array_index(fake.keys, i);
 		struct store_item *item;
 
-		if (!g_str_has_prefix(key, prefix) || strcmp(key, after) <= 0)
+		if (!g_str_has_prefix(key, prefix) || strcmp(key, after) <= 0 || fake.empty ||
+		    (fake.no_document && strcmp(key, "op/doc") == 0))
 			continue;
 		if (a.items->len == PAGE_ITEMS) {
 			a.more = true;
@@ -202,6 +206,21 @@
 	return f->conf->version != 0;
 }
 
+static bool is_large(const struct fleet *f)
+{
+	return store_source.large;
+}
+
+static bool knows_all(const struct fleet *f)
+{
+	return f->peers.n == VMS && store_source.list_is_complete;
+}
+
+static bool has_looked_for_conf(const struct fleet *f)
+{
+	return fake.n_full_pages > 2 && store_source.list_is_complete;
+}
+
 static bool run_until(struct fleet *f, bool (*done)(const struct fleet *f))
 {
 	int64_t until = test_now_ms() + STEP_TIMEOUT_MS;
@@ -261,6 +280,41 @@
 	CU_ASSERT_EQUAL(f->peers.n, VMS);
 }
 
+/*
+ * Guards against VMs that read everything again and again until there is a configuration: the
+ * store fills while the fleet starts, and the operators write their document last.
+ */
+static void test_a_store_that_grows_is_not_read_whole(void)
+{
+	struct settings settings;
+	char name[NAME_SIZE];
+	struct fleet *f;
+
+	start_as(&settings, false);
+	g_strlcpy(name, settings.name, sizeof(name));
+	fill_store();
+	fake.empty = true;
+	f = start_vm(&settings, name);
+	CU_ASSERT_FALSE(store_source.large);
+	fake.empty = false;
+	fake.no_document = true;
+	CU_ASSERT_TRUE_FATAL(run_until(f, is_listed));
+	CU_ASSERT_TRUE(run_until(f, is_large));
+	CU_ASSERT_EQUAL(fake.n_full_pages, 2);
+	store_source.awaits_key = false;
+	kernel_arm(store_source.retry, 0);
+	CU_ASSERT_TRUE(run_until(f, knows_all));
+	store_source.conf_wait_until_us = now_us();
+	CU_ASSERT_TRUE(run_until(f, has_looked_for_conf));
+	/* The first page shows that there is no document, and the rest is not read. */
+	CU_ASSERT_EQUAL(fake.n_full_pages, 3);
+	CU_ASSERT_FALSE(has_conf(f));
+	CU_ASSERT_TRUE(store_source.list_is_complete);
+	fake.no_document = false;
+	store_source.conf_wait_until_us = now_us();
+	CU_ASSERT_TRUE(run_until(f, has_conf));
+}
+
 /* Guards against a watcher that has only the VMs: nobody would bring the configuration. */
 static void test_a_watcher_lists_all_keys(void)
 {
@@ -288,6 +342,7 @@
 
 static const struct test_case cases[] = {
 	{"a_vm_that_does_not_watch_lists_only_vms", test_a_vm_that_does_not_watch_lists_only_vms},
+	{"a_store_that_grows_is_not_read_whole", test_a_store_that_grows_is_not_read_whole},
 	{"a_watcher_lists_all_keys", test_a_watcher_lists_all_keys},
 	{"vms_are_listed_after_the_own_key", test_vms_are_listed_after_the_own_key},
 };
