Configuration: servers that register together make few versions

What was seen (whole fleet, logs of 11 VMs): while 3,000 servers register in ten seconds, each answer of a watch brings one or two and makes a version of the configuration; ten VMs build 5,000 entries for each, and all 984 fetch 400 to 5,000 entries again and again.

Change: a watch that returned only new servers is followed by the next after 150 to 600 ms, as one with the daemons' own keys is; a change of a known server or of the operators' document is taken at once, and waits no longer than 600 ms behind new servers. Test: test-store-list new_servers_are_taken_together (fails without the change).

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -18,10 +18,9 @@
 #define RETRY_MIN_US (50 * USEC_PER_MSEC)
 #define RETRY_MAX_US (300 * USEC_PER_MSEC)
 /**
- * Delay before the next watch after one that returned only the daemons' own keys, so that one call
- * returns several changes. The delay starts at OWN_CHANGE_DELAY_US and doubles up to the maximum
- * while the daemons' keys keep changing. A change of the configuration waits no longer than the
- * maximum.
+ * Delay before the next watch after one whose changes may wait, so that one call returns several.
+ * The delay starts at OWN_CHANGE_DELAY_US and doubles up to the maximum while the daemons' keys
+ * keep changing. A change of the configuration waits no longer than the maximum.
  */
 #define OWN_CHANGE_DELAY_US (150 * USEC_PER_MSEC)
 #define OWN_CHANGE_DELAY_MAX_US (600 * USEC_PER_MSEC)
@@ -413,15 +412,27 @@
 
 /* The watch */
 
-/** Whether a watch returned only keys that the daemons write, such as VMs' and groups' keys. */
-static bool only_own_changes(const struct store_answer *a)
+/** Whether the item is of a backend server that registers for the first time. */
+static bool is_new_server(const struct store_item *item)
+{
+	return item->value != NULL &&
+	       g_str_has_prefix(item->key, store_source.records->servers_prefix) &&
+	       !g_hash_table_contains(store_source.known, item->key);
+}
+
+/**
+ * Whether a watch returned only changes that may wait: keys that the daemons write, such as VMs'
+ * and groups' keys, and new servers. While servers of a large fleet register, each watch would
+ * return one or two, and each would be a version of the configuration that all VMs fetch.
+ */
+static bool changes_may_wait(const struct store_answer *a)
 {
 	guint i;
 
 	for (i = 0; i < a->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(a->items, i);
 
-		if (!g_str_has_prefix(item->key, FLEET_STORE_PREFIX))
+		if (!g_str_has_prefix(item->key, FLEET_STORE_PREFIX) && !is_new_server(item))
 			return false;
 	}
 	return a->items->len > 0;
@@ -442,6 +453,7 @@
 
 static void on_watch_answer(const struct store_answer *a, void *arg)
 {
+	bool may_wait = a->status == STORE_DONE && changes_may_wait(a);
 	guint i;
 
 	store_source.watch = NULL;
@@ -467,7 +479,7 @@
 	if (a->revision > store_source.synced_revision)
 		store_source.synced_revision = a->revision;
 	source_publish();
-	if (only_own_changes(a))
+	if (may_wait)
 		kernel_arm(store_source.retry, watch_next_delay_us());
 	else
 		watch_start();
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -470,6 +470,40 @@
 	CU_ASSERT_EQUAL(source_lease_retry_us(0), 500 * USEC_PER_MSEC);
 }
 
+/** Delivers one changed item to the watch. @return whether the next watch began at once */
+static bool watch_goes_on(const char *key)
+{
+	struct store_item item = {.key = (char *)key, .value = (char *)"{}"};
+	struct store_answer a = {.status = STORE_DONE, .revision = ++store_revision};
+	store_done done = watch_done;
+
+	item.revision = store_revision;
+	a.items = g_ptr_array_new();
+	g_ptr_array_add(a.items, &item);
+	watch_done = NULL;
+	store_source.watch = NULL;
+	done(&a, NULL);
+	g_ptr_array_unref(a.items);
+	return watch_done != NULL;
+}
+
+/*
+ * Guards against a version of the configuration for each of thousands of servers that register
+ * together; a change of a known server or of the document does not wait.
+ */
+static void test_new_servers_are_taken_together(void)
+{
+	struct settings settings;
+
+	n_lists_without_vm = 0;
+	start_vm(&settings);
+	CU_ASSERT_FALSE(watch_goes_on("servers/i-7"));
+	event_del(store_source.retry);
+	start_vm(&settings);
+	CU_ASSERT_TRUE(watch_goes_on("servers/i-1"));
+	CU_ASSERT_TRUE(watch_goes_on("doc"));
+}
+
 static const struct test_case cases[] = {
 	{"a_lease_is_renewed_in_time_by_few_calls", test_a_lease_is_renewed_in_time_by_few_calls},
 	{"listeners_are_notified_once_list_is_in_force",
@@ -486,5 +520,6 @@
 	{"a_start_makes_no_new_version", test_a_start_makes_no_new_version},
 	{"restarted_vm_sends_only_changed_pools", test_restarted_vm_sends_only_changed_pools},
 	{"a_change_makes_a_new_version", test_a_change_makes_a_new_version},
+	{"new_servers_are_taken_together", test_new_servers_are_taken_together},
 };
 HARNESS_MAIN("store-list", cases)
