Owner: a statement that knows a newer record has it read

Cause: a group was handed to a VM near its primary while all VMs started; the one notice of it (250 ms, to a VM with 0.12 of a core and no connection yet) was lost. The former owner and all who ask it name that VM, it does not know, and nobody claims the group since its owner lives.

Ruled out: the owner that had ended (its VM answers), rates (outcome leaving). Before owners were announced to all the same notice could be lost.

Change: a VM that does not own the group reads the record when a statement comes from one that knows a newer revision. One read of the store a record.

Evidence: test-owner statement_with_a_newer_record_makes_the_owner_read_it fails without the change.

--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -522,6 +522,12 @@
 		run_in_tx(g, rq, a);
 		return;
 	}
+	/*
+	 * The sender knows a newer record, which may name this VM: a notice of it may be lost, and
+	 * the other VMs would regard this one as the owner for good.
+	 */
+	if (!owner_group_is_own(g) && a->owner_revision > owner_known_revision(g->o, g->pool))
+		record_outdated(g);
 	o = check_admission(g, a, &retry_us);
 	if (o != OUTCOME_DONE) {
 		refuse(rq, a, g, o, retry_us);
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -714,6 +714,53 @@
 	world_close(&w);
 }
 
+static uint64_t own_incarnation;
+
+/** The record as another VM wrote it when it handed the group to this one. */
+static char *handed_over_record(const char *key)
+{
+	return g_strdup_printf("{\"vm\":\"vm-1\",\"incarnation\":\"%lx\",\"address\":\"" SELF "\"}",
+			       own_incarnation);
+}
+
+static void on_refused(enum rpc_status status, const void *arg_res, void *arg)
+{
+	CU_ASSERT_EQUAL(((const ml_run_res *)arg_res)->outcome, OUTCOME_LEAVING);
+}
+
+/*
+ * Guards against a group without an owner for good: the notice that it was handed to this VM was
+ * lost, and the others regard this VM as its living owner.
+ */
+static void test_statement_with_a_newer_record_makes_the_owner_read_it(void)
+{
+	ml_run_args a = {.request = "r1",
+			 .team = "t",
+			 .pool = POOL,
+			 .text = "READ a",
+			 .operand = "",
+			 .shape = "",
+			 .op = STATEMENT_READ,
+			 .mode = READ_PRIMARY,
+			 .deadline_us = 800 * USEC_PER_MSEC};
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	own_incarnation = w.k->incarnation;
+	fake.value = handed_over_record;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_gets, 0);
+	a.owner_revision = 1;
+	rpc_start(rpc_of(w.k), SELF, ML_RUN, &a, USEC_PER_SEC, on_refused, NULL);
+	world_run_once(&w);
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_gets, 1);
+	CU_ASSERT_TRUE(owner_group_is_own(g));
+	world_close(&w);
+}
+
 /* Guards against a job that no timer looks at, whatever state its group is in. */
 static void test_job_of_an_unserved_group_expires(void)
 {
@@ -898,6 +945,8 @@
 	{"statement_asks_the_claimer_while_the_owner_seems_gone",
 	 test_statement_asks_the_claimer_while_the_owner_seems_gone},
 	{"refusal_names_the_known_owner", test_refusal_names_the_known_owner},
+	{"statement_with_a_newer_record_makes_the_owner_read_it",
+	 test_statement_with_a_newer_record_makes_the_owner_read_it},
 	{"job_of_an_unserved_group_expires", test_job_of_an_unserved_group_expires},
 	{"a_restarted_owner_takes_its_group_back", test_a_restarted_owner_takes_its_group_back},
 	{"restarted_owner_is_not_taken_for_its_previous_process",
