Start: a VM that has a configuration reads on when the store turns large

Cause: since any page with more behind it makes a VM wait for its key and 1.2 s more, also one that has a configuration and is about to watch (the stand-in's pages are small); and in small stores a new server put off the next watch, which operators' changes then waited for.

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -231,7 +231,6 @@
 static void await_key(void)
 {
 	log_info("store-large", LOG_NUM("registered", store_source.registered));
-	store_source.large = true;
 	list_reset();
 	store_source.awaits_key = true;
 	store_source.key_wait_until_us = now_us() + KEY_WAIT_US;
@@ -333,8 +332,12 @@
 	}
 	store_source.retry_us = 0;
 	if (a->more && !store_source.large) {
-		await_key();
-		return;
+		store_source.large = true;
+		/* A VM that has a configuration goes on, so that it misses no change of it. */
+		if (store_source.f->conf->version == 0) {
+			await_key();
+			return;
+		}
 	}
 	if (first)
 		store_source.list_revision = a->revision;
@@ -422,8 +425,9 @@
 
 /**
  * Whether a watch returned only changes that may wait: keys that the daemons write, such as VMs'
- * and groups' keys, and new servers. While servers of a large fleet register, each watch would
- * return one or two, and each would be a version of the configuration that all VMs fetch.
+ * and groups' keys, and, in a large store, new servers. While servers of a large fleet register,
+ * each watch would return one or two, and each would be a version of the configuration that all VMs
+ * fetch.
  */
 static bool changes_may_wait(const struct store_answer *a)
 {
@@ -432,7 +436,8 @@
 	for (i = 0; i < a->items->len; i++) {
 		const struct store_item *item = g_ptr_array_index(a->items, i);
 
-		if (!g_str_has_prefix(item->key, FLEET_STORE_PREFIX) && !is_new_server(item))
+		if (!g_str_has_prefix(item->key, FLEET_STORE_PREFIX) &&
+		    !(store_source.large && is_new_server(item)))
 			return false;
 	}
 	return a->items->len > 0;
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -497,11 +497,16 @@
 
 	n_lists_without_vm = 0;
 	start_vm(&settings);
+	store_source.large = true;
 	CU_ASSERT_FALSE(watch_goes_on("servers/i-7"));
 	event_del(store_source.retry);
 	start_vm(&settings);
+	store_source.large = true;
 	CU_ASSERT_TRUE(watch_goes_on("servers/i-1"));
 	CU_ASSERT_TRUE(watch_goes_on("doc"));
+	/* In a small store few servers register, and each is taken at once. */
+	start_vm(&settings);
+	CU_ASSERT_TRUE(watch_goes_on("servers/i-8"));
 }
 
 static const struct test_case cases[] = {
