--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -63,7 +63,7 @@
 	bool large;
 	enum list_scope scope;	    /**< of the current list */
 	unsigned list_prefix;	    /**< index of the prefix that is being listed */
-	bool partial;		    /**< no complete list was of all keys since the start */
+	bool partial;		    /**< the last complete list was not of all keys */
 	bool resync;		    /**< changes were missed: the next list is of all keys */
 	bool awaits_key;	    /**< the list begins once this VM's key is written */
 	int64_t key_wait_until_us;  /**< or at this time */
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -128,12 +128,11 @@
 	struct lead_record r = g->record;
 	struct lead_vm self = owner_self(g->o);
 
-	owner_group_use(g);
-
 	/* Right after a restore of the store the list may name a process from before the record. */
 	bool ended = (owner_ended(g) && fleet_store_settled(owner_group_fleet(g))) ||
 		     strcmp(r.owner.name, self.name) == 0;
 
+	owner_group_use(g);
 	if (!lead_claim(&r, &self, g->o->service.kernel->settings->advertise, ended)) {
 		log_warn("claim-senders-full", LOG_STR("pool", g->pool));
 		g->next_call_us = now_us() + RETRY_US;
--- a/src/schema.c
+++ b/src/schema.c
@@ -156,14 +156,8 @@
 	}
 }
 
-static bool read_number(const struct schema_field *f, JsonNode *node, void *out)
+static bool set_number(const struct schema_field *f, double d, void *out)
 {
-	GType type = json_node_get_value_type(node);
-	double d;
-
-	if (type != G_TYPE_INT64 && (type != G_TYPE_DOUBLE || f->type == SCHEMA_UINT))
-		return false;
-	d = type == G_TYPE_INT64 ? (double)json_node_get_int(node) : json_node_get_double(node);
 	if (!(d >= f->min && d <= f->max))
 		return false;
 	if (f->type == SCHEMA_UINT)
@@ -173,6 +167,17 @@
 	return true;
 }
 
+static bool read_number(const struct schema_field *f, JsonNode *node, void *out)
+{
+	GType type = json_node_get_value_type(node);
+	double d;
+
+	if (type != G_TYPE_INT64 && (type != G_TYPE_DOUBLE || f->type == SCHEMA_UINT))
+		return false;
+	d = type == G_TYPE_INT64 ? (double)json_node_get_int(node) : json_node_get_double(node);
+	return set_number(f, d, out);
+}
+
 static bool read_string(const struct schema_field *f, const char *s, void *out)
 {
 	int choice;
@@ -361,14 +366,10 @@
 	d = g_ascii_strtod(*at, &end);
 	if (f->type == SCHEMA_UINT && strspn(*at, "0123456789") != (size_t)(end - *at))
 		return false;
-	if (end == *at || !(d >= f->min && d <= f->max))
+	if (end == *at)
 		return false;
 	*at = end;
-	if (f->type == SCHEMA_UINT)
-		*(unsigned *)out = (unsigned)d;
-	else
-		*(double *)out = d;
-	return true;
+	return set_number(f, d, out);
 }
 
 static bool plain_value(const struct schema_field *f, const char **at, void *out)
