Overload and paths: settings and messages that the new parts share

The parts of docs/design/load-and-paths.md are built side by side, so the procedures 16 to 22 of the protocol between daemons and the settings that switch the parts on come first. No existing message changes: daemons of an older build ignore the new procedures. All settings default to off, and nothing reads them yet, so behaviour does not change.

--- a/src/mango.h
+++ b/src/mango.h
@@ -21,6 +21,9 @@
 #define ML_TEAMS_MAX 4096
 #define ML_ENTRIES_MAX 65536
 #define ML_TERMS_MAX 8
+#define ML_MEMBERS_MAX 8
+#define ML_CLASSES 4
+#define ML_ORIGINS_MAX 16
 
 typedef char *ml_name;
 
@@ -370,6 +373,130 @@
 };
 typedef struct ml_reach_args ml_reach_args;
 
+struct ml_tokens_class_args {
+	ml_name team;
+	u_int want;
+	u_int priority;
+	u_quad_t patience_us;
+};
+typedef struct ml_tokens_class_args ml_tokens_class_args;
+
+struct ml_tokens_class_res {
+	u_int granted;
+	u_quad_t next_us;
+};
+typedef struct ml_tokens_class_res ml_tokens_class_res;
+
+struct ml_member_want {
+	ml_name member;
+	u_int connections;
+	u_int in_flight;
+};
+typedef struct ml_member_want ml_member_want;
+
+struct ml_member_load_args {
+	ml_name pool;
+	ml_name vm;
+	ml_name data_center;
+	struct {
+		u_int wants_len;
+		ml_member_want *wants_val;
+	} wants;
+};
+typedef struct ml_member_load_args ml_member_load_args;
+
+struct ml_member_load {
+	ml_name member;
+	u_int in_flight;
+	u_int waiting;
+	u_int connections_left;
+	u_int service_us[ML_CLASSES];
+	u_int granted;
+	bool_t unsteady;
+};
+typedef struct ml_member_load ml_member_load;
+
+struct ml_member_load_res {
+	bool_t serving;
+	ml_pos mark;
+	u_quad_t mark_age_us;
+	u_quad_t owner_revision;
+	ml_name primary;
+	struct {
+		u_int loads_len;
+		ml_member_load *loads_val;
+	} loads;
+};
+typedef struct ml_member_load_res ml_member_load_res;
+
+struct ml_preopen_args {
+	ml_name pool;
+	ml_name team;
+	u_int priority;
+	bool_t primary;
+};
+typedef struct ml_preopen_args ml_preopen_args;
+
+struct ml_relay_args {
+	ml_name to;
+	ml_name via;
+	u_int hops;
+	ml_run_args run;
+};
+typedef struct ml_relay_args ml_relay_args;
+
+struct ml_relay_res {
+	bool_t tried;
+	ml_run_res run;
+};
+typedef struct ml_relay_res ml_relay_res;
+
+struct ml_origin {
+	ml_name data_center;
+	double per_s;
+};
+typedef struct ml_origin ml_origin;
+
+struct ml_standing_args {
+	ml_name pool;
+};
+typedef struct ml_standing_args ml_standing_args;
+
+struct ml_standing_res {
+	bool_t own;
+	ml_name primary;
+	ml_name data_center;
+	u_quad_t moved_age_us;
+	u_quad_t changes_age_us;
+	struct {
+		u_int origins_len;
+		ml_origin *origins_val;
+	} origins;
+	ml_text why;
+};
+typedef struct ml_standing_res ml_standing_res;
+
+struct ml_move_primary_args {
+	ml_name pool;
+	ml_name data_center;
+	bool_t dry_run;
+	u_quad_t revision;
+};
+typedef struct ml_move_primary_args ml_move_primary_args;
+
+struct ml_move_primary_res {
+	bool_t ok;
+	ml_text why;
+};
+typedef struct ml_move_primary_res ml_move_primary_res;
+
+struct ml_rebalance_args {
+	bool_t dry_run;
+	ml_name pool;
+	ml_name data_center;
+};
+typedef struct ml_rebalance_args ml_rebalance_args;
+
 struct ml_status_res {
 	ml_text json;
 };
@@ -424,6 +551,27 @@
 #define ML_TOKENS 15
 extern  ml_tokens_res * ml_tokens_1(ml_tokens_args *, CLIENT *);
 extern  ml_tokens_res * ml_tokens_1_svc(ml_tokens_args *, struct svc_req *);
+#define ML_TOKENS_CLASS 16
+extern  ml_tokens_class_res * ml_tokens_class_1(ml_tokens_class_args *, CLIENT *);
+extern  ml_tokens_class_res * ml_tokens_class_1_svc(ml_tokens_class_args *, struct svc_req *);
+#define ML_MEMBER_LOAD 17
+extern  ml_member_load_res * ml_member_load_1(ml_member_load_args *, CLIENT *);
+extern  ml_member_load_res * ml_member_load_1_svc(ml_member_load_args *, struct svc_req *);
+#define ML_PREOPEN 18
+extern  ml_none * ml_preopen_1(ml_preopen_args *, CLIENT *);
+extern  ml_none * ml_preopen_1_svc(ml_preopen_args *, struct svc_req *);
+#define ML_RELAY 19
+extern  ml_relay_res * ml_relay_1(ml_relay_args *, CLIENT *);
+extern  ml_relay_res * ml_relay_1_svc(ml_relay_args *, struct svc_req *);
+#define ML_STANDING 20
+extern  ml_standing_res * ml_standing_1(ml_standing_args *, CLIENT *);
+extern  ml_standing_res * ml_standing_1_svc(ml_standing_args *, struct svc_req *);
+#define ML_MOVE_PRIMARY 21
+extern  ml_move_primary_res * ml_move_primary_1(ml_move_primary_args *, CLIENT *);
+extern  ml_move_primary_res * ml_move_primary_1_svc(ml_move_primary_args *, struct svc_req *);
+#define ML_REBALANCE 22
+extern  ml_status_res * ml_rebalance_1(ml_rebalance_args *, CLIENT *);
+extern  ml_status_res * ml_rebalance_1_svc(ml_rebalance_args *, struct svc_req *);
 extern int mangoloom_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -472,6 +620,27 @@
 #define ML_TOKENS 15
 extern  ml_tokens_res * ml_tokens_1();
 extern  ml_tokens_res * ml_tokens_1_svc();
+#define ML_TOKENS_CLASS 16
+extern  ml_tokens_class_res * ml_tokens_class_1();
+extern  ml_tokens_class_res * ml_tokens_class_1_svc();
+#define ML_MEMBER_LOAD 17
+extern  ml_member_load_res * ml_member_load_1();
+extern  ml_member_load_res * ml_member_load_1_svc();
+#define ML_PREOPEN 18
+extern  ml_none * ml_preopen_1();
+extern  ml_none * ml_preopen_1_svc();
+#define ML_RELAY 19
+extern  ml_relay_res * ml_relay_1();
+extern  ml_relay_res * ml_relay_1_svc();
+#define ML_STANDING 20
+extern  ml_standing_res * ml_standing_1();
+extern  ml_standing_res * ml_standing_1_svc();
+#define ML_MOVE_PRIMARY 21
+extern  ml_move_primary_res * ml_move_primary_1();
+extern  ml_move_primary_res * ml_move_primary_1_svc();
+#define ML_REBALANCE 22
+extern  ml_status_res * ml_rebalance_1();
+extern  ml_status_res * ml_rebalance_1_svc();
 extern int mangoloom_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -513,6 +682,21 @@
 extern  bool_t xdr_ml_yield_args (XDR *, ml_yield_args*);
 extern  bool_t xdr_ml_yield_res (XDR *, ml_yield_res*);
 extern  bool_t xdr_ml_reach_args (XDR *, ml_reach_args*);
+extern  bool_t xdr_ml_tokens_class_args (XDR *, ml_tokens_class_args*);
+extern  bool_t xdr_ml_tokens_class_res (XDR *, ml_tokens_class_res*);
+extern  bool_t xdr_ml_member_want (XDR *, ml_member_want*);
+extern  bool_t xdr_ml_member_load_args (XDR *, ml_member_load_args*);
+extern  bool_t xdr_ml_member_load (XDR *, ml_member_load*);
+extern  bool_t xdr_ml_member_load_res (XDR *, ml_member_load_res*);
+extern  bool_t xdr_ml_preopen_args (XDR *, ml_preopen_args*);
+extern  bool_t xdr_ml_relay_args (XDR *, ml_relay_args*);
+extern  bool_t xdr_ml_relay_res (XDR *, ml_relay_res*);
+extern  bool_t xdr_ml_origin (XDR *, ml_origin*);
+extern  bool_t xdr_ml_standing_args (XDR *, ml_standing_args*);
+extern  bool_t xdr_ml_standing_res (XDR *, ml_standing_res*);
+extern  bool_t xdr_ml_move_primary_args (XDR *, ml_move_primary_args*);
+extern  bool_t xdr_ml_move_primary_res (XDR *, ml_move_primary_res*);
+extern  bool_t xdr_ml_rebalance_args (XDR *, ml_rebalance_args*);
 extern  bool_t xdr_ml_status_res (XDR *, ml_status_res*);
 
 #else /* K&R C */
@@ -551,6 +735,21 @@
 extern bool_t xdr_ml_yield_args ();
 extern bool_t xdr_ml_yield_res ();
 extern bool_t xdr_ml_reach_args ();
+extern bool_t xdr_ml_tokens_class_args ();
+extern bool_t xdr_ml_tokens_class_res ();
+extern bool_t xdr_ml_member_want ();
+extern bool_t xdr_ml_member_load_args ();
+extern bool_t xdr_ml_member_load ();
+extern bool_t xdr_ml_member_load_res ();
+extern bool_t xdr_ml_preopen_args ();
+extern bool_t xdr_ml_relay_args ();
+extern bool_t xdr_ml_relay_res ();
+extern bool_t xdr_ml_origin ();
+extern bool_t xdr_ml_standing_args ();
+extern bool_t xdr_ml_standing_res ();
+extern bool_t xdr_ml_move_primary_args ();
+extern bool_t xdr_ml_move_primary_res ();
+extern bool_t xdr_ml_rebalance_args ();
 extern bool_t xdr_ml_status_res ();
 
 #endif /* K&R C */
--- a/src/mango.x
+++ b/src/mango.x
@@ -16,6 +16,9 @@
 const ML_TEAMS_MAX = 4096;
 const ML_ENTRIES_MAX = 65536;
 const ML_TERMS_MAX = 8;
+const ML_MEMBERS_MAX = 8;
+const ML_CLASSES = 4;
+const ML_ORIGINS_MAX = 16;
 
 typedef string ml_name<ML_NAME_MAX>;
 typedef string ml_text<ML_TEXT_MAX>;
@@ -321,6 +324,115 @@
 	ml_name member;
 };
 
+/* As ml_tokens_args, for requests of one priority class. */
+struct ml_tokens_class_args {
+	ml_name team;
+	unsigned int want;
+	unsigned int priority;		/* of the requests; 0 is the most urgent */
+	unsigned hyper patience_us;	/* how long the requests can wait for a token */
+};
+
+struct ml_tokens_class_res {
+	unsigned int granted;
+	unsigned hyper next_us;		/* time until the next token of the class that is not promised; 0: not known */
+};
+
+/* Connections that a reader would use on a member. */
+struct ml_member_want {
+	ml_name member;
+	unsigned int connections;
+	unsigned int in_flight;		/* statements of the reader in progress on it */
+};
+
+/* Asks the owner of a group for its newest mark and for the load of the members. */
+struct ml_member_load_args {
+	ml_name pool;
+	ml_name vm;
+	ml_name data_center;
+	ml_member_want wants<ML_MEMBERS_MAX>;
+};
+
+struct ml_member_load {
+	ml_name member;
+	unsigned int in_flight;		/* statements of all senders in progress on it */
+	unsigned int waiting;		/* statements that wait for it */
+	unsigned int connections_left;
+	unsigned int service_us[ML_CLASSES];	/* time of a statement by class; 0: not known */
+	unsigned int granted;		/* connections that the reader may hold */
+	bool unsteady;			/* slow, failing or flapping lately */
+};
+
+struct ml_member_load_res {
+	bool serving;
+	ml_pos mark;			/* includes all writes acknowledged more than mark_age_us ago */
+	unsigned hyper mark_age_us;
+	unsigned hyper owner_revision;
+	ml_name primary;
+	ml_member_load loads<ML_MEMBERS_MAX>;
+};
+
+/* Tells the owner that a statement of the team is about to follow. */
+struct ml_preopen_args {
+	ml_name pool;
+	ml_name team;
+	unsigned int priority;
+	bool primary;
+};
+
+/* A statement that is sent through another VM, because the sender does not reach the receiver. */
+struct ml_relay_args {
+	ml_name to;			/* RPC address of the receiver */
+	ml_name via;			/* name of the VM that sends it */
+	unsigned int hops;		/* 1; a relayed statement is not relayed again */
+	ml_run_args run;
+};
+
+struct ml_relay_res {
+	bool tried;			/* false: it was not sent on */
+	ml_run_res run;
+};
+
+/* Where the statements for a group's primary come from. */
+struct ml_origin {
+	ml_name data_center;
+	double per_s;
+};
+
+/* Asks a VM where the primary of a group stands and why. */
+struct ml_standing_args {
+	ml_name pool;
+};
+
+struct ml_standing_res {
+	bool own;
+	ml_name primary;
+	ml_name data_center;
+	unsigned hyper moved_age_us;	/* since the primary was last moved on request or by plan; 0: not known */
+	unsigned hyper changes_age_us;	/* since the last change of primary; 0: not known */
+	ml_origin origins<ML_ORIGINS_MAX>;
+	ml_text why;
+};
+
+/* Asks the owner of a group to move the primary to another data centre by a planned change. */
+struct ml_move_primary_args {
+	ml_name pool;
+	ml_name data_center;
+	bool dry_run;
+	unsigned hyper revision;	/* of the group's record that the plan was made from */
+};
+
+struct ml_move_primary_res {
+	bool ok;
+	ml_text why;
+};
+
+/* Asks a VM for a plan of where primaries are to stand, and to carry it out. */
+struct ml_rebalance_args {
+	bool dry_run;
+	ml_name pool;			/* "": all groups */
+	ml_name data_center;		/* "": the plan chooses */
+};
+
 struct ml_status_res {
 	ml_text json;
 };
@@ -342,5 +454,12 @@
 		ml_yield_res ML_YIELD(ml_yield_args) = 13;
 		ml_none ML_REACH(ml_reach_args) = 14;
 		ml_tokens_res ML_TOKENS(ml_tokens_args) = 15;
+		ml_tokens_class_res ML_TOKENS_CLASS(ml_tokens_class_args) = 16;
+		ml_member_load_res ML_MEMBER_LOAD(ml_member_load_args) = 17;
+		ml_none ML_PREOPEN(ml_preopen_args) = 18;
+		ml_relay_res ML_RELAY(ml_relay_args) = 19;
+		ml_standing_res ML_STANDING(ml_standing_args) = 20;
+		ml_move_primary_res ML_MOVE_PRIMARY(ml_move_primary_args) = 21;
+		ml_status_res ML_REBALANCE(ml_rebalance_args) = 22;
 	} = 1;
 } = 0x20004d4c;
--- a/src/mango_xdr.c
+++ b/src/mango_xdr.c
@@ -808,6 +808,312 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ml_tokens_class_args (XDR *xdrs, ml_tokens_class_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->want))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->patience_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_tokens_class_res (XDR *xdrs, ml_tokens_class_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->next_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_member_want (XDR *xdrs, ml_member_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_member_load_args (XDR *xdrs, ml_member_load_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->data_center))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wants.wants_val, (u_int *) &objp->wants.wants_len, ML_MEMBERS_MAX,
+		sizeof (ml_member_want), (xdrproc_t) xdr_ml_member_want))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_member_load (XDR *xdrs, ml_member_load *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_ml_name (xdrs, &objp->member))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (5 +  ML_CLASSES )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->connections_left))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->service_us, ML_CLASSES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unsteady))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->in_flight);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->connections_left);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->service_us;
+					i < ML_CLASSES; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			IXDR_PUT_U_LONG(buf, objp->granted);
+			IXDR_PUT_BOOL(buf, objp->unsteady);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_ml_name (xdrs, &objp->member))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (5 +  ML_CLASSES )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->connections_left))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->service_us, ML_CLASSES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unsteady))
+				 return FALSE;
+		} else {
+			objp->in_flight = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->connections_left = IXDR_GET_U_LONG(buf);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->service_us;
+					i < ML_CLASSES; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			objp->granted = IXDR_GET_U_LONG(buf);
+			objp->unsteady = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_ml_name (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->connections_left))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->service_us, ML_CLASSES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unsteady))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_member_load_res (XDR *xdrs, ml_member_load_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	 if (!xdr_ml_pos (xdrs, &objp->mark))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mark_age_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->owner_revision))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->primary))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, ML_MEMBERS_MAX,
+		sizeof (ml_member_load), (xdrproc_t) xdr_ml_member_load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_preopen_args (XDR *xdrs, ml_preopen_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->team))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->primary))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_relay_args (XDR *xdrs, ml_relay_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->via))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_ml_run_args (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_relay_res (XDR *xdrs, ml_relay_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->tried))
+		 return FALSE;
+	 if (!xdr_ml_run_res (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_origin (XDR *xdrs, ml_origin *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->data_center))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->per_s))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_standing_args (XDR *xdrs, ml_standing_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_standing_res (XDR *xdrs, ml_standing_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->own))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->primary))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->data_center))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->moved_age_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->changes_age_us))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->origins.origins_val, (u_int *) &objp->origins.origins_len, ML_ORIGINS_MAX,
+		sizeof (ml_origin), (xdrproc_t) xdr_ml_origin))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->why))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_move_primary_args (XDR *xdrs, ml_move_primary_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->data_center))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->dry_run))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_move_primary_res (XDR *xdrs, ml_move_primary_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ok))
+		 return FALSE;
+	 if (!xdr_ml_text (xdrs, &objp->why))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ml_rebalance_args (XDR *xdrs, ml_rebalance_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->dry_run))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_ml_name (xdrs, &objp->data_center))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ml_status_res (XDR *xdrs, ml_status_res *objp)
 {
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -89,7 +89,7 @@
 struct rpc *rpc_of(struct kernel *k);
 
 /** Table of the procedures, indexed by number; the procedure 0 is a ping. */
-#define RPC_PROCS 16
+#define RPC_PROCS 23
 extern const struct rpc_proc rpc_procs[RPC_PROCS];
 
 #endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -83,6 +83,35 @@
 	FIELD(rate_slack, "slack", SCHEMA_DOUBLE, .min = 0, .max = 1e6, .fallback = "0"),
 };
 
+static const struct schema_field admission_fields[] = {
+	FIELD(admission_by_priority, "by_priority", SCHEMA_BOOL),
+};
+
+static const struct schema_field connection_fields[] = {
+	FIELD(connection_budget, "budget", SCHEMA_BOOL),
+	FIELD(connection_urgent_share, "urgent_share", SCHEMA_DOUBLE, .min = 0, .max = 0.5,
+	      .fallback = "0.1"),
+	FIELD(connection_resting_share, "resting_share", SCHEMA_DOUBLE, .min = 0.1, .max = 1,
+	      .fallback = "0.5"),
+	FIELD(connection_preopen, "preopen", SCHEMA_BOOL),
+};
+
+static const struct schema_field queue_fields[] = {
+	FIELD(queue_by_aim, "by_aim", SCHEMA_BOOL),
+};
+
+static const struct schema_field placement_fields[] = {
+	FIELD(member_load, "member_load", SCHEMA_BOOL),
+	FIELD(rebalance, "rebalance", SCHEMA_CHOICE, .fallback = "off",
+	      .choices = {"off", "manual", "auto"}),
+	FIELD(rebalance_pause_s, "rebalance_pause_s", SCHEMA_UINT, .min = 1, .max = 86400,
+	      .fallback = "60"),
+};
+
+static const struct schema_field path_fields[] = {
+	FIELD(relay, "relay", SCHEMA_BOOL),
+};
+
 static const struct schema_field log_fields_table[] = {
 	FIELD(log_path, "path", SCHEMA_PATH),
 	FIELD(log_format, "format", SCHEMA_CHOICE, .fallback = "text", .choices = {"text", "json"}),
@@ -108,6 +137,11 @@
 	{"rpc", rpc_fields, G_N_ELEMENTS(rpc_fields), rpc_other_keys},
 	{"databases", database_fields, G_N_ELEMENTS(database_fields), NULL},
 	{"rates", rate_fields, G_N_ELEMENTS(rate_fields), NULL},
+	{"admission", admission_fields, G_N_ELEMENTS(admission_fields), NULL},
+	{"connections", connection_fields, G_N_ELEMENTS(connection_fields), NULL},
+	{"queue", queue_fields, G_N_ELEMENTS(queue_fields), NULL},
+	{"placement", placement_fields, G_N_ELEMENTS(placement_fields), NULL},
+	{"paths", path_fields, G_N_ELEMENTS(path_fields), NULL},
 	{"log", log_fields_table, G_N_ELEMENTS(log_fields_table), NULL},
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -20,6 +20,13 @@
 	PLATFORM_PREPARED, /**< store, callers and members: protocols of platform/ */
 };
 
+/** When primaries are moved to other data centres although nothing has failed. */
+enum settings_rebalance {
+	REBALANCE_OFF,	  /**< never */
+	REBALANCE_MANUAL, /**< on an operator's request */
+	REBALANCE_AUTO,	  /**< also by plan */
+};
+
 struct settings {
 	char name[NAME_SIZE];
 	char data_center[NAME_SIZE];
@@ -75,6 +82,18 @@
 	double rate_overshoot; /**< fraction of the limit by which a window may exceed it */
 	double rate_slack; /**< number of requests by which a window may also exceed its limit */
 
+	bool admission_by_priority;	 /**< a team's tokens go to its urgent requests first */
+	bool connection_budget;		 /**< connections are kept, granted and bounded by need */
+	double connection_urgent_share;	 /**< fraction of a member's connections that only the most
+					      urgent class may open */
+	double connection_resting_share; /**< limit of the fraction held by idle transactions */
+	bool connection_preopen; /**< connections are opened before the statement that needs them */
+	bool queue_by_aim;	 /**< queues are ordered by class and target latency */
+	bool member_load;	 /**< owners pass the load of members to readers */
+	int rebalance;		 /**< enum settings_rebalance */
+	unsigned rebalance_pause_s; /**< a group's primary is not moved again within this time */
+	bool relay; /**< statements go through another VM when their owner is not reached */
+
 	char log_path[SCHEMA_PATH_SIZE];
 	int log_format;
 	int log_level;
