Owner: choice of the member and dispatch in files of their own; counters by class

owner-queue.c held admission, the choice of the member and the dispatch of jobs. Parts C and D of docs/design/load-and-paths.md change the last two side by side, so they move to owner-dispatch.c and owner-pick.c, with no change of behaviour. stat.c gets counters by priority class for these parts.

Checked: make lint; the unit tests.

--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -1,8 +1,7 @@
-/** @file owner-queue.c Queues of statements at the owner, and the choice of the member for each. */
+/** @file owner-queue.c Queues of statements at the owner: admission, refusal and expiry. */
 #include "owner.h"
 
 #include "log.h"
-#include "place.h"
 #include "shares.h"
 #include "stat.h"
 
@@ -17,14 +16,6 @@
 #define MARK_MAX_AGE_US (250 * USEC_PER_MSEC)
 /** Most statements that wait in one queue of a group. */
 #define QUEUE_MAX 2000
-/**
- * How long the known position of a replica is used to rule it out. After that the replica may have
- * caught up, and asking it costs one round trip.
- */
-#define POSITION_FRESH_US (30 * USEC_PER_MSEC)
-/** Most jobs without a member that one round moves from a queue to the list held. */
-#define BLOCKED_MAX 4
-
 void queue_init(struct owner_group *g)
 {
 	unsigned i;
@@ -54,132 +45,6 @@
 	return job->needs_primary ? &job->g->write_queue[priority] : &job->g->read_queue[priority];
 }
 
-static bool member_has_room(const struct owner_member *m)
-{
-	return m->in_flight < m->conf.slots + PLACE_PIPELINE_DEPTH;
-}
-
-/** Whether the limit of a cold member allows a statement now. */
-static bool cold_admits(struct owner_member *m, int64_t now)
-{
-	return !m->conf.cold || bucket_wait_us(&m->cold_bucket, 1, now) == 0;
-}
-
-/**
- * Whether a member may serve reads. The limit of a cold member is kept by the owner alone, so other
- * VMs do not use it.
- */
-static bool member_usable(const struct owner_member *m)
-{
-	if (m->conf.cold && !owner_group_is_own(m->g))
-		return false;
-	return m->listed && !m->down && !conf_member_leaves(&m->conf);
-}
-
-/* Choice of the member */
-
-/** Whether a replica may hold @a need and has not failed to serve this job. */
-static bool replica_fits(const struct owner_job *job, const struct owner_member *m, struct pos need,
-			 int64_t now)
-{
-	if (job->tried_members & (1U << m->index))
-		return false;
-	return pos_cmp(m->pos, need) >= 0 || now - m->pos_updated_us > POSITION_FRESH_US;
-}
-
-/**
- * Whether the member at @a i is the primary. A VM that does not own the group uses the last report
- * of the owner.
- */
-static bool is_primary(const struct owner_group *g, unsigned i)
-{
-	if (owner_group_is_own(g))
-		return (int)i == g->primary;
-	return strcmp(g->member[i].conf.name, g->reported_primary) == 0;
-}
-
-/** Whether statements may be sent to the primary now. */
-static bool primary_usable(const struct owner_group *g, const struct owner_member *m)
-{
-	return g->state == OWNER_SERVING && owner_group_may_send(g) && !m->down;
-}
-
-/** Returns the primary if it can take the statement now, else NULL. */
-static struct owner_member *pick_primary(const struct owner_job *job, int64_t now)
-{
-	struct owner_group *g = job->g;
-	struct owner_member *m = owner_group_primary(g);
-
-	if (m == NULL || !primary_usable(g, m) || !member_has_room(m) ||
-	    !conn_available(m, job->args->team) || !cold_admits(m, now))
-		return NULL;
-	return m;
-}
-
-/**
- * Whether @a m can serve the read as far as this VM knows. @param need required position, or NULL
- * if unknown
- */
-static bool member_fits(const struct owner_job *job, const struct owner_member *m,
-			const struct pos *need, int64_t now)
-{
-	const struct owner_group *g = job->g;
-
-	if (owner_group_is_own(g) && is_primary(g, m->index))
-		return primary_usable(g, m);
-	return need != NULL && member_usable(m) && replica_fits(job, m, *need, now);
-}
-
-/** Chooses the member for a read among those that its reader may use. */
-static struct place_outcome pick_reader(const struct owner_job *job, int64_t now)
-{
-	struct owner_group *g = job->g;
-	const char *here = g->o->service.kernel->settings->data_center;
-	bool only_local = job->args->reader == READER_LOCAL && !owner_group_is_own(g) &&
-			  owner_group_has_member(g, here);
-	struct place_member p[GROUP_MEMBERS_MAX] = {0};
-	struct pos need;
-	bool known = job_needed_pos(job, &need);
-	unsigned i;
-
-	for (i = 0; i < g->n; i++) {
-		struct owner_member *m = &g->member[i];
-
-		p[i].near = strcmp(m->conf.data_center, here) == 0;
-		if ((only_local && !p[i].near) || !member_fits(job, m, known ? &need : NULL, now))
-			continue;
-		p[i].fits = true;
-		p[i].free = conn_available(m, job->args->team) && cold_admits(m, now);
-		p[i].ready = conn_ready(m, job->args->team);
-		p[i].primary = is_primary(g, i);
-		p[i].last = conf_member_leaves(&m->conf) || !owner_group_is_own(g);
-		p[i].out = m->in_flight;
-		p[i].slots = m->conf.slots;
-		p[i].service_us = m->service_us;
-	}
-	return place_read(p, g->n);
-}
-
-/**
- * Chooses the member for a job. @param unservable set if no member of this VM will ever serve it,
- * so that the owner must be asked
- */
-static struct owner_member *pick(const struct owner_job *job, int64_t now, bool *unservable)
-{
-	struct owner_group *g = job->g;
-	struct place_outcome p;
-
-	*unservable = false;
-	if (now < job->not_before_us)
-		return NULL;
-	if (job->needs_primary)
-		return pick_primary(job, now);
-	p = pick_reader(job, now);
-	*unservable = p.verdict == PLACE_NONE && job->args->reader != READER_OWNER &&
-		      !owner_group_is_own(g);
-	return p.verdict == PLACE_MEMBER ? &g->member[p.member] : NULL;
-}
-
 /* Refusing statements */
 
 static void refuse(struct rpc_request *rq, const ml_run_args *a, const struct owner_group *g,
@@ -223,8 +88,7 @@
 
 /* Queueing and starting */
 
-/** Ends a read that no member of this VM will serve, so that its entry asks the owner. */
-static void end_unservable(struct owner_job *job)
+void queue_end_unservable(struct owner_job *job)
 {
 	const struct owner_group *g = job->g;
 
@@ -237,115 +101,6 @@
 	job_end(job, OUTCOME_BEHIND, NULL, 0);
 }
 
-/** Starts the jobs of the list held that a member can serve now. */
-static void dispatch_held(struct owner_group *g, int64_t now)
-{
-	struct owner_job *job, *next;
-
-	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
-		bool unservable;
-		struct owner_member *m = pick(job, now, &unservable);
-
-		if (unservable) {
-			TAILQ_REMOVE(&g->held, job, link);
-			end_unservable(job);
-			continue;
-		}
-		if (m == NULL)
-			continue;
-		TAILQ_REMOVE(&g->held, job, link);
-		if (!job_start(job, m)) {
-			TAILQ_INSERT_TAIL(&g->held, job, link);
-			return;
-		}
-	}
-}
-
-/**
- * Starts jobs of @a q. A job that no member can serve now is moved to the list held, so that it
- * does not block the jobs behind it. After BLOCKED_MAX such jobs no more are taken from the queue.
- */
-static void dispatch_queue(struct owner_group *g, struct fairq *q, int64_t now)
-{
-	unsigned blocked = 0;
-	struct fairq_item *item;
-
-	while (blocked < BLOCKED_MAX && (item = fairq_next(q)) != NULL) {
-		struct owner_job *job = (struct owner_job *)item;
-		bool unservable;
-		struct owner_member *m = pick(job, now, &unservable);
-
-		if (unservable) {
-			end_unservable(job);
-			continue;
-		}
-		if (m != NULL && job_start(job, m))
-			continue;
-		TAILQ_INSERT_TAIL(&g->held, job, link);
-		blocked++;
-	}
-}
-
-static bool read_room(const struct owner_group *g)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n; i++) {
-		if (member_usable(&g->member[i]) && member_has_room(&g->member[i]))
-			return true;
-	}
-	return false;
-}
-
-static bool write_room(struct owner_group *g)
-{
-	const struct owner_member *m = owner_group_primary(g);
-
-	return m != NULL && g->state == OWNER_SERVING && member_has_room(m);
-}
-
-static unsigned held_count(const struct owner_group *g, bool needs_primary)
-{
-	const struct owner_job *job;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(job, &g->held, link)
-		n += job->needs_primary == needs_primary ? 1 : 0;
-	return n;
-}
-
-/**
- * Most jobs in the list held, counted apart for primary and reads, before no more are taken from a
- * queue.
- */
-#define HELD_MAX 8
-
-void queue_dispatch(struct owner_group *g)
-{
-	int64_t now = now_us();
-	unsigned i;
-
-	/* Starting a job may end other jobs, which calls this function again. */
-	if (g->dispatching) {
-		g->dispatch_again = true;
-		return;
-	}
-	g->dispatching = true;
-	do {
-		g->dispatch_again = false;
-		dispatch_held(g, now);
-		for (i = 0; i < OWNER_PRIORITIES; i++) {
-			if (write_room(g) && held_count(g, true) < HELD_MAX)
-				dispatch_queue(g, &g->write_queue[i], now);
-		}
-		for (i = 0; i < OWNER_PRIORITIES; i++) {
-			if (read_room(g) && held_count(g, false) < HELD_MAX)
-				dispatch_queue(g, &g->read_queue[i], now);
-		}
-	} while (g->dispatch_again);
-	g->dispatching = false;
-}
-
 /** Whether only the primary may serve the statement. */
 static bool needs_primary(const ml_run_args *a)
 {
--- a/src/owner.h
+++ b/src/owner.h
@@ -20,7 +20,9 @@
  * owner-choose.c  choice of the next primary
  * owner-fence.c   fencing of other senders to the primary
  * owner-watch.c   probes of the members and failure detection
- * owner-queue.c   queues of statements and choice of the member for each
+ * owner-queue.c   queues of statements: admission, refusal and expiry
+ * owner-dispatch.c starts queued statements as members have room
+ * owner-pick.c    choice of the member for a statement
  * owner-job.c     execution of one statement
  * owner-command.c session values and prepared statements sent before a statement
  * owner-conn.c    connections to members and transactions on them
@@ -40,6 +42,7 @@
 #include "member.h"
 #include "outcome.h"
 #include "rpc.h"
+#include "stat.h"
 #include "succession.h"
 
 struct owner;
@@ -59,7 +62,7 @@
 /** Prefix of the role of the VM that is to claim a group whose owner is gone. */
 #define OWNER_ROLE "group "
 /** Number of priority classes. A route with a higher priority number is in the last class. */
-#define OWNER_PRIORITIES 4
+#define OWNER_PRIORITIES STAT_CLASSES
 /** Size of a prepared statement's name: 'r' or 'w', '_', and the shape of the statement. */
 #define OWNER_NAME_MAX 256
 
@@ -461,15 +464,31 @@
 void queue_init(struct owner_group *g);
 void queue_clear(struct owner_group *g);
 void queue_run_serve(struct rpc_request *rq, const void *args, void *owner);
-void queue_dispatch(struct owner_group *g);
 /** Refuses all waiting statements that need the primary, or all waiting ones if @a all. */
 void queue_refuse(struct owner_group *g, bool all, enum outcome o);
 void queue_tick(struct owner_group *g, int64_t now);
+/** Ends a read that no member of this VM will serve, so that its entry asks the owner. */
+void queue_end_unservable(struct owner_job *job);
 /** Returns the queue of a job. */
 struct fairq *queue_of(struct owner_job *job);
 /** Puts a job back to wait for another attempt, or refuses it if its group can't serve it. */
 void queue_retry(struct owner_job *job);
 
+/* owner-dispatch.c */
+/** Starts the waiting statements that a member can serve now. */
+void queue_dispatch(struct owner_group *g);
+
+/* owner-pick.c */
+/**
+ * Chooses the member for a job, or NULL if none can take it now. @param unservable set if no member
+ * of this VM will ever serve it, so that the owner must be asked
+ */
+struct owner_member *pick_member(const struct owner_job *job, int64_t now, bool *unservable);
+/** Whether some member can take a further read. */
+bool pick_read_room(const struct owner_group *g);
+/** Whether the primary can take a further statement. */
+bool pick_write_room(struct owner_group *g);
+
 /* owner-job.c */
 /**
  * Determines the log position that a read, or the begin of a read-only transaction, requires on a
--- a/src/stat.c
+++ b/src/stat.c
@@ -30,6 +30,7 @@
 
 static uint64_t counters[STATS];
 static uint64_t outcomes[OUTCOMES];
+static uint64_t class_counters[STAT_CLASS_IDS][STAT_CLASSES];
 
 static const char *const names[STATS] = {
 	[STAT_CALLERS_OPENED] = "callers_opened",
@@ -68,11 +69,30 @@
 	[STAT_SHARE_ORDERS] = "share_orders",
 };
 
+static const char *const class_names[STAT_CLASS_IDS] = {
+	[STAT_TOKENS_TAKEN] = "tokens_taken",
+	[STAT_TOKENS_WAITED] = "tokens_waited",
+	[STAT_TOKENS_REFUSED] = "tokens_refused",
+	[STAT_OPENINGS] = "openings",
+	[STAT_OPENINGS_AHEAD] = "openings_ahead",
+	[STAT_OPENINGS_AHEAD_USED] = "openings_ahead_used",
+	[STAT_RESTING_REFUSED] = "resting_refused",
+	[STAT_QUEUE_REFUSED_ARRIVAL] = "queue_refused_arrival",
+	[STAT_QUEUE_REFUSED_LATER] = "queue_refused_later",
+	[STAT_QUEUE_IN_AIM] = "queue_in_aim",
+	[STAT_QUEUE_LATE] = "queue_late",
+};
+
 void stat_add(enum stat_id id, uint64_t n)
 {
 	counters[id] += n;
 }
 
+void stat_add_class(enum stat_class_id id, unsigned priority, uint64_t n)
+{
+	class_counters[id][MIN(priority, STAT_CLASSES - 1)] += n;
+}
+
 static struct {
 	const char *name;
 	uint64_t messages[2], bytes[2]; /**< index 0: sent, 1: received */
@@ -150,12 +170,26 @@
 	json_builder_add_int_value(b, (gint64)value);
 }
 
+/** Writes the counter as an array, indexed by class. */
+static void put_class_counter(JsonBuilder *b, enum stat_class_id id)
+{
+	unsigned i;
+
+	json_builder_set_member_name(b, class_names[id]);
+	json_builder_begin_array(b);
+	for (i = 0; i < STAT_CLASSES; i++)
+		json_builder_add_int_value(b, (gint64)class_counters[id][i]);
+	json_builder_end_array(b);
+}
+
 void stat_json(JsonBuilder *b)
 {
 	unsigned i;
 
 	for (i = 0; i < STATS; i++)
 		put_counter(b, names[i], counters[i]);
+	for (i = 0; i < STAT_CLASS_IDS; i++)
+		put_class_counter(b, (enum stat_class_id)i);
 	json_builder_set_member_name(b, "outcomes");
 	json_builder_begin_object(b);
 	for (i = 0; i < OUTCOMES; i++)
@@ -165,10 +199,15 @@
 
 void stat_text(struct evbuffer *out)
 {
-	unsigned i;
+	unsigned i, class;
 
 	for (i = 0; i < STATS; i++)
 		evbuffer_add_printf(out, "mangoloom_%s_total %lu\n", names[i], counters[i]);
+	for (i = 0; i < STAT_CLASS_IDS; i++) {
+		for (class = 0; class < STAT_CLASSES; class ++)
+			evbuffer_add_printf(out, "mangoloom_%s_total{class=\"%u\"} %lu\n",
+					    class_names[i], class, class_counters[i][class]);
+	}
 	for (i = 0; i < OUTCOMES; i++)
 		evbuffer_add_printf(out, "mangoloom_outcomes_total{outcome=\"%s\"} %lu\n",
 				    outcome_text((enum outcome)i)->name, outcomes[i]);
--- a/src/stat.h
+++ b/src/stat.h
@@ -54,6 +54,25 @@
 	STATS
 };
 
+/** Number of priority classes. A route with a higher priority number is in the last class. */
+#define STAT_CLASSES 4
+
+/** Counters that are kept by priority class of the caller's route. */
+enum stat_class_id {
+	STAT_TOKENS_TAKEN,
+	STAT_TOKENS_WAITED, /**< tokens taken after a wait */
+	STAT_TOKENS_REFUSED,
+	STAT_OPENINGS,		    /**< connections opened to members */
+	STAT_OPENINGS_AHEAD,	    /**< of these, before a statement needed one */
+	STAT_OPENINGS_AHEAD_USED,   /**< of these, used by a statement */
+	STAT_RESTING_REFUSED,	    /**< begins refused because of idle transactions */
+	STAT_QUEUE_REFUSED_ARRIVAL, /**< could not be served by its deadline */
+	STAT_QUEUE_REFUSED_LATER,   /**< would miss its deadline after more urgent ones arrived */
+	STAT_QUEUE_IN_AIM,	    /**< answered within the target latency of the route */
+	STAT_QUEUE_LATE,
+	STAT_CLASS_IDS
+};
+
 /** Measured times, one histogram each. The entry measures the times of statements. */
 enum stat_time_id {
 	STAT_TIME_PRIMARY, /**< statement of a route that reads all writes */
@@ -71,6 +90,8 @@
 void stat_add_time(enum stat_time_id id, int64_t us);
 /** Increases the counter @a id by @a n. */
 void stat_add(enum stat_id id, uint64_t n);
+/** Increases the counter @a id of the class @a priority, which may be above the last class. */
+void stat_add_class(enum stat_class_id id, unsigned priority, uint64_t n);
 /** Limit of the procedure numbers whose messages are counted by procedure. */
 #define STAT_PROCEDURES_MAX 32
 /** Counts a message of the RPC procedure @a procedure. @param in whether it was received */
