Queue by class and target latency: the decision

Strict classes serve late answers of an urgent class, worth an eighth to a third, while items of other classes pass their target latency, and the last class can starve. decide/dueq.c holds one fair queue for each class. Without target latencies it serves them in turn as before. With them, items that can still be answered in time go first, by class and fairly between teams; the last class gets one of every 8 dispatches; late items follow by class and deadline. It forecasts the wait from what precedes an item, and names the items that will miss their deadline. Times of a class count only once they were measured. decide/fairq.c gets what that needs: queueing without a check, items set aside that still count, and a search that skips blocked teams.

--- a/decide/fairq.c
+++ b/decide/fairq.c
@@ -19,6 +19,7 @@
 	TAILQ_INIT(&q->idle);
 	q->limit = limit;
 	q->slots = slots > 0 ? slots : 1;
+	q->pass = 1;
 	q->service_us = SERVICE_INITIAL_US;
 }
 
@@ -154,21 +155,52 @@
 		TAILQ_INSERT_TAIL(&q->active, t, link);
 }
 
+struct fairq_team *fairq_team_of(struct fairq *q, const char *name, double weight)
+{
+	struct fairq_team *t = fairq_team_get(q, name);
+
+	t->weight = weight > 1 ? weight : 1;
+	return t;
+}
+
+/*
+ * Without a limit per team, a team that sends several times its rate would fill the queue, and
+ * requests of every other team would be refused because the queue is full.
+ */
+bool fairq_is_full(const struct fairq *q, const struct fairq_team *t)
+{
+	return q->length + q->aside >= q->limit || t->length + t->aside >= fairq_team_limit(q, t);
+}
+
+int64_t fairq_wait_us(const struct fairq *q, const struct fairq_team *t, int64_t deadline_us)
+{
+	return fairq_predict_us(q, t, fairq_ahead(t, deadline_us));
+}
+
+int64_t fairq_wait_behind_us(const struct fairq *q, const struct fairq_team *t, unsigned ahead)
+{
+	return fairq_predict_us(q, t, ahead);
+}
+
+void fairq_put(struct fairq *q, struct fairq_item *item, struct fairq_team *t)
+{
+	item->team = t;
+	fairq_insert(t, item);
+	t->length++;
+	q->length++;
+	if (!t->active)
+		fairq_activate(q, t);
+}
+
 struct fairq_outcome fairq_add(struct fairq *q, struct fairq_item *item, const char *team,
 			       double weight, int64_t now_us)
 {
 	struct fairq_outcome out = {.verdict = FAIRQ_QUEUED};
-	struct fairq_team *t = fairq_team_get(q, team);
-	int64_t wait_us;
+	struct fairq_team *t = fairq_team_of(q, team, weight);
+	int64_t wait_us = fairq_wait_us(q, t, item->deadline_us);
 
-	t->weight = weight > 1 ? weight : 1;
-	wait_us = fairq_predict_us(q, t, fairq_ahead(t, item->deadline_us));
 	out.retry_after_us = wait_us;
-	/*
-	 * Without a limit per team, a team that sends several times its rate would fill the queue,
-	 * and requests of every other team would be refused because the queue is full.
-	 */
-	if (q->length >= q->limit || t->length >= fairq_team_limit(q, t)) {
+	if (fairq_is_full(q, t)) {
 		out.verdict = FAIRQ_FULL;
 		return out;
 	}
@@ -176,12 +208,7 @@
 		out.verdict = FAIRQ_TOO_LATE;
 		return out;
 	}
-	item->team = t;
-	fairq_insert(t, item);
-	t->length++;
-	q->length++;
-	if (!t->active)
-		fairq_activate(q, t);
+	fairq_put(q, item, t);
 	return out;
 }
 
@@ -242,6 +269,91 @@
 	}
 }
 
+void fairq_set_aside(struct fairq *q, struct fairq_item *item)
+{
+	struct fairq_team *t = item->team;
+
+	fairq_unlink(q, item);
+	t->aside++;
+	q->aside++;
+}
+
+void fairq_end_aside(struct fairq *q, struct fairq_team *t)
+{
+	t->aside--;
+	q->aside--;
+}
+
+void fairq_begin_pass(struct fairq *q)
+{
+	q->pass++;
+}
+
+unsigned fairq_servable(const struct fairq *q)
+{
+	const struct fairq_team *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &q->active, link)
+		n += fairq_skipped(q, t) ? 0 : t->length;
+	return n;
+}
+
+/** Returns the team's first item that fits; marks the team as skipped if there is none. */
+static struct fairq_item *fairq_first_fit(struct fairq *q, struct fairq_team *t, fairq_fits fits,
+					  void *arg)
+{
+	struct fairq_item *item;
+
+	TAILQ_FOREACH(item, &t->items, link) {
+		enum fairq_fit fit = fits(item, arg);
+
+		if (fit == FAIRQ_FITS)
+			return item;
+		if (fit == FAIRQ_SKIP_TEAM)
+			break;
+	}
+	t->skipped = q->pass;
+	return NULL;
+}
+
+/** Returns the first team in the round that is not skipped, or NULL. */
+static struct fairq_team *fairq_turn(const struct fairq *q)
+{
+	struct fairq_team *t;
+
+	TAILQ_FOREACH(t, &q->active, link) {
+		if (!fairq_skipped(q, t))
+			return t;
+	}
+	return NULL;
+}
+
+struct fairq_item *fairq_next_fit(struct fairq *q, fairq_fits fits, void *arg)
+{
+	double quantum = fairq_largest_weight(q);
+	struct fairq_team *t;
+
+	while ((t = fairq_turn(q)) != NULL) {
+		struct fairq_item *item;
+
+		if (t->deficit < 1) {
+			t->deficit += t->weight / quantum;
+			q->turns++;
+			TAILQ_REMOVE(&q->active, t, link);
+			TAILQ_INSERT_TAIL(&q->active, t, link);
+			continue;
+		}
+		item = fairq_first_fit(q, t, fits, arg);
+		if (item == NULL)
+			continue;
+		t->deficit -= 1;
+		fairq_unlink(q, item);
+		return item;
+	}
+	return NULL;
+}
+
 void fairq_remove(struct fairq *q, struct fairq_item *item)
 {
 	if (item->team != NULL)
