Owner and home: queues by class and target latency

The queues of a group and of a home are dueq queues. With [queue] by_aim on and routes of the pool that state target latencies, the owner orders its two queues by them; otherwise they are the strict classes of before, with the same list of held jobs and its bounds.

Jobs that will miss their deadline are ended on arrival, after an arrival that precedes them, or by the tick, with the forecast as the retry time. The line `refused` gains class, aim_left_ms and forecast_us; with target latencies it is also written for refusals by the queue. Counters by class: refused on arrival and later, answered within the target latency and late.

--- a/src/home-job.c
+++ b/src/home-job.c
@@ -61,7 +61,7 @@
 	struct home_member *m = job->m;
 
 	m->running--;
-	fairq_record_service(&m->queue, now_us() - job->started_us);
+	dueq_record_service(&m->queue, HOME_CLASS, now_us() - job->started_us);
 	event_active(m->dispatch, EV_TIMEOUT, 0);
 }
 
--- a/src/home-queue.c
+++ b/src/home-queue.c
@@ -25,13 +25,13 @@
 static struct home_job *next_job(struct home_member *m)
 {
 	struct home_job *job = TAILQ_FIRST(&m->waiting_begin);
-	struct fairq_item *item;
+	struct dueq_item *item;
 
 	if (job != NULL && home_tx_may_begin(m)) {
 		TAILQ_REMOVE(&m->waiting_begin, job, link);
 		return job;
 	}
-	while ((item = fairq_next(&m->queue)) != NULL) {
+	while ((item = dueq_next(&m->queue, now_us())) != NULL) {
 		job = (struct home_job *)item;
 		if (job->args->control != ML_CONTROL_BEGIN || home_tx_may_begin(m))
 			return job;
@@ -43,7 +43,7 @@
 void home_dispatch(struct home_member *m)
 {
 	while (m->running < m->conf.slots) {
-		bool waiting = m->queue.length > 0 ||
+		bool waiting = dueq_length(&m->queue) > 0 ||
 			       (!TAILQ_EMPTY(&m->waiting_begin) && home_tx_may_begin(m));
 		struct home_conn *c = home_conn_idle(m);
 		struct home_job *job;
@@ -65,10 +65,10 @@
 
 void home_refuse_waiting(struct home_member *m, enum outcome o)
 {
-	struct fairq_item *item;
+	struct dueq_item *item;
 	struct home_job *job;
 
-	while ((item = fairq_next(&m->queue)) != NULL)
+	while ((item = dueq_next(&m->queue, now_us())) != NULL)
 		home_job_end((struct home_job *)item, o, 0);
 	while ((job = TAILQ_FIRST(&m->waiting_begin)) != NULL) {
 		TAILQ_REMOVE(&m->waiting_begin, job, link);
@@ -78,11 +78,12 @@
 
 void home_expire_waiting(struct home_member *m, int64_t now)
 {
-	int64_t retry = (int64_t)(m->queue.service_us * m->queue.length / m->queue.slots);
-	struct fairq_item *item;
+	const struct fairq *q = &m->queue.class[HOME_CLASS];
+	int64_t retry = (int64_t)(q->service_us * q->length / q->slots);
+	struct dueq_item *item;
 	struct home_job *job, *next;
 
-	while ((item = fairq_expired(&m->queue, now)) != NULL)
+	while ((item = dueq_expired(&m->queue, now)) != NULL)
 		home_job_end((struct home_job *)item, OUTCOME_TOO_LATE, retry);
 	TAILQ_FOREACH_SAFE(job, &m->waiting_begin, link, next) {
 		if (job->deadline_us > now)
@@ -139,7 +140,8 @@
 	job->args = a;
 	job->started_us = now_us();
 	job->deadline_us = job->started_us + (int64_t)a->deadline_us;
-	job->item.deadline_us = job->deadline_us;
+	job->item.class = HOME_CLASS;
+	job->item.aim_us = job->item.deadline_us = job->deadline_us;
 	m->jobs++;
 	m->home->jobs++;
 	return job;
@@ -190,7 +192,7 @@
 		return;
 	}
 	job = job_create(m, rq, a);
-	queued = fairq_add(&m->queue, &job->item, a->team, a->weight, job->started_us);
+	queued = dueq_add(&m->queue, &job->item, a->team, a->weight, job->started_us);
 	if (queued.verdict != FAIRQ_QUEUED) {
 		home_job_end(job,
 			     queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
--- a/src/home.c
+++ b/src/home.c
@@ -48,7 +48,7 @@
 	m->conf = pool->member[i];
 	m->confirm = pool->confirm;
 	m->configured = true;
-	m->queue.slots = m->conf.slots;
+	dueq_set_base_slots(&m->queue, m->conf.slots);
 	for (j = 0; j < pool->n; j++)
 		names[j] = pool->member[j].name;
 	group_set_members(&m->view, names, pool->n);
@@ -63,7 +63,7 @@
 
 	m->home = h;
 	g_strlcpy(m->pool, pool->name, sizeof(m->pool));
-	fairq_init(&m->queue, h->service.kernel->settings->queue_max, pool->member[i].slots);
+	dueq_init(&m->queue, h->service.kernel->settings->queue_max, pool->member[i].slots);
 	TAILQ_INIT(&m->conns);
 	TAILQ_INIT(&m->txs);
 	TAILQ_INIT(&m->waiting_begin);
@@ -96,7 +96,7 @@
 	while ((c = TAILQ_FIRST(&m->conns)) != NULL)
 		home_conn_close(c);
 	event_free(m->dispatch);
-	fairq_clear(&m->queue);
+	dueq_clear(&m->queue);
 	TAILQ_REMOVE(&h->members, m, link);
 	g_hash_table_remove(h->by_name, key);
 	g_free(key);
@@ -335,7 +335,7 @@
 		put_int(b, "term", (int64_t)term);
 		put_int(b, "lsn", (int64_t)v->report.received.lsn);
 		put_int(b, "placed", m->placed);
-		put_int(b, "queued", m->queue.length);
+		put_int(b, "queued", dueq_length(&m->queue));
 		put_int(b, "running", m->running);
 		put_int(b, "connections", m->n_conns);
 		put_int(b, "transactions", m->n_pinned);
--- a/src/home.h
+++ b/src/home.h
@@ -22,7 +22,7 @@
 #include "conf.h"
 #include "db.h"
 #include "failover.h"
-#include "fairq.h"
+#include "dueq.h"
 #include "group.h"
 #include "kernel.h"
 #include "outcome.h"
@@ -58,6 +58,9 @@
 };
 TAILQ_HEAD(home_conns, home_conn);
 
+/** Class of all requests in the queue of a home: the message of an entry has none. */
+#define HOME_CLASS 0
+
 /** A caller's open transaction. */
 struct home_tx {
 	TAILQ_ENTRY(home_tx) link;
@@ -83,7 +86,7 @@
 
 /** One statement received from an entry. */
 struct home_job {
-	struct fairq_item item;
+	struct dueq_item item;
 	TAILQ_ENTRY(home_job) link; /**< in waiting_begin or unconfirmed */
 	struct home_member *m;
 	struct rpc_request *rq;
@@ -115,9 +118,9 @@
 	bool placed;	 /**< this VM is its home according to the present membership */
 	int64_t used_us;
 
-	struct fairq queue;
-	unsigned running; /**< jobs that occupy a slot */
-	unsigned jobs;	  /**< jobs that are not answered yet */
+	struct dueq queue; /**< in strict order: requests have neither class nor target latency */
+	unsigned running;  /**< jobs that occupy a slot */
+	unsigned jobs;	   /**< jobs that are not answered yet */
 	struct home_conns conns;
 	unsigned n_conns;
 	unsigned n_opening;
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -113,6 +113,9 @@
 		res.mark_age_us = (u_int)MIN(now - g->marks.newest.asked_us, UINT_MAX);
 	}
 	job_fill_owner(&res, g, job->args->owner_revision);
+	if (o == OUTCOME_DONE && job->has_aim && job->tx == NULL)
+		stat_add_class(now <= job->item.aim_us ? STAT_QUEUE_IN_AIM : STAT_QUEUE_LATE,
+			       job->item.class, 1);
 	log_run(job, o, &res, now);
 	rpc_reply(job->rq, &res);
 }
@@ -560,7 +563,7 @@
 	if (job->step == OWNER_STATEMENT && job->tx == NULL)
 		stat_add_time(STAT_TIME_QUEUE, job->sent_us - job->received_us);
 	m->service_us += SERVICE_ALPHA * ((double)(now - job->sent_us) - m->service_us);
-	fairq_record_service(queue_of(job), now - job->sent_us);
+	dueq_record_service(queue_of(job), job->item.class, now - job->sent_us);
 	if (!is_trusted(job)) {
 		job_lost(job, "not-believable");
 		return;
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -18,55 +18,77 @@
 #define QUEUE_MAX 2000
 void queue_init(struct owner_group *g)
 {
-	unsigned i;
-
 	TAILQ_INIT(&g->held);
 	TAILQ_INIT(&g->running);
-	for (i = 0; i < OWNER_PRIORITIES; i++) {
-		fairq_init(&g->write_queue[i], QUEUE_MAX, 2);
-		fairq_init(&g->read_queue[i], QUEUE_MAX, 4);
-	}
+	dueq_init(&g->write_queue, QUEUE_MAX, 2);
+	dueq_init(&g->read_queue, QUEUE_MAX, 4);
 }
 
 void queue_clear(struct owner_group *g)
 {
-	unsigned i;
-
-	for (i = 0; i < OWNER_PRIORITIES; i++) {
-		fairq_clear(&g->write_queue[i]);
-		fairq_clear(&g->read_queue[i]);
-	}
+	dueq_clear(&g->write_queue);
+	dueq_clear(&g->read_queue);
 }
 
-struct fairq *queue_of(struct owner_job *job)
+struct dueq *queue_of(struct owner_job *job)
 {
-	unsigned priority = MIN(job->args->priority, OWNER_PRIORITIES - 1);
+	return job->needs_primary ? &job->g->write_queue : &job->g->read_queue;
+}
 
-	return job->needs_primary ? &job->g->write_queue[priority] : &job->g->read_queue[priority];
+static double team_weight(const struct owner_group *g, const char *team)
+{
+	return shares_weight(shares_of(g->o->service.kernel), team);
 }
 
 /* Refusing statements */
 
+/**
+ * Logs a refusal. @param forecast_us predicted wait in the queue; 0 for a refusal that does not
+ * depend on it
+ */
+static void log_refused(const ml_run_args *a, const struct owner_group *g, enum outcome o,
+			int64_t retry_after_us, int64_t aim_left_us, int64_t forecast_us)
+{
+	log_info("refused", LOG_STR("request", a->request), LOG_STR("team", a->team),
+		 LOG_STR("pool", a->pool), LOG_STR("outcome", outcome_text(o)->name),
+		 LOG_NUM("state", g != NULL ? (int)g->state : -1),
+		 LOG_NUM("retry_after_us", retry_after_us),
+		 LOG_NUM("class", MIN(a->priority, OWNER_PRIORITIES - 1)),
+		 LOG_NUM("aim_left_ms", aim_left_us / USEC_PER_MSEC),
+		 LOG_NUM("forecast_us", forecast_us));
+}
+
 static void refuse(struct rpc_request *rq, const ml_run_args *a, const struct owner_group *g,
 		   enum outcome o, int64_t retry_after_us)
 {
 	ml_run_res res = {.outcome = (int)o, .message = "", .signature = ""};
+	int64_t aim_left_us = (int64_t)a->deadline_us;
 
+	if (g != NULL)
+		owner_aim_expiry(g, a, 0, &aim_left_us);
 	job_fill_owner(&res, g, a->owner_revision);
 	res.retry_after_us = (u_int)retry_after_us;
-	log_info("refused", LOG_STR("request", a->request), LOG_STR("team", a->team),
-		 LOG_STR("pool", a->pool), LOG_STR("outcome", outcome_text(o)->name),
-		 LOG_NUM("state", g != NULL ? (int)g->state : -1),
-		 LOG_NUM("retry_after_us", retry_after_us));
+	log_refused(a, g, o, retry_after_us, aim_left_us, 0);
 	rpc_reply(rq, &res);
 }
 
+/** Ends a waiting job that is not served because of the forecast of its queue. */
+static void refuse_job(struct owner_job *job, enum outcome o, enum stat_class_id counter,
+		       int64_t forecast_us)
+{
+	if (owner_aim_used(job->g)) {
+		log_refused(job->args, job->g, o, forecast_us, job->item.aim_us - now_us(),
+			    forecast_us);
+		stat_add_class(counter, job->item.class, 1);
+	}
+	job_end(job, o, NULL, forecast_us);
+}
+
 void queue_refuse(struct owner_group *g, bool all, enum outcome o)
 {
 	struct owner_jobs jobs = TAILQ_HEAD_INITIALIZER(jobs);
 	struct owner_job *job, *next;
-	struct fairq_item *item;
-	unsigned i;
+	struct dueq_item *item;
 
 	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
 		if (!all && !job->needs_primary)
@@ -74,12 +96,10 @@
 		TAILQ_REMOVE(&g->held, job, link);
 		TAILQ_INSERT_TAIL(&jobs, job, link);
 	}
-	for (i = 0; i < OWNER_PRIORITIES; i++) {
-		while ((item = fairq_next(&g->write_queue[i])) != NULL)
-			TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
-		while (all && (item = fairq_next(&g->read_queue[i])) != NULL)
-			TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
-	}
+	while ((item = dueq_next(&g->write_queue, now_us())) != NULL)
+		TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
+	while (all && (item = dueq_next(&g->read_queue, now_us())) != NULL)
+		TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
 	while ((job = TAILQ_FIRST(&jobs)) != NULL) {
 		TAILQ_REMOVE(&jobs, job, link);
 		job_end(job, o, NULL, owner_group_expected_wait_us(g, now_us()));
@@ -121,7 +141,9 @@
 	job->args = a;
 	job->received_us = now_us();
 	job->deadline_us = job->received_us + (int64_t)a->deadline_us;
+	job->item.class = MIN(a->priority, OWNER_PRIORITIES - 1);
 	job->item.deadline_us = job->deadline_us;
+	job->has_aim = owner_aim_expiry(g, a, job->received_us, &job->item.aim_us);
 	job->needs_primary = needs_primary(a);
 	owner_group_use(g);
 	g->n_jobs++;
@@ -165,11 +187,7 @@
  */
 static bool reader_busy(const struct owner_group *g)
 {
-	unsigned i, waiting = 0;
-
-	for (i = 0; i < OWNER_PRIORITIES; i++)
-		waiting += g->read_queue[i].length;
-	return waiting >= READER_WAITING_MAX;
+	return dueq_length(&g->read_queue) >= READER_WAITING_MAX;
 }
 
 /**
@@ -249,15 +267,34 @@
 	return check_owner(g, job->args, job->deadline_us - now_us(), retry_after_us);
 }
 
+void queue_put_back(struct owner_job *job)
+{
+	dueq_put_back(queue_of(job), &job->item, job->args->team,
+		      team_weight(job->g, job->args->team), now_us());
+}
+
 void queue_retry(struct owner_job *job)
 {
 	int64_t retry_after_us = 0;
 	enum outcome o = check_retry(job, &retry_after_us);
 
-	if (o == OUTCOME_DONE)
-		TAILQ_INSERT_TAIL(&job->g->held, job, link);
-	else
+	if (o != OUTCOME_DONE)
 		job_end(job, o, NULL, retry_after_us);
+	else if (owner_aim_used(job->g))
+		queue_put_back(job);
+	else
+		TAILQ_INSERT_TAIL(&job->g->held, job, link);
+}
+
+/** Ends the jobs of @a q that will miss their deadline, so that their callers need not wait. */
+static void refuse_late(struct dueq *q, int64_t now)
+{
+	struct dueq_item *item;
+	int64_t forecast_us;
+
+	while ((item = dueq_refuse_late(q, now, &forecast_us)) != NULL)
+		refuse_job((struct owner_job *)item, OUTCOME_TOO_LATE, STAT_QUEUE_REFUSED_LATER,
+			   forecast_us);
 }
 
 void queue_run_serve(struct rpc_request *rq, const void *args, void *owner)
@@ -266,6 +303,7 @@
 	struct owner_group *g = owner_group_find(owner, a->pool);
 	struct fairq_outcome queued;
 	struct owner_job *job;
+	struct dueq *q;
 	int64_t retry_us = 0;
 	enum outcome o;
 
@@ -288,37 +326,52 @@
 		refuse(rq, a, g, o, retry_us);
 		return;
 	}
+	owner_aim_update(g);
 	job = job_create(g, rq, a);
-	queued = fairq_add(queue_of(job), &job->item, a->team,
-			   shares_weight(shares_of(g->o->service.kernel), a->team),
-			   job->received_us);
+	q = queue_of(job);
+	queued = dueq_add(q, &job->item, a->team, team_weight(g, a->team), job->received_us);
 	if (queued.verdict != FAIRQ_QUEUED) {
-		job_end(job, queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
-			NULL, queued.retry_after_us);
+		refuse_job(job,
+			   queued.verdict == FAIRQ_FULL ? OUTCOME_QUEUE_FULL : OUTCOME_TOO_LATE,
+			   STAT_QUEUE_REFUSED_ARRIVAL, queued.retry_after_us);
 		return;
 	}
 	queue_dispatch(g);
+	refuse_late(q, now_us());
+}
+
+/** Returns the expected wait of a statement like @a job that arrives now. */
+static int64_t expected_wait_us(struct owner_job *job, int64_t now)
+{
+	int64_t wait_us = owner_group_expected_wait_us(job->g, now);
+
+	if (!owner_aim_used(job->g))
+		return wait_us;
+	return MAX(wait_us, dueq_forecast(queue_of(job), &job->item, job->args->team,
+					  team_weight(job->g, job->args->team), now));
 }
 
-static void expire_queue(struct owner_group *g, struct fairq *q, int64_t now)
+static void expire_queue(struct dueq *q, int64_t now)
 {
-	struct fairq_item *item;
+	struct dueq_item *item;
+
+	while ((item = dueq_expired(q, now)) != NULL) {
+		struct owner_job *job = (struct owner_job *)item;
 
-	while ((item = fairq_expired(q, now)) != NULL)
-		job_end((struct owner_job *)item, OUTCOME_TOO_LATE, NULL,
-			owner_group_expected_wait_us(g, now));
+		refuse_job(job, OUTCOME_TOO_LATE, STAT_QUEUE_REFUSED_LATER,
+			   expected_wait_us(job, now));
+	}
 }
 
 void queue_tick(struct owner_group *g, int64_t now)
 {
 	struct owner_job *job, *next;
 	struct owner_tx *tx, *next_tx;
-	unsigned i;
 
-	for (i = 0; i < OWNER_PRIORITIES; i++) {
-		expire_queue(g, &g->write_queue[i], now);
-		expire_queue(g, &g->read_queue[i], now);
-	}
+	owner_aim_update(g);
+	owner_aim_update_slots(g);
+	expire_queue(&g->write_queue, now);
+	expire_queue(&g->read_queue, now);
 	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
 		if (now < job->deadline_us)
 			continue;
@@ -338,4 +391,6 @@
 			tx_abort(tx, "evacuated");
 	}
 	queue_dispatch(g);
+	refuse_late(&g->write_queue, now);
+	refuse_late(&g->read_queue, now);
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -21,6 +21,7 @@
  * owner-fence.c   fencing of other senders to the primary
  * owner-watch.c   probes of the members and failure detection
  * owner-queue.c   queues of statements: admission, refusal and expiry
+ * owner-aim.c     target latencies of the routes to a group
  * owner-dispatch.c starts queued statements as members have room
  * owner-pick.c    choice of the member for a statement
  * owner-job.c     execution of one statement
@@ -32,7 +33,7 @@
 
 #include "bucket.h"
 #include "conf.h"
-#include "fairq.h"
+#include "dueq.h"
 #include "fleet.h"
 #include "inform.h"
 #include "keep.h"
@@ -41,6 +42,7 @@
 #include "marks.h"
 #include "member.h"
 #include "outcome.h"
+#include "owner-aim.h"
 #include "rpc.h"
 #include "stat.h"
 #include "succession.h"
@@ -109,7 +111,8 @@
 
 /** One statement received from an entry. */
 struct owner_job {
-	struct fairq_item item;
+	struct dueq_item item;
+	bool has_aim;		     /**< item.aim_us is the expiry of a target latency */
 	TAILQ_ENTRY(owner_job) link; /**< in the list held or running of the group */
 	struct owner_group *g;
 	struct rpc_request *rq;
@@ -265,9 +268,11 @@
 	char reached_by[NAME_SIZE]; /**< VM that reaches the primary while this VM does not */
 	int64_t others_asked_us;
 
-	struct fairq write_queue[OWNER_PRIORITIES]; /**< for the primary only */
-	struct fairq read_queue[OWNER_PRIORITIES];
-	struct owner_jobs held; /**< dequeued, but no member can serve them yet */
+	struct owner_aims aims;
+	struct dueq write_queue; /**< for the primary only */
+	struct dueq read_queue;
+	struct owner_jobs held; /**< dequeued, but no member can serve them yet; not used while the
+				   queues are ordered by target latency */
 	struct owner_jobs running;
 	struct owner_txs txs;
 	unsigned n_jobs;
@@ -470,10 +475,13 @@
 /** Ends a read that no member of this VM will serve, so that its entry asks the owner. */
 void queue_end_unservable(struct owner_job *job);
 /** Returns the queue of a job. */
-struct fairq *queue_of(struct owner_job *job);
+struct dueq *queue_of(struct owner_job *job);
 /** Puts a job back to wait for another attempt, or refuses it if its group can't serve it. */
 void queue_retry(struct owner_job *job);
 
+/** Puts a job back into its queue, ordered by target latency, without a check. */
+void queue_put_back(struct owner_job *job);
+
 /* owner-dispatch.c */
 /** Starts the waiting statements that a member can serve now. */
 void queue_dispatch(struct owner_group *g);
--- a/src/stat.h
+++ b/src/stat.h
@@ -66,7 +66,7 @@
 	STAT_OPENINGS_AHEAD,	    /**< of these, before a statement needed one */
 	STAT_OPENINGS_AHEAD_USED,   /**< of these, used by a statement */
 	STAT_RESTING_REFUSED,	    /**< begins refused because of idle transactions */
-	STAT_QUEUE_REFUSED_ARRIVAL, /**< could not be served by its deadline */
+	STAT_QUEUE_REFUSED_ARRIVAL, /**< queue full, or could not be served by its deadline */
 	STAT_QUEUE_REFUSED_LATER,   /**< would miss its deadline after more urgent ones arrived */
 	STAT_QUEUE_IN_AIM,	    /**< answered within the target latency of the route */
 	STAT_QUEUE_LATE,
