--- a/src/owner-aim.c
+++ b/src/owner-aim.c
@@ -15,13 +15,13 @@
 
 	if (r->mode < 0 || r->mode >= OWNER_AIM_MODES)
 		return;
-	g->aims.last_class = MAX(g->aims.last_class, class);
+	g->queues->aims.last_class = MAX(g->queues->aims.last_class, class);
 	if (r->target_latency_ms == 0)
 		return;
 	if (deadline_ms == 0)
 		deadline_ms = g->o->service.kernel->settings->deadline_ms;
-	g->aims.any = true;
-	aim = &g->aims.aim[class][r->mode];
+	g->queues->aims.any = true;
+	aim = &g->queues->aims.aim[class][r->mode];
 	if (aim->target_ms == 0 || r->target_latency_ms < aim->target_ms ||
 	    (r->target_latency_ms == aim->target_ms && deadline_ms < aim->deadline_ms))
 		*aim = (struct owner_aim){r->target_latency_ms, deadline_ms};
@@ -32,9 +32,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	memset(&g->aims, 0, sizeof(g->aims));
-	g->aims.known = true;
-	g->aims.version = conf->changed[CONF_ROUTE];
+	memset(&g->queues->aims, 0, sizeof(g->queues->aims));
+	g->queues->aims.known = true;
+	g->queues->aims.version = conf->changed[CONF_ROUTE];
 	g_hash_table_iter_init(&iter, conf->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct conf_entry *e = value;
@@ -46,19 +46,19 @@
 
 bool owner_aim_used(const struct owner_group *g)
 {
-	return g->write_queue.by_aim;
+	return g->queues != NULL && g->queues->write.by_aim;
 }
 
 void owner_aim_update(struct owner_group *g)
 {
 	const struct conf *conf = owner_group_fleet(g)->conf;
 
-	if (!g->o->service.kernel->settings->queue_by_aim ||
-	    (g->aims.known && g->aims.version == conf->changed[CONF_ROUTE]))
+	if (!g->o->service.kernel->settings->queue_by_aim || g->queues == NULL ||
+	    (g->queues->aims.known && g->queues->aims.version == conf->changed[CONF_ROUTE]))
 		return;
 	take_routes(g, conf);
-	dueq_set_order(&g->write_queue, g->aims.any, g->aims.last_class);
-	dueq_set_order(&g->read_queue, g->aims.any, g->aims.last_class);
+	dueq_set_order(&g->queues->write, g->queues->aims.any, g->queues->aims.last_class);
+	dueq_set_order(&g->queues->read, g->queues->aims.any, g->queues->aims.last_class);
 }
 
 bool owner_aim_expiry(const struct owner_group *g, const ml_run_args *a, int64_t received_us,
@@ -69,9 +69,9 @@
 	const struct owner_aim *aim;
 
 	*aim_us = received_us + left_us;
-	if (a->mode < 0 || a->mode >= OWNER_AIM_MODES)
+	if (g->queues == NULL || a->mode < 0 || a->mode >= OWNER_AIM_MODES)
 		return false;
-	aim = &g->aims.aim[class][a->mode];
+	aim = &g->queues->aims.aim[class][a->mode];
 	if (aim->target_ms == 0)
 		return false;
 	used_us = MAX((int64_t)aim->deadline_ms * USEC_PER_MSEC - left_us, 0);
@@ -105,7 +105,7 @@
 			reads += member_slots(m);
 	}
 	if (primary != NULL)
-		dueq_set_slots(&g->write_queue, member_slots(primary));
+		dueq_set_slots(&g->queues->write, member_slots(primary));
 	if (reads > 0)
-		dueq_set_slots(&g->read_queue, reads);
+		dueq_set_slots(&g->queues->read, reads);
 }
--- a/src/owner-aim.h
+++ b/src/owner-aim.h
@@ -29,6 +29,13 @@
 	struct owner_aim aim[DUEQ_CLASSES][OWNER_AIM_MODES];
 };
 
+/** Queues of a group that this VM uses. */
+struct owner_queues {
+	struct owner_aims aims;
+	struct dueq write; /**< for the primary only */
+	struct dueq read;
+};
+
 /**
  * Updates the target latencies if the routes have changed, and the order of the group's queues,
  * which is by target latency if the settings and the routes ask for it.
--- a/src/owner-dispatch.c
+++ b/src/owner-dispatch.c
@@ -182,8 +182,8 @@
 		TAILQ_REMOVE(&g->held, job, link);
 		queue_put_back(job);
 	}
-	dispatch_by_aim(g, &g->write_queue, pick_write_room, now);
-	dispatch_by_aim(g, &g->read_queue, read_room, now);
+	dispatch_by_aim(g, &g->queues->write, pick_write_room, now);
+	dispatch_by_aim(g, &g->queues->read, read_room, now);
 }
 
 /* Both orders */
@@ -195,11 +195,11 @@
 	dispatch_held(g, now);
 	for (i = 0; i < OWNER_PRIORITIES; i++) {
 		if (pick_write_room(g) && held_count(g, true) < HELD_MAX)
-			dispatch_queue(g, &g->write_queue.class[i], now);
+			dispatch_queue(g, &g->queues->write.class[i], now);
 	}
 	for (i = 0; i < OWNER_PRIORITIES; i++) {
 		if (pick_read_room(g) && held_count(g, false) < HELD_MAX)
-			dispatch_queue(g, &g->read_queue.class[i], now);
+			dispatch_queue(g, &g->queues->read.class[i], now);
 	}
 }
 
@@ -207,6 +207,8 @@
 {
 	int64_t now = now_us();
 
+	if (g->queues == NULL)
+		return;
 	/* Starting a job may end other jobs, which calls this function again. */
 	if (g->dispatching) {
 		g->dispatch_again = true;
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -20,19 +20,28 @@
 {
 	TAILQ_INIT(&g->held);
 	TAILQ_INIT(&g->running);
-	dueq_init(&g->write_queue, QUEUE_MAX, 2);
-	dueq_init(&g->read_queue, QUEUE_MAX, 4);
+}
+
+void queue_use(struct owner_group *g)
+{
+	g->queues = g_new0(struct owner_queues, 1);
+	dueq_init(&g->queues->write, QUEUE_MAX, 2);
+	dueq_init(&g->queues->read, QUEUE_MAX, 4);
 }
 
 void queue_clear(struct owner_group *g)
 {
-	dueq_clear(&g->write_queue);
-	dueq_clear(&g->read_queue);
+	if (g->queues == NULL)
+		return;
+	dueq_clear(&g->queues->write);
+	dueq_clear(&g->queues->read);
+	g_free(g->queues);
+	g->queues = NULL;
 }
 
 struct dueq *queue_of(struct owner_job *job)
 {
-	return job->needs_primary ? &job->g->write_queue : &job->g->read_queue;
+	return job->needs_primary ? &job->g->queues->write : &job->g->queues->read;
 }
 
 static double team_weight(const struct owner_group *g, const char *team)
@@ -90,15 +99,17 @@
 	struct owner_job *job, *next;
 	struct dueq_item *item;
 
+	if (g->queues == NULL)
+		return;
 	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
 		if (!all && !job->needs_primary)
 			continue;
 		TAILQ_REMOVE(&g->held, job, link);
 		TAILQ_INSERT_TAIL(&jobs, job, link);
 	}
-	while ((item = dueq_next(&g->write_queue, now_us())) != NULL)
+	while ((item = dueq_next(&g->queues->write, now_us())) != NULL)
 		TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
-	while (all && (item = dueq_next(&g->read_queue, now_us())) != NULL)
+	while (all && (item = dueq_next(&g->queues->read, now_us())) != NULL)
 		TAILQ_INSERT_TAIL(&jobs, (struct owner_job *)item, link);
 	while ((job = TAILQ_FIRST(&jobs)) != NULL) {
 		TAILQ_REMOVE(&jobs, job, link);
@@ -187,7 +198,7 @@
  */
 static bool reader_busy(const struct owner_group *g)
 {
-	return dueq_length(&g->read_queue) >= READER_WAITING_MAX;
+	return g->queues != NULL && dueq_length(&g->queues->read) >= READER_WAITING_MAX;
 }
 
 /**
@@ -326,6 +337,7 @@
 		refuse(rq, a, g, o, retry_us);
 		return;
 	}
+	owner_group_use(g);
 	owner_aim_update(g);
 	job = job_create(g, rq, a);
 	q = queue_of(job);
@@ -368,10 +380,12 @@
 	struct owner_job *job, *next;
 	struct owner_tx *tx, *next_tx;
 
+	if (g->queues == NULL)
+		return;
 	owner_aim_update(g);
 	owner_aim_update_slots(g);
-	expire_queue(&g->write_queue, now);
-	expire_queue(&g->read_queue, now);
+	expire_queue(&g->queues->write, now);
+	expire_queue(&g->queues->read, now);
 	TAILQ_FOREACH_SAFE(job, &g->held, link, next) {
 		if (now < job->deadline_us)
 			continue;
@@ -391,6 +405,6 @@
 			tx_abort(tx, "evacuated");
 	}
 	queue_dispatch(g);
-	refuse_late(&g->write_queue, now);
-	refuse_late(&g->read_queue, now);
+	refuse_late(&g->queues->write, now);
+	refuse_late(&g->queues->read, now);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -279,6 +279,7 @@
 	if (g->member != NULL)
 		return;
 	g->member = g_new0(struct owner_member, GROUP_MEMBERS_MAX);
+	queue_use(g);
 	configure_members(g, conf_pool(owner_group_fleet(g)->conf, g->pool));
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -268,9 +268,7 @@
 	char reached_by[NAME_SIZE]; /**< VM that reaches the primary while this VM does not */
 	int64_t others_asked_us;
 
-	struct owner_aims aims;
-	struct dueq write_queue; /**< for the primary only */
-	struct dueq read_queue;
+	struct owner_queues *queues; /**< NULL while this VM has not used the group */
 	struct owner_jobs held; /**< dequeued, but no member can serve them yet; not used while the
 				   queues are ordered by target latency */
 	struct owner_jobs running;
@@ -467,6 +465,8 @@
 
 /* owner-queue.c */
 void queue_init(struct owner_group *g);
+/** Creates the queues of a group that this VM begins to use. */
+void queue_use(struct owner_group *g);
 void queue_clear(struct owner_group *g);
 void queue_run_serve(struct rpc_request *rq, const void *args, void *owner);
 /** Refuses all waiting statements that need the primary, or all waiting ones if @a all. */
--- a/tests/test-owner-aim.c
+++ b/tests/test-owner-aim.c
@@ -81,7 +81,7 @@
 	int64_t aim_us;
 
 	g = serve(&w, true);
-	CU_ASSERT_EQUAL(g->write_queue.last_class, 2);
+	CU_ASSERT_EQUAL(g->queues->write.last_class, 2);
 	CU_ASSERT_TRUE(owner_aim_expiry(g, &a, 0, &aim_us));
 	CU_ASSERT_EQUAL(aim_us, 50 * USEC_PER_MSEC);
 	a.priority = 0;
@@ -138,15 +138,15 @@
 		CU_ASSERT_EQUAL(fake.n_conns, before);
 		run(&w, 2, 11000, 800);
 		CU_ASSERT_EQUAL(fake.n_conns, before + by_aim);
-		g->write_queue.measured[1] = measured;
-		g->write_queue.class[1].service_us = measured ? 90000 : 500;
+		g->queues->write.measured[1] = measured;
+		g->queues->write.class[1].service_us = measured ? 90000 : 500;
 		for (j = 0; j < 10; j++)
 			run(&w, 1, 0, 1000);
 		run(&w, 3, 0, 100);
 		CU_ASSERT_EQUAL(w.outcome, by_aim && measured ? OUTCOME_TOO_LATE : OUTCOMES);
 		CU_ASSERT_TRUE(w.outcome == OUTCOMES || retry_after_us > 100 * USEC_PER_MSEC);
 		queue_refuse(g, true, OUTCOME_LEAVING);
-		CU_ASSERT_EQUAL(dueq_length(&g->read_queue) + dueq_length(&g->write_queue), 0);
+		CU_ASSERT_EQUAL(dueq_length(&g->queues->read) + dueq_length(&g->queues->write), 0);
 		world_close(&w);
 	}
 }
