test-dueq: values of answers as whole numbers

The orders are compared by the sum of the values of all answers. Values are whole hundredths now; the comparison is as strict as before.

Checked: test-dueq.

--- a/tests/test-dueq.c
+++ b/tests/test-dueq.c
@@ -206,11 +206,11 @@
 	double rate;
 	int64_t work_us, aim_us, deadline_us;
 	unsigned class;
-	double in_time, late;
+	unsigned in_time, late; /**< value of an answer, in hundredths */
 } routes[] = {
-	{145, 3 * MS, 100 * MS, 1500 * MS, 0, 3.5, 0.43},
-	{252, 15 * MS, 600 * MS, 4000 * MS, 2, 0.47, 0.21},
-	{678, 9 * MS, 200 * MS, 1500 * MS, 1, 1.9, 0.28},
+	{145, 3 * MS, 100 * MS, 1500 * MS, 0, 350, 43},
+	{252, 15 * MS, 600 * MS, 4000 * MS, 2, 47, 21},
+	{678, 9 * MS, 200 * MS, 1500 * MS, 1, 190, 28},
 };
 #define ROUTES (sizeof(routes) / sizeof(routes[0]))
 
@@ -224,7 +224,7 @@
 	int64_t refused_us[ROUTES]; /**< sum of the waits of refused items */
 	int64_t overdue_us;	    /**< longest wait past a deadline */
 	unsigned run, starved; /**< dispatches of others while the last class waits: now, most */
-	double value;
+	unsigned long value;
 };
 
 static void refuse(struct load *l, struct waiting *w, int64_t now)
@@ -322,7 +322,7 @@
 			tick(&l, now);
 	}
 	dueq_clear(&l.q);
-	printf("%.1f %s: %.0f", factor, names[order], l.value);
+	printf("%.1f %s: %lu", factor, names[order], l.value / 100);
 	for (i = 0; i < ROUTES; i++)
 		printf("; route %u: %.3f in time, %.3f refused after %.0f ms", i + 1,
 		       (double)l.in_time[i] / l.arrived[i], (double)l.refused[i] / l.arrived[i],
