test-dueq: a change of the order loses nothing, and nothing stays behind

Guards against items that a change of the configuration drops from the queue, and against items that stay counted after they were answered.

--- a/tests/test-dueq.c
+++ b/tests/test-dueq.c
@@ -84,6 +84,9 @@
 	add(&q, 1, 5, 300);
 	add(&q, 0, 300, 1501);
 	dueq_put_back(&q, item, "t", 1, 0);
+	/* A change of the configuration in between must lose nothing. */
+	dueq_set_order(&q, false, 0);
+	dueq_set_order(&q, true, 2);
 	CU_ASSERT_EQUAL(dueq_length(&q), 7);
 	for (i = 0; i < sizeof(order) / sizeof(order[0]); i++)
 		CU_ASSERT_EQUAL(next(&q), order[i]);
@@ -321,6 +324,7 @@
 		if (now % TICK == 0)
 			tick(&l, now);
 	}
+	CU_ASSERT_EQUAL(dueq_length(&l.q), 0);
 	dueq_clear(&l.q);
 	printf("%.1f %s: %lu", factor, names[order], l.value / 100);
 	for (i = 0; i < ROUTES; i++)
