Owner: load of members, kept by the owner and asked for by readers

Readers knew only what they send to a member themselves. With [placement] member_load the owner keeps for each member the statements in progress by itself and by readers, writes that wait, connections left, the time of a statement by class and whether it is unsteady, and serves that as ML_MEMBER_LOAD. A reader sends it in place of the request for a mark, every 250 ms while it serves reads, with what it uses. Data older than 1 s is not used. A VM that leaves two requests in a row unanswered but answers ML_OWNER is of an older build and is asked in the old way for 10 s.

owner-pick.c places reads by that load. Only reads outside transactions are timed, so that members are compared by like statements. The owner measures the hop by its probes, a reader by what the owner's time of the class does not explain. A statement that failed on a member counts against it only if another member ran it: one that fails everywhere is the caller's error.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -165,6 +165,8 @@
 
 	if (g != NULL) {
 		g->mark_query_pending = false;
+		if (status == RPC_DONE)
+			load_answered_old_way(g, now_us());
 		if (status == RPC_DONE && res->primary[0] != '\0')
 			g_strlcpy(g->reported_primary, res->primary, sizeof(g->reported_primary));
 		if (status == RPC_DONE)
@@ -183,7 +185,7 @@
 	if (g->mark_query_pending)
 		return;
 	address = owner_address(g->o, g->pool, &known);
-	if (address == NULL)
+	if (address == NULL || load_ask(g, address, now))
 		return;
 	g->mark_query_pending = true;
 	g->mark_query_us = now;
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -132,10 +132,12 @@
 	struct owner_member *m = c->m;
 
 	stat_add(STAT_CONNECTIONS_LOST, 1);
-	if (c->job != NULL)
+	if (c->job != NULL) {
+		load_failed(m, now_us());
 		job_lost(c->job, "closed");
-	else
+	} else {
 		conn_close(c);
+	}
 	watch_probe_soon(m);
 }
 
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -219,6 +219,7 @@
 			 LOG_STR("pool", g->pool), LOG_STR("member", c->m->conf.name),
 			 LOG_NUM("waited_us", now - job->sent_us));
 		job->tried_members |= (uint8_t)(1U << c->m->index);
+		load_failed(c->m, now);
 		conn_close_stale(c->m);
 		job_abandon(job);
 		job_retry(job, OUTCOME_LOST, 0);
@@ -228,6 +229,7 @@
 	if (now < job->deadline_us)
 		return;
 	if (single_read && job->step == OWNER_STATEMENT) {
+		load_failed(c->m, now);
 		job_abandon(job);
 		job_end(job, OUTCOME_LOST, NULL, 0);
 		return;
@@ -366,6 +368,7 @@
 	TAILQ_INSERT_TAIL(&job->g->running, job, link);
 	m->in_flight++;
 	job->holds_slot = true;
+	load_sent(job, m, now_us());
 	if (c->open) {
 		job_send(job);
 	} else {
@@ -391,6 +394,7 @@
 	struct owner_group *g = c->m->g;
 
 	if (result == MEMBER_DONE) {
+		load_opened(c->m, now_us() - c->sent_us);
 		if (job != NULL)
 			job_send(job);
 		return;
@@ -399,6 +403,8 @@
 		conn_close(c);
 		return;
 	}
+	if (result == MEMBER_LOST)
+		load_failed(c->m, now_us());
 	job->tried_members |= (uint8_t)(1U << c->m->index);
 	job_detach(job, true, TX_NONE);
 	job_retry(job, OUTCOME_NO_CONNECTION, BUSY_PAUSE_US);
@@ -540,6 +546,7 @@
 	int64_t now = now_us();
 
 	if (a->result == MEMBER_LOST) {
+		load_failed(m, now);
 		stat_add(STAT_CONNECTIONS_LOST, 1);
 		if (job != NULL)
 			job_lost(job, "connection");
@@ -561,6 +568,8 @@
 		stat_add_time(STAT_TIME_QUEUE, job->sent_us - job->received_us);
 	m->service_us += SERVICE_ALPHA * ((double)(now - job->sent_us) - m->service_us);
 	fairq_record_service(queue_of(job), now - job->sent_us);
+	if (job->step == OWNER_STATEMENT)
+		load_answered(job, a->result, now - job->sent_us, now);
 	if (!is_trusted(job)) {
 		job_lost(job, "not-believable");
 		return;
--- a/src/owner-pick.c
+++ b/src/owner-pick.c
@@ -86,6 +86,21 @@
 	return need != NULL && member_usable(m) && replica_fits(job, m, *need, now);
 }
 
+/** Fills in the load of a member, as other VMs cause it and as it was measured. */
+static void use_load(const struct owner_member *m, const struct owner_job *job, int64_t now,
+		     struct place_member *p)
+{
+	struct load_view v;
+
+	load_view(m, job->args->priority, now, &v);
+	p->others = v.others;
+	p->service_us = v.service_us;
+	p->opening_us = v.opening_us;
+	p->hop_us = v.hop_us;
+	p->unsteady = v.unsteady;
+	p->probe_due = v.probe_due;
+}
+
 /** Chooses the member for a read among those that its reader may use. */
 static struct place_outcome pick_reader(const struct owner_job *job, int64_t now)
 {
@@ -112,6 +127,8 @@
 		p[i].out = m->in_flight;
 		p[i].slots = m->conf.slots;
 		p[i].service_us = m->service_us;
+		if (load_placement(g->o))
+			use_load(m, job, now, &p[i]);
 	}
 	return place_read(p, g->n);
 }
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -65,6 +65,7 @@
 	}
 	if (m->down) {
 		m->down = false;
+		load_member_up(m, now);
 		log_info("member-up", LOG_STR("pool", g->pool), LOG_STR("member", m->conf.name));
 	}
 	if ((int)m->index != g->primary)
@@ -117,6 +118,7 @@
 		probe_failed(m, "lost");
 		return;
 	}
+	load_probed(m, now_us() - asked_us);
 	watch_answered(m, st != NULL ? st->received : (struct pos){0}, asked_us);
 	if (st == NULL)
 		return;
--- a/src/owner.c
+++ b/src/owner.c
@@ -507,6 +507,7 @@
 		if (m->down && now - m->down_us > READING_DOWN_US) {
 			m->down = false;
 			m->silent_since_us = 0;
+			load_member_up(m, now);
 		}
 	}
 
@@ -530,6 +531,7 @@
 		change_tick(g, now);
 		claim_move_to_primary(g, now);
 	}
+	load_tick(g, now);
 	queue_tick(g, now);
 	if (g->serves_reads && g->state <= OWNER_CLAIMING)
 		reading_tick(g, now);
@@ -596,6 +598,7 @@
 	rpc_serve(r, ML_OWNER, claim_owner_serve, o);
 	rpc_serve(r, ML_YIELD, claim_yield_serve, o);
 	rpc_serve(r, ML_REACH, watch_reach_serve, o);
+	load_start(o);
 	rpc_on_closed(r, tx_closed, o);
 	fleet_listen(fleet_of(s->kernel), conf_changed, o);
 	fleet_listen_roles(fleet_of(s->kernel), role_dropped, o);
--- a/src/owner.h
+++ b/src/owner.h
@@ -23,6 +23,7 @@
  * owner-queue.c   queues of statements: admission, refusal and expiry
  * owner-dispatch.c starts queued statements as members have room
  * owner-pick.c    choice of the member for a statement
+ * owner-load.c    load of the members, exchanged between owner and readers
  * owner-job.c     execution of one statement
  * owner-command.c session values and prepared statements sent before a statement
  * owner-conn.c    connections to members and transactions on them
@@ -41,6 +42,7 @@
 #include "marks.h"
 #include "member.h"
 #include "outcome.h"
+#include "owner-load.h"
 #include "rpc.h"
 #include "stat.h"
 #include "succession.h"
@@ -128,6 +130,7 @@
 	int64_t not_before_us; /**< not retried before this time, since a member was busy */
 	uint64_t term;	       /**< term of the primary when the statement was sent */
 	struct pos need;       /**< log position requested from the replica */
+	struct load_job load;
 };
 TAILQ_HEAD(owner_jobs, owner_job);
 
@@ -169,6 +172,7 @@
 	struct owner_probe probe;
 	struct lead_candidate observed; /**< result of the last probe */
 	int64_t observed_us;		/**< when the request behind @a observed was sent */
+	struct load_member load;
 };
 
 enum owner_state {
@@ -259,6 +263,7 @@
 	int primary; /**< index of the primary, or -1 */
 	uint64_t term;
 	struct marks marks;
+	struct load_group load;
 
 	bool others_asked;	    /**< other VMs have answered whether they reach the primary */
 	unsigned others_pending;    /**< VMs that have not answered yet whether they reach it */
