RPC: the name of the VM that sent a request

The first call of each connection carries the name of the calling VM, which the receiver dropped. It is kept for the connection, and rpc_request_vm() returns it: an owner counts the data centres that statements come from by it. Nothing changes on the wire.

Checked: test-rpc 7 of 7, test-wire 7 of 7.

--- a/src/rpc-msg.c
+++ b/src/rpc-msg.c
@@ -153,6 +153,7 @@
 {
 	char verf[MAX_AUTH_BYTES];
 	struct rpc_msg msg = {0};
+	u_int length;
 
 	msg.rm_call.cb_cred.oa_base = auth;
 	msg.rm_call.cb_verf.oa_base = verf;
@@ -162,6 +163,9 @@
 	h->xid = msg.rm_xid;
 	h->proc = msg.rm_call.cb_proc;
 	memcpy(&h->incarnation, auth, sizeof(h->incarnation));
+	length = MIN(msg.rm_call.cb_cred.oa_length - size, NAME_SIZE - 1);
+	memcpy(h->caller, auth + size, length);
+	h->caller[length] = '\0';
 	return true;
 }
 
--- a/src/rpc-msg.h
+++ b/src/rpc-msg.h
@@ -14,9 +14,10 @@
 	bool call;
 	u_int xid;
 	u_int proc;
-	uint64_t incarnation; /**< random number of the calling process, see struct kernel */
-	const char *vm;	      /**< encoding only: name of the calling VM in the first call of a
-				 connection, else NULL */
+	uint64_t incarnation;	/**< random number of the calling process, see struct kernel */
+	const char *vm;		/**< encoding only: name of the calling VM in the first call of a
+				   connection, else NULL */
+	char caller[NAME_SIZE]; /**< decoding only: that name; "" in later calls */
 };
 
 /**
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -90,6 +90,7 @@
 	struct bufferevent *bev;
 	bool connected;
 	bool vm_name_sent;	 /**< a call with this VM's name was sent */
+	char caller[NAME_SIZE];	 /**< VM that opened an accepted connection; "" if not known */
 	struct evbuffer *unsent; /**< records to be sent once the connection is established */
 	int64_t last_received_us;
 	int64_t keep_until_us; /**< not closed for lack of calls before this time */
@@ -258,6 +259,13 @@
 	return rq->conn != NULL ? rq->conn->number : 0;
 }
 
+const char *rpc_request_vm(const struct rpc_request *rq)
+{
+	if (rq->conn != NULL)
+		return rq->conn->caller;
+	return rq->local != NULL ? rq->rpc->kernel->settings->name : "";
+}
+
 /** Calls the callbacks of answered calls to this process. */
 static void rpc_deliver_local(evutil_socket_t fd, short what, void *arg)
 {
@@ -295,6 +303,8 @@
 	const struct rpc_proc *p;
 	struct rpc_request *rq;
 
+	if (h->caller[0] != '\0')
+		g_strlcpy(c->caller, h->caller, sizeof(c->caller));
 	if (h->proc == NULLPROC) {
 		struct rpc_header reply = {.xid = h->xid, .incarnation = h->incarnation};
 
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -71,6 +71,8 @@
 unsigned rpc_connections(const struct rpc *r);
 /** @return the number of the connection that @a rq arrived on; 0 if this process sent it */
 uint64_t rpc_request_conn(const struct rpc_request *rq);
+/** @return the name of the VM that sent @a rq; "" if it is not known or the connection is closed */
+const char *rpc_request_vm(const struct rpc_request *rq);
 /** @return how long calls to @a address have been open without any data from it; 0: no open call */
 int64_t rpc_silent_us(const struct rpc *r, const char *address);
 /** Whether a connection to @a address is meant. */
