Owner: origins of statements are kept for owned groups only

The counts of 16 data centres were embedded in every group, 1.2 KB each, so that a VM that knows 3,700 groups would have held 4.4 MB for them (worked out). They are allocated with the first statement counted.

--- a/src/owner-load.c
+++ b/src/owner-load.c
@@ -466,7 +466,6 @@
 	if (g->load.unanswered < LOAD_UNANSWERED_MAX)
 		return;
 	g->load.unanswered = 0;
-	g_strlcpy(g->load.old_address, g->load.address, sizeof(g->load.old_address));
 	g->load.old_until_us = now + LOAD_OLD_BUILD_US;
 	log_info("member-load-not-answered", LOG_STR("pool", g->pool),
 		 LOG_STR("peer", g->load.address));
@@ -485,7 +484,11 @@
 	if (g->load.pending)
 		return true;
 	g->load.old_way = false;
-	if (old_way || (now < g->load.old_until_us && strcmp(address, g->load.old_address) == 0))
+	if (strcmp(address, g->load.address) != 0) {
+		g->load.old_until_us = 0;
+		g->load.unanswered = 0;
+	}
+	if (old_way || (now < g->load.old_until_us && strcmp(address, g->load.address) == 0))
 		return false;
 	owner_group_use(g);
 	args.vm = (char *)settings_of(g->o)->name;
--- a/src/owner-load.h
+++ b/src/owner-load.h
@@ -63,13 +63,13 @@
 
 /** State of the requests to the owner; embedded in struct owner_group. */
 struct load_group {
-	bool pending;			/**< a request is in flight */
-	bool old_way;			/**< the next request is to be sent in the old way */
-	unsigned unanswered;		/**< requests in a row that were not answered */
-	int64_t asked_us;		/**< time of the last request */
-	char address[ADDRESS_SIZE];	/**< that the last request was sent to */
-	char old_address[ADDRESS_SIZE]; /**< of a VM that does not answer ML_MEMBER_LOAD */
-	int64_t old_until_us;		/**< it is not asked again before this time */
+	bool pending;		    /**< a request is in flight */
+	bool old_way;		    /**< the next request is to be sent in the old way */
+	unsigned unanswered;	    /**< requests in a row that were not answered */
+	int64_t asked_us;	    /**< time of the last request */
+	char address[ADDRESS_SIZE]; /**< that the last request was sent to */
+	int64_t old_until_us; /**< the VM there does not know the message, and is not asked again
+				 before this time */
 };
 
 /** Load of a member as used to place a read. */
--- a/src/owner-standing.c
+++ b/src/owner-standing.c
@@ -80,8 +80,11 @@
 	if (!is_on(g->o) || !job->on_primary || (!job->needs_primary && job->tx == NULL))
 		return;
 	vm = peers_find(&owner_group_fleet(g)->peers, rpc_request_vm(job->rq));
-	if (vm != NULL)
-		standing_count(&g->standing.origins, vm->data_center, now);
+	if (vm == NULL)
+		return;
+	if (g->standing.origins == NULL)
+		g->standing.origins = g_new0(struct standing_origins, 1);
+	standing_count(g->standing.origins, vm->data_center, now);
 }
 
 void standing_primary_set(struct owner_group *g, const struct owner_member *m, const char *why)
@@ -118,7 +121,6 @@
 	if (m != NULL) {
 		struct owner_standing *s = &g->standing;
 
-		standing_decay(&s->origins, now);
 		res.own = s->phase == STANDING_IDLE && s->owned_us != 0;
 		res.primary = (char *)m->conf.name;
 		res.data_center = (char *)m->conf.data_center;
@@ -126,10 +128,12 @@
 		res.moved_age_us = (u_quad_t)age_us(MAX(s->moved_us, s->owned_us), now);
 		res.changes_age_us = (u_quad_t)age_us(MAX(s->disturbed_us, s->owned_us), now);
 		res.why = (char *)(s->why != NULL ? s->why : "");
-		for (i = 0; i < s->origins.n; i++)
-			origins[i] = (ml_origin){.data_center = s->origins.origin[i].data_center,
-						 .per_s = s->origins.origin[i].per_s};
-		res.origins.origins_len = s->origins.n;
+		if (s->origins != NULL)
+			standing_decay(s->origins, now);
+		for (i = 0; s->origins != NULL && i < s->origins->n; i++)
+			origins[i] = (ml_origin){.data_center = s->origins->origin[i].data_center,
+						 .per_s = s->origins->origin[i].per_s};
+		res.origins.origins_len = i;
 		res.origins.origins_val = origins;
 	}
 	rpc_reply(rq, &res);
@@ -164,10 +168,11 @@
 		json_builder_add_int_value(b, age_us(s->since_us, now) / USEC_PER_SEC);
 		json_builder_set_member_name(b, "statements_per_s");
 		json_builder_begin_object(b);
-		standing_decay(&s->origins, now);
-		for (i = 0; i < s->origins.n; i++) {
-			json_builder_set_member_name(b, s->origins.origin[i].data_center);
-			json_builder_add_double_value(b, s->origins.origin[i].per_s);
+		if (s->origins != NULL)
+			standing_decay(s->origins, now);
+		for (i = 0; s->origins != NULL && i < s->origins->n; i++) {
+			json_builder_set_member_name(b, s->origins->origin[i].data_center);
+			json_builder_add_double_value(b, s->origins->origin[i].per_s);
 		}
 		json_builder_end_object(b);
 		json_builder_end_object(b);
@@ -370,6 +375,12 @@
 	change_move(g, s->target);
 }
 
+void standing_clear(struct owner_group *g)
+{
+	g_free(g->standing.origins);
+	memset(&g->standing, 0, sizeof(g->standing));
+}
+
 void standing_tick(struct owner_group *g, int64_t now)
 {
 	struct owner_standing *s = &g->standing;
@@ -377,8 +388,7 @@
 	if (!is_on(g->o))
 		return;
 	if (!owner_group_is_own(g) || g->state <= OWNER_CLAIMING) {
-		if (s->owned_us != 0)
-			memset(s, 0, sizeof(*s));
+		standing_clear(g);
 		return;
 	}
 	if (s->owned_us == 0)
--- a/src/owner-standing.h
+++ b/src/owner-standing.h
@@ -34,7 +34,7 @@
 
 /** Embedded in struct owner_group. */
 struct owner_standing {
-	struct standing_origins origins;
+	struct standing_origins *origins; /**< NULL until a statement is counted, as in most VMs */
 	enum standing_phase phase;
 	int target;	      /**< member that is to lead */
 	int64_t wanted_us;    /**< when the move was requested */
@@ -60,6 +60,8 @@
 /** Looks for faults after a change of the membership or of the configuration. */
 void standing_fleet_changed(struct owner *o);
 void standing_tick(struct owner_group *g, int64_t now);
+/** Forgets what belongs to the ownership of the group. */
+void standing_clear(struct owner_group *g);
 /** Counts a statement that is sent to the primary because only it may serve it. */
 void standing_sent(const struct owner_job *job, int64_t now);
 /** Records that @a m leads now. */
--- a/src/owner.c
+++ b/src/owner.c
@@ -671,6 +671,7 @@
 		g_hash_table_remove(o->by_pool, g->pool);
 		queue_clear(g);
 		marks_free(&g->marks);
+		standing_clear(g);
 		g_free(g->member);
 		g_free(g);
 	}
