Admission by priority within a team's rate

Cause: shares_admit() took only the team and the deadline, so that less urgent reads of a team over its rate took the tokens of its urgent writes, and requests that could not be served waited 300 ms before they were told.

Change: decide/urgency decides for the holder of a bucket which class may take a token (demand and allowance by class), promises the next tokens to waiting requests, most urgent first, and gives refused ones places in a schedule of retries. Requests of a class that no holder can serve within the latency target are refused after one round of calls. Holders are asked with ML_TOKENS_CLASS, and for 10 s with ML_TOKENS where that is not answered; a call for 0 tokens withdraws a promise. All of it is off unless settings->admission_by_priority is set.

--- a/src/entry.c
+++ b/src/entry.c
@@ -47,6 +47,8 @@
 	struct retry_state retry;
 	int64_t max_age_us;
 	int64_t started_us;
+	int64_t target_latency_us; /**< of its route; 0: none stated */
+	unsigned priority;
 	bool tokens_overflow;
 	struct rpc_call *call;
 	struct event *timer;
@@ -400,8 +402,14 @@
 static void request_admit(struct entry_request *r)
 {
 	struct shares *s = shares_of(r->e->service.kernel);
+	struct admission_want want = {
+		.team = r->args.team, .priority = r->priority, .deadline_us = r->retry.deadline_us};
 	int64_t retry = 0;
-	int verdict = shares_admit(s, r->args.team, &r->admission, r->retry.deadline_us, &retry);
+	int verdict;
+
+	if (r->target_latency_us > 0)
+		want.aim_us = r->started_us + r->target_latency_us;
+	verdict = shares_admit(s, &want, &r->admission, &retry);
 
 	if (verdict > 0) {
 		kernel_arm(r->timer, 0);
@@ -424,6 +432,8 @@
 		return false;
 	g_strlcpy(r->pool, route->pool, sizeof(r->pool));
 	r->route_write = route->write;
+	r->priority = route->priority;
+	r->target_latency_us = (int64_t)route->target_latency_ms * USEC_PER_MSEC;
 	r->retry.write = route->write || query->control != ML_CONTROL_NONE;
 	r->args.write = r->retry.write && query->op != ML_DESCRIBE;
 	r->max_age_us = query->max_age_us >= 0 ? query->max_age_us
--- a/src/session.c
+++ b/src/session.c
@@ -259,20 +259,23 @@
 		return;
 	}
 	stat_add(STAT_OVER_RATE, 1);
-	shares_log_refusal(shares_of(session_kernel(s)), s->team, s->st.request);
+	shares_log_refusal(shares_of(session_kernel(s)), s->team, s->st.request, a, retry_after_us);
 	session_finish_locally(s, OUTCOME_OVER_RATE, retry_after_us);
 }
 
 /** Takes one token of the team's rate for a transaction or a single statement. */
 static void admit(struct session *s)
 {
+	struct admission_want want = {
+		.team = s->team, .priority = s->route.priority, .deadline_us = s->deadline_us};
 	int64_t retry_us = 0;
 	int verdict;
 
+	if (s->route.target_latency_ms > 0)
+		want.aim_us = s->started_us + (int64_t)s->route.target_latency_ms * USEC_PER_MSEC;
 	s->admission.done = on_admitted;
 	s->admission.will_settle = true;
-	verdict = shares_admit(shares_of(session_kernel(s)), s->team, &s->admission, s->deadline_us,
-			       &retry_us);
+	verdict = shares_admit(shares_of(session_kernel(s)), &want, &s->admission, &retry_us);
 	if (verdict > 0)
 		after_admission(s);
 	else if (verdict < 0)
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -2,6 +2,11 @@
  * @file shares-ask.c
  * Requests tokens from fixed parts that other VMs hold. A round asks one VM after the other, VMs of
  * this data centre first, until every waiting request has a token or ASKS_MAX VMs had too few.
+ *
+ * With settings->admission_by_priority each class has rounds of its own, and holders are asked with
+ * ML_TOKENS_CLASS. A holder that has no token answers when it will have one. If that is early
+ * enough it has promised the token, and the request is sent to it again at that time; if no holder
+ * promised one, the request is refused with the earliest retry time of the round.
  */
 #include "shares-state.h"
 
@@ -25,13 +30,30 @@
 /** A team with a lower ratio of successful rounds counts as over its rate. */
 #define WITHIN_RATE_RATIO_MIN 0.5
 
+/**
+ * RPC timeout of ML_TOKENS_CLASS. Tokens that arrive later are discarded, and a VM of an older
+ * build does not answer, so that the timeout delays the request for tokens by the old method.
+ */
+#define ASK_CLASS_TIMEOUT_US GRANT_AGE_MAX_US
+/** Time for which a VM that did not answer ML_TOKENS_CLASS is asked with ML_TOKENS. */
+#define UNANSWERED_US (10 * USEC_PER_SEC)
+/**
+ * Retry time when no holder of a part can be reached. The parts of a lost VM are held by another
+ * within about a second, and a caller gives up after two retries.
+ */
+#define NO_HOLDER_RETRY_US (500 * USEC_PER_MSEC)
+/** A token promised within this time, a tick, ends the round: others are hardly earlier. */
+#define OFFER_SOON_US (10 * USEC_PER_MSEC)
+
 /** A request for tokens in flight to the VM that holds a part. */
 struct ask {
 	struct shares *s;
 	char team[NAME_SIZE];
 	char address[ADDRESS_SIZE];
+	unsigned cls;
 	unsigned place;
 	unsigned want;
+	bool by_class; /**< sent as ML_TOKENS_CLASS */
 };
 
 /** Returns the RPC address of the VM that holds the part, or NULL if that VM cannot be asked. */
@@ -50,7 +72,8 @@
 }
 
 /** Writes the parts that have tokens of the team to @a places. @return their number */
-static unsigned places_list(struct shares_team *t, struct part_candidate places[SHARES_PLACES_MAX])
+static unsigned places_list(struct shares_team *t, uint64_t tried,
+			    struct part_candidate places[SHARES_PLACES_MAX])
 {
 	struct shares *s = t->s;
 	const struct fleet *f = fleet_of(s->service.kernel);
@@ -65,97 +88,367 @@
 				continue;
 			places[n].address = place_address(s, part);
 			places[n].near = strcmp(f->data_center[i], here) == 0;
-			places[n].tried = (t->ask.tried & (UINT64_C(1) << n)) != 0;
+			places[n].tried = (tried & (UINT64_C(1) << n)) != 0;
 			n++;
 		}
 	}
 	return n;
 }
 
-static void round_end(struct shares_team *t, bool empty, int64_t now)
+/** Tells the holder that promised a token that it will not be taken. */
+static void offer_release(struct shares_team *t, unsigned cls)
 {
-	if (t->ask.asked > 0)
-		t->ask.success_ratio +=
-			SUCCESS_RATIO_ALPHA * ((empty ? 0 : 1) - t->ask.success_ratio);
-	t->ask.tried = 0;
-	t->ask.asked = 0;
-	if (empty)
-		t->ask.paused_until_us = now + EMPTY_PAUSE_US;
+	struct part_candidate places[SHARES_PLACES_MAX];
+	struct shares_ask *q = &t->cls[cls].ask;
+	ml_tokens_class_args args = {.team = t->name, .priority = cls};
+	unsigned n = places_list(t, 0, places);
+
+	if (q->offer_us > 0 && q->offer_place < (int)n && places[q->offer_place].address != NULL)
+		rpc_start(rpc_of(t->s->service.kernel), places[q->offer_place].address,
+			  ML_TOKENS_CLASS, &args, ASK_CLASS_TIMEOUT_US, NULL, NULL);
+	q->offer_us = 0;
 }
 
-static void tokens_received(enum rpc_status status, const void *arg_res, void *arg)
+/** Ends a round. @param success every request got a token, or the promise of one in time */
+static void round_end(struct shares_team *t, unsigned cls, bool success)
 {
-	const ml_tokens_res *res = arg_res;
-	struct ask *q = arg;
-	struct shares_team *t = shares_team(q->s, q->team);
+	struct shares_ask *q = &t->cls[cls].ask;
+
+	if (q->asked > 0)
+		q->success_ratio += SUCCESS_RATIO_ALPHA * ((success ? 1 : 0) - q->success_ratio);
+	q->tried = 0;
+	q->asked = 0;
+	offer_release(t, cls);
+}
+
+/** Returns the first waiting request of the class for which VMs may be asked now, or NULL. */
+static struct admission *first_due(const struct shares_team *t, unsigned cls, int64_t now)
+{
+	struct admission *a;
+
+	TAILQ_FOREACH(a, &t->cls[cls].waiting, link) {
+		if (a->due_us <= now)
+			return a;
+	}
+	return NULL;
+}
+
+static unsigned count_due(const struct shares_team *t, unsigned cls, int64_t now)
+{
+	struct admission *a;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(a, &t->cls[cls].waiting, link)
+		n += a->due_us <= now ? 1 : 0;
+	return n;
+}
+
+/* Answers */
+
+/** Returns whether the VM is to be asked with ML_TOKENS_CLASS. */
+static bool understands_classes(const struct shares *s, const char *address, int64_t now)
+{
+	const int64_t *until = g_hash_table_lookup(s->unanswered, address);
+
+	return s->service.kernel->settings->admission_by_priority &&
+	       (until == NULL || *until <= now);
+}
+
+/**
+ * Notes whether a VM answered ML_TOKENS_CLASS.
+ * @return whether it has answered one before, so that it is not of an older build
+ */
+static bool note_answered(struct shares *s, const char *address, bool answered, int64_t now)
+{
+	int64_t *until = g_hash_table_lookup(s->unanswered, address);
+	bool known = until != NULL && *until == 0;
+
+	if (until == NULL) {
+		until = g_new(int64_t, 1);
+		g_hash_table_insert(s->unanswered, g_strdup(address), until);
+	}
+	*until = answered ? 0 : now + UNANSWERED_US;
+	if (!answered)
+		log_info("tokens-class-unanswered", LOG_STR("address", address),
+			 LOG_NUM("answered_before", known));
+	return known;
+}
+
+/** Notes when a holder without a token will have one for the class. */
+static void note_next(struct shares_team *t, unsigned cls, unsigned place, int64_t next_us,
+		      int64_t now)
+{
+	struct shares_ask *q = &t->cls[cls].ask;
+	int64_t due = now + MIN(next_us, URGENCY_AHEAD_MAX_US);
+
+	if (next_us <= 0)
+		return;
+	/* Later holders are asked only for an earlier token than the one that was promised. */
+	if (next_us <= q->patience_us) {
+		offer_release(t, cls);
+		q->offer_us = due;
+		q->offer_place = (int)place;
+	}
+	if (q->next_us <= now || due < q->next_us)
+		q->next_us = due;
+}
+
+/** Processes the end of a call. @param next_us as in ml_tokens_class_res, 0 for ML_TOKENS */
+static void answered(struct ask *c, enum rpc_status status, unsigned granted, int64_t next_us)
+{
+	struct shares_team *t = shares_team(c->s, c->team);
 	int64_t now = now_us();
+	struct shares_ask *q;
+	bool again;
 
-	if (status != RPC_DONE)
-		fleet_suspect(fleet_of(q->s->service.kernel), q->address);
+	/* A VM of an older build does not answer, and is asked again at once by the old method. */
+	again = c->by_class && !note_answered(c->s, c->address, status == RPC_DONE, now) &&
+		status == RPC_LOST;
+	if (status != RPC_DONE && !again)
+		fleet_suspect(fleet_of(c->s->service.kernel), c->address);
 	if (t != NULL) {
-		double granted = status == RPC_DONE ? MIN(res->granted, q->want) : 0;
-
-		t->ask.in_flight = false;
-		if (granted < q->want)
-			t->ask.tried |= UINT64_C(1) << q->place;
-		if (granted < q->want && t->ask.remote)
-			t->ask.remote_empty_us = now;
-		t->granted = now - t->ask.sent_us < GRANT_AGE_MAX_US ? granted : 0;
+		q = &t->cls[c->cls].ask;
+		granted = MIN(granted, c->want);
+		q->in_flight = false;
+		if (granted < c->want && !again)
+			q->tried |= UINT64_C(1) << c->place;
+		if (granted < c->want && q->remote)
+			q->remote_empty_us = now;
+		if (granted < c->want)
+			note_next(t, c->cls, c->place, next_us, now);
+		/* The classes of the team that this VM has seen may be fewer. */
+		if (next_us > 0)
+			t->by_class_until_us = now + URGENCY_SEEN_US;
+		t->granted = now - q->sent_us < GRANT_AGE_MAX_US ? granted : 0;
 		team_admit_waiting(t, now);
-		ask_next(t, now);
+		ask_continue(t, now);
 	}
-	g_free(q);
+	g_free(c);
 }
 
-static void ask_send(struct shares_team *t, const char *address, unsigned place, int64_t now)
+static void tokens_received(enum rpc_status status, const void *arg_res, void *arg)
 {
-	ml_tokens_args args = {.team = t->name, .want = t->n_waiting};
-	struct ask *q = g_new0(struct ask, 1);
+	const ml_tokens_res *res = arg_res;
 
-	q->s = t->s;
-	q->place = place;
-	q->want = t->n_waiting;
-	g_strlcpy(q->team, t->name, sizeof(q->team));
-	g_strlcpy(q->address, address, sizeof(q->address));
-	t->ask.in_flight = true;
-	t->ask.asked++;
-	t->ask.sent_us = now;
-	rpc_start(rpc_of(t->s->service.kernel), address, ML_TOKENS, &args, ASK_TIMEOUT_US,
-		  tokens_received, q);
+	answered(arg, status, status == RPC_DONE ? res->granted : 0, 0);
 }
 
-void ask_next(struct shares_team *t, int64_t now)
+static void tokens_class_received(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_tokens_class_res *res = arg_res;
+
+	if (status == RPC_DONE)
+		answered(arg, status, res->granted,
+			 (int64_t)MIN(res->next_us, (uint64_t)URGENCY_AHEAD_MAX_US));
+	else
+		answered(arg, status, 0, 0);
+}
+
+/* Rounds */
+
+/** Returns for how long a request can wait for a token that would be the best offer so far. */
+static int64_t patience_us(const struct shares_ask *q, const struct admission *a, int64_t now)
+{
+	int64_t until = q->offer_us > 0 ? MIN(q->offer_us, a->useful_us) : a->useful_us;
+
+	return until > now ? until - now : 0;
+}
+
+static void ask_send(struct shares_team *t, unsigned cls, const struct admission *a,
+		     const char *address, unsigned place, int64_t now)
+{
+	struct shares_ask *q = &t->cls[cls].ask;
+	struct rpc *rpc = rpc_of(t->s->service.kernel);
+	struct ask *c = g_new0(struct ask, 1);
+	unsigned want = count_due(t, cls, now);
+
+	c->s = t->s;
+	c->cls = cls;
+	c->place = place;
+	c->want = want;
+	c->by_class = understands_classes(t->s, address, now);
+	g_strlcpy(c->team, t->name, sizeof(c->team));
+	g_strlcpy(c->address, address, sizeof(c->address));
+	q->in_flight = true;
+	if (q->asked++ == 0)
+		q->next_us = 0;
+	q->sent_us = now;
+	q->patience_us = patience_us(q, a, now);
+	if (c->by_class) {
+		ml_tokens_class_args args = {.team = t->name,
+					     .want = want,
+					     .priority = cls,
+					     .patience_us = (u_quad_t)q->patience_us};
+
+		rpc_start(rpc, address, ML_TOKENS_CLASS, &args, ASK_CLASS_TIMEOUT_US,
+			  tokens_class_received, c);
+	} else {
+		ml_tokens_args args = {.team = t->name, .want = want};
+
+		rpc_start(rpc, address, ML_TOKENS, &args, ASK_TIMEOUT_US, tokens_received, c);
+	}
+}
+
+/** Sends the next call of the class's round. @return false if there is no VM left to ask */
+static bool ask_another(struct shares_team *t, unsigned cls, const struct admission *a, int64_t now)
 {
 	struct part_candidate places[SHARES_PLACES_MAX];
 	const char *self = t->s->service.kernel->settings->name;
-	unsigned n;
-	int at;
+	struct shares_ask *q = &t->cls[cls].ask;
+	unsigned n = places_list(t, q->tried, places);
+	int at = a->place;
 
-	if (!t->fixed || t->ask.in_flight || now < t->ask.paused_until_us)
+	if (q->asked >= ASKS_MAX || (q->offer_us > 0 && q->offer_us <= now + OFFER_SOON_US))
+		return false;
+	if (at < 0 || at >= (int)n || places[at].address == NULL || places[at].tried)
+		at = part_choose(places, n, (unsigned)XXH64(self, strlen(self), 0),
+				 part_may_ask_remote(ask_class_within_rate(t, cls),
+						     q->remote_empty_us, now));
+	if (at < 0)
+		return false;
+	q->remote = !places[at].near;
+	ask_send(t, cls, a, places[at].address, (unsigned)at, now);
+	return true;
+}
+
+/** Returns when this VM's own bucket has a token for the class; INT64_MAX: never. */
+static int64_t own_token_us(struct shares_team *t, unsigned cls, int64_t now)
+{
+	const struct urgency_request r = {
+		.cls = cls, .ahead = team_waiting_before(t, cls) - count_due(t, cls, now)};
+	int64_t wait = urgency_next_us(t->urgency, &t->bucket, &r, now);
+
+	return wait < URGENCY_AHEAD_MAX_US ? now + wait : INT64_MAX;
+}
+
+/** Returns the earliest place in the schedules of retries, of the holders and of this VM. */
+static int64_t retry_place_us(struct shares_team *t, unsigned cls, int64_t now)
+{
+	const struct urgency_request r = {.cls = cls, .ahead = team_waiting_before(t, cls)};
+	const struct shares_ask *q = &t->cls[cls].ask;
+	int64_t place = INT64_MAX;
+
+	if (t->bucket.rate > 0)
+		place = now + urgency_answer_us(t->urgency, &t->bucket, &r, 0, t->part.per_dc, now);
+	if (q->next_us > now)
+		place = MIN(place, q->next_us);
+	return place < INT64_MAX ? place : now + NO_HOLDER_RETRY_US;
+}
+
+/**
+ * Ends a round in which not every request of the class got a token. The first one waits for the
+ * earliest token that was promised or that this VM's bucket will have; the following ones wait for
+ * the time at which the team's rate brings further tokens. Requests that cannot wait so long are
+ * refused with a place in the schedule of retries.
+ */
+static void round_settle(struct shares_team *t, unsigned cls, int64_t now)
+{
+	struct shares_ask *q = &t->cls[cls].ask;
+	int64_t own = own_token_us(t, cls, now);
+	int64_t spacing = (int64_t)((double)USEC_PER_SEC / t->rate);
+	bool promised = q->offer_us > 0 && q->offer_us <= own;
+	int64_t due = promised ? q->offer_us : own;
+	int place = promised ? q->offer_place : -1;
+	struct admission *a;
+	int64_t retry = 0;
+
+	while ((a = first_due(t, cls, now)) != NULL) {
+		if (due <= a->useful_us) {
+			a->due_us = due;
+			a->place = place;
+			shares_wake_at(t->s, due);
+			if (place >= 0)
+				q->offer_us = 0;
+			a->until_us = a->useful_us + OFFER_SOON_US;
+			due += spacing;
+			place = -1;
+			continue;
+		}
+		retry = retry == 0 ? retry_place_us(t, cls, now) : retry + spacing;
+		admission_end(a, false, MIN(retry - now, URGENCY_AHEAD_MAX_US));
+	}
+	if (retry > 0) {
+		q->next_us = retry + spacing;
+		q->refused_until_us = MIN(retry, now + EMPTY_PAUSE_US);
+	}
+	round_end(t, cls, retry == 0);
+}
+
+/** Returns whether a holder, or this VM's own bucket, says when the class gets a token. */
+static bool next_known(const struct shares_team *t, unsigned cls, int64_t now)
+{
+	const struct shares_ask *q = &t->cls[cls].ask;
+
+	return q->offer_us > 0 || q->next_us > now || t->bucket.rate > 0 || q->asked == 0;
+}
+
+/** Continues the round of the class. @param may_end whether callbacks of requests may be called */
+static void ask_class(struct shares_team *t, unsigned cls, bool may_end, int64_t now)
+{
+	struct shares_ask *q = &t->cls[cls].ask;
+	struct admission *a;
+
+	if (!t->fixed || q->in_flight || now < q->paused_until_us)
 		return;
-	if (t->n_waiting == 0) {
-		round_end(t, false, now);
+	a = first_due(t, cls, now);
+	if (a == NULL) {
+		round_end(t, cls, true);
 		return;
 	}
-	n = places_list(t, places);
-	at = t->ask.asked < ASKS_MAX
-		     ? part_choose(
-			       places, n, (unsigned)XXH64(self, strlen(self), 0),
-			       part_may_ask_remote(ask_within_rate(t), t->ask.remote_empty_us, now))
-		     : -1;
-	if (at < 0) {
-		round_end(t, true, now);
+	if (ask_another(t, cls, a, now))
+		return;
+	if (team_by_class(t, now) && next_known(t, cls, now)) {
+		if (may_end)
+			round_settle(t, cls, now);
 		return;
 	}
-	t->ask.remote = !places[at].near;
-	ask_send(t, places[at].address, (unsigned)at, now);
+	round_end(t, cls, false);
+	q->paused_until_us = now + EMPTY_PAUSE_US;
+}
+
+void ask_next(struct shares_team *t, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < URGENCY_CLASSES; i++)
+		ask_class(t, i, false, now);
+}
+
+void ask_continue(struct shares_team *t, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < URGENCY_CLASSES; i++)
+		ask_class(t, i, true, now);
+}
+
+bool ask_in_progress(const struct shares_team *t)
+{
+	unsigned i, asked = 0;
+
+	for (i = 0; i < URGENCY_CLASSES; i++)
+		asked += t->cls[i].ask.asked;
+	return asked > 0;
+}
+
+bool ask_class_within_rate(const struct shares_team *t, unsigned cls)
+{
+	return t->cls[cls].ask.success_ratio >= WITHIN_RATE_RATIO_MIN;
 }
 
 bool ask_within_rate(const struct shares_team *t)
 {
-	return t->ask.success_ratio >= WITHIN_RATE_RATIO_MIN;
+	unsigned i;
+
+	for (i = 0; i < URGENCY_CLASSES; i++) {
+		if (!ask_class_within_rate(t, i))
+			return false;
+	}
+	return true;
 }
 
+/* Holder's side */
+
 static void tokens_serve(struct rpc_request *rq, const void *args, void *owner)
 {
 	const ml_tokens_args *a = args;
@@ -169,7 +462,55 @@
 	rpc_reply(rq, &res);
 }
 
+/** Grants tokens to another VM, or tells it when one will be available. */
+static void class_grant(struct shares_team *t, const ml_tokens_class_args *a, uint64_t conn,
+			ml_tokens_class_res *res)
+{
+	int64_t now = now_us();
+	struct urgency *u = team_urgency(t, now);
+	struct urgency_request r = {.cls = urgency_class(a->priority), .to = conn};
+
+	if (a->want == 0) {
+		urgency_release(u, r.cls, conn, now);
+		return;
+	}
+	r.ahead = team_waiting_before(t, r.cls);
+	urgency_seen(u, r.cls, now);
+	if (!team_by_class(t, now)) {
+		res->granted = team_grant(t, a->want, now);
+		return;
+	}
+	while (res->granted < a->want && urgency_may_take(u, &t->bucket, &r, now) &&
+	       bucket_take(&t->bucket, 1, now)) {
+		urgency_taken(u, &r, now);
+		res->granted++;
+	}
+	if (res->granted < a->want)
+		res->next_us = (u_quad_t)urgency_answer_us(u, &t->bucket, &r,
+							   (int64_t)MIN(a->patience_us, INT64_MAX),
+							   t->part.per_dc, now);
+}
+
+static void tokens_class_serve(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_tokens_class_args *a = args;
+	struct shares *s = owner;
+	struct shares_team *t = shares_team(s, a->team);
+	ml_tokens_class_res res = {0};
+
+	shares_check_pause(s, now_us());
+	/* Not by class unless it is set here too; the other VM then waits as without classes. */
+	if (t == NULL || !t->configured || !t->fixed)
+		res.granted = 0;
+	else if (s->service.kernel->settings->admission_by_priority)
+		class_grant(t, a, rpc_request_conn(rq), &res);
+	else
+		res.granted = team_grant(t, a->want, now_us());
+	rpc_reply(rq, &res);
+}
+
 void ask_serve(struct shares *s)
 {
+	rpc_serve(rpc_of(s->service.kernel), ML_TOKENS_CLASS, tokens_class_serve, s);
 	rpc_serve(rpc_of(s->service.kernel), ML_TOKENS, tokens_serve, s);
 }
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -4,7 +4,8 @@
  * assigns the moving parts of the team's rate to VMs; a fixed part belongs to the VM that holds its
  * key.
  *
- * shares.c        teams, admission, the service
+ * shares.c        teams, the service
+ * shares-admit.c  admission, requests that wait
  * shares-report.c parts of rates that move between VMs, see decide/share.h
  * shares-ask.c    tokens of fixed parts held by other VMs, see decide/part.h
  */
@@ -16,6 +17,7 @@
 #include "parts.h"
 #include "share.h"
 #include "shares.h"
+#include "urgency.h"
 
 /**
  * Number of allocator roles. Each role is held by one VM; teams are spread over the roles by the
@@ -41,7 +43,23 @@
 	int64_t remote_empty_us; /**< when a place of another data centre last had too few tokens */
 	int64_t paused_until_us; /**< no place had a token: no RPC is sent before this time */
 	double success_ratio;	 /**< moving average of rounds in which every waiting request got a
-				    token */
+				    token, or the promise of one in time */
+
+	/* Only if admission is by priority. Times are 0 if not known. */
+	int64_t patience_us; /**< maximum wait that was sent with the RPC in flight */
+	int64_t offer_us;    /**< earliest token that a place promised in this round */
+	int offer_place;
+	int64_t next_us;	  /**< next place in the schedule of retries */
+	int64_t refused_until_us; /**< requests that can't wait until @a next_us are refused
+				     without asking before this time */
+};
+
+/** Requests of a team that are in the same priority class. */
+struct shares_class {
+	struct admissions waiting;
+	unsigned n_waiting;
+	struct shares_ask ask;
+	int64_t work_us; /**< moving average of the time from admission to the end of the work */
 };
 
 struct shares_team {
@@ -54,13 +72,15 @@
 	double burst;
 	bool configured;
 	struct bucket bucket;
-	struct admissions waiting;
-	unsigned n_waiting;
+	/** Only the first is used unless admission is by priority. */
+	struct shares_class cls[URGENCY_CLASSES];
+	unsigned n_waiting;	   /**< of all classes */
+	int64_t by_class_until_us; /**< a holder of a part grants tokens by class */
+	struct urgency *urgency;   /**< of @a bucket; NULL until a request came with its class */
 	double granted; /**< single tokens granted by another VM to the requests that wait now */
 
 	bool fixed; /**< the rate is divided into fixed parts, and no part of it moves */
 	struct part_split part;
-	struct shares_ask ask;
 
 	unsigned role; /**< index of the allocator role that is responsible for the team */
 	struct share_split split;
@@ -80,16 +100,19 @@
 	bool idle;		  /**< the timer runs at IDLE_TICK_US */
 	GHashTable *by_name;
 	struct event *tick;
+	struct event *due; /**< at the time of the next promised token */
+	int64_t due_us;	   /**< 0: not set */
 	int64_t started_us;
 	int64_t ticked_us;
-	bool listed;	       /**< this VM's lease is confirmed: other VMs still count it */
-	struct parts *parts;   /**< NULL where the platform has no fixed parts */
-	uint64_t conf_version; /**< configuration version that last changed a team */
-	uint64_t vms_revision; /**< revision of the list of VMs that the rates are divided over */
-	unsigned n_left;       /**< VMs on that list that have announced that they leave */
-	double all_rates;      /**< sum of the rates of all configured teams */
-	unsigned held;	       /**< bit mask of the fixed parts that this VM holds */
-	unsigned inherited;    /**< bit mask of the parts whose unspent tokens were credited */
+	bool listed;		/**< this VM's lease is confirmed: other VMs still count it */
+	struct parts *parts;	/**< NULL where the platform has no fixed parts */
+	uint64_t conf_version;	/**< configuration version that last changed a team */
+	uint64_t vms_revision;	/**< revision of the list of VMs that the rates are divided over */
+	unsigned n_left;	/**< VMs on that list that have announced that they leave */
+	double all_rates;	/**< sum of the rates of all configured teams */
+	unsigned held;		/**< bit mask of the fixed parts that this VM holds */
+	unsigned inherited;	/**< bit mask of the parts whose unspent tokens were credited */
+	GHashTable *unanswered; /**< by address: until when ML_TOKENS_CLASS is not sent there */
 
 	/** Addresses that reports go to, by allocator role; empty while a role has no VM. */
 	char allocator[ALLOCATORS][ADDRESS_SIZE];
@@ -99,10 +122,6 @@
 struct shares_team *shares_team(struct shares *s, const char *name);
 /** Sets rate and burst of the bucket to this VM's part. */
 void team_resize(struct shares_team *t, int64_t now);
-/** Admits waiting requests while there are tokens, and refuses those whose wait has ended. */
-void team_admit_waiting(struct shares_team *t, int64_t now);
-/** Takes up to @a want tokens from this VM's bucket for requests that wait on another VM. */
-unsigned team_grant(struct shares_team *t, unsigned want, int64_t now);
 /**
  * After a pause of the loop, gives up parts that other VMs may hold by now; called before a request
  * takes a token.
@@ -111,6 +130,28 @@
 /** Makes the timer process the team until it has no waiting request and no round in progress. */
 void team_mark_busy(struct shares_team *t);
 
+/**
+ * Processes the waiting requests at @a at_us too, between two ticks: a promised token that waits
+ * for the next tick takes room in the holder's bucket, and a bucket of one gains no token then.
+ */
+void shares_wake_at(struct shares *s, int64_t at_us);
+/** Resizes the buckets when the lease or the set of held parts has changed. */
+void shares_check_lease(struct shares *s, int64_t now);
+
+/* shares-admit.c */
+/** Admits waiting requests while there are tokens, and refuses those whose wait has ended. */
+void team_admit_waiting(struct shares_team *t, int64_t now);
+/** Takes up to @a want tokens from this VM's bucket for requests that wait on another VM. */
+unsigned team_grant(struct shares_team *t, unsigned want, int64_t now);
+/** Returns the state of the team's classes, which is made at the first call. */
+struct urgency *team_urgency(struct shares_team *t, int64_t now);
+/** Returns whether tokens go by class: it is set, and at least two classes were seen. */
+bool team_by_class(const struct shares_team *t, int64_t now);
+/** Returns how many requests of at least the urgency of @a cls wait on this VM. */
+unsigned team_waiting_before(const struct shares_team *t, unsigned cls);
+/** Ends the wait of @a a and calls its callback. */
+void admission_end(struct admission *a, bool admitted, int64_t retry_after_us);
+
 /* shares-report.c */
 void report_serve(struct shares *s);
 void report_tick(struct shares *s, int64_t now);
@@ -121,7 +162,16 @@
 void ask_serve(struct shares *s);
 /** Asks the next VM for tokens for the waiting requests, if there is one left to ask. */
 void ask_next(struct shares_team *t, int64_t now);
-/** Returns whether most recent rounds satisfied every request: the team is within its rate. */
+/**
+ * As ask_next(), and ends the rounds that asked all VMs: requests that can't get a token in time
+ * are refused.
+ */
+void ask_continue(struct shares_team *t, int64_t now);
+/** Returns whether a round of any class is in progress. */
+bool ask_in_progress(const struct shares_team *t);
+/** Returns whether most recent rounds of the class satisfied every request. */
+bool ask_class_within_rate(const struct shares_team *t, unsigned cls);
+/** Returns whether this holds for all classes: the team is within its rate. */
 bool ask_within_rate(const struct shares_team *t);
 
 #endif
--- a/src/shares.c
+++ b/src/shares.c
@@ -1,4 +1,4 @@
-/** @file shares.c The service that admits requests within their teams' rates. */
+/** @file shares.c The service that admits requests within their teams' rates: its teams. */
 #include "shares-state.h"
 
 #include "log.h"
@@ -11,18 +11,6 @@
 #define TICK_US (10 * USEC_PER_MSEC)
 /** Tick while no request waits and no team's rate moves between VMs. */
 #define IDLE_TICK_US (50 * USEC_PER_MSEC)
-/** Longest wait for a token of a team that is within its rate. */
-#define TOKEN_WAIT_MAX_US (1000 * USEC_PER_MSEC)
-/**
- * Longest wait for a token of a team that is over its rate. Waiting does not raise the number of
- * requests that are served, it only delays them.
- */
-#define OVER_RATE_WAIT_MAX_US (40 * USEC_PER_MSEC)
-/** Longest wait for a token of a team with fixed parts that is within its rate. */
-#define FIXED_TOKEN_WAIT_MAX_US (300 * USEC_PER_MSEC)
-/** Most requests of one team that may wait for tokens at the same time. */
-#define WAITING_MAX 5000
-
 struct shares *shares_of(struct kernel *k)
 {
 	return (struct shares *)kernel_find(k, "shares");
@@ -110,12 +98,15 @@
 {
 	struct shares_team *t = g_new0(struct shares_team, 1);
 	int64_t now = now_us();
+	unsigned i;
 
 	t->s = s;
 	g_strlcpy(t->name, name, sizeof(t->name));
 	t->role = g_str_hash(t->name) % ALLOCATORS;
-	t->ask.success_ratio = 1;
-	TAILQ_INIT(&t->waiting);
+	for (i = 0; i < URGENCY_CLASSES; i++) {
+		t->cls[i].ask.success_ratio = 1;
+		TAILQ_INIT(&t->cls[i].waiting);
+	}
 	bucket_init(&t->bucket, 0, 0, 0, now);
 	share_holder_init(&t->holder, s->service.kernel->incarnation, now);
 	TAILQ_INSERT_TAIL(&s->teams, t, link);
@@ -133,6 +124,7 @@
 		TAILQ_REMOVE(&t->s->busy, t, busy_link);
 	TAILQ_REMOVE(&t->s->teams, t, link);
 	g_hash_table_remove(t->s->by_name, t->name);
+	g_free(t->urgency);
 	g_free(t);
 }
 
@@ -217,8 +209,7 @@
 	}
 }
 
-/** Resizes the buckets when the lease or the set of held parts has changed. */
-static void check_lease(struct shares *s, int64_t now)
+void shares_check_lease(struct shares *s, int64_t now)
 {
 	bool listed = fleet_confirmed_listed(fleet_of(s->service.kernel));
 	unsigned held = s->parts != NULL ? parts_held(s->parts) : 0;
@@ -248,7 +239,7 @@
 	if (gap < SHARE_PAUSE_MAX_US)
 		return;
 	s->ticked_us = now;
-	check_lease(s, now);
+	shares_check_lease(s, now);
 	TAILQ_FOREACH(t, &s->teams, link) {
 		if (!share_holder_paused(&t->holder, gap))
 			continue;
@@ -258,180 +249,75 @@
 	}
 }
 
-/* Admission */
-
-static void admission_end(struct admission *a, bool admitted, int64_t retry)
-{
-	struct shares_team *t = a->team;
-
-	TAILQ_REMOVE(&t->waiting, a, link);
-	t->n_waiting--;
-	a->team = NULL;
-	a->done(a, admitted, retry);
-}
-
-void shares_cancel(struct admission *a)
-{
-	if (a->team == NULL)
-		return;
-	TAILQ_REMOVE(&a->team->waiting, a, link);
-	a->team->n_waiting--;
-	a->team = NULL;
-}
-
-/** Returns the expected time until a token is free for a new request of the team on this VM. */
-static int64_t token_wait_us(struct shares_team *t, int64_t now)
-{
-	double ahead = (double)t->n_waiting + 1;
-	/*
-	 * With fixed parts, tokens of every part can be requested; with a rate that moves, only
-	 * this VM's part counts.
-	 */
-	double part = !t->fixed && t->bucket.rate > 0 ? t->bucket.rate : t->rate / 2;
-	int64_t wait = (int64_t)((ahead - t->bucket.tokens) / part * (double)USEC_PER_SEC);
-
-	return wait > 0 ? wait : 1;
-}
-
-/** Returns whether the team's demand over the fleet is within its rate, as known to this VM. */
-static bool team_within_rate(const struct shares_team *t)
-{
-	return t->fixed ? ask_within_rate(t) : share_holder_within_rate(&t->holder);
-}
-
-static int64_t max_wait_us(const struct shares_team *t)
-{
-	if (!team_within_rate(t))
-		return OVER_RATE_WAIT_MAX_US;
-	return t->fixed ? FIXED_TOKEN_WAIT_MAX_US : TOKEN_WAIT_MAX_US;
-}
-
-/** Takes a token from this VM's bucket for @a a. */
-static bool take_token(struct shares_team *t, struct admission *a, int64_t now)
-{
-	if (!a->will_settle)
-		return bucket_take(&t->bucket, 1, now);
-	a->checked_out = bucket_reserve(&t->bucket, now);
-	return a->checked_out;
-}
+/* The service */
 
-int shares_admit(struct shares *s, const char *team, struct admission *a, int64_t deadline_us,
-		 int64_t *retry_after_us)
+/** Admits, refuses and asks for the requests that wait. */
+static void process_busy(struct shares *s, int64_t now)
 {
-	struct shares_team *t = shares_team(s, team);
-	int64_t now = now_us();
-	int64_t limit;
-	bool ok;
-
-	shares_check_pause(s, now);
-	check_lease(s, now);
-	a->team = NULL;
-	a->checked_out = false;
-	/* A team without a configured rate is not limited. */
-	if (t == NULL || !t->configured)
-		return 1;
-	ok = t->n_waiting == 0 && take_token(t, a, now);
-	if (!t->fixed)
-		share_holder_arrival(&t->holder, ok, now);
-	if (ok)
-		return 1;
-	*retry_after_us = token_wait_us(t, now);
-	limit = now + max_wait_us(t);
-	if (limit > deadline_us)
-		limit = deadline_us;
-	/* Refuse at once, with a retry time, when waiting is unlikely to get a token. */
-	if (t->n_waiting >= WAITING_MAX)
-		return -1;
-	if (!team_within_rate(t) &&
-	    (t->fixed ? now < t->ask.paused_until_us : now + *retry_after_us > limit))
-		return -1;
-	a->team = t;
-	a->until_us = limit;
-	TAILQ_INSERT_TAIL(&t->waiting, a, link);
-	t->n_waiting++;
-	team_mark_busy(t);
-	ask_next(t, now);
-	return 0;
-}
+	struct shares_team *t, *next;
 
-void team_admit_waiting(struct shares_team *t, int64_t now)
-{
-	struct admission *a;
-
-	while ((a = TAILQ_FIRST(&t->waiting)) != NULL) {
-		if (t->granted >= 1)
-			t->granted -= 1;
-		else if (!take_token(t, a, now))
-			break;
-		admission_end(a, true, 0);
+	TAILQ_FOREACH_SAFE(t, &s->busy, busy_link, next) {
+		team_admit_waiting(t, now);
+		ask_continue(t, now);
+		if (t->n_waiting > 0 || ask_in_progress(t))
+			continue;
+		t->busy = false;
+		TAILQ_REMOVE(&s->busy, t, busy_link);
 	}
-	t->granted = 0;
-	if (a != NULL)
-		t->holder.short_of_tokens = true;
-	while ((a = TAILQ_FIRST(&t->waiting)) != NULL && a->until_us <= now)
-		admission_end(a, false, token_wait_us(t, now));
 }
 
-void shares_settle(struct shares *s, const char *team, struct admission *a, bool ran)
+void shares_wake_at(struct shares *s, int64_t at_us)
 {
-	struct shares_team *t = shares_team(s, team);
 	int64_t now = now_us();
 
-	if (!a->checked_out)
-		return;
-	a->checked_out = false;
-	if (t == NULL)
+	if (s->due == NULL || (s->due_us != 0 && s->due_us <= at_us))
 		return;
-	bucket_settle(&t->bucket, !ran, now);
-	if (!ran)
-		team_admit_waiting(t, now);
+	s->due_us = at_us;
+	kernel_arm(s->due, at_us > now ? at_us - now : 0);
 }
 
-double shares_weight(struct shares *s, const char *team)
+/** Returns when the next promised token of a waiting request is available; 0: none is promised. */
+static int64_t next_due_us(const struct shares *s, int64_t now)
 {
-	const struct shares_team *t = shares_team(s, team);
-
-	return t != NULL && t->configured ? t->rate : 1;
-}
-
-bool shares_within_rate(struct shares *s, const char *team)
-{
-	const struct shares_team *t = shares_team(s, team);
+	const struct shares_team *t;
+	const struct admission *a;
+	int64_t next = 0;
+	unsigned i;
 
-	return t == NULL || team_within_rate(t);
+	TAILQ_FOREACH(t, &s->busy, busy_link) {
+		for (i = 0; i < URGENCY_CLASSES; i++) {
+			TAILQ_FOREACH(a, &t->cls[i].waiting, link) {
+				if (a->due_us > now && (next == 0 || a->due_us < next))
+					next = a->due_us;
+			}
+		}
+	}
+	return next;
 }
 
-unsigned team_grant(struct shares_team *t, unsigned want, int64_t now)
+static void shares_due(evutil_socket_t fd, short what, void *arg)
 {
-	unsigned granted = 0;
+	struct shares *s = arg;
+	int64_t now = now_us();
+	int64_t next;
 
-	/* Requests that wait on this VM have precedence. */
-	if (t->n_waiting > 0)
-		return 0;
-	while (granted < want && bucket_take(&t->bucket, 1, now))
-		granted++;
-	return granted;
+	s->due_us = 0;
+	shares_check_pause(s, now);
+	process_busy(s, now);
+	next = next_due_us(s, now);
+	if (next != 0)
+		shares_wake_at(s, next);
 }
 
-/* The service */
-
 static void shares_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct shares *s = arg;
 	int64_t now = now_us();
-	struct shares_team *t, *next;
 
 	shares_check_pause(s, now);
 	s->ticked_us = now;
-	check_lease(s, now);
-	TAILQ_FOREACH_SAFE(t, &s->busy, busy_link, next) {
-		team_admit_waiting(t, now);
-		ask_next(t, now);
-		if (t->n_waiting > 0 || t->ask.asked > 0)
-			continue;
-		t->busy = false;
-		TAILQ_REMOVE(&s->busy, t, busy_link);
-	}
+	shares_check_lease(s, now);
+	process_busy(s, now);
 	if (s->n_moving > 0)
 		report_tick(s, now);
 	update_tick_interval(s);
@@ -448,6 +334,7 @@
 	s->started_us = now_us();
 	s->ticked_us = s->started_us;
 	s->tick = kernel_every(service->kernel, TICK_US, shares_tick, s);
+	s->due = event_new(service->kernel->base, -1, 0, shares_due, s);
 	return TRUE;
 }
 
@@ -473,9 +360,12 @@
 
 	if (s->tick != NULL)
 		event_free(s->tick);
+	if (s->due != NULL)
+		event_free(s->due);
 	while ((t = TAILQ_FIRST(&s->teams)) != NULL)
 		team_free(t);
 	g_hash_table_destroy(s->by_name);
+	g_hash_table_destroy(s->unanswered);
 	g_free(s);
 }
 
@@ -494,29 +384,11 @@
 	TAILQ_INIT(&s->teams);
 	TAILQ_INIT(&s->busy);
 	s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	s->unanswered = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	kernel_add(k, &s->service);
 	return &s->service;
 }
 
-void shares_log_refusal(struct shares *s, const char *team, const char *request)
-{
-	const struct shares_team *t = shares_team(s, team);
-
-	if (t == NULL)
-		return;
-	log_info("no-token", LOG_STR("request", request), LOG_STR("team", team),
-		 LOG_NUM("rate_milli", t->bucket.rate * 1000),
-		 LOG_NUM("tokens_milli", t->bucket.tokens * 1000),
-		 LOG_NUM("whole_rate_milli", t->rate * 1000),
-		 LOG_NUM("part_permille", (int64_t)t->holder.units * 1000 / SHARE_TOTAL_UNITS),
-		 LOG_NUM("demand_milli", t->holder.demand * 1000),
-		 LOG_NUM("team_over", t->holder.over), LOG_NUM("waiting", t->n_waiting),
-		 LOG_NUM("listed", s->listed), LOG_NUM("fixed", t->fixed),
-		 LOG_NUM("got_permille", t->ask.success_ratio * 1000),
-		 LOG_NUM("dry_ms", (t->ask.paused_until_us - now_us()) / USEC_PER_MSEC),
-		 LOG_NUM("report_age_ms", (now_us() - t->holder.reported_us) / USEC_PER_MSEC));
-}
-
 void shares_json(struct shares *s, JsonBuilder *b)
 {
 	struct shares_team *t;
--- a/src/shares.h
+++ b/src/shares.h
@@ -16,13 +16,27 @@
 
 struct shares;
 
+/** What a request asks for. Times are monotonic microseconds. */
+struct admission_want {
+	const char *team;
+	unsigned priority;   /**< of its route; 0 is the most urgent */
+	int64_t aim_us;	     /**< expiry of its latency target; 0: none */
+	int64_t deadline_us; /**< its deadline */
+};
+
 /** A request for one token; embedded in the object that waits for admission. */
 struct admission {
 	TAILQ_ENTRY(admission) link;
 	struct shares_team *team; /**< NULL while it does not wait */
-	int64_t until_us;	  /**< end of the wait */
-	bool will_settle;	  /**< set by the embedding object: it will call shares_settle() */
-	bool checked_out; /**< its token is checked out of this VM's bucket, not yet settled */
+	unsigned priority;
+	unsigned cls;	     /**< class that it waits in; 0 unless admission is by priority */
+	int64_t until_us;    /**< end of the wait */
+	int64_t useful_us;   /**< a later token is of no use; only if admission is by priority */
+	int64_t due_us;	     /**< other VMs are not asked before; 0: now */
+	int place;	     /**< place that promised a token at @a due_us, or -1 */
+	int64_t admitted_us; /**< 0 unless it was admitted and not settled */
+	bool will_settle;    /**< set by the embedding object: it will call shares_settle() */
+	bool checked_out;    /**< its token is checked out of this VM's bucket, not yet settled */
 	/** Called once, from the loop: admitted, or refused with the time until a token is likely.
 	 */
 	void (*done)(struct admission *a, bool admitted, int64_t retry_after_us);
@@ -32,11 +46,11 @@
 struct service *shares_service_create(struct kernel *k);
 struct shares *shares_of(struct kernel *k);
 /**
- * Asks for a token of @a team.
+ * Asks for a token of a team.
  * @return 1 when admitted now, 0 when a->done will be called with the result, -1 when refused now,
  * with *retry_after_us set
  */
-int shares_admit(struct shares *s, const char *team, struct admission *a, int64_t deadline_us,
+int shares_admit(struct shares *s, const struct admission_want *want, struct admission *a,
 		 int64_t *retry_after_us);
 /** Stops waiting; a->done is not called. */
 void shares_cancel(struct admission *a);
@@ -52,7 +66,8 @@
 /** Returns whether the team's demand over the whole fleet is believed to be within its rate. */
 bool shares_within_rate(struct shares *s, const char *team);
 /** Logs the state that led to refusing @a request of @a team for lack of a token. */
-void shares_log_refusal(struct shares *s, const char *team, const char *request);
+void shares_log_refusal(struct shares *s, const char *team, const char *request,
+			const struct admission *a, int64_t retry_after_us);
 /** Writes the teams for `mangoloom status`. */
 void shares_json(struct shares *s, JsonBuilder *b);
 
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -184,12 +184,13 @@
 
 static void request(struct world *w, struct request *r)
 {
+	const struct admission_want want = {.team = TEAM, .deadline_us = now_us() + USEC_PER_SEC};
 	int64_t retry_us;
 
 	memset(r, 0, sizeof(*r));
 	r->a.done = on_done;
 	r->a.will_settle = true;
-	r->verdict = shares_admit(w->shares, TEAM, &r->a, now_us() + USEC_PER_SEC, &retry_us);
+	r->verdict = shares_admit(w->shares, &want, &r->a, &retry_us);
 }
 
 /** Sends so many requests without getting a token that the team counts as over its rate. */
