--- a/src/shares-admit.c
+++ b/src/shares-admit.c
@@ -163,7 +163,8 @@
 /** Returns the time until the retry of a request that is refused when its wait has ended. */
 static int64_t waited_retry_us(struct shares_team *t, const struct admission *a, int64_t now)
 {
-	const struct urgency_request r = {.cls = a->cls, .ahead = team_waiting_before(t, a->cls)};
+	const struct urgency_request r = {.cls = a->cls,
+					  .ahead = team_waiting_before(t, a->cls) - 1};
 	const struct shares_ask *q = &t->cls[a->cls].ask;
 
 	if (!team_by_class(t, now))
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -324,7 +324,8 @@
 /** Returns the earliest place in the schedules of retries, of the holders and of this VM. */
 static int64_t retry_place_us(struct shares_team *t, unsigned cls, int64_t now)
 {
-	const struct urgency_request r = {.cls = cls, .ahead = team_waiting_before(t, cls)};
+	const struct urgency_request r = {
+		.cls = cls, .ahead = team_waiting_before(t, cls) - count_due(t, cls, now)};
 	const struct shares_ask *q = &t->cls[cls].ask;
 	int64_t place = INT64_MAX;
 
--- a/src/shares.c
+++ b/src/shares.c
@@ -389,6 +389,28 @@
 	return &s->service;
 }
 
+static void put_classes(JsonBuilder *b, const char *name, const double value[URGENCY_CLASSES])
+{
+	unsigned i;
+
+	json_builder_set_member_name(b, name);
+	json_builder_begin_array(b);
+	for (i = 0; i < URGENCY_CLASSES; i++)
+		json_builder_add_double_value(b, value[i]);
+	json_builder_end_array(b);
+}
+
+/** Writes demand and allowances of a team that is short of tokens, while they go by class. */
+static void put_urgency(struct shares_team *t, JsonBuilder *b)
+{
+	int64_t now = now_us();
+
+	if (!team_by_class(t, now) || urgency_unpromised(t->urgency, &t->bucket, now) >= 1)
+		return;
+	put_classes(b, "demand_by_class", t->urgency->demand);
+	put_classes(b, "allowance_by_class", t->urgency->allowance);
+}
+
 void shares_json(struct shares *s, JsonBuilder *b)
 {
 	struct shares_team *t;
@@ -407,6 +429,7 @@
 		json_builder_add_int_value(b, t->n_waiting);
 		json_builder_set_member_name(b, "allocator");
 		json_builder_add_boolean_value(b, t->alloc != NULL);
+		put_urgency(t, b);
 		json_builder_end_object(b);
 	}
 	json_builder_end_array(b);
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -114,6 +114,9 @@
 	char address[ADDRESS_SIZE];
 	unsigned tokens;
 	unsigned calls;
+	unsigned class_calls;
+	bool silent;	 /**< does not answer ML_TOKENS_CLASS, like a VM of an older build */
+	int64_t next_us; /**< answer to requests of a class without a token */
 } holder;
 
 static void holder_serve(struct rpc_request *rq, const void *args, void *owner)
@@ -126,6 +129,19 @@
 	rpc_reply(rq, &res);
 }
 
+static void holder_serve_class(struct rpc_request *rq, const void *args, void *owner)
+{
+	const ml_tokens_class_args *a = args;
+	ml_tokens_class_res res = {.granted = MIN(a->want, holder.tokens)};
+
+	holder.class_calls += a->want > 0 ? 1 : 0;
+	if (holder.silent)
+		return;
+	holder.tokens -= res.granted;
+	res.next_us = (u_quad_t)holder.next_us;
+	rpc_reply(rq, &res);
+}
+
 /** Finds a free port. */
 static void free_address(char address[ADDRESS_SIZE])
 {
@@ -153,6 +169,7 @@
 	holder.k->base = w->k->base;
 	rpc_service_create(holder.k);
 	rpc_serve(rpc_of(holder.k), ML_TOKENS, holder_serve, NULL);
+	rpc_serve(rpc_of(holder.k), ML_TOKENS_CLASS, holder_serve_class, NULL);
 	free_address(holder.address);
 	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(holder.k), holder.address, NULL));
 	text = g_strdup_printf(
@@ -175,22 +192,35 @@
 struct request {
 	struct admission a;
 	int verdict; /**< 1 admitted, -1 refused, 0 waits */
+	int64_t retry_us, ended_us;
 };
 
 static void on_done(struct admission *a, bool admitted, int64_t retry_after_us)
 {
-	((struct request *)a)->verdict = admitted ? 1 : -1;
+	struct request *r = (struct request *)a;
+
+	r->verdict = admitted ? 1 : -1;
+	r->retry_us = retry_after_us;
+	r->ended_us = now_us();
 }
 
-static void request(struct world *w, struct request *r)
+/** Requests a token for a route with a latency target of 400 ms. */
+static void request_class(struct world *w, struct request *r, unsigned priority)
 {
-	const struct admission_want want = {.team = TEAM, .deadline_us = now_us() + USEC_PER_SEC};
-	int64_t retry_us;
+	const struct admission_want want = {.team = TEAM,
+					    .priority = priority,
+					    .aim_us = now_us() + 400 * USEC_PER_MSEC,
+					    .deadline_us = now_us() + USEC_PER_SEC};
 
 	memset(r, 0, sizeof(*r));
 	r->a.done = on_done;
 	r->a.will_settle = true;
-	r->verdict = shares_admit(w->shares, &want, &r->a, &retry_us);
+	r->verdict = shares_admit(w->shares, &want, &r->a, &r->retry_us);
+}
+
+static void request(struct world *w, struct request *r)
+{
+	request_class(w, r, 0);
 }
 
 /** Sends so many requests without getting a token that the team counts as over its rate. */
@@ -292,7 +322,7 @@
 	g_string_append(text, "{\"name\":\"vm-1\",\"address\":\"" SELF "\",\"data_center\":\"dc\"},"
 			      "{\"name\":\"vm-2\",\"address\":\"127.0.0.1:2\","
 			      "\"data_center\":\"dc\"}]");
-	fleet_apply_vms(fleet_of(w->k), 5, text->str);
+	fleet_apply_vms(fleet_of(w->k), 6, text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -350,7 +380,213 @@
 	shares_cancel(&r[0].a);
 }
 
+/* Admission by priority */
+
+/** Opens a world whose team has used two classes; the tokens are at another VM. */
+static void world_open_classes(struct world *w)
+{
+	struct request r[2];
+	unsigned i;
+
+	world_open_rate(w, 3);
+	w->settings.admission_by_priority = true;
+	holder_open(w);
+	holder.tokens = 2;
+	for (i = 0; i < 2; i++)
+		request_class(w, &r[i], i);
+	run_ms(w, 60);
+	CU_ASSERT_TRUE(r[0].verdict == 1 && r[1].verdict == 1);
+	holder.class_calls = 0;
+}
+
+/*
+ * Guards against a request that cannot get a token in time finding out only by waiting, and against
+ * asking again while the answer is known. Its retry time is the one that the holder told.
+ */
+static void test_hopeless_requests_are_refused_after_one_round(void)
+{
+	struct request r, next;
+	struct world w;
+	unsigned calls;
+
+	world_open_classes(&w);
+	holder.next_us = 900 * USEC_PER_MSEC;
+	request_class(&w, &r, 1);
+	run_ms(&w, 40);
+	CU_ASSERT_EQUAL(r.verdict, -1);
+	CHECK(r.retry_us > 800 * USEC_PER_MSEC && r.retry_us <= holder.next_us, "%ld", r.retry_us);
+	calls = holder.class_calls;
+	CU_ASSERT_TRUE(calls > 0);
+	request_class(&w, &next, 1);
+	CU_ASSERT_EQUAL(next.verdict, -1);
+	CU_ASSERT_TRUE(next.retry_us > r.retry_us);
+	CU_ASSERT_EQUAL(holder.class_calls, calls);
+}
+
+/* Guards against refusing a request whose next token is due within its latency target. */
+static void test_a_promised_token_is_waited_for(void)
+{
+	struct request r;
+	struct world w;
+
+	world_open_classes(&w);
+	holder.next_us = 120 * USEC_PER_MSEC;
+	request_class(&w, &r, 1);
+	run_ms(&w, 60);
+	CU_ASSERT_EQUAL(r.verdict, 0);
+	holder.tokens = 1;
+	run_ms(&w, 160);
+	CU_ASSERT_EQUAL(r.verdict, 1);
+}
+
+/*
+ * Guards against callers being refused by VMs of a newer build during an upgrade: a holder of an
+ * older build does not answer ML_TOKENS_CLASS. It is asked with ML_TOKENS, for 10 s at once.
+ */
+static void test_a_holder_of_an_older_build_is_asked_by_the_old_method(void)
+{
+	struct request r;
+	struct world w;
+
+	world_open_rate(&w, 3);
+	w.settings.admission_by_priority = true;
+	holder_open(&w);
+	holder.silent = true;
+	holder.tokens = 2;
+	request_class(&w, &r, 1);
+	run_ms(&w, 200);
+	CU_ASSERT_EQUAL(r.verdict, 1);
+	CU_ASSERT_EQUAL(holder.class_calls, 1);
+	request_class(&w, &r, 0);
+	run_ms(&w, 60);
+	CU_ASSERT_EQUAL(r.verdict, 1);
+	CU_ASSERT_EQUAL(holder.class_calls, 1);
+}
+
+/*
+ * Guards against requests waiting for a holder that a partition separates from this VM: its calls
+ * end after their time limit, and the request is refused with a retry time while a caller retries.
+ */
+static void test_requests_are_refused_when_the_holder_is_cut_off(void)
+{
+	struct request r;
+	struct world w;
+
+	world_open_classes(&w);
+	holder.silent = true;
+	request_class(&w, &r, 1);
+	run_ms(&w, 350);
+	CU_ASSERT_EQUAL(r.verdict, -1);
+	CHECK(r.retry_us > 0 && r.retry_us <= 600 * USEC_PER_MSEC, "%ld", r.retry_us);
+}
+
+/* Guards against requests waiting in vain when the last holder of their team's parts is lost. */
+static void test_requests_are_refused_at_once_when_the_holder_is_lost(void)
+{
+	struct request r;
+	struct world w;
+
+	world_open_classes(&w);
+	fleet_suspect(fleet_of(w.k), holder.address);
+	request_class(&w, &r, 1);
+	run_ms(&w, 50);
+	CU_ASSERT_EQUAL(r.verdict, -1);
+	CHECK(r.retry_us > 0 && r.retry_us <= 600 * USEC_PER_MSEC, "%ld", r.retry_us);
+}
+
+/*
+ * Guards against less urgent requests that wait on the holder itself getting the next token before
+ * an urgent one that came later.
+ */
+static void test_a_holder_serves_urgent_requests_first(void)
+{
+	struct request r, late, urgent;
+	struct world w;
+	unsigned n = 0;
+
+	world_open_rate(&w, 3);
+	w.settings.admission_by_priority = true;
+	CU_ASSERT_TRUE(kernel_find(w.k, "parts")->ops->start(kernel_find(w.k, "parts"), NULL));
+	hold_parts(&w);
+	run_ms(&w, 700);
+	store_source.lease_until_us = now_us() + USEC_PER_SEC;
+	for (request_class(&w, &r, 1); r.verdict == 1 && n < 100; n++) {
+		shares_settle(w.shares, TEAM, &r.a, true);
+		request_class(&w, &r, 1);
+	}
+	CU_ASSERT_TRUE(n > 0);
+	shares_cancel(&r.a);
+	request_class(&w, &late, 1);
+	request_class(&w, &urgent, 0);
+	run_ms(&w, 390);
+	CU_ASSERT_EQUAL(urgent.verdict, 1);
+	CU_ASSERT_TRUE(late.verdict != 1 || late.ended_us >= urgent.ended_us);
+	shares_cancel(&late.a);
+}
+
+/** Answer to the last call of ML_TOKENS_CLASS. */
+static ml_tokens_class_res class_answer;
+
+static void on_class_answer(enum rpc_status status, const void *res, void *arg)
+{
+	CU_ASSERT_EQUAL_FATAL(status, RPC_DONE);
+	class_answer = *(const ml_tokens_class_res *)res;
+}
+
+static unsigned ask_holder(struct world *w, const char *address, unsigned priority)
+{
+	ml_tokens_class_args args = {
+		.team = TEAM, .want = 1, .priority = priority, .patience_us = 500000};
+
+	rpc_start(rpc_of(holder.k), address, ML_TOKENS_CLASS, &args, USEC_PER_SEC, on_class_answer,
+		  NULL);
+	run_ms(w, 20);
+	return class_answer.granted;
+}
+
+/*
+ * Guards against a restarted holder, which has seen no demand, refusing a class for want of an
+ * allowance, and against a token that was promised to one VM being unavailable when it returns.
+ */
+static void test_a_holder_grants_promises_and_starts_without_classes(void)
+{
+	char address[ADDRESS_SIZE];
+	struct world w;
+	unsigned n = 0;
+
+	world_open_rate(&w, 3);
+	w.settings.admission_by_priority = true;
+	CU_ASSERT_TRUE(kernel_find(w.k, "parts")->ops->start(kernel_find(w.k, "parts"), NULL));
+	free_address(address);
+	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(w.k), address, NULL));
+	holder_open(&w);
+	hold_parts(&w);
+	run_ms(&w, 700);
+	store_source.lease_until_us = now_us() + USEC_PER_SEC;
+	while (n < 100 && ask_holder(&w, address, 1) == 1)
+		n++;
+	CU_ASSERT_TRUE(n > 0);
+	CU_ASSERT_EQUAL(class_answer.next_us, 0);
+	ask_holder(&w, address, 0);
+	CU_ASSERT_EQUAL(class_answer.granted, 0);
+	CU_ASSERT_TRUE_FATAL(class_answer.next_us > 0 && class_answer.next_us <= 500000);
+	run_ms(&w, (int)(class_answer.next_us / USEC_PER_MSEC) - 19);
+	CU_ASSERT_EQUAL(ask_holder(&w, address, 0), 1);
+}
+
 static const struct test_case cases[] = {
+	{"a_holder_grants_promises_and_starts_without_classes",
+	 test_a_holder_grants_promises_and_starts_without_classes},
+	{"hopeless_requests_are_refused_after_one_round",
+	 test_hopeless_requests_are_refused_after_one_round},
+	{"a_promised_token_is_waited_for", test_a_promised_token_is_waited_for},
+	{"a_holder_of_an_older_build_is_asked_by_the_old_method",
+	 test_a_holder_of_an_older_build_is_asked_by_the_old_method},
+	{"requests_are_refused_when_the_holder_is_cut_off",
+	 test_requests_are_refused_when_the_holder_is_cut_off},
+	{"requests_are_refused_at_once_when_the_holder_is_lost",
+	 test_requests_are_refused_at_once_when_the_holder_is_lost},
+	{"a_holder_serves_urgent_requests_first", test_a_holder_serves_urgent_requests_first},
 	{"an_operation_that_did_not_run_returns_its_token",
 	 test_an_operation_that_did_not_run_returns_its_token},
 	{"no_allocator_before_the_list_is_known", test_no_allocator_before_the_list_is_known},
