--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -101,9 +101,12 @@
 	struct part_candidate places[SHARES_PLACES_MAX];
 	struct shares_ask *q = &t->cls[cls].ask;
 	ml_tokens_class_args args = {.team = t->name, .priority = cls};
-	unsigned n = places_list(t, 0, places);
+	unsigned n;
 
-	if (q->offer_us > 0 && q->offer_place < (int)n && places[q->offer_place].address != NULL)
+	if (q->offer_us == 0)
+		return;
+	n = places_list(t, 0, places);
+	if (q->offer_place < (int)n && places[q->offer_place].address != NULL)
 		rpc_start(rpc_of(t->s->service.kernel), places[q->offer_place].address,
 			  ML_TOKENS_CLASS, &args, ASK_CLASS_TIMEOUT_US, NULL, NULL);
 	q->offer_us = 0;
