Admission by priority: a promise does not come before a request that waits already

Cause: an urgent request that waited on the holder was refused as soon as another VM was promised a later token: the time of its own token was computed behind that promise (found by the new test a_holder_serves_by_arrival_until_it_has_seen_classes, 3 of 3 runs).

Change: one function says how many tokens the bucket must hold for a request, counting a promise only when it would not be kept otherwise; taking and waiting both use it.

--- a/decide/urgency.c
+++ b/decide/urgency.c
@@ -157,34 +157,6 @@
 	return p->due_us <= u->promise[own].due_us;
 }
 
-/** @return tokens that requests that come before @a r will take */
-static unsigned tokens_ahead(const struct urgency *u, const struct urgency_request *r,
-			     int64_t now_us)
-{
-	int own = promise_find(u, r->cls, r->to, now_us);
-	unsigned i, n = r->ahead;
-
-	for (i = 0; i < u->n_promises; i++)
-		n += (int)i != own && comes_before(u, &u->promise[i], r, own) ? 1 : 0;
-	return n;
-}
-
-/**
- * @return tokens that the bucket lacks to be full before the next request can be expected; 0 or
- * less: tokens would be lost, which matters for a bucket of one or two
- */
-static double lacks_to_full(const struct urgency *u, const struct bucket *b)
-{
-	double demand = 0, gained = 1;
-	unsigned i;
-
-	for (i = 0; i < URGENCY_CLASSES; i++)
-		demand += u->demand[i];
-	if (demand > b->rate)
-		gained = b->rate / demand;
-	return b->burst - b->reserved - gained - b->tokens;
-}
-
 /** @return tokens that the promises of @a r's class and more urgent ones take until @a until_us */
 static unsigned promised_until(const struct urgency *u, unsigned cls, int own, int64_t until_us)
 {
@@ -198,29 +170,45 @@
 }
 
 /**
- * @return whether @a r can take a token and those promised to requests that come before it are
- * still there in time. Otherwise a bucket of one token would stand full until a promise is due that
- * was made after @a r began to wait.
+ * @return tokens that the bucket must hold for @a r to take one, such that those promised to
+ * requests that come before it are still there in time. If it had to hold all promised tokens, a
+ * bucket of one would stand full until a promise is due that was made after @a r began to wait.
  */
-static bool keeps_promises(const struct urgency *u, const struct bucket *b,
-			   const struct urgency_request *r, int64_t now_us)
+static double tokens_needed(const struct urgency *u, const struct bucket *b,
+			    const struct urgency_request *r, int64_t now_us)
 {
 	int own = promise_find(u, r->cls, r->to, now_us);
-	double left = b->tokens - 1 - r->ahead + ROUNDING_TOLERANCE_TOKENS;
+	double needed = 1 + (double)r->ahead, most = needed;
 	unsigned i;
 
-	if (left < 0)
-		return false;
 	for (i = 0; i < u->n_promises; i++) {
 		const struct urgency_promise *p = &u->promise[i];
 		double gained = b->rate * (double)(p->due_us - now_us) / (double)USEC_PER_SEC;
+		double with;
 
 		if ((int)i == own || !comes_before(u, p, r, own))
 			continue;
-		if (left + (gained > 0 ? gained : 0) < promised_until(u, r->cls, own, p->due_us))
-			return false;
+		with = needed + promised_until(u, r->cls, own, p->due_us);
+		if (b->tokens + fmax(gained, 0) + ROUNDING_TOLERANCE_TOKENS < with)
+			most = fmax(most, with);
 	}
-	return true;
+	return most;
+}
+
+/**
+ * @return tokens that the bucket lacks to be full before the next request can be expected; 0 or
+ * less: tokens would be lost, which matters for a bucket of one or two
+ */
+static double lacks_to_full(const struct urgency *u, const struct bucket *b)
+{
+	double demand = 0, gained = 1;
+	unsigned i;
+
+	for (i = 0; i < URGENCY_CLASSES; i++)
+		demand += u->demand[i];
+	if (demand > b->rate)
+		gained = b->rate / demand;
+	return b->burst - b->reserved - gained - b->tokens;
 }
 
 bool urgency_may_take(struct urgency *u, struct bucket *b, const struct urgency_request *r,
@@ -231,7 +219,7 @@
 	update(u, b, now_us);
 	if (!urgency_active(u, now_us))
 		return true;
-	if (!keeps_promises(u, b, r, now_us))
+	if (b->tokens + ROUNDING_TOLERANCE_TOKENS < tokens_needed(u, b, r, now_us))
 		return false;
 	if (r->cls == 0 || promise_find(u, r->cls, r->to, now_us) >= 0)
 		return true;
@@ -269,7 +257,7 @@
 	update(u, b, now_us);
 	if (b->rate <= 0)
 		return INT64_MAX;
-	wait_s = (1 + (double)tokens_ahead(u, r, now_us) - b->tokens) / b->rate;
+	wait_s = (tokens_needed(u, b, r, now_us) - b->tokens) / b->rate;
 	rate = urgency_rate(u, b, r->cls);
 	if (r->cls > 0 && u->allowance[r->cls] < 1) {
 		before = demand_before(u, r->cls);
