Owner: connections to members as a budget

Cause: an idle connection was closed by its age, any class could open the last ones, idle transactions could hold all of them, and each VM guessed its part of a member's limit.

With [connections] budget and more teams than the member accepts connections, src/owner-budget.c keeps the use of each member by team and class and has owner-conn.c close the idle connection that is expected to be used last, hold as many as leave the reserve of the next owner (instead of that reserve twice), and leave a share to the most urgent class in use. A BEGIN beyond the bound on open transactions is refused with queue-full and a retry time; transactions that are admitted but have not begun count too, so that a burst does not pass the bound. budget_grant() and budget_granted() divide the limit between owner and readers; grants bind only with [placement] member_load and the message that calls them. ML_PREOPEN is served: the connection holds a slot while it opens, and a statement that follows takes it. conn_get() and conn_available() learn the class of the statement. With the settings off, nothing changes but the counters of openings by class.

--- a/decide/budget.c
+++ b/decide/budget.c
@@ -293,18 +293,31 @@
 	return part;
 }
 
-/** @return the fair part of each VM. @param asking what a reader wants that has no grant; or 0 */
+static unsigned floor_of(const struct budget_division *d)
+{
+	return MAX(d->floor, BUDGET_UNGRANTED);
+}
+
+/**
+ * @return the fair part of each VM. A usual reader that does not ask counts with the floor.
+ * @param asking a reader that asks now, or NULL
+ */
 static unsigned division_part(const struct budget_grants *g, const struct budget_division *d,
-			      unsigned asking, int64_t now_us)
+			      const struct budget_reader *asking, int64_t now_us)
 {
-	unsigned wants[BUDGET_READERS_MAX + 2], n = 0, i;
+	unsigned wants[2 * BUDGET_READERS_MAX + 1], n = 0, wanting = 0, i;
 
-	wants[n++] = d->want;
-	wants[n++] = asking;
+	wants[n++] = MAX(d->want, floor_of(d));
 	for (i = 0; i < BUDGET_READERS_MAX; i++) {
-		if (reader_known(&g->reader[i], now_us))
-			wants[n++] = g->reader[i].want;
+		const struct budget_reader *r = &g->reader[i];
+
+		if (r != asking && !reader_known(r, now_us))
+			continue;
+		wants[n++] = r->want > 0 ? MAX(r->want, floor_of(d)) : BUDGET_UNGRANTED;
+		wanting += r->want > 0 ? 1 : 0;
 	}
+	for (i = 0; i < MIN(less(d->readers, wanting), BUDGET_READERS_MAX); i++)
+		wants[n++] = floor_of(d);
 	return fair_part(less(capacity(d), d->reserve), wants, n);
 }
 
@@ -334,7 +347,7 @@
 		       unsigned want, int64_t now_us)
 {
 	struct budget_reader *r;
-	unsigned floor = MAX(d->floor, BUDGET_UNGRANTED), hard, left, n;
+	unsigned floor = floor_of(d), hard, left, n;
 
 	budget_expire(g, now_us);
 	r = reader_find(g, vm);
@@ -349,7 +362,7 @@
 	if (r->n == 0)
 		g_strlcpy(r->name, vm, sizeof(r->name));
 	r->want = want;
-	n = MIN(want, division_part(g, d, r->n == 0 ? want : 0, now_us));
+	n = MIN(want, division_part(g, d, r, now_us));
 	n = MIN(n, left);
 	if (!d->settled)
 		n = MIN(n, floor);
@@ -362,8 +375,7 @@
 unsigned budget_owner_limit(const struct budget_grants *g, const struct budget_division *d,
 			    int64_t now_us)
 {
-	unsigned floor = MAX(d->floor, BUDGET_UNGRANTED);
-	unsigned part = division_part(g, d, 0, now_us), readers, i;
+	unsigned part = division_part(g, d, NULL, now_us), floor = floor_of(d), readers, i;
 
 	readers = readers_hold(g, d, NULL, floor, now_us);
 	/* What a reader wants and has not got yet, since the owner holds idle connections. */
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -30,6 +30,12 @@
 #define FULL_RECENT_US (3 * USEC_PER_SEC)
 /** How long after its last READER_LOCAL read a VM counts as the reader of its data centre. */
 #define LOCAL_READER_FRESH_US (5 * USEC_PER_SEC)
+/**
+ * How soon the statement is expected for which a connection is opened in advance: a round trip of
+ * the caller after its BEGIN, a few after the start of its session. A connection that is expected
+ * to be used within this time is not closed for it.
+ */
+#define AHEAD_USED_WITHIN_US (1 * USEC_PER_SEC)
 /** Time limit for opening a connection. */
 #define OPEN_TIMEOUT_US (400 * USEC_PER_MSEC)
 /** How long after MEMBER_FULL no more connections are opened than were open then. */
@@ -41,6 +47,18 @@
  */
 #define ABANDONED_TIMEOUT_US (3 * USEC_PER_SEC)
 
+unsigned conn_users(const struct owner_member *m)
+{
+	const struct fleet *f = owner_group_fleet(m->g);
+	unsigned i, users = 2;
+
+	if (m == owner_group_primary(m->g))
+		return 1;
+	for (i = 0; i < f->n_data_centers; i++)
+		users += owner_group_has_member(m->g, f->data_center[i]) ? 0 : 1;
+	return users;
+}
+
 /**
  * Returns the maximum number of connections that this VM opens to a member. For a replica it is
  * half of what the replica accepts: when the VM of an owner loses power, the member counts its
@@ -51,12 +69,15 @@
 {
 	unsigned all = m->conf.connections;
 	unsigned half = all > PROBE_CONNECTIONS ? (all - PROBE_CONNECTIONS) / 2 : 1;
+	int64_t now = now_us();
 
 	if (m == owner_group_primary(m->g))
 		half = MAX(half, all > PRIMARY_CONNECTIONS_RESERVED
 					 ? all - PRIMARY_CONNECTIONS_RESERVED
 					 : 0);
-	if (now_us() < m->full_until_us && m->full_limit < half)
+	if (budget_active(m))
+		half = budget_limit(m, half, now);
+	if (now < m->full_until_us && m->full_limit < half)
 		half = m->full_limit;
 	return MAX(half, 1);
 }
@@ -68,19 +89,21 @@
  */
 static unsigned conn_usual_limit(const struct owner_member *m)
 {
+	if (budget_active(m))
+		return budget_usual(m, conn_limit(m));
 	if (m == owner_group_primary(m->g))
 		return conn_limit(m);
 
 	return MAX(m->conf.connections / REPLICA_USUAL_DIVISOR, m->conf.slots + 1);
 }
 
-static bool conn_idle(const struct owner_conn *c)
+bool conn_idle(const struct owner_conn *c)
 {
 	return c->open && c->job == NULL && c->tx == NULL && !c->abandoned;
 }
 
 /**
- * Whether this VM is one of those that member_users() counts. A VM that reads only while the owner
+ * Whether this VM is one of those that conn_users() counts. A VM that reads only while the owner
  * is unreachable is not.
  */
 static bool is_user(const struct owner_group *g, int64_t now)
@@ -89,22 +112,6 @@
 	       (g->last_local_read_us != 0 && now - g->last_local_read_us < LOCAL_READER_FRESH_US);
 }
 
-/**
- * Returns how many VMs usually connect to @a m. For the primary it is the owner only; for a replica
- * the owner, the reader of its data centre, and the readers of data centres without a member.
- */
-static unsigned member_users(const struct owner_member *m)
-{
-	const struct fleet *f = owner_group_fleet(m->g);
-	unsigned i, users = 2;
-
-	if (m == owner_group_primary(m->g))
-		return 1;
-	for (i = 0; i < f->n_data_centers; i++)
-		users += owner_group_has_member(m->g, f->data_center[i]) ? 0 : 1;
-	return users;
-}
-
 static const struct member_ops *ops_of(const struct owner_member *m)
 {
 	return m->g->o->service.kernel->adapter->member;
@@ -120,6 +127,7 @@
 	m->n_conns--;
 	if (c->open)
 		m->n_open--;
+	budget_conn_settled(c);
 	c->mc->ops->close(c->mc);
 	g_hash_table_destroy(c->values);
 	g_hash_table_destroy(c->prepared);
@@ -143,8 +151,10 @@
 {
 	struct owner_conn *c = arg;
 	struct owner_member *m = c->m;
+	bool ahead = c->job == NULL && result == MEMBER_DONE;
 	int64_t now = now_us();
 
+	budget_conn_settled(c);
 	if (result == MEMBER_DONE) {
 		watch_answered(m, pos, c->sent_us);
 		c->open = true;
@@ -169,9 +179,13 @@
 		watch_probe_soon(m);
 	}
 	job_conn_opened(c, result);
+	if (ahead) {
+		conn_release(c, TX_NONE);
+		queue_dispatch(m->g);
+	}
 }
 
-static struct owner_conn *conn_open(struct owner_member *m, const char *team)
+static struct owner_conn *conn_open(struct owner_member *m, const char *team, unsigned priority)
 {
 	struct owner_conn *c = g_new0(struct owner_conn, 1);
 
@@ -181,6 +195,8 @@
 	c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->state_since_us = now_us();
 	c->sent_us = c->state_since_us;
+	c->budget.priority = priority;
+	stat_add_class(STAT_OPENINGS, priority, 1);
 	TAILQ_INSERT_TAIL(&m->conns, c, link);
 	m->n_conns++;
 	watch_sent(m, c->state_since_us);
@@ -212,18 +228,59 @@
 	return false;
 }
 
-bool conn_available(const struct owner_member *m, const char *team)
+bool conn_available(const struct owner_member *m, const ml_run_args *a)
 {
-	if (conn_ready(m, team))
+	if (!budget_begins_on(m, a))
+		return false;
+	if (conn_ready(m, a->team))
 		return true;
 	if (now_us() < m->open_after_us)
 		return false;
+	if (budget_active(m))
+		return budget_opens(m, conn_limit(m), a->priority, now_us());
 	return m->n_conns < conn_limit(m) || conn_oldest_idle(m) != NULL;
 }
 
-struct owner_conn *conn_get(struct owner_member *m, const char *team)
+/** Returns a connection of the team that is being opened in advance, or NULL. */
+static struct owner_conn *conn_opening_ahead(const struct owner_member *m, const char *team)
+{
+	struct owner_conn *c;
+
+	TAILQ_FOREACH(c, &m->conns, link) {
+		if (!c->open && c->job == NULL && strcmp(c->team, team) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+/**
+ * Closes idle connections so that one of @a team can be opened within the limits. A connection
+ * belongs to one team until it is closed.
+ * @param before_us one that is expected to be used within this time is not closed
+ * @return whether there is room
+ */
+static bool conn_make_room(struct owner_member *m, const char *team, int64_t before_us, int64_t now)
+{
+	unsigned limit = conn_limit(m), usual = conn_usual_limit(m);
+	struct owner_conn *c;
+	double spare_us;
+
+	while (m->n_conns >= usual) {
+		c = budget_idle_conn(m, 0, now, &spare_us);
+		if (c == NULL || spare_us < (double)before_us)
+			break;
+		budget_log_evicted(c, team, spare_us);
+		conn_close(c);
+		if (m->n_conns < limit)
+			return true;
+	}
+	return m->n_conns < limit;
+}
+
+struct owner_conn *conn_get(struct owner_member *m, const char *team, unsigned priority)
 {
 	struct owner_conn *c, *best = NULL;
+	int64_t now = now_us();
 
 	/* Prefer the one used last, whose prepared statements and values most likely fit. */
 	TAILQ_FOREACH(c, &m->conns, link) {
@@ -231,10 +288,22 @@
 		    (best == NULL || c->state_since_us > best->state_since_us))
 			best = c;
 	}
-	if (best != NULL)
+	if (best == NULL)
+		best = conn_opening_ahead(m, team);
+	if (best != NULL) {
+		budget_used(m, team, priority, now);
+		budget_conn_taken(best);
 		return best;
-	if (now_us() < m->open_after_us)
+	}
+	if (now < m->open_after_us)
 		return NULL;
+	if (budget_active(m)) {
+		if (!budget_opens(m, conn_limit(m), priority, now) ||
+		    !conn_make_room(m, team, 0, now))
+			return NULL;
+		budget_used(m, team, priority, now);
+		return conn_open(m, team, priority);
+	}
 	/*
 	 * A connection belongs to one team until it is closed. An idle one of another team is
 	 * closed to make room.
@@ -244,7 +313,27 @@
 		conn_close(c);
 	else if (m->n_conns >= conn_limit(m))
 		return NULL;
-	return conn_open(m, team);
+	return conn_open(m, team, priority);
+}
+
+bool conn_open_ahead(struct owner_member *m, const char *team, unsigned priority)
+{
+	struct owner_conn *c;
+	int64_t now = now_us();
+
+	if (now < m->open_after_us || conn_ready(m, team) || conn_opening_ahead(m, team) != NULL ||
+	    m->in_flight >= m->conf.slots || !budget_opens(m, conn_limit(m), priority, now))
+		return false;
+	if (m->n_conns > conn_usual_limit(m) ||
+	    !conn_make_room(m, team, AHEAD_USED_WITHIN_US, now) ||
+	    m->n_conns >= conn_usual_limit(m))
+		return false;
+	c = conn_open(m, team, priority);
+	c->budget.ahead = true;
+	c->budget.holds_slot = true;
+	m->in_flight++;
+	stat_add_class(STAT_OPENINGS_AHEAD, priority, 1);
+	return true;
 }
 
 void conn_release(struct owner_conn *c, enum tx_state state)
@@ -295,22 +384,47 @@
 		else
 			conn_close(c);
 	}
+	budget_clear(m);
 }
 
 /** Returns how many unused connections are kept for longer than IDLE_KEEP_US. */
-static unsigned idle_conns_to_keep(const struct owner_member *m, int64_t now)
+static unsigned idle_conns_to_keep(const struct owner_member *m, unsigned unused, int64_t now)
 {
 	unsigned all = m->conf.connections;
 	struct keep_member k = {.slots = m->conf.slots};
 
 	if (!is_user(m->g, now) || (m->full_us != 0 && now - m->full_us < FULL_RECENT_US))
 		return 0;
+	if (budget_active(m))
+		return conn_usual_limit(m) > m->n_conns - unused
+			       ? conn_usual_limit(m) - (m->n_conns - unused)
+			       : 0;
 	k.connections = all > PROBE_CONNECTIONS ? all - PROBE_CONNECTIONS : 0;
-	k.users = member_users(m);
+	k.users = conn_users(m);
 	k.most = keep_peak_use(&m->use);
 	return keep_idle_limit(&k);
 }
 
+/**
+ * Closes idle connections beyond this VM's limit at once, and those beyond what it usually keeps
+ * after IDLE_KEEP_US, in the order of their expected next use. @return their number
+ */
+static unsigned close_beyond_budget(struct owner_member *m, unsigned unused, int64_t now)
+{
+	unsigned limit = conn_limit(m), keep = idle_conns_to_keep(m, unused, now), closed = 0;
+	struct owner_conn *c;
+	double spare_us;
+
+	while (unused - closed > 0 && (m->n_conns > limit || unused - closed > keep)) {
+		c = budget_idle_conn(m, m->n_conns > limit ? 0 : IDLE_KEEP_US, now, &spare_us);
+		if (c == NULL)
+			break;
+		conn_close(c);
+		closed++;
+	}
+	return closed;
+}
+
 /** Closes connections that have been unused for too long, the oldest first. */
 static void close_unused(struct owner_member *m, int64_t now)
 {
@@ -320,13 +434,17 @@
 	TAILQ_FOREACH(c, &m->conns, link)
 		unused += conn_idle(c) ? 1 : 0;
 	keep_record_use(&m->use, m->n_conns - unused, now);
-	keep = unused > 0 ? idle_conns_to_keep(m, now) : 0;
+	budget_tick(m, now);
+	if (budget_active(m))
+		unused -= close_beyond_budget(m, unused, now);
+	keep = unused > 0 ? idle_conns_to_keep(m, unused, now) : 0;
 	while (unused > 0) {
 		int64_t unused_us;
 
 		c = conn_oldest_idle(m);
 		unused_us = now - c->state_since_us;
-		if (unused_us <= (unused > keep ? IDLE_KEEP_US : IDLE_KEEP_MAX_US))
+		if (unused_us <=
+		    (unused > keep && !budget_active(m) ? IDLE_KEEP_US : IDLE_KEEP_MAX_US))
 			return;
 		conn_close(c);
 		unused--;
@@ -379,6 +497,7 @@
 	tx->last_used_us = now_us();
 	tx->idle_timeout_us = (int64_t)job->args->idle_tx_ms * USEC_PER_MSEC;
 	job->conn->tx = tx;
+	budget_begin_ends(job);
 	TAILQ_INSERT_TAIL(&job->g->txs, tx, link);
 	return tx;
 }
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -47,6 +47,7 @@
 
 static void job_free(struct owner_job *job)
 {
+	budget_begin_ends(job);
 	job->g->n_jobs--;
 	g_free(job);
 }
@@ -355,7 +356,7 @@
 
 bool job_start(struct owner_job *job, struct owner_member *m)
 {
-	struct owner_conn *c = conn_get(m, job->args->team);
+	struct owner_conn *c = conn_get(m, job->args->team, job->args->priority);
 
 	if (c == NULL)
 		return false;
--- a/src/owner-pick.c
+++ b/src/owner-pick.c
@@ -67,7 +67,7 @@
 	struct owner_member *m = owner_group_primary(g);
 
 	if (m == NULL || !primary_usable(g, m) || !member_has_room(m) ||
-	    !conn_available(m, job->args->team) || !cold_admits(m, now))
+	    !conn_available(m, job->args) || !cold_admits(m, now))
 		return NULL;
 	return m;
 }
@@ -105,7 +105,7 @@
 		if ((only_local && !p[i].near) || !member_fits(job, m, known ? &need : NULL, now))
 			continue;
 		p[i].fits = true;
-		p[i].free = conn_available(m, job->args->team) && cold_admits(m, now);
+		p[i].free = conn_available(m, job->args) && cold_admits(m, now);
 		p[i].ready = conn_ready(m, job->args->team);
 		p[i].primary = is_primary(g, i);
 		p[i].last = conf_member_leaves(&m->conf) || !owner_group_is_own(g);
--- a/src/owner-queue.c
+++ b/src/owner-queue.c
@@ -22,6 +22,7 @@
 
 	TAILQ_INIT(&g->held);
 	TAILQ_INIT(&g->running);
+	TAILQ_INIT(&g->begins);
 	for (i = 0; i < OWNER_PRIORITIES; i++) {
 		fairq_init(&g->write_queue[i], QUEUE_MAX, 2);
 		fairq_init(&g->read_queue[i], QUEUE_MAX, 4);
@@ -125,6 +126,7 @@
 	job->needs_primary = needs_primary(a);
 	owner_group_use(g);
 	g->n_jobs++;
+	budget_begin_waits(job);
 	owner_group_wake(g);
 	return job;
 }
@@ -284,6 +286,8 @@
 	if (!owner_group_is_own(g) && a->owner_revision > owner_known_revision(g->o, g->pool))
 		record_outdated(g);
 	o = check_admission(g, a, &retry_us);
+	if (o == OUTCOME_DONE && !budget_admits_begin(g, a, needs_primary(a), &retry_us))
+		o = OUTCOME_QUEUE_FULL;
 	if (o != OUTCOME_DONE) {
 		refuse(rq, a, g, o, retry_us);
 		return;
--- a/src/owner.c
+++ b/src/owner.c
@@ -209,6 +209,7 @@
 		g->n++;
 	else
 		watch_close(m);
+	budget_clear(m);
 	memset(m, 0, sizeof(*m));
 	m->g = g;
 	m->index = i;
@@ -514,8 +515,10 @@
 		return;
 	g->serves_reads = false;
 	log_info("reads-end", LOG_STR("pool", g->pool));
-	for (i = 0; i < g->n; i++)
+	for (i = 0; i < g->n; i++) {
 		conn_close_idle(&g->member[i]);
+		budget_clear(&g->member[i]);
+	}
 }
 
 /** Drives the group. @return whether it has anything left to do that no event will announce */
@@ -596,6 +599,7 @@
 	rpc_serve(r, ML_OWNER, claim_owner_serve, o);
 	rpc_serve(r, ML_YIELD, claim_yield_serve, o);
 	rpc_serve(r, ML_REACH, watch_reach_serve, o);
+	rpc_serve(r, ML_PREOPEN, budget_preopen_serve, o);
 	rpc_on_closed(r, tx_closed, o);
 	fleet_listen(fleet_of(s->kernel), conf_changed, o);
 	fleet_listen_roles(fleet_of(s->kernel), role_dropped, o);
@@ -654,6 +658,7 @@
 {
 	struct owner *o = (struct owner *)s;
 	struct owner_group *g;
+	unsigned i;
 
 	if (o->tick != NULL)
 		event_free(o->tick);
@@ -664,6 +669,8 @@
 		g_hash_table_remove(o->by_pool, g->pool);
 		queue_clear(g);
 		marks_free(&g->marks);
+		for (i = 0; i < g->n; i++)
+			budget_clear(&g->member[i]);
 		g_free(g->member);
 		g_free(g);
 	}
--- a/src/owner.h
+++ b/src/owner.h
@@ -26,6 +26,7 @@
  * owner-job.c     execution of one statement
  * owner-command.c session values and prepared statements sent before a statement
  * owner-conn.c    connections to members and transactions on them
+ * owner-budget.c  connections as a budget of teams, classes and VMs
  */
 #ifndef OWNER_H
 #define OWNER_H
@@ -41,6 +42,7 @@
 #include "marks.h"
 #include "member.h"
 #include "outcome.h"
+#include "owner-budget.h"
 #include "rpc.h"
 #include "stat.h"
 #include "succession.h"
@@ -81,6 +83,7 @@
 	bool abandoned;		/**< runs a statement whose caller was already answered */
 	int64_t state_since_us; /**< time of its last change of state */
 	int64_t sent_us;	/**< time the last commands were sent */
+	struct owner_budget_conn budget;
 };
 TAILQ_HEAD(owner_conns, owner_conn);
 
@@ -128,6 +131,8 @@
 	int64_t not_before_us; /**< not retried before this time, since a member was busy */
 	uint64_t term;	       /**< term of the primary when the statement was sent */
 	struct pos need;       /**< log position requested from the replica */
+	TAILQ_ENTRY(owner_job) begin_link;
+	bool begin_waits; /**< in the list begins of the group */
 };
 TAILQ_HEAD(owner_jobs, owner_job);
 
@@ -153,7 +158,8 @@
 	unsigned n_conns;
 	unsigned n_open;
 	struct keep_usage use; /**< recent number of connections in use */
-	unsigned in_flight;    /**< statements that hold a slot of the member */
+	struct owner_budget budget;
+	unsigned in_flight; /**< statements that hold a slot of the member */
 	int64_t open_after_us;
 	unsigned full_limit; /**< connections open when it last refused one with MEMBER_FULL */
 	int64_t full_us;     /**< time of the last MEMBER_FULL refusal; 0: never */
@@ -269,6 +275,7 @@
 	struct fairq read_queue[OWNER_PRIORITIES];
 	struct owner_jobs held; /**< dequeued, but no member can serve them yet */
 	struct owner_jobs running;
+	struct owner_jobs begins; /**< jobs whose transaction has not begun */
 	struct owner_txs txs;
 	unsigned n_jobs;
 	bool dispatching;
@@ -287,6 +294,7 @@
 	uint64_t conf_version;	    /**< last version with a changed pool or evacuation */
 	GHashTable *by_pool; /**< pool name to group; looked up several times per statement */
 	struct event *tick;
+	struct owner_budget_teams teams;
 	bool leaving;
 	int64_t leave_started_us;
 };
@@ -523,9 +531,25 @@
 			 struct member_command *out);
 
 /* owner-conn.c */
-struct owner_conn *conn_get(struct owner_member *m, const char *team);
-/** Whether conn_get() would find or open a connection. */
-bool conn_available(const struct owner_member *m, const char *team);
+/**
+ * Returns a connection of the team, opened now if there is none, for a statement of the class
+ * @a priority. NULL: there is no room.
+ */
+struct owner_conn *conn_get(struct owner_member *m, const char *team, unsigned priority);
+/** Whether conn_get() would find or open a connection for a statement. */
+bool conn_available(const struct owner_member *m, const ml_run_args *a);
+/**
+ * Opens a connection for a statement that is about to follow, unless the team has one, or one that
+ * is expected to be used sooner would have to be closed. @return whether it is being opened
+ */
+bool conn_open_ahead(struct owner_member *m, const char *team, unsigned priority);
+/**
+ * Returns how many VMs usually connect to @a m. For the primary it is the owner only; for a replica
+ * the owner, the reader of its data centre, and the readers of data centres without a member.
+ */
+unsigned conn_users(const struct owner_member *m);
+/** Whether the connection is open and neither a statement nor a transaction uses it. */
+bool conn_idle(const struct owner_conn *c);
 /** Whether the team has an idle open connection. */
 bool conn_ready(const struct owner_member *m, const char *team);
 /** Makes a connection available again after its statement, or closes it if it cannot be reused. */
--- a/src/stat.c
+++ b/src/stat.c
@@ -67,6 +67,7 @@
 	[STAT_PLATFORM_WATCHES] = "platform_watches",
 	[STAT_CONF_APPLIED] = "conf_applied",
 	[STAT_SHARE_ORDERS] = "share_orders",
+	[STAT_GRANTS_EXPIRED] = "grants_expired",
 };
 
 static const char *const class_names[STAT_CLASS_IDS] = {
--- a/src/stat.h
+++ b/src/stat.h
@@ -51,6 +51,7 @@
 	STAT_PLATFORM_WATCHES,
 	STAT_CONF_APPLIED,
 	STAT_SHARE_ORDERS,
+	STAT_GRANTS_EXPIRED, /**< grants of connections that a reader did not renew */
 	STATS
 };
 
--- /dev/null
+++ b/tests/test-owner-budget.c
@@ -0,0 +1,247 @@
+/** @file test-owner-budget.c Connections as a budget at an owner and a reader, with fake members.
+ */
+#include "harness-owner.h"
+#include "place.h"
+#include "table.h"
+
+#include <string.h>
+
+/** More than the 16 connections that each fake member accepts. */
+#define TEAMS 20
+
+static void add_teams(struct world *w)
+{
+	struct fleet *f = fleet_of(w->k);
+	struct conf_update u = {.base = f->conf->version, .version = f->conf->version + 1};
+	unsigned i;
+
+	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
+	for (i = 0; i < TEAMS; i++) {
+		struct conf_team t = {.rate = 1, .burst = 1};
+
+		g_snprintf(t.name, sizeof(t.name), "t%u", i);
+		g_ptr_array_add(u.entries, table_entry_make(CONF_TEAM, &t));
+		((struct conf_entry *)g_ptr_array_index(u.entries, i))->version = u.version;
+	}
+	fleet_apply_conf(f, &u, "test");
+	conf_update_clear(&u);
+	w->settings.connection_budget = true;
+	w->settings.connection_preopen = true;
+	w->settings.connection_resting_share = 0.5;
+}
+
+/** Outcome and retry hint of the last answered statement. */
+static struct {
+	enum outcome outcome;
+	unsigned retry_after_us;
+} last;
+
+static void on_ran(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_run_res *res = arg_res;
+
+	last.outcome = (enum outcome)res->outcome;
+	last.retry_after_us = res->retry_after_us;
+}
+
+static void run(struct world *w, ml_run_args *a, const char *team)
+{
+	a->request = "r";
+	a->team = (char *)team;
+	a->pool = POOL;
+	a->text = a->operand = a->shape = "";
+	a->deadline_us = 800 * USEC_PER_MSEC;
+	last.outcome = OUTCOMES;
+	rpc_start(rpc_of(w->k), SELF, ML_RUN, a, USEC_PER_SEC, on_ran, w);
+	world_run_once(w);
+}
+
+static void read_as_reader(struct world *w, const char *team)
+{
+	ml_run_args a = {.op = STATEMENT_READ, .mode = READ_BOUNDED, .reader = READER_LOCAL};
+
+	a.max_age_us = 1500 * USEC_PER_MSEC;
+	run(w, &a, team);
+}
+
+static void begin(struct world *w, const char *team, unsigned priority)
+{
+	ml_run_args a = {.op = STATEMENT_WRITE,
+			 .mode = READ_PRIMARY,
+			 .begin = STATEMENT_BEGIN,
+			 .priority = priority,
+			 .idle_tx_ms = 300};
+
+	run(w, &a, team);
+}
+
+/** Opens the connection and answers the begin and its first statement. */
+static void answer_begin(struct fake_conn *c)
+{
+	const struct member_answer open = {.message = "", .signature = "", .state = TX_OPEN};
+	member_opened opened = c->opened;
+
+	c->opened = NULL;
+	opened(&c->conn, MEMBER_DONE, (struct pos){1, 10}, c->arg);
+	c->answered(&c->conn, &open, c->arg);
+	c->answered(&c->conn, &open, c->arg);
+}
+
+/*
+ * Guards against readers that open more connections than the owner left them: without a grant a
+ * reader holds two, and with one as many as granted until it expires.
+ */
+static void test_reader_holds_what_was_granted(void)
+{
+	static const char *const teams[] = {"t0", "t1", "t2", "t3"};
+	const struct member_answer done = {.message = "", .signature = ""};
+	struct owner_group *g;
+	struct world w;
+	unsigned i;
+
+	world_open(&w);
+	add_teams(&w);
+	w.settings.member_load = true;
+	g = owner_group_find(w.o, POOL);
+	owner_group_use(g);
+	g->member[1].down = g->member[2].down = true;
+	owner_update_mark(w.o, POOL, (struct pos){1, 35}, now_us());
+	for (i = 0; i < G_N_ELEMENTS(teams); i++)
+		read_as_reader(&w, teams[i]);
+	CU_ASSERT_EQUAL(g->member[0].n_conns, BUDGET_UNGRANTED);
+	budget_granted(&g->member[0], 3, now_us());
+	queue_tick(g, now_us());
+	CU_ASSERT_EQUAL_FATAL(g->member[0].n_conns, 3);
+	/* Connections beyond an expired grant are closed as soon as they are idle. */
+	budget_granted(&g->member[0], 3, now_us() - BUDGET_GRANT_US);
+	for (i = 0; i < 3; i++) {
+		struct fake_conn *c = fake.conns[i];
+
+		c->opened(&c->conn, MEMBER_DONE, (struct pos){1, 36}, c->arg);
+		c->answered(&c->conn, &done, c->arg);
+	}
+	conn_tick(&g->member[0], now_us());
+	CU_ASSERT_TRUE(g->member[0].n_conns <= BUDGET_UNGRANTED);
+}
+
+/*
+ * Guards against an owner that opens the connections which it granted to a reader, and against one
+ * that hands out what a reader may still hold by a grant of its predecessor.
+ */
+static void test_owner_leaves_what_it_granted(void)
+{
+	/* Of 16 connections and 2 slots: what each VM needs to keep the slots busy, and the rest.
+	 */
+	const unsigned floor = 2 + PLACE_PIPELINE_DEPTH,
+		       rest = 16 - BUDGET_PROBE_CONNECTIONS - 3 * floor;
+	int64_t now = now_us();
+	struct owner_member *m;
+	struct world w;
+
+	m = &world_serve(&w)->member[1];
+	add_teams(&w);
+	CU_ASSERT_EQUAL(budget_limit(m, 7, now), 7);
+	w.settings.member_load = true;
+	m->budget.owner_since_us = now;
+	CU_ASSERT_EQUAL(budget_grant(m, "r", 20, now), floor);
+	m->budget.owner_since_us = now - BUDGET_COUNT_US;
+	CU_ASSERT_EQUAL(budget_grant(m, "r", 20, now), rest);
+	CU_ASSERT_EQUAL(budget_limit(m, 7, now), 2 * floor);
+	budget_tick(m, now + 2 * BUDGET_COUNT_US);
+	CU_ASSERT_EQUAL(budget_limit(m, 7, now), 7);
+	w.settings.connection_budget = false;
+	CU_ASSERT_EQUAL(budget_grant(m, "r", 20, now), 0);
+	world_close(&w);
+}
+
+/*
+ * Guards against transactions that idle callers of one team hold open until no other team can begin
+ * one.
+ */
+static void test_begin_beyond_the_bound_is_refused(void)
+{
+	struct world w;
+	unsigned i, n;
+
+	world_serve(&w);
+	add_teams(&w);
+	for (i = 0; i < 3; i++) {
+		n = fake.n_conns;
+		begin(&w, i < 2 ? "t0" : "t1", i < 2 ? 2 : 1);
+		CU_ASSERT_EQUAL_FATAL(fake.n_conns, n + 1);
+		answer_begin(fake.conns[n]);
+		world_run_once(&w);
+		CU_ASSERT_EQUAL(last.outcome, OUTCOME_DONE);
+	}
+	/* A quarter of 8 for each team, while two have transactions. */
+	begin(&w, "t0", 2);
+	CU_ASSERT_EQUAL(last.outcome, OUTCOME_QUEUE_FULL);
+	CU_ASSERT_TRUE(last.retry_after_us > 0 && last.retry_after_us <= 300 * USEC_PER_MSEC);
+	begin(&w, "t2", 2);
+	CU_ASSERT_EQUAL(last.outcome, OUTCOMES);
+	w.settings.connection_budget = false;
+	begin(&w, "t0", 2);
+	CU_ASSERT_EQUAL(last.outcome, OUTCOMES);
+	world_close(&w);
+}
+
+static bool preopened;
+
+static void on_preopened(enum rpc_status status, const void *arg_res, void *arg)
+{
+	preopened = status == RPC_DONE && ((const ml_none *)arg_res)->ok;
+}
+
+static bool preopen(struct world *w, const char *pool, const char *team)
+{
+	ml_preopen_args a = {.pool = (char *)pool, .team = (char *)team, .primary = true};
+
+	preopened = false;
+	rpc_start(rpc_of(w->k), SELF, ML_PREOPEN, &a, USEC_PER_SEC, on_preopened, NULL);
+	world_run_once(w);
+	world_run_once(w);
+	return preopened;
+}
+
+/*
+ * Guards against a second connection for a statement that follows while the first one is still
+ * being opened in advance, and against slots that stay counted after that.
+ */
+static void test_statement_takes_the_connection_opened_in_advance(void)
+{
+	struct owner_member *m;
+	struct world w;
+	unsigned n;
+
+	m = &world_serve(&w)->member[0];
+	add_teams(&w);
+	n = fake.n_conns;
+	CU_ASSERT_FALSE(preopen(&w, "no-pool", "t0"));
+	CU_ASSERT_FALSE(preopen(&w, POOL, ""));
+	CU_ASSERT_TRUE(preopen(&w, POOL, "t0"));
+	CU_ASSERT_FALSE(preopen(&w, POOL, "t0"));
+	CU_ASSERT_EQUAL(fake.n_conns, n + 1);
+	CU_ASSERT_EQUAL(m->in_flight, 1);
+	begin(&w, "t0", 2);
+	CU_ASSERT_EQUAL(fake.n_conns, n + 1);
+	CU_ASSERT_EQUAL(m->in_flight, 1);
+	answer_begin(fake.conns[n]);
+	CU_ASSERT_EQUAL(m->in_flight, 0);
+	CU_ASSERT_TRUE(preopen(&w, POOL, "t1"));
+	fake.conns[n + 1]->opened(&fake.conns[n + 1]->conn, MEMBER_FULL, (struct pos){0},
+				  fake.conns[n + 1]->arg);
+	CU_ASSERT_EQUAL(m->in_flight, 0);
+	CU_ASSERT_EQUAL(m->n_conns, 1);
+	w.settings.connection_preopen = false;
+	CU_ASSERT_FALSE(preopen(&w, POOL, "t2"));
+	world_close(&w);
+}
+
+static const struct test_case cases[] = {
+	{"reader_holds_what_was_granted", test_reader_holds_what_was_granted},
+	{"owner_leaves_what_it_granted", test_owner_leaves_what_it_granted},
+	{"begin_beyond_the_bound_is_refused", test_begin_beyond_the_bound_is_refused},
+	{"statement_takes_the_connection_opened_in_advance",
+	 test_statement_takes_the_connection_opened_in_advance},
+};
+HARNESS_MAIN("owner-budget", cases)
