Sessions: tell the owner that a statement is about to follow

Cause: a statement whose team has no idle connection waits 12 ms for one, although its VM knew a round trip of the caller earlier that it would come.

With [connections] preopen, a VM sends ML_PREOPEN to the owner when a caller begins a transaction, or opens a session whose statements the owner most likely serves.

--- a/src/session-state.h
+++ b/src/session-state.h
@@ -1,8 +1,8 @@
 /**
  * @file session-state.h
  * State of a session, shared by session.c (processing of statements), session-remote.c (attempts at
- * the owner of the group and at readers) and session-leave.c (closing of sessions that are better
- * served by another VM).
+ * the owner of the group and at readers), session-preopen.c (connections opened in advance) and
+ * session-leave.c (closing of sessions that are better served by another VM).
  */
 #ifndef SESSION_STATE_H
 #define SESSION_STATE_H
@@ -71,6 +71,7 @@
 	int64_t drain_started_us;
 	int64_t last_contact_us; /**< last message from a VM of another data centre */
 	struct ready ready;
+	GHashTable *preopens; /**< pool to what session-preopen.c sent for it; NULL: nothing */
 };
 
 /* session.c */
@@ -97,6 +98,14 @@
 /** Returns whether the sessions allow this VM to complete its shutdown. */
 bool sessions_drain_complete(const struct sessions *all);
 
+/* session-preopen.c */
+
+/**
+ * Tells the owner that a statement of the session is about to follow. @param primary the primary
+ * will serve it
+ */
+void session_preopen(struct session *s, bool primary);
+
 /* session-remote.c */
 
 /** Sends the statement to the owner of the group or to a reader. */
--- a/src/session.c
+++ b/src/session.c
@@ -244,6 +244,7 @@
 		s->tx = TX_OPEN;
 		s->tx_id = 0;
 		s->tx_read_only = s->st.op == STATEMENT_BEGIN_READ;
+		session_preopen(s, !s->tx_read_only || s->route.mode == READ_PRIMARY);
 		session_finish_locally(s, OUTCOME_DONE, 0);
 		return;
 	}
@@ -411,6 +412,7 @@
 		return NULL;
 	}
 	TAILQ_INSERT_TAIL(&s->sessions->list, s, link);
+	session_preopen(s, s->route.mode == READ_PRIMARY || s->route.mode == READ_DECLARED);
 	return s;
 }
 
@@ -451,6 +453,8 @@
 
 	if (all->tick != NULL)
 		event_free(all->tick);
+	if (all->preopens != NULL)
+		g_hash_table_destroy(all->preopens);
 	g_free(all);
 }
 
