--- a/src/session-preopen.c
+++ b/src/session-preopen.c
@@ -9,7 +9,7 @@
 
 #include <string.h>
 
-/** Messages for one group: at most 20 in any second. */
+/** Messages of this VM: at most 20 in any second, for all groups together. */
 #define PREOPEN_PER_S 16
 #define PREOPEN_BURST 4
 /** Time limit of a message: after that the statement itself has long been sent. */
@@ -17,34 +17,60 @@
 /** How long nothing is sent to an address that does not answer, as a VM of an older build. */
 #define PREOPEN_PAUSE_US (10 * USEC_PER_SEC)
 
-/** What was sent for one group. */
-struct preopen {
+struct preopens {
 	struct bucket bucket;
-	char address[ADDRESS_SIZE]; /**< that the last message was sent to */
-	int64_t paused_until_us;    /**< for that address */
+	GHashTable *paused; /**< address to the time until which nothing is sent there */
 };
 
-static struct preopen *preopen_of(struct sessions *all, const char *pool, int64_t now)
+/** A message whose answer is only noted. */
+struct preopen_call {
+	struct preopens *p;
+	char address[ADDRESS_SIZE];
+};
+
+static struct preopens *preopens_of(struct sessions *all, int64_t now)
 {
-	struct preopen *p;
+	struct preopens *p = all->preopens;
 
-	if (all->preopens == NULL)
-		all->preopens = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	p = g_hash_table_lookup(all->preopens, pool);
 	if (p != NULL)
 		return p;
-	p = g_new0(struct preopen, 1);
+	p = g_new0(struct preopens, 1);
 	bucket_init(&p->bucket, PREOPEN_PER_S, PREOPEN_BURST, PREOPEN_BURST, now);
-	g_hash_table_insert(all->preopens, g_strdup(pool), p);
+	p->paused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	all->preopens = p;
 	return p;
 }
 
+void session_preopens_free(struct preopens *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->paused);
+	g_free(p);
+}
+
 static void on_preopened(enum rpc_status status, const void *res, void *arg)
 {
-	struct preopen *p = arg;
+	struct preopen_call *call = arg;
+	int64_t until_us = now_us() + PREOPEN_PAUSE_US;
 
 	if (status != RPC_DONE)
-		p->paused_until_us = now_us() + PREOPEN_PAUSE_US;
+		g_hash_table_replace(call->p->paused, g_strdup(call->address),
+				     g_memdup2(&until_us, sizeof(until_us)));
+	g_free(call);
+}
+
+/** Whether the address did not answer lately. */
+static bool paused(struct preopens *p, const char *address, int64_t now)
+{
+	const int64_t *until_us = g_hash_table_lookup(p->paused, address);
+
+	if (until_us == NULL)
+		return false;
+	if (now < *until_us)
+		return true;
+	g_hash_table_remove(p->paused, address);
+	return false;
 }
 
 /** Whether the next statement of the session will most likely be served by the owner. */
@@ -61,8 +87,9 @@
 				.priority = s->route.priority,
 				.primary = primary};
 	int64_t now = now_us();
+	struct preopen_call *call;
 	const char *address;
-	struct preopen *p;
+	struct preopens *p;
 	bool known;
 
 	if (s->team[0] == '\0' || !budget_preopens(owner_of(k), s->route.pool) ||
@@ -71,12 +98,11 @@
 	address = owner_address(owner_of(k), s->route.pool, &known);
 	if (address == NULL || !known)
 		return;
-	p = preopen_of(s->sessions, s->route.pool, now);
-	if (strcmp(p->address, address) != 0) {
-		g_strlcpy(p->address, address, sizeof(p->address));
-		p->paused_until_us = 0;
-	}
-	if (now < p->paused_until_us || !bucket_take(&p->bucket, 1, now))
+	p = preopens_of(s->sessions, now);
+	if (paused(p, address, now) || !bucket_take(&p->bucket, 1, now))
 		return;
-	rpc_start(rpc_of(k), p->address, ML_PREOPEN, &args, PREOPEN_TIMEOUT_US, on_preopened, p);
+	call = g_new0(struct preopen_call, 1);
+	call->p = p;
+	g_strlcpy(call->address, address, sizeof(call->address));
+	rpc_start(rpc_of(k), address, ML_PREOPEN, &args, PREOPEN_TIMEOUT_US, on_preopened, call);
 }
--- a/src/session-state.h
+++ b/src/session-state.h
@@ -71,7 +71,7 @@
 	int64_t drain_started_us;
 	int64_t last_contact_us; /**< last message from a VM of another data centre */
 	struct ready ready;
-	GHashTable *preopens; /**< pool to what session-preopen.c sent for it; NULL: nothing */
+	struct preopens *preopens; /**< NULL until the first message */
 };
 
 /* session.c */
@@ -105,6 +105,7 @@
  * will serve it
  */
 void session_preopen(struct session *s, bool primary);
+void session_preopens_free(struct preopens *p);
 
 /* session-remote.c */
 
--- a/src/session.c
+++ b/src/session.c
@@ -453,8 +453,7 @@
 
 	if (all->tick != NULL)
 		event_free(all->tick);
-	if (all->preopens != NULL)
-		g_hash_table_destroy(all->preopens);
+	session_preopens_free(all->preopens);
 	g_free(all);
 }
 
