Budget: readers that do not use a member cost the owner nothing

Cause: a reader asks for all members of its group. On the primary, which readers use only when no replica fits, each one that wants none was counted with 2 connections, which the owner then lacked.

A want of 0 is answered with what a reader without a grant may hold anyway, and is not counted beyond the usual readers of the member.

Checked: make lint, test-budget (its random runs fail when grants are counted for 1 s, when lower grants replace higher ones at once, or when a new owner grants freely), test-owner-budget, test-keep, test-owner, test-change, test-evacuation.

--- a/decide/budget.c
+++ b/decide/budget.c
@@ -307,42 +307,39 @@
 static unsigned division_part(const struct budget_grants *g, const struct budget_division *d,
 			      const struct budget_reader *asking, int64_t now_us)
 {
-	unsigned wants[2 * BUDGET_READERS_MAX + 1], n = 0, wanting = 0, i;
+	unsigned wants[2 * BUDGET_READERS_MAX + 1], n = 0, known, i;
 
 	wants[n++] = MAX(d->want, floor_of(d));
 	for (i = 0; i < BUDGET_READERS_MAX; i++) {
 		const struct budget_reader *r = &g->reader[i];
 
-		if (r != asking && !reader_known(r, now_us))
-			continue;
-		wants[n++] = r->want > 0 ? MAX(r->want, floor_of(d)) : BUDGET_UNGRANTED;
-		wanting += r->want > 0 ? 1 : 0;
+		if (r == asking || reader_known(r, now_us))
+			wants[n++] = MAX(r->want, floor_of(d));
 	}
-	for (i = 0; i < MIN(less(d->readers, wanting), BUDGET_READERS_MAX); i++)
+	known = n - 1;
+	for (i = 0; i < MIN(less(d->readers, known), BUDGET_READERS_MAX); i++)
 		wants[n++] = floor_of(d);
 	return fair_part(less(capacity(d), d->reserve), wants, n);
 }
 
 /**
  * @return the connections that readers other than @a but may hold. Each usual reader counts, also
- * if it did not ask. @param at_least what each usual reader and each that wants some counts with
+ * if it did not ask. @param at_least what each of them counts with at least
  */
 static unsigned readers_hold(const struct budget_grants *g, const struct budget_division *d,
 			     const struct budget_reader *but, unsigned at_least, int64_t now_us)
 {
-	unsigned held = 0, wanting = but != NULL ? 1 : 0, others = 0, missing, i;
+	unsigned held = 0, n = but != NULL ? 1 : 0, i;
 
 	for (i = 0; i < BUDGET_READERS_MAX; i++) {
 		const struct budget_reader *r = &g->reader[i];
 
 		if (r == but || r->n == 0)
 			continue;
-		held += MAX(reader_counted(r, now_us), r->want > 0 ? at_least : 0);
-		wanting += r->want > 0 ? 1 : 0;
-		others += r->want > 0 ? 0 : 1;
+		held += MAX(reader_counted(r, now_us), at_least);
+		n++;
 	}
-	missing = less(d->readers, wanting);
-	return held + missing * at_least - MIN(missing, others) * BUDGET_UNGRANTED;
+	return held + less(d->readers, n) * at_least;
 }
 
 unsigned budget_divide(struct budget_grants *g, const struct budget_division *d, const char *vm,
@@ -352,6 +349,9 @@
 	unsigned floor = floor_of(d), hard, left, n;
 
 	budget_expire(g, now_us);
+	/* Not counted beyond the usual readers: most VMs that ask never use the primary. */
+	if (want == 0)
+		return BUDGET_UNGRANTED;
 	r = reader_find(g, vm);
 	if (r == NULL)
 		return 0;
--- a/decide/budget.h
+++ b/decide/budget.h
@@ -137,7 +137,7 @@
 struct budget_division {
 	unsigned connections; /**< that the member accepts */
 	unsigned reserve;     /**< left for a VM that takes over from one that lost power */
-	unsigned floor;	      /**< what each reader that wants some can get at any time */
+	unsigned floor;	      /**< what each usual reader can get at any time */
 	unsigned readers;     /**< number of VMs that usually read from the member */
 	unsigned held;	      /**< connections that the owner holds */
 	unsigned want;	      /**< connections that the owner would use */
@@ -147,9 +147,10 @@
 /** Whether a reader holds a grant. */
 bool budget_granting(const struct budget_grants *g);
 /**
- * Grants connections to the reader @a vm, which would use @a want. @return the number granted,
- * which is never so high that what all readers may hold and what the owner holds exceed the
- * member's limit
+ * Grants connections to the reader @a vm, which would use @a want; if that is 0, it gets no more
+ * than a reader without a grant and is not counted as one of those that use the member.
+ * @return the number granted, which is never so high that the grants, BUDGET_UNGRANTED for each
+ * usual reader without one, and the connections of the owner exceed the member's limit
  */
 unsigned budget_divide(struct budget_grants *g, const struct budget_division *d, const char *vm,
 		       unsigned want, int64_t now_us);
--- a/src/owner-budget.h
+++ b/src/owner-budget.h
@@ -45,7 +45,9 @@
 /* Interface with the message that carries the load of members */
 
 /**
- * Grants connections of @a m to the reader @a vm, as the owner of the group.
+ * Grants connections of @a m to the reader @a vm, as the owner of the group. A reader has to ask
+ * well within BUDGET_GRANT_US for as long as it serves reads, whether or not it has a recent mark:
+ * when its grant expires, it closes idle connections.
  * @param want connections that the reader uses or would use
  * @return connections that it may hold to @a m for BUDGET_GRANT_US
  */
