Owner budget: grants on the heap, and dated anew after a pause

Cause: the table of grants took 3 KB of each member of each group that a VM reads from, although only owners use it. A group that is not owned may not be ticked, so that a VM which owned it again could take old grants for settled. A configuration without teams was counted for each statement.

Checked: make lint, test-owner-budget, test-budget, test-keep, test-owner, test-change, test-evacuation.

--- a/src/owner-budget.c
+++ b/src/owner-budget.c
@@ -30,8 +30,9 @@
 	GHashTableIter iter;
 	gpointer entry;
 
-	if (t->version == conf->changed[CONF_TEAM] && t->n > 0)
+	if (t->counted && t->version == conf->changed[CONF_TEAM])
 		return t->n;
+	t->counted = true;
 	t->version = conf->changed[CONF_TEAM];
 	t->n = 0;
 	g_hash_table_iter_init(&iter, conf->entries);
@@ -51,6 +52,7 @@
 void budget_clear(struct owner_member *m)
 {
 	budget_history_clear(&m->budget.history);
+	g_clear_pointer(&m->budget.grants, g_free);
 }
 
 /* Use by team */
@@ -176,6 +178,12 @@
 	return MAX(budget_wanted(&m->budget.history, WANT_WITHIN_US, now), conns_in_use(m));
 }
 
+/** Whether this VM, as the owner, has granted connections to readers. */
+static bool grants_given(const struct owner_budget *b)
+{
+	return b->grants != NULL && budget_granting(b->grants);
+}
+
 /** Whether the grants of a previous owner have expired. */
 static bool grants_settled(const struct owner_budget *b, int64_t now)
 {
@@ -203,10 +211,10 @@
 {
 	struct budget_division d;
 
-	if (!budget_granting(&m->budget.grants))
+	if (!grants_given(&m->budget))
 		return;
 	d = division_of(m, now);
-	m->budget.owner_limit = budget_owner_limit(&m->budget.grants, &d, now);
+	m->budget.owner_limit = budget_owner_limit(m->budget.grants, &d, now);
 }
 
 unsigned budget_limit(const struct owner_member *m, unsigned otherwise, int64_t now)
@@ -218,7 +226,7 @@
 	if (!owner_group_is_own(m->g))
 		return budget_allowed(&b->allowance, otherwise, now);
 	/* Readers that ask for no grants have an older build and hold what they would without. */
-	if (!budget_granting(&b->grants))
+	if (!grants_given(b))
 		return otherwise;
 	return grants_settled(b, now) ? b->owner_limit : MIN(b->owner_limit, otherwise);
 }
@@ -232,7 +240,7 @@
 	/* What a reader was granted excludes the reserve. */
 	if (grants_bind(m) && !own && now - m->budget.allowance.granted_us < BUDGET_GRANT_US)
 		return limit;
-	if (!grants_bind(m) || !own || !budget_granting(&m->budget.grants))
+	if (!grants_bind(m) || !own || !grants_given(&m->budget))
 		part = (all > UNGRANTED_PROBE_CONNECTIONS ? all - UNGRANTED_PROBE_CONNECTIONS : 0) /
 		       conn_users(m);
 	part = part > reserve ? part - reserve : 0;
@@ -266,8 +274,10 @@
 	if (!budget_active(m) || !owner_group_is_own(m->g))
 		return 0;
 	budget_tick(m, now);
+	if (m->budget.grants == NULL)
+		m->budget.grants = g_new0(struct budget_grants, 1);
 	d = division_of(m, now);
-	granted = budget_divide(&m->budget.grants, &d, vm, want, now);
+	granted = budget_divide(m->budget.grants, &d, vm, want, now);
 	update_owner_limit(m, now);
 	return granted;
 }
@@ -289,8 +299,7 @@
 	unsigned expired;
 
 	if (!owner_group_is_own(m->g)) {
-		if (b->owner_since_us != 0)
-			memset(&b->grants, 0, sizeof(b->grants));
+		g_clear_pointer(&b->grants, g_free);
 		b->owner_since_us = 0;
 		if (!m->g->serves_reads)
 			memset(&b->allowance, 0, sizeof(b->allowance));
@@ -299,9 +308,11 @@
 		return;
 	}
 	memset(&b->allowance, 0, sizeof(b->allowance));
-	if (b->owner_since_us == 0)
+	/* A group that is not owned may not be ticked at all. */
+	if (b->owner_since_us == 0 || now - b->ticked_us > BUDGET_GRANT_US)
 		b->owner_since_us = now;
-	expired = budget_expire(&b->grants, now);
+	b->ticked_us = now;
+	expired = b->grants != NULL ? budget_expire(b->grants, now) : 0;
 	if (expired > 0)
 		stat_add(STAT_GRANTS_EXPIRED, expired);
 	update_owner_limit(m, now);
--- a/src/owner-budget.h
+++ b/src/owner-budget.h
@@ -23,9 +23,10 @@
 /** State of a member. All zero: nothing is known. */
 struct owner_budget {
 	struct budget_history history;
-	struct budget_grants grants;	   /**< given by this VM as the owner */
+	struct budget_grants *grants;	   /**< given by this VM as the owner; NULL: none */
 	struct budget_allowance allowance; /**< received by this VM as a reader */
 	int64_t owner_since_us;		   /**< when this VM became the owner; 0: it is not */
+	int64_t ticked_us;		   /**< when that was last checked */
 	unsigned owner_limit;		   /**< what the grants leave to the owner */
 };
 
@@ -40,6 +41,7 @@
 struct owner_budget_teams {
 	unsigned n;
 	uint64_t version;
+	bool counted;
 };
 
 /* Interface with the message that carries the load of members */
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -384,7 +384,7 @@
 		else
 			conn_close(c);
 	}
-	budget_clear(m);
+	budget_history_clear(&m->budget.history);
 }
 
 /** Returns how many unused connections are kept for longer than IDLE_KEEP_US. */
--- a/src/owner.c
+++ b/src/owner.c
@@ -517,7 +517,7 @@
 	log_info("reads-end", LOG_STR("pool", g->pool));
 	for (i = 0; i < g->n; i++) {
 		conn_close_idle(&g->member[i]);
-		budget_clear(&g->member[i]);
+		budget_history_clear(&g->member[i].budget.history);
 	}
 }
 
