--- a/src/owner-load.c
+++ b/src/owner-load.c
@@ -62,22 +62,6 @@
 	return (double)(rank_hash(settings_of(m->g->o)->name) % 1024) / 1024;
 }
 
-/*
- * Grants of connections (decide/budget.h). PLACE TO CONNECT: until src/owner-budget.c exists,
- * these two functions stand for budget_grant() and budget_granted().
- */
-
-/** Returns the connections that the reader @a vm may hold; 0: no grant is known. */
-static unsigned grant(struct owner_member *m, const char *vm, unsigned want, int64_t now)
-{
-	return 0;
-}
-
-/** Takes the grant of the owner; 0: no grant is known. */
-static void granted(struct owner_member *m, unsigned n, int64_t now)
-{
-}
-
 /* Measuring */
 
 static bool is_fresh(int64_t at_us, int64_t now)
@@ -360,7 +344,7 @@
 	l.connections_left = connections_left(m, now);
 	for (i = 0; i < STAT_CLASSES; i++)
 		l.service_us[i] = (u_int)own_service_us(m, i, now);
-	l.granted = w != NULL ? grant(m, a->vm, w->connections, now) : 0;
+	l.granted = w != NULL ? budget_grant(m, a->vm, w->connections, now) : 0;
 	return l;
 }
 
@@ -409,7 +393,8 @@
 	int64_t asked_us;
 };
 
-static void report_take(struct owner_member *m, const ml_member_load *l, int64_t now)
+static void report_take(struct owner_member *m, const ml_member_load *l, int64_t asked_us,
+			int64_t now)
 {
 	struct load_report *r = &m->load.report;
 	unsigned i, mine = MIN(m->load.reported_in_flight, l->in_flight);
@@ -421,17 +406,18 @@
 	r->unsteady = l->unsteady;
 	for (i = 0; i < STAT_CLASSES; i++)
 		r->service_us[i] = l->service_us[i];
-	granted(m, l->granted, now);
+	budget_granted(m, l->granted, asked_us);
 }
 
-static void reports_take(struct owner_group *g, const ml_member_load_res *res, int64_t now)
+static void reports_take(struct owner_group *g, const ml_member_load_res *res, int64_t asked_us,
+			 int64_t now)
 {
 	unsigned i, j;
 
 	for (i = 0; i < res->loads.loads_len; i++) {
 		for (j = 0; j < g->n; j++) {
 			if (strcmp(g->member[j].conf.name, res->loads.loads_val[i].member) == 0)
-				report_take(&g->member[j], &res->loads.loads_val[i], now);
+				report_take(&g->member[j], &res->loads.loads_val[i], asked_us, now);
 		}
 	}
 }
@@ -452,7 +438,7 @@
 		owner_update_mark(q->o, q->pool, (struct pos){res->mark.term, res->mark.lsn},
 				  q->asked_us - (int64_t)res->mark_age_us);
 		if (!owner_group_is_own(g))
-			reports_take(g, res, now);
+			reports_take(g, res, q->asked_us, now);
 	} else if (g != NULL) {
 		g->load.unanswered++;
 		g->load.old_way = true;
@@ -500,10 +486,10 @@
 		if (!m->listed)
 			continue;
 		m->load.reported_in_flight = (unsigned)lround(m->load.in_flight);
-		wants[args.wants.wants_len++] =
-			(ml_member_want){.member = m->conf.name,
-					 .connections = m->n_conns,
-					 .in_flight = m->load.reported_in_flight};
+		wants[args.wants.wants_len++] = (ml_member_want){
+			.member = m->conf.name,
+			.connections = budget_active(m) ? budget_want(m, now) : m->n_conns,
+			.in_flight = m->load.reported_in_flight};
 	}
 	g->load.pending = true;
 	g->load.asked_us = now;
@@ -517,6 +503,13 @@
 	return true;
 }
 
+/** Whether this VM reads from the members, or holds connections to them that are granted. */
+static bool needs_reports(const struct owner_group *g, int64_t now)
+{
+	return g->serves_reads &&
+	       (settings_of(g->o)->connection_budget || now - g->last_read_us < LOAD_READING_US);
+}
+
 void load_tick(struct owner_group *g, int64_t now)
 {
 	unsigned i;
@@ -528,7 +521,7 @@
 
 		l->in_flight += LOAD_USE_ALPHA * (g->member[i].in_flight - l->in_flight);
 	}
-	if (!owner_group_is_own(g) && g->serves_reads && now - g->last_read_us < LOAD_READING_US &&
+	if (!owner_group_is_own(g) && needs_reports(g, now) &&
 	    now - g->load.asked_us >= LOAD_INTERVAL_US)
 		claim_ask_mark(g, now);
 }
