Relay: a statement whose owner is not reached goes through a third VM

Cause: a VM that did not reach the owner of a group found out only by waiting for 600 ms, and refused the group's statements although other VMs reached the owner.

Change: decide/reach keeps what is known by address, chooses the VMs to ask and says what a relay must refuse. src/relay asks other VMs (ML_RELAY with hops 0) and sends statements (hops 1) only to one that has answered, so that a VM of an older build never holds a write. Transactions are not relayed. Off unless [paths] relay is set.

Checked: test-reach, test-relay, test-owner, test-change, test-lead, test-evacuation, test-it-owner and test-it-line pass; make lint is clean.

--- a/cmd/mangoloomd.c
+++ b/cmd/mangoloomd.c
@@ -9,6 +9,7 @@
 #include "owner.h"
 #include "parts.h"
 #include "platform-adapter.h"
+#include "relay.h"
 #include "rpc.h"
 #include "session.h"
 #include "shares.h"
@@ -81,6 +82,7 @@
 	shares_service_create(k);
 	if (k->settings->platform_kind == PLATFORM_PREPARED) {
 		owner_service_create(k);
+		relay_service_create(k);
 		session_service_create(k);
 		k->adapter->callers(k);
 		endpoint_service_create(k);
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -680,6 +680,13 @@
 	return now_us() - since;
 }
 
+int64_t rpc_last_received_us(const struct rpc *r, const char *address)
+{
+	const struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
+
+	return c != NULL && c->connected ? c->last_received_us : 0;
+}
+
 int64_t rpc_last_received_from(const struct rpc *r, rpc_wanted wanted, void *arg, int64_t since_us)
 {
 	const struct rpc_conn *c;
--- a/src/session-remote.c
+++ b/src/session-remote.c
@@ -6,10 +6,13 @@
 #include "session-state.h"
 
 #include "log.h"
+#include "reach.h"
 #include "stat.h"
 
 /** Time after the deadline of a statement for the final response of its owner to arrive. */
 #define ANSWER_GRACE_US (100 * USEC_PER_MSEC)
+/** The same if the response comes through another VM, which waits for ANSWER_GRACE_US itself. */
+#define RELAY_GRACE_US (150 * USEC_PER_MSEC)
 /** Pause between attempts while no owner accepts the statement. It doubles up to the maximum. */
 #define RETRY_PAUSE_MIN_US (5 * USEC_PER_MSEC)
 #define RETRY_PAUSE_MAX_US (40 * USEC_PER_MSEC)
@@ -109,6 +112,52 @@
 			      (int64_t)s->route.max_age_ms * USEC_PER_MSEC);
 }
 
+/**
+ * Whether the statement may go through another VM. Transactions do not: the owner ends a
+ * transaction when the connection of the VM that sent it closes, which would be the relay's.
+ */
+static bool relayable(const struct session *s)
+{
+	return relay_enabled(session_kernel(s)) && s->tx == TX_NONE &&
+	       s->st.op != STATEMENT_BEGIN && s->st.op != STATEMENT_BEGIN_READ;
+}
+
+/** Returns the address of the owner if it is known but not reached from this VM, else NULL. */
+static const char *lost_owner(const struct session *s)
+{
+	struct kernel *k = session_kernel(s);
+	const char *address;
+	bool known;
+
+	if (!relayable(s))
+		return NULL;
+	address = owner_address(owner_of(k), s->route.pool, &known);
+	return known && relay_is_lost(k, address) ? address : NULL;
+}
+
+/** Looks for a VM that reaches the owner @a to, which this one does not. */
+static enum relay_way find_relay(struct session *s, const char *to)
+{
+	enum relay_way way;
+
+	if (to == NULL || s->relays == REACH_RELAYS_MAX)
+		return RELAY_NONE;
+	way = relay_find(session_kernel(s), to);
+	s->asks_relays = s->asks_relays || way == RELAY_ASKED;
+	return way;
+}
+
+/**
+ * Whether a statement of a group that was without an owner for long has a chance through another
+ * VM. Only the statement on whose behalf VMs are asked waits for their answers.
+ */
+static bool may_be_relayed(struct session *s)
+{
+	enum relay_way way = find_relay(s, lost_owner(s));
+
+	return way == RELAY_KNOWN || (way != RELAY_NONE && s->asks_relays);
+}
+
 /** Handles a statement that no owner accepted: retries after a pause, or refuses it with @a o. */
 static void retry_or_refuse(struct session *s, enum outcome o)
 {
@@ -117,6 +166,7 @@
 	int64_t limit = MIN(s->deadline_us, s->started_us + OWNER_WAIT_US);
 	int64_t not_accepted_us =
 		owner_note_accepted(owner_of(session_kernel(s)), s->route.pool, false);
+	bool absent;
 
 	s->failed_attempts++;
 	/*
@@ -131,9 +181,10 @@
 	s->reader = READER_OWNER;
 	/*
 	 * A successor would have taken over by now, so the group can't be reached from here. A
-	 * longer wait would only use up the caller's time.
+	 * longer wait would only use up the caller's time, unless another VM may reach the owner.
 	 */
-	if (not_accepted_us > OWNER_ABSENT_US || now + pause >= limit) {
+	absent = not_accepted_us > OWNER_ABSENT_US && !may_be_relayed(s);
+	if (absent || now + pause >= limit) {
 		session_finish_locally(s, o,
 				       not_accepted_us > OWNER_ABSENT_US ? OWNER_ABSENT_RETRY_US
 									 : OWNER_RETRY_US);
@@ -192,9 +243,13 @@
 	const ml_run_res *res = arg_res;
 	struct session *s = arg;
 	enum outcome o = status == RPC_NOT_SENT ? OUTCOME_NOT_SENT : OUTCOME_LOST;
+	bool relayed = s->relayed != NULL;
 
 	s->call = NULL;
+	s->relayed = NULL;
 	event_del(s->timer);
+	if (!relayed)
+		relay_note_call(session_kernel(s), s->address, status == RPC_DONE);
 	if (status == RPC_DONE && res->outcome >= 0 && res->outcome < OUTCOMES) {
 		owner_update_mark(owner_of(session_kernel(s)), s->route.pool,
 				  (struct pos){res->mark.term, res->mark.lsn},
@@ -222,7 +277,8 @@
 			finish_remote(s, res);
 		return;
 	}
-	fleet_suspect(fleet_of(session_kernel(s)), s->address);
+	if (!relayed)
+		fleet_suspect(fleet_of(session_kernel(s)), s->address);
 	if (fall_back_to_owner(s, status, o))
 		return;
 	owner_report_unreachable(owner_of(session_kernel(s)), s->route.pool);
@@ -234,6 +290,10 @@
 		log_info("owner-call-lost", LOG_STR("request", s->st.request),
 			 LOG_STR("pool", s->route.pool), LOG_STR("address", s->address),
 			 LOG_NUM("sent", status != RPC_NOT_SENT));
+	if (relayed && status == RPC_NOT_SENT && s->relays < REACH_RELAYS_MAX) {
+		session_run_remote(s);
+		return;
+	}
 	/* The owner of the transaction is lost: without a COMMIT the transaction is rolled back. */
 	if (s->tx_id != 0 && (status == RPC_NOT_SENT || has_no_lasting_effect(s))) {
 		s->tx_id = 0;
@@ -284,12 +344,33 @@
 	}
 }
 
+/** Returns after which time the VM that the statement was sent to counts as silent. */
+static int64_t silence_limit_us(const struct session *s)
+{
+	struct kernel *k = session_kernel(s);
+
+	return session_can_read_locally(s) || !relay_enabled(k) ? SILENCE_LIMIT_US
+								: relay_silence_limit_us(k);
+}
+
+/** Whether the statement can be served without the VM that it was sent to, if that falls silent. */
+static bool can_continue_elsewhere(struct session *s)
+{
+	if (s->reader == READER_ANY)
+		return false;
+	if (session_can_read_locally(s))
+		return true;
+	return s->reader == READER_OWNER && relayable(s) && has_no_lasting_effect(s) &&
+	       s->relays < REACH_RELAYS_MAX;
+}
+
 void session_run_remote(struct session *s)
 {
 	struct kernel *k = session_kernel(s);
 	ml_value values[ML_PARAMS_MAX > 64 ? 64 : ML_PARAMS_MAX];
 	const char *reader_address = local_reader(s);
-	const char *address;
+	const char *address, *lost;
+	enum relay_way way = RELAY_NONE;
 	ml_run_args args;
 	guint i;
 
@@ -302,8 +383,14 @@
 		g_strlcpy(s->address, reader_address, sizeof(s->address));
 	} else {
 		s->reader = READER_OWNER;
-		address = owner_address_for_attempt(owner_of(k), s->route.pool, s->failed_attempts);
-		if (address == NULL) {
+		lost = lost_owner(s);
+		way = find_relay(s, lost);
+		address = way == RELAY_KNOWN ? lost
+					     : owner_address_for_attempt(owner_of(k), s->route.pool,
+									 s->failed_attempts);
+		/* A call to an owner that is not reached would use up the caller's time. */
+		if (address == NULL || (address == lost && way != RELAY_KNOWN &&
+					(way != RELAY_NONE || s->relays > 0))) {
 			retry_or_refuse(s, OUTCOME_NOT_SENT);
 			return;
 		}
@@ -316,17 +403,42 @@
 	args.values.values_val = values;
 	args.reader = (int)s->reader;
 	s->sent_us = now_us();
-	s->call = rpc_start(rpc_of(k), s->address, ML_RUN, &args,
-			    (int64_t)args.deadline_us + ANSWER_GRACE_US, on_run_done, s);
-	if (s->reader != READER_ANY && s->call != NULL && session_can_read_locally(s))
-		kernel_arm(s->timer, SILENCE_LIMIT_US);
+	if (way == RELAY_KNOWN) {
+		s->relays++;
+		s->relayed =
+			relay_start(k, s->address, &args,
+				    (int64_t)args.deadline_us + RELAY_GRACE_US, on_run_done, s);
+	} else {
+		s->call = rpc_start(rpc_of(k), s->address, ML_RUN, &args,
+				    (int64_t)args.deadline_us + ANSWER_GRACE_US, on_run_done, s);
+	}
+	if (can_continue_elsewhere(s))
+		kernel_arm(s->timer, silence_limit_us(s));
+}
+
+/** Returns for how long the VM that the statement was sent to has been silent. */
+static int64_t silent_us(const struct session *s)
+{
+	return s->relayed != NULL ? relay_silent_us(s->relayed)
+				  : rpc_silent_us(rpc_of(session_kernel(s)), s->address);
+}
+
+/** Gives up the attempt that is under way. */
+static void detach(struct session *s)
+{
+	if (s->relayed != NULL)
+		relay_detach(s->relayed);
+	else
+		rpc_call_detach(s->call);
+	s->relayed = NULL;
+	s->call = NULL;
 }
 
 void session_on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct session *s = arg;
 
-	if (s->call == NULL) {
+	if (s->call == NULL && s->relayed == NULL) {
 		session_run_remote(s);
 		return;
 	}
@@ -334,14 +446,13 @@
 	 * The VM that runs the statement is silent: it is isolated or has lost power. A read does
 	 * not wait until that is certain; a late response is dropped.
 	 */
-	if (rpc_silent_us(rpc_of(session_kernel(s)), s->address) < SILENCE_LIMIT_US) {
-		kernel_arm(s->timer, SILENCE_LIMIT_US);
+	if (silent_us(s) < silence_limit_us(s)) {
+		kernel_arm(s->timer, silence_limit_us(s));
 		return;
 	}
 	log_info("owner-call-silent", LOG_STR("request", s->st.request),
 		 LOG_STR("pool", s->route.pool), LOG_STR("address", s->address));
-	rpc_call_detach(s->call);
-	s->call = NULL;
+	detach(s);
 	if (s->reader == READER_OWNER)
 		owner_report_unreachable(owner_of(session_kernel(s)), s->route.pool);
 	retry_or_refuse(s, OUTCOME_NOT_SENT);
@@ -358,7 +469,7 @@
 	int64_t not_accepted_us =
 		owner_not_accepting_us(owner_of(session_kernel(s)), s->route.pool);
 
-	if (not_accepted_us < OWNER_ABSENT_US || session_can_read_locally(s))
+	if (not_accepted_us < OWNER_ABSENT_US || session_can_read_locally(s) || may_be_relayed(s))
 		return false;
 	log_info("owner-gone", LOG_STR("request", s->st.request), LOG_STR("pool", s->route.pool),
 		 LOG_NUM("untaken_ms", not_accepted_us / USEC_PER_MSEC));
--- a/src/session-state.h
+++ b/src/session-state.h
@@ -12,6 +12,7 @@
 #include "fleet.h"
 #include "owner.h"
 #include "ready.h"
+#include "relay.h"
 #include "shares.h"
 
 /**
@@ -60,6 +61,9 @@
 	bool local_reader_failed; /**< the reader of this data centre could not serve it */
 	int64_t wrote_us;	  /**< time of the last acknowledged write */
 	struct rpc_call *call;
+	struct relay_call *relayed; /**< the statement is under way through another VM; else NULL */
+	unsigned relays;	    /**< attempts through another VM */
+	bool asks_relays; /**< other VMs were asked on its behalf whether they reach the owner */
 	struct event *timer;
 };
 TAILQ_HEAD(session_list, session);
--- a/src/session.c
+++ b/src/session.c
@@ -349,6 +349,8 @@
 	s->st = *st;
 	s->failed_attempts = 0;
 	s->redirects = 0;
+	s->relays = 0;
+	s->asks_relays = false;
 	s->address[0] = '\0';
 	s->started_us = now_us();
 	s->deadline_us = 0;
@@ -421,7 +423,7 @@
 	shares_cancel(&s->admission);
 	shares_settle(shares_of(session_kernel(s)), s->team, &s->admission, true);
 	event_del(s->timer);
-	if (s->call == NULL) {
+	if (s->call == NULL && s->relayed == NULL) {
 		session_tx_abandon(s);
 		session_free(s);
 	}
--- a/src/stat.c
+++ b/src/stat.c
@@ -67,6 +67,14 @@
 	[STAT_PLATFORM_WATCHES] = "platform_watches",
 	[STAT_CONF_APPLIED] = "conf_applied",
 	[STAT_SHARE_ORDERS] = "share_orders",
+	[STAT_RELAY_PASSED] = "relay_passed",
+	[STAT_RELAY_REFUSED_DISABLED] = "relay_refused_disabled",
+	[STAT_RELAY_REFUSED_LOOP] = "relay_refused_loop",
+	[STAT_RELAY_REFUSED_UNKNOWN] = "relay_refused_unknown",
+	[STAT_RELAY_REFUSED_EXPIRED] = "relay_refused_expired",
+	[STAT_RELAY_REFUSED_TRANSACTION] = "relay_refused_transaction",
+	[STAT_RELAY_REFUSED_UNHEARD] = "relay_refused_unheard",
+	[STAT_RELAY_REFUSED_NOT_SENT] = "relay_refused_not_sent",
 };
 
 static const char *const class_names[STAT_CLASS_IDS] = {
@@ -81,6 +89,9 @@
 	[STAT_QUEUE_REFUSED_LATER] = "queue_refused_later",
 	[STAT_QUEUE_IN_AIM] = "queue_in_aim",
 	[STAT_QUEUE_LATE] = "queue_late",
+	[STAT_RELAY_ASKED] = "relay_asked",
+	[STAT_RELAY_SERVED] = "relay_served",
+	[STAT_RELAY_LOST] = "relay_lost",
 };
 
 void stat_add(enum stat_id id, uint64_t n)
--- a/src/stat.h
+++ b/src/stat.h
@@ -51,6 +51,14 @@
 	STAT_PLATFORM_WATCHES,
 	STAT_CONF_APPLIED,
 	STAT_SHARE_ORDERS,
+	STAT_RELAY_PASSED,	     /**< statements that this VM passed on for another */
+	STAT_RELAY_REFUSED_DISABLED, /**< statements not passed on, by reason (reach.h) */
+	STAT_RELAY_REFUSED_LOOP,
+	STAT_RELAY_REFUSED_UNKNOWN,
+	STAT_RELAY_REFUSED_EXPIRED,
+	STAT_RELAY_REFUSED_TRANSACTION,
+	STAT_RELAY_REFUSED_UNHEARD,
+	STAT_RELAY_REFUSED_NOT_SENT, /**< the receiver could not be called */
 	STATS
 };
 
@@ -70,6 +78,9 @@
 	STAT_QUEUE_REFUSED_LATER,   /**< would miss its deadline after more urgent ones arrived */
 	STAT_QUEUE_IN_AIM,	    /**< answered within the target latency of the route */
 	STAT_QUEUE_LATE,
+	STAT_RELAY_ASKED,  /**< statements sent through another VM */
+	STAT_RELAY_SERVED, /**< of these, answered by the owner */
+	STAT_RELAY_LOST,   /**< of these, with an unknown outcome */
 	STAT_CLASS_IDS
 };
 
--- /dev/null
+++ b/tests/test-reach.c
@@ -0,0 +1,266 @@
+/** @file test-reach.c Reachability between VMs, with a model of VMs that do not all reach each
+ * other. */
+#include "harness.h"
+#include "reach.h"
+
+#include <string.h>
+
+#define VMS_MAX 10
+#define STEP_US (10 * USEC_PER_MSEC)
+#define START_US (100 * USEC_PER_SEC)
+
+static uint64_t seed;
+
+/** Returns a number below @a n. */
+static unsigned rnd(unsigned n)
+{
+	seed = seed * UINT64_C(6364136223846793005) + UINT64_C(1442695040888963407);
+	return (unsigned)((seed >> 33) % n);
+}
+
+/** VM 0 is the entry, VM 1 the owner; any of the others can relay. */
+struct model {
+	unsigned n;
+	char address[VMS_MAX][ADDRESS_SIZE];
+	struct reach_vm vms[VMS_MAX];
+	bool link[VMS_MAX][VMS_MAX];
+	unsigned loss_percent; /**< of requests and of answers, each */
+	struct reach reach;    /**< of the entry */
+	unsigned ran;	       /**< times that the owner ran the statement */
+	unsigned sent;	       /**< times that it was sent through a relay */
+};
+
+static void model_init(struct model *m, unsigned links_percent)
+{
+	static const char *const data_centers[] = {"a", "b", "c"};
+	unsigned i, j;
+
+	memset(m, 0, sizeof(*m));
+	m->n = 3 + rnd(VMS_MAX - 2);
+	for (i = 0; i < m->n; i++) {
+		g_snprintf(m->address[i], ADDRESS_SIZE, "10.0.0.%u:1", i);
+		m->vms[i] = (struct reach_vm){m->address[i], data_centers[rnd(3)], i != 0};
+		for (j = 0; j < i; j++)
+			m->link[i][j] = m->link[j][i] = rnd(100) < links_percent;
+	}
+}
+
+static bool model_lost(const struct model *m)
+{
+	return rnd(100) < m->loss_percent;
+}
+
+/** Whether @a relay accepts a request of the entry, and why not. */
+static enum reach_refusal model_check(struct model *m, unsigned relay, unsigned hops, int64_t now)
+{
+	struct reach_request q = {.enabled = true,
+				  .known = true,
+				  .hops = hops,
+				  .self = m->address[relay],
+				  .sender = m->address[0],
+				  .to = m->address[1],
+				  .left_us = USEC_PER_SEC,
+				  .received_us = m->link[relay][1] ? now : 0};
+
+	return reach_check(&q, now);
+}
+
+static void model_ask(struct model *m, int64_t now)
+{
+	unsigned out[REACH_RELAYS_MAX], n, i;
+	const char *to = m->address[1];
+
+	if (!reach_may_ask(&m->reach, to, now))
+		return;
+	n = reach_relays(&m->reach, to, m->vms[1].data_center, m->vms, m->n, REACH_RELAYS_MAX, seed,
+			 now, out);
+	for (i = 0; i < n; i++) {
+		if (m->link[0][out[i]] && !model_lost(m) &&
+		    model_check(m, out[i], REACH_QUESTION_HOPS, now) == REACH_ACCEPTED)
+			reach_path(&m->reach, to, m->address[out[i]], now);
+		else
+			reach_no_path(&m->reach, to, m->address[out[i]], REACH_REFUSED_US, now);
+	}
+}
+
+/** Sends a write once. @return whether its caller has a final answer */
+static bool model_send(struct model *m, int64_t now)
+{
+	const char *via = reach_via(&m->reach, m->address[1], now);
+	unsigned relay = 0;
+
+	if (via == NULL) {
+		model_ask(m, now);
+		return false;
+	}
+	while (strcmp(m->address[relay], via) != 0)
+		relay++;
+	CU_ASSERT_TRUE(relay > 1);
+	m->sent++;
+	/* A lost request or answer gives an unknown outcome, which is final for a write. */
+	if (model_lost(m)) {
+		reach_failed(&m->reach, via, now);
+		return true;
+	}
+	if (model_check(m, relay, REACH_STATEMENT_HOPS, now) != REACH_ACCEPTED) {
+		reach_no_path(&m->reach, m->address[1], via, REACH_REFUSED_US, now);
+		return false;
+	}
+	/* Lost on the way to the owner: the outcome is unknown as well. */
+	if (model_lost(m))
+		return true;
+	m->ran++;
+	return true;
+}
+
+static bool model_has_path(const struct model *m)
+{
+	unsigned i;
+
+	for (i = 2; i < m->n; i++) {
+		if (m->link[0][i] && m->link[i][1])
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Guards against a statement that is not served although a third VM reaches its owner, and against
+ * one that takes more than one extra hop.
+ */
+static void test_a_path_of_one_extra_hop_is_found_within_two_seconds(void)
+{
+	unsigned paths = 0;
+
+	for (unsigned run = 0; run < 400; run++) {
+		struct model m;
+		int64_t now = START_US;
+		bool done = false;
+
+		seed = run;
+		model_init(&m, 15 + rnd(50));
+		reach_failed(&m.reach, m.address[1], now);
+		CU_ASSERT_TRUE(reach_is_lost(&m.reach, m.address[1], now));
+		for (; !done && now < START_US + 2 * USEC_PER_SEC; now += STEP_US)
+			done = model_send(&m, now);
+		CHECK((m.ran == 1) == model_has_path(&m), "seed %u: ran %u", run, m.ran);
+		paths += m.ran;
+	}
+	CHECK(paths > 100 && paths < 390, "%u paths", paths);
+}
+
+/* Guards against a write that runs twice when requests and answers are lost. */
+static void test_a_write_is_relayed_at_most_once(void)
+{
+	for (unsigned run = 0; run < 400; run++) {
+		struct model m;
+		int64_t now = START_US;
+		bool done = false;
+
+		seed = run;
+		model_init(&m, 60);
+		m.loss_percent = 20;
+		for (; !done && now < START_US + 2 * USEC_PER_SEC; now += STEP_US)
+			done = model_send(&m, now);
+		CHECK(m.ran <= 1 && m.sent <= 1, "seed %u: ran %u, sent %u", run, m.ran, m.sent);
+	}
+}
+
+/* Guards against loops, and against work for a caller who has gone. */
+static void test_what_a_relay_refuses(void)
+{
+	const struct reach_request good = {.enabled = true,
+					   .known = true,
+					   .hops = REACH_STATEMENT_HOPS,
+					   .self = "r",
+					   .sender = "s",
+					   .to = "o",
+					   .left_us = 1,
+					   .received_us = START_US};
+	struct reach_request q[] = {good, good, good, good, good, good, good, good, good};
+	static const enum reach_refusal expected[] = {
+		REACH_ACCEPTED, REACH_DISABLED, REACH_LOOP,	   REACH_LOOP,	  REACH_LOOP,
+		REACH_EXPIRED,	REACH_UNKNOWN,	REACH_TRANSACTION, REACH_UNHEARD,
+	};
+	unsigned i;
+
+	q[1].enabled = false;
+	q[2].hops = REACH_STATEMENT_HOPS + 1;
+	q[3].to = "r";
+	q[4].to = "s";
+	q[5].left_us = 0;
+	q[6].known = false;
+	q[7].in_transaction = true;
+	q[8].received_us = START_US - 2 * REACH_HEARD_US;
+	for (i = 0; i < G_N_ELEMENTS(q); i++)
+		CHECK(reach_check(&q[i], START_US) == expected[i], "%u: %s", i,
+		      reach_refusal_name(reach_check(&q[i], START_US)));
+}
+
+/* Guards against asking VMs of one data centre only, which a partition cuts off together. */
+static void test_witnesses_are_of_different_data_centers(void)
+{
+	static const char *const names[] = {"a", "b", "c", "d"};
+	struct reach_vm vms[84];
+	unsigned out[6], count[4] = {0}, seen[84] = {0}, i, run;
+
+	for (i = 0; i < G_N_ELEMENTS(vms); i++)
+		vms[i] = (struct reach_vm){"x", names[i / 21], i != 21};
+	for (run = 0; run < 200; run++) {
+		CU_ASSERT_EQUAL(reach_witnesses(vms, 84, "b", 6, run * 7919, out), 6);
+		CU_ASSERT_STRING_EQUAL(vms[out[0]].data_center, "b");
+		memset(count, 0, sizeof(count));
+		for (i = 0; i < 6; i++) {
+			count[out[i] / 21]++;
+			seen[out[i]]++;
+		}
+		CU_ASSERT_EQUAL(count[1], 2);
+		CU_ASSERT_TRUE(count[0] >= 1 && count[2] >= 1 && count[3] >= 1);
+	}
+	for (i = 0; i < 84; i++)
+		CHECK((seen[i] > 0) == (i != 21), "VM %u asked %u times", i, seen[i]);
+}
+
+/* Guards against a group that is given to a VM that does not reach its primary. */
+static void test_the_heir_reaches_the_primary(void)
+{
+	struct reach_answer a[3] = {{.near = true}, {.answered = true}, {.answered = true}};
+
+	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), -1);
+	a[2].reaches = true;
+	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), REACH_UNDECIDED);
+	CU_ASSERT_EQUAL(reach_heir(a, 3, USEC_PER_SEC), 2);
+	a[0].answered = true;
+	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), 2);
+	a[0].reaches = true;
+	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), 0);
+}
+
+/* Guards against a table that grows with the fleet, and against one that forgets what is in use. */
+static void test_only_addresses_in_use_are_kept(void)
+{
+	struct reach r = {0};
+	char address[ADDRESS_SIZE];
+	unsigned i;
+
+	for (i = 0; i < 200; i++) {
+		g_snprintf(address, sizeof(address), "10.0.0.%u:1", i);
+		reach_failed(&r, address, START_US + i);
+		reach_failed(&r, "owner", START_US + i);
+	}
+	CU_ASSERT_EQUAL(r.n, REACH_ADDRESSES_MAX);
+	CU_ASSERT_TRUE(reach_is_lost(&r, "owner", START_US + 200));
+	reach_received(&r, "owner", START_US + 300);
+	CU_ASSERT_FALSE(reach_is_lost(&r, "owner", START_US + 300));
+}
+
+static const struct test_case cases[] = {
+	{"a_path_of_one_extra_hop_is_found_within_two_seconds",
+	 test_a_path_of_one_extra_hop_is_found_within_two_seconds},
+	{"a_write_is_relayed_at_most_once", test_a_write_is_relayed_at_most_once},
+	{"what_a_relay_refuses", test_what_a_relay_refuses},
+	{"witnesses_are_of_different_data_centers", test_witnesses_are_of_different_data_centers},
+	{"the_heir_reaches_the_primary", test_the_heir_reaches_the_primary},
+	{"only_addresses_in_use_are_kept", test_only_addresses_in_use_are_kept},
+};
+HARNESS_MAIN("reach", cases)
