Owner: a group whose owner does not reach its primary or the store goes to a VM that does

Cause: while a primary or the store was not reached from some VMs, groups had no owner that served for seconds. (1) An owner waited for the answers of all VMs that it asked, the first three of the list. (2) It wrote the hand-over itself, which fails without the store, and may name a VM that does not reach the store. (3) A new owner that did not reach the primary replaced it. (4) The group was moved near its primary without asking whether that VM reaches it. (5) An invitation was followed however late. (6) The VM that is to take over waited for the store's time limit before it passed the report on. (7) A choice that the store did not take, and a lease that it did not renew, were only noticed when their time was up. (8) A VM that alone did not reach the owner claimed.

Change, with [paths] relay on: up to six VMs in turn over the data centres are asked, and the first that reaches the primary is invited to claim (src/owner-reach.c); (3) to (8) are mended in owner-change.c and owner-claim.c, one test each in test-owner-reach but (8), which test-it-owner a_link_to_an_owner_is_lost covers. Without the setting only the order in which VMs are asked has changed.

--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -54,6 +54,10 @@
 #define FENCE_RETRY_US (200 * USEC_PER_MSEC)
 /** How long to look for a primary after a claim before one is promoted. */
 #define FIND_TIMEOUT_US (700 * USEC_PER_MSEC)
+/** After this time of looking for a primary, other VMs are asked whether they reach it. */
+#define FIND_ASK_US (150 * USEC_PER_MSEC)
+/** After this time of writing the choice to the record, another VM is invited to take the group. */
+#define RECORD_SLOW_US (250 * USEC_PER_MSEC)
 /**
  * Like FIND_TIMEOUT_US, for a group that was never written to. When the whole system starts,
  * members register over two seconds, and the primary may be the last.
@@ -379,6 +383,49 @@
 	return g->unsettled;
 }
 
+/**
+ * Returns the member that must be the primary although this VM does not reach it: the one that the
+ * record names, or the only one that does not answer. NULL if neither is known.
+ */
+static struct owner_member *unreached_primary(struct owner_group *g, int64_t now)
+{
+	struct owner_member *unreached = NULL;
+	unsigned i, n = 0;
+
+	for (i = 0; i < g->n; i++) {
+		struct owner_member *m = &g->member[i];
+
+		if (!m->listed || (m->observed.reached && m->observed_us >= g->state_us))
+			continue;
+		if (strcmp(m->conf.name, g->record.target) == 0)
+			return m;
+		unreached = m;
+		n++;
+	}
+	return n == 1 && g->record.target[0] == '\0' ? unreached : NULL;
+}
+
+/**
+ * Invites a VM that reaches the primary to claim the group. Otherwise a primary that serves others
+ * would be replaced because this VM, which the group has just fallen to, does not reach it.
+ * @return whether to wait for that
+ */
+static bool found_by_others(struct owner_group *g, int64_t now)
+{
+	struct owner_member *m;
+
+	/* The VM that invited this one does not reach the primary either. */
+	if (!g->o->service.kernel->settings->relay || g->from_invitation ||
+	    now - g->state_us < FIND_ASK_US)
+		return false;
+	if (g->others_asked_us >= g->state_us)
+		return witness_hand_over(g, g->state_us, now, "primary-not-found");
+	m = unreached_primary(g, now);
+	if (m != NULL)
+		witness_ask(g, m, now);
+	return false;
+}
+
 /** Looks for the current primary after a claim. */
 static void find_primary(struct owner_group *g, int64_t now)
 {
@@ -394,11 +441,20 @@
 		change_set_primary(g, found, "found");
 		return;
 	}
+	if (found_by_others(g, now))
+		return;
 	if (now - g->state_us > (ever_written(g) ? FIND_TIMEOUT_US : FIND_INITIAL_TIMEOUT_US) &&
 	    g->n > 0)
 		change_begin(g, false, "none-found");
 }
 
+/** Waits for the store, which may not answer this VM. */
+static void await_record(struct owner_group *g, int64_t now)
+{
+	if (g->o->service.kernel->settings->relay && now - g->state_us > RECORD_SLOW_US)
+		claim_invite(g, "record-slow");
+}
+
 static void planned_recorded(struct owner_group *g, bool ok)
 {
 	g->plan_recording = false;
@@ -440,6 +496,7 @@
 		[OWNER_SETTLING] = settle,
 		[OWNER_FENCING] = fence,
 		[OWNER_CHOOSING] = choose_step,
+		[OWNER_RECORDING] = await_record,
 		[OWNER_ORDERING] = order_promotion,
 		[OWNER_AWAITING] = await_promotion,
 	};
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -7,6 +7,7 @@
 
 #include "fleet-store.h"
 #include "log.h"
+#include "relay.h"
 
 #include <string.h>
 
@@ -21,6 +22,17 @@
 /** Interval at which an owner that seems gone is asked whether it serves the group. */
 #define QUERY_INTERVAL_US (200 * USEC_PER_MSEC)
 #define QUERY_TIMEOUT_US (250 * USEC_PER_MSEC)
+/** How long an invitation to claim a group is followed. */
+#define INVITATION_US (1 * USEC_PER_SEC)
+/** A call to the store that takes longer may never be answered; usual ones take 20 ms. */
+#define STORE_SLOW_US (200 * USEC_PER_MSEC)
+/** Time before the end of its lease at which an owner invites others; a lease lasts 12 s. */
+#define LEASE_SHORT_US (4 * USEC_PER_SEC)
+/**
+ * A call that fails earlier was refused: the owner's process has ended. One that is lost on its way
+ * fails when its time is up.
+ */
+#define REFUSED_WITHIN_US (100 * USEC_PER_MSEC)
 /** How long a report of an unreachable owner is acted on. */
 #define REPORT_FRESH_US (1 * USEC_PER_SEC)
 /** How long after a failed read of a record the store is assumed to refuse this VM. */
@@ -34,6 +46,11 @@
 	char pool[NAME_SIZE];
 };
 
+static bool is_relay_on(const struct owner_group *g)
+{
+	return g->o->service.kernel->settings->relay;
+}
+
 static void owner_query(struct owner_group *g, const char *address, rpc_done cb)
 {
 	ml_owner args = {.pool = g->pool,
@@ -133,6 +150,7 @@
 		     strcmp(r.owner.name, self.name) == 0;
 
 	owner_group_use(g);
+	g->from_invitation = strcmp(why, "invited") == 0;
 	if (!lead_claim(&r, &self, g->o->service.kernel->settings->advertise, ended)) {
 		log_warn("claim-senders-full", LOG_STR("pool", g->pool));
 		g->next_call_us = now_us() + RETRY_US;
@@ -190,6 +208,16 @@
 	owner_query(g, address, mark_answered);
 }
 
+/**
+ * Whether another VM reaches the owner, so that only the path from this VM is lost. The owner
+ * serves the other VMs then, and a claim would take the group from it for nothing.
+ */
+static bool is_reached_by_others(const struct owner_group *g)
+{
+	return is_relay_on(g) && now_us() - g->owner_asked_us > REFUSED_WITHIN_US &&
+	       relay_reaches(g->o->service.kernel, g->record.address);
+}
+
 static void owner_answered(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_owner *res = arg_res;
@@ -206,7 +234,11 @@
 		 */
 		if (status != RPC_DONE)
 			fleet_suspect(owner_group_fleet(g), g->record.address);
-		if (status != RPC_DONE || !res->serving) {
+		if (status != RPC_DONE && is_reached_by_others(g)) {
+			g->unreachable_reported_us = 0;
+			log_info("owner-reached-by-others", LOG_STR("pool", g->pool),
+				 LOG_STR("owner", g->record.owner.name));
+		} else if (status != RPC_DONE || !res->serving) {
 			g->owner_lost = true;
 			log_info("owner-silent", LOG_STR("pool", g->pool),
 				 LOG_STR("owner", g->record.owner.name),
@@ -226,6 +258,7 @@
 		return;
 	g->owner_asked_us = now;
 	g->owner_query_pending = true;
+	relay_ask_again(g->o->service.kernel, g->record.address);
 	owner_query(g, g->record.address, owner_answered);
 }
 
@@ -384,26 +417,84 @@
 		claim_store_failed(g);
 }
 
-void claim_invite(struct owner_group *g, const char *why)
+bool claim_invite_vm(struct owner_group *g, const char *to, const char *why)
 {
 	ml_owner args = {.pool = g->pool, .vm = "", .address = "", .primary = "", .claim = true};
+	const struct vm *vm = peers_find(&owner_group_fleet(g)->peers, to);
 	int64_t now = now_us();
-	struct vm *vm;
 
-	if (now - g->invited_us < INVITE_PAUSE_US)
-		return;
+	if (vm == NULL || now - g->invited_us < INVITE_PAUSE_US)
+		return false;
 	g->invited_us = now;
+	if (is_relay_on(g))
+		args.revision = g->revision;
+	log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
+		 LOG_STR("why", why));
+	rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args, QUERY_TIMEOUT_US,
+		  NULL, NULL);
+	return true;
+}
+
+void claim_invite(struct owner_group *g, const char *why)
+{
+	const char *to = NULL;
+	const struct vm *vm;
+
+	if (now_us() - g->invited_us < INVITE_PAUSE_US)
+		return;
+	if (is_relay_on(g))
+		to = witness_next(g);
 	/*
 	 * A random VM, since the store may refuse others too, and the next attempt then asks
 	 * another one.
 	 */
-	vm = random_peer(owner_group_fleet(g));
-	if (vm == NULL)
+	if (to == NULL) {
+		vm = random_peer(owner_group_fleet(g));
+		to = vm != NULL ? vm->name : NULL;
+	}
+	if (to != NULL)
+		claim_invite_vm(g, to, why);
+}
+
+/** Drops an invitation that has expired, or that another VM has followed. */
+static void check_invitation(struct owner_group *g, int64_t now)
+{
+	if (!g->invited || g->invited_until_us == 0)
 		return;
-	log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
-		 LOG_STR("why", why));
-	rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_OWNER, &args, QUERY_TIMEOUT_US,
-		  NULL, NULL);
+	if (now < g->invited_until_us &&
+	    (g->invited_revision == 0 || g->revision <= g->invited_revision))
+		return;
+	log_info("invitation-dropped", LOG_STR("pool", g->pool),
+		 LOG_NUM("expired", now >= g->invited_until_us),
+		 LOG_REVISION("revision", g->revision));
+	g->invited = false;
+}
+
+/**
+ * Passes a report of an unreachable owner to another VM if the store does not answer this one. The
+ * call would otherwise be waited for until its time limit, while other VMs may reach the store.
+ */
+static void pass_report_on(struct owner_group *g, int64_t now)
+{
+	const struct vm *vm;
+
+	if (!is_relay_on(g) || !g->record_busy || now - g->record_busy_us < STORE_SLOW_US ||
+	    !is_reported(g, now) || owner_group_is_own(g))
+		return;
+	vm = random_peer(owner_group_fleet(g));
+	if (vm != NULL)
+		report_send(g, vm->address);
+}
+
+/**
+ * Invites others while this VM still serves but has not renewed its lease for long. When the lease
+ * ends, the group would be without an owner until that shows.
+ */
+static void invite_before_lease_ends(struct owner_group *g, int64_t now)
+{
+	if (is_relay_on(g) && g->state == OWNER_SERVING && owner_group_is_own(g) &&
+	    fleet_store_lease_until_us(owner_group_fleet(g)) - now < LEASE_SHORT_US)
+		claim_invite(g, "lease-ends");
 }
 
 /**
@@ -461,6 +552,9 @@
 	detect_owner_return(g);
 	if (!g->configured || g->o->leaving)
 		return false;
+	check_invitation(g, now);
+	pass_report_on(g, now);
+	invite_before_lease_ends(g, now);
 	if (g->record_busy || now < g->next_call_us)
 		return true;
 	if (registration == 0 || fleet_store_lease_until_us(f) < now)
@@ -514,6 +608,44 @@
 	record_write(g, &r, record_rewritten);
 }
 
+/** A VM near the primary that is asked whether it reaches the primary. */
+struct move {
+	struct owner *o;
+	char pool[NAME_SIZE];
+	char vm[NAME_SIZE];
+};
+
+static void move_answered(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_none *res = arg_res;
+	struct move *q = arg;
+	struct owner_group *g = owner_group_find(q->o, q->pool);
+	bool reaches = status == RPC_DONE && res->ok;
+
+	log_info("reach", LOG_STR("pool", q->pool), LOG_STR("peer", q->vm),
+		 LOG_NUM("answered", status == RPC_DONE), LOG_NUM("reaches", reaches));
+	if (g != NULL && reaches && g->state == OWNER_SERVING && owner_group_is_own(g))
+		claim_invite_vm(g, q->vm, "near-primary");
+	g_free(q);
+}
+
+/**
+ * Invites a VM near the primary to claim the group if it reaches the primary. The VM may be one of
+ * those that do not, and this VM may own the group because of that.
+ */
+static void ask_near_primary(struct owner_group *g, const struct vm *vm,
+			     const struct owner_member *m)
+{
+	ml_reach_args args = {.pool = g->pool, .member = (char *)m->conf.name};
+	struct move *q = g_new0(struct move, 1);
+
+	q->o = g->o;
+	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
+	g_strlcpy(q->vm, vm->name, sizeof(q->vm));
+	rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_REACH, &args,
+		  REACH_TIMEOUT_US + REACH_RPC_MARGIN_US, move_answered, q);
+}
+
 void claim_move_to_primary(struct owner_group *g, int64_t now)
 {
 	const struct owner_member *m = owner_group_primary(g);
@@ -528,7 +660,10 @@
 	vm = peers_holder(&f->peers, g->role, m->conf.data_center);
 	if (vm == NULL || vm->incarnation == 0 || strcmp(vm->data_center, m->conf.data_center) != 0)
 		return;
-	claim_hand_over(g, vm->name, "near-primary");
+	if (is_relay_on(g))
+		ask_near_primary(g, vm, m);
+	else
+		claim_hand_over(g, vm->name, "near-primary");
 }
 
 /* RPC procedures between VMs */
@@ -610,6 +745,8 @@
 	ml_owner res = {.pool = "", .vm = "", .address = "", .primary = ""};
 
 	if (g != NULL && a->claim && !owner_group_is_own(g) && !g->o->leaving) {
+		g->invited_until_us = is_relay_on(g) ? now_us() + INVITATION_US : 0;
+		g->invited_revision = a->revision;
 		/* The known record may be older than the last one the owner has written. */
 		g->invited = true;
 		record_outdated(g);
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -112,6 +112,7 @@
 	log_warn("owner-ends", LOG_STR("pool", g->pool), LOG_STR("owner", g->record.owner.name),
 		 LOG_REVISION("revision", g->revision), LOG_STR("why", why));
 	g->sending = !g->yielded;
+	g->from_invitation = false;
 	owner_group_set_state(g, OWNER_NONE, why);
 	queue_refuse(g, true, OUTCOME_LEAVING);
 	for (i = 0; i < g->n; i++) {
@@ -264,6 +265,7 @@
 	q->o = g->o;
 	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
 	g->record_busy = true;
+	g->record_busy_us = now_us();
 	return q;
 }
 
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -29,13 +29,6 @@
  * A replica that leaves requests unanswered for this long gets no more statements until it answers.
  */
 #define REPLICA_DOWN_US (400 * USEC_PER_MSEC)
-/** Most VMs that are asked whether they reach the primary, and the time limit for their answers. */
-#define REACH_VMS_MAX 3
-#define REACH_TIMEOUT_US (350 * USEC_PER_MSEC)
-/** Additional time for the answer of a VM to arrive. */
-#define REACH_RPC_MARGIN_US (50 * USEC_PER_MSEC)
-/** How long the answers of other VMs are used. */
-#define REACH_FRESH_US (1 * USEC_PER_SEC)
 
 void watch_sent(struct owner_member *m, int64_t now)
 {
@@ -258,79 +251,16 @@
 		probe_open(m);
 }
 
-/* Asking other VMs whether they reach the primary */
-
-/** A request in flight to another VM, which tries to connect to the primary. */
-struct reach_query {
-	struct owner *o;
-	char pool[NAME_SIZE];
-	char vm[NAME_SIZE];
-};
-
-static void reach_answered(enum rpc_status status, const void *arg_res, void *arg)
-{
-	const ml_none *res = arg_res;
-	struct reach_query *q = arg;
-	struct owner_group *g = owner_group_find(q->o, q->pool);
-
-	if (g != NULL && g->others_pending > 0) {
-		g->others_pending--;
-		if (status == RPC_DONE && res->ok)
-			g_strlcpy(g->reached_by, q->vm, sizeof(g->reached_by));
-		log_info("reach", LOG_STR("pool", g->pool), LOG_STR("peer", q->vm),
-			 LOG_NUM("answered", status == RPC_DONE),
-			 LOG_NUM("reaches", status == RPC_DONE && res->ok));
-		if (g->others_pending == 0)
-			g->others_asked = true;
-	}
-	g_free(q);
-}
-
-static void reach_ask(struct owner_group *g, int64_t now)
-{
-	struct fleet *f = owner_group_fleet(g);
-	struct owner_member *m = owner_group_primary(g);
-	ml_reach_args args = {.pool = g->pool, .member = m->conf.name};
-	struct vm *vm;
-	unsigned n = 0, skip = 0;
-
-	g->reached_by[0] = '\0';
-	g->others_asked_us = now;
-	g->others_pending = 0;
-	/*
-	 * The VMs should be of different data centres: a partition between two data centres hides
-	 * the primary from all VMs on one side. The loop asks the first usable VMs of the list and
-	 * does not apply skip.
-	 */
-	TAILQ_FOREACH(vm, &f->peers.vms, link)
-		skip += peers_usable(vm) ? 1 : 0;
-	skip = skip > 0 ? (unsigned)(random_bits() % skip) : 0;
-	TAILQ_FOREACH(vm, &f->peers.vms, link) {
-		struct reach_query *q;
-
-		if (vm == f->peers.self || !peers_usable(vm) || n == REACH_VMS_MAX)
-			continue;
-		n++;
-		g->others_pending++;
-		q = g_new0(struct reach_query, 1);
-		q->o = g->o;
-		g_strlcpy(q->pool, g->pool, sizeof(q->pool));
-		g_strlcpy(q->vm, vm->name, sizeof(q->vm));
-		rpc_start(rpc_of(g->o->service.kernel), vm->address, ML_REACH, &args,
-			  REACH_TIMEOUT_US + REACH_RPC_MARGIN_US, reach_answered, q);
-	}
-	if (n == 0)
-		g->others_asked = true;
-}
+/* Answering other VMs whether this VM reaches a member */
 
 /** A connection attempt to a member on behalf of another VM. */
-struct reach {
+struct reach_attempt {
 	struct rpc_request *rq;
 	struct member_conn *mc;
 	struct event *timer;
 };
 
-static void reach_end(struct reach *r, bool ok)
+static void reach_end(struct reach_attempt *r, bool ok)
 {
 	ml_none res = {.ok = ok};
 
@@ -363,7 +293,7 @@
 	struct kernel *k = o->service.kernel;
 	const struct conf_pool *pool = conf_pool(fleet_of(k)->conf, a->pool);
 	int i = conf_pool_find(pool, a->member);
-	struct reach *r;
+	struct reach_attempt *r;
 
 	if (i < 0) {
 		ml_none res = {.ok = false};
@@ -371,7 +301,7 @@
 		rpc_reply(rq, &res);
 		return;
 	}
-	r = g_new0(struct reach, 1);
+	r = g_new0(struct reach_attempt, 1);
 	r->rq = rq;
 	r->timer = event_new(k->base, -1, 0, reach_timeout, r);
 	kernel_arm(r->timer, REACH_TIMEOUT_US);
@@ -383,6 +313,7 @@
 
 static void judge_primary(struct owner_group *g, int64_t now)
 {
+	bool relay = g->o->service.kernel->settings->relay;
 	struct owner_member *m = owner_group_primary(g);
 	struct lead_silence s;
 
@@ -396,13 +327,19 @@
 	case LEAD_HEALTHY:
 		return;
 	case LEAD_ASK_OTHERS:
+		if (relay && witness_hand_over(g, m->silent_since_us, now, "primary-unreachable"))
+			return;
 		if (g->others_pending == 0 || now - g->others_asked_us > REACH_FRESH_US)
-			reach_ask(g, now);
+			witness_ask(g, m, now);
 		return;
 	case LEAD_REPLACE:
+		if (relay && witness_hand_over(g, m->silent_since_us, now, "primary-unreachable"))
+			return;
 		break;
 	}
 	g->others_asked = false;
+	if (relay)
+		g->reached_by[0] = '\0';
 	if (g->reached_by[0] != '\0')
 		claim_hand_over(g, g->reached_by, "primary-unreachable");
 	else
--- a/src/owner.c
+++ b/src/owner.c
@@ -350,6 +350,15 @@
 	return fleet_holder_address(fleet_of(o->service.kernel), role);
 }
 
+const char *owner_last_address(struct owner *o, const char *pool)
+{
+	const struct owner_group *g = owner_group_find(o, pool);
+
+	if (g == NULL || (g->revision == 0 && g->hint_revision == 0))
+		return NULL;
+	return g->hint_revision > g->revision ? g->hint_address : g->record.address;
+}
+
 const char *owner_address_for_attempt(struct owner *o, const char *pool, unsigned attempt)
 {
 	const struct owner_group *g = owner_group_find(o, pool);
--- a/src/owner.h
+++ b/src/owner.h
@@ -20,6 +20,7 @@
  * owner-choose.c  choice of the next primary
  * owner-fence.c   fencing of other senders to the primary
  * owner-watch.c   probes of the members and failure detection
+ * owner-reach.c   other VMs that reach the primary: asking them, and inviting one to claim
  * owner-queue.c   queues of statements: admission, refusal and expiry
  * owner-dispatch.c starts queued statements as members have room
  * owner-pick.c    choice of the member for a statement
@@ -41,6 +42,7 @@
 #include "marks.h"
 #include "member.h"
 #include "outcome.h"
+#include "reach.h"
 #include "rpc.h"
 #include "stat.h"
 #include "succession.h"
@@ -63,6 +65,8 @@
 #define OWNER_ROLE "group "
 /** Number of priority classes. A route with a higher priority number is in the last class. */
 #define OWNER_PRIORITIES STAT_CLASSES
+/** Most VMs that an owner asks whether they reach its primary. */
+#define OWNER_WITNESSES_MAX 6
 /** Size of a prepared statement's name: 'r' or 'w', '_', and the shape of the statement. */
 #define OWNER_NAME_MAX 256
 
@@ -197,14 +201,18 @@
 	bool configured;
 
 	struct lead_record record;
-	uint64_t revision;	  /**< revision of @a record in the store; 0: no record is known */
-	bool record_loaded;	  /**< the record, or its absence, was read from the store */
-	bool outdated;		  /**< a newer record exists: read it */
-	bool record_busy;	  /**< a read or write of the record is in flight */
-	int64_t next_call_us;	  /**< no read, write or order before this time */
-	int64_t owner_asked_us;	  /**< when the owner was last asked whether it serves the group */
-	bool owner_lost;	  /**< the owner has ended or does not answer */
-	bool owner_query_pending; /**< a request to the owner is in flight */
+	uint64_t revision;	   /**< revision of @a record in the store; 0: no record is known */
+	bool record_loaded;	   /**< the record, or its absence, was read from the store */
+	bool outdated;		   /**< a newer record exists: read it */
+	bool record_busy;	   /**< a read or write of the record is in flight */
+	int64_t record_busy_us;	   /**< since when */
+	int64_t next_call_us;	   /**< no read, write or order before this time */
+	bool from_invitation;	   /**< this VM claimed the group because the owner invited it */
+	int64_t invited_until_us;  /**< end of the invitation; 0: it has none */
+	uint64_t invited_revision; /**< of the record that the inviting owner had; 0: not known */
+	int64_t owner_asked_us;	   /**< when the owner was last asked whether it serves the group */
+	bool owner_lost;	   /**< the owner has ended or does not answer */
+	bool owner_query_pending;  /**< a request to the owner is in flight */
 	int64_t unreachable_reported_us; /**< last report of another VM; 0: never */
 	int64_t report_sent_us;		 /**< when this VM last reported the owner unreachable */
 	int64_t store_failed_us; /**< when the last read of the record failed; 0: it succeeded */
@@ -264,6 +272,11 @@
 	unsigned others_pending;    /**< VMs that have not answered yet whether they reach it */
 	char reached_by[NAME_SIZE]; /**< VM that reaches the primary while this VM does not */
 	int64_t others_asked_us;
+	struct reach_answer witness[OWNER_WITNESSES_MAX]; /**< VMs that were asked, and answers */
+	bool witness_invited[OWNER_WITNESSES_MAX];
+	unsigned n_witnesses;
+	unsigned witnessed;	  /**< index of the member that they were asked about */
+	int64_t first_reached_us; /**< when the first of them answered that it does; 0: none has */
 
 	struct fairq write_queue[OWNER_PRIORITIES]; /**< for the primary only */
 	struct fairq read_queue[OWNER_PRIORITIES];
@@ -298,6 +311,9 @@
  * that of the VM that is to claim the group, or NULL.
  */
 const char *owner_address(struct owner *o, const char *pool, bool *known);
+/** Returns the RPC address of the last known owner, also if it seems gone; NULL if none is known.
+ */
+const char *owner_last_address(struct owner *o, const char *pool);
 /** Returns the RPC address that attempt @a attempt of a statement is sent to, or NULL. */
 const char *owner_address_for_attempt(struct owner *o, const char *pool, unsigned attempt);
 /** Returns the newest revision of the group's record known to this VM. */
@@ -378,6 +394,11 @@
  * be recorded.
  */
 void claim_invite(struct owner_group *g, const char *why);
+/**
+ * Asks the VM named @a to to claim the group. Unlike a hand-over, this changes nothing if that VM
+ * does not reach the store. @return whether it was asked; false within a pause after the last one
+ */
+bool claim_invite_vm(struct owner_group *g, const char *to, const char *why);
 /** Passes a report of an unreachable owner to another VM after the record could not be read. */
 void claim_store_failed(struct owner_group *g);
 /** Hands the group to a VM in the data centre of its primary, if this VM is elsewhere. */
@@ -460,6 +481,25 @@
 void watch_judge_replica(struct owner_member *m, int64_t now);
 void watch_reach_serve(struct rpc_request *rq, const void *args, void *owner);
 
+/* owner-reach.c */
+/** Asks other VMs whether they reach the member @a m. */
+void witness_ask(struct owner_group *g, const struct owner_member *m, int64_t now);
+/**
+ * Invites a VM that reaches the member asked about to claim the group, one after another.
+ * @param since_us since when the group has had no primary that this VM reaches
+ * @return whether the group is to wait for one of them; false if none reaches the member, or none
+ * took the group within WITNESS_TIMEOUT_US
+ */
+bool witness_hand_over(struct owner_group *g, int64_t since_us, int64_t now, const char *why);
+/** Returns the next VM to invite that answered that it reaches the primary, or NULL. */
+const char *witness_next(struct owner_group *g);
+/** Time limit for the answers of other VMs, without the time of their way. */
+#define REACH_TIMEOUT_US (350 * USEC_PER_MSEC)
+/** Additional time for the answer of a VM to arrive. */
+#define REACH_RPC_MARGIN_US (50 * USEC_PER_MSEC)
+/** How long the answers of other VMs are used. */
+#define REACH_FRESH_US (1 * USEC_PER_SEC)
+
 /* owner-queue.c */
 void queue_init(struct owner_group *g);
 void queue_clear(struct owner_group *g);
--- a/src/relay.c
+++ b/src/relay.c
@@ -92,20 +92,11 @@
 	return q;
 }
 
-/** Whether the VM did not answer the question although it is there, as a VM of an older build. */
-static bool is_older_build(const struct question *q, enum rpc_status status)
-{
-	const struct rpc *rpc = rpc_of(q->r->service.kernel);
-
-	return status == RPC_LOST &&
-	       now_us() - rpc_last_received_us(rpc, q->via) < 2 * QUESTION_TIMEOUT_US;
-}
-
 static void question_answered(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_relay_res *res = arg_res;
 	struct question *q = arg;
-	int64_t pause_us = is_older_build(q, status) ? REACH_UNANSWERED_US : REACH_REFUSED_US;
+	int64_t pause_us = status == RPC_LOST ? REACH_UNANSWERED_US : REACH_REFUSED_US;
 	bool reaches = status == RPC_DONE && res->run.outcome == OUTCOME_DONE;
 	struct reach *reach = &q->r->reach;
 
@@ -202,6 +193,26 @@
 	return reach_is_asking(&r->reach, to) ? RELAY_ASKING : RELAY_NONE;
 }
 
+void relay_ask_again(struct kernel *k, const char *to)
+{
+	struct relay *r = relay_of(k);
+	char via[ADDRESS_SIZE];
+
+	if (!relay_enabled(k) || strcmp(to, k->settings->advertise) == 0)
+		return;
+	if (reach_via(&r->reach, to, now_us()) != NULL) {
+		g_strlcpy(via, reach_via(&r->reach, to, now_us()), sizeof(via));
+		reach_no_path(&r->reach, to, via, 0, now_us());
+	}
+	if (reach_may_ask(&r->reach, to, now_us()))
+		ask_relays(r, to);
+}
+
+bool relay_reaches(struct kernel *k, const char *to)
+{
+	return relay_enabled(k) && reach_via(&relay_of(k)->reach, to, now_us()) != NULL;
+}
+
 /* The sender: a statement */
 
 struct relay_call {
@@ -334,6 +345,12 @@
 	reply_outcome(p, false, OUTCOME_NOT_SENT);
 }
 
+/** Returns when something was last received from @a address; 0 if it is not reached now. */
+static int64_t last_heard_us(struct kernel *k, const char *address)
+{
+	return relay_is_lost(k, address) ? 0 : rpc_last_received_us(rpc_of(k), address);
+}
+
 static enum reach_refusal check(struct relay *r, const ml_relay_args *a)
 {
 	struct kernel *k = r->service.kernel;
@@ -347,7 +364,7 @@
 				  .to = a->to,
 				  .in_transaction = a->run.transaction != 0 || a->run.begin != 0,
 				  .left_us = a->run.deadline_us,
-				  .received_us = rpc_last_received_us(rpc_of(k), a->to)};
+				  .received_us = last_heard_us(k, a->to)};
 
 	return reach_check(&q, now_us());
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -36,6 +36,10 @@
 bool relay_is_lost(struct kernel *k, const char *address);
 /** Looks for a VM that reaches @a to, and asks others if none is known. */
 enum relay_way relay_find(struct kernel *k, const char *to);
+/** Asks other VMs anew whether they reach @a to; what they said before is not used any more. */
+void relay_ask_again(struct kernel *k, const char *to);
+/** Whether another VM has answered lately that it reaches @a to. */
+bool relay_reaches(struct kernel *k, const char *to);
 /**
  * Sends a statement to @a to through the VM that relay_find() knows. The callback gets an
  * ml_run_res, as for ML_RUN: RPC_NOT_SENT if the statement certainly did not reach @a to, RPC_LOST
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -89,11 +89,12 @@
 	char address[ADDRESS_SIZE]; /**< empty for an accepted connection */
 	struct bufferevent *bev;
 	bool connected;
-	bool vm_name_sent;	 /**< a call with this VM's name was sent */
-	struct evbuffer *unsent; /**< records to be sent once the connection is established */
-	int64_t last_received_us;
-	int64_t keep_until_us; /**< not closed for lack of calls before this time */
-	int64_t ping_sent_us;  /**< time of the unanswered ping; 0: none */
+	bool vm_name_sent;	  /**< a call with this VM's name was sent */
+	struct evbuffer *unsent;  /**< records to be sent once the connection is established */
+	int64_t last_received_us; /**< or when it was opened */
+	int64_t last_data_us;	  /**< when data was last received; 0: never */
+	int64_t keep_until_us;	  /**< not closed for lack of calls before this time */
+	int64_t ping_sent_us;	  /**< time of the unanswered ping; 0: none */
 	struct rpc_calls calls;
 	struct rpc_requests requests;
 };
@@ -399,7 +400,7 @@
 	bool ok = true;
 	ssize_t len = 0;
 
-	c->last_received_us = now_us();
+	c->last_received_us = c->last_data_us = now_us();
 	c->refs++;
 	/* Handlers and callbacks may close this connection. */
 	while (ok && !c->closed && (len = rpc_record_length(in)) > 0)
@@ -684,7 +685,7 @@
 {
 	const struct rpc_conn *c = g_hash_table_lookup(r->by_address, address);
 
-	return c != NULL && c->connected ? c->last_received_us : 0;
+	return c != NULL ? c->last_data_us : 0;
 }
 
 int64_t rpc_last_received_from(const struct rpc *r, rpc_wanted wanted, void *arg, int64_t since_us)
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -73,7 +73,7 @@
 uint64_t rpc_request_conn(const struct rpc_request *rq);
 /** @return how long calls to @a address have been open without any data from it; 0: no open call */
 int64_t rpc_silent_us(const struct rpc *r, const char *address);
-/** @return the time of the last data from @a address on the connection to it; 0: none is open */
+/** @return the time of the last data on the open connection to @a address; 0: none or no data */
 int64_t rpc_last_received_us(const struct rpc *r, const char *address);
 /** Whether a connection to @a address is meant. */
 typedef bool (*rpc_wanted)(const char *address, void *arg);
--- a/src/session-remote.c
+++ b/src/session-remote.c
@@ -122,17 +122,19 @@
 	       s->st.op != STATEMENT_BEGIN && s->st.op != STATEMENT_BEGIN_READ;
 }
 
-/** Returns the address of the owner if it is known but not reached from this VM, else NULL. */
+/**
+ * Returns the address of the last known owner if it is not reached from this VM, else NULL. It may
+ * seem gone to this VM while it serves others.
+ */
 static const char *lost_owner(const struct session *s)
 {
 	struct kernel *k = session_kernel(s);
 	const char *address;
-	bool known;
 
 	if (!relayable(s))
 		return NULL;
-	address = owner_address(owner_of(k), s->route.pool, &known);
-	return known && relay_is_lost(k, address) ? address : NULL;
+	address = owner_last_address(owner_of(k), s->route.pool);
+	return address != NULL && relay_is_lost(k, address) ? address : NULL;
 }
 
 /** Looks for a VM that reaches the owner @a to, which this one does not. */
--- a/tests/harness-line.c
+++ b/tests/harness-line.c
@@ -220,9 +220,10 @@
 		"[platform]\nkind = \"prepared\"\nendpoints = [\"127.0.0.1:%d\"]\n"
 		"promoter = \"127.0.0.1:%d\"\ntimeout_ms = 400\n"
 		"[rpc]\nsilent_ms = 600\nseeds = [\"127.0.0.1:%d\"]\n[log]\npath = \"-\"\n"
-		"[rates]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n",
+		"[rates]\nwindow_s = 5\novershoot = 0.1\nslack = 20\n%s",
 		i, i, f->vm[i].caller, f->vm[i].rpc, f->vm[i].advertised, f->vm[i].ready,
-		f->vm[i].metrics, f->advertised_store, f->promoter, f->vm[0].advertised);
+		f->vm[i].metrics, f->advertised_store, f->promoter, f->vm[0].advertised,
+		f->settings);
 	char *path = g_strdup_printf("%s/vm%d.toml", f->dir, i);
 	char *log = g_strdup_printf("vm%d", i);
 	char *argv[] = {"mangoloomd", "--settings", path, NULL};
@@ -338,7 +339,7 @@
 	g_ptr_array_unref(argv);
 }
 
-static struct line_fleet *fleet_start(int vms, bool proxied)
+static struct line_fleet *fleet_start(int vms, bool proxied, const char *settings)
 {
 	struct line_fleet *f = g_new0(struct line_fleet, 1);
 	int ports[3 + 2 * LINE_MEMBERS + 5 * LINE_VMS_MAX];
@@ -348,6 +349,7 @@
 	f->n_vms = vms;
 	f->keys = "[\"" LINE_KEY "\"]";
 	f->rate = 100000;
+	f->settings = settings;
 	test_free_ports(ports, G_N_ELEMENTS(ports));
 	f->store = ports[n++];
 	f->promoter = ports[n++];
@@ -377,12 +379,17 @@
 
 struct line_fleet *line_fleet_start(int vms)
 {
-	return fleet_start(vms, false);
+	return fleet_start(vms, false, "");
 }
 
 struct line_fleet *line_fleet_start_proxied(int vms)
 {
-	return fleet_start(vms, true);
+	return fleet_start(vms, true, "");
+}
+
+struct line_fleet *line_fleet_start_with_settings(int vms, const char *settings)
+{
+	return fleet_start(vms, true, settings);
 }
 
 void line_fleet_stop(struct line_fleet *f)
--- a/tests/harness-line.h
+++ b/tests/harness-line.h
@@ -40,6 +40,7 @@
 	int version;	  /**< of the configuration document */
 	const char *keys; /**< JSON list of the team's keys */
 	int rate;
+	const char *settings; /**< TOML appended to each daemon's settings */
 };
 
 struct line_fleet *line_fleet_start(int vms);
@@ -48,6 +49,8 @@
  * the VMs ("vm0"...).
  */
 struct line_fleet *line_fleet_start_proxied(int vms);
+/** Does the same with TOML @a settings appended to each daemon's settings. */
+struct line_fleet *line_fleet_start_with_settings(int vms, const char *settings);
 /** Sends a command to the fleet's faultproxy, see faultproxy.c. */
 void line_proxy_command(struct line_fleet *f, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void line_fleet_stop(struct line_fleet *f);
--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -423,6 +423,45 @@
 	line_fleet_stop(f);
 }
 
+/*
+ * The link between the owner and another VM is lost; a third VM reaches both. Guards against writes
+ * of that VM's callers that are not served for as long as this lasts, or that run twice, and
+ * against a needless change of the owner.
+ */
+static void test_a_link_to_an_owner_is_lost(void)
+{
+	struct line_fleet *f = line_fleet_start_with_settings(3, "[paths]\nrelay = true\n");
+	struct line_client c;
+	struct line_writer w;
+	int i, served = 0;
+
+	wait_for_owner(f);
+	CHECK(wait_log(f, 1, "count=3", 5000), "vm1 does not know all VMs");
+	CU_ASSERT_TRUE(line_connect(&c, f, 1, LINE_DB_PRIMARY, LINE_KEY));
+	EXPECT_COMPLETE(&c, "READ x");
+	line_writer_start(&w, f, 1);
+	line_proxy_command(f, "hold vm0 vm1");
+	line_proxy_command(f, "hold vm1 vm0");
+	CHECK(wait_log(f, 1, "outcome=served", 4000), "no statement went through the third VM");
+	for (i = 0; i < 50; i++) {
+		served += strcmp(line_query(&c, "READ x"), "COMPLETE") == 0 ? 1 : 0;
+		test_sleep_ms(20);
+	}
+	CHECK(served >= 48, "%d of 50 reads served", served);
+	CHECK(find_owner(f) == 0, "vm%d owns the group", find_owner(f));
+	/* A transaction is not relayed: it ends with an error that says that nothing is kept. */
+	EXPECT_COMPLETE(&c, "BEGIN");
+	CHECK(strcmp(line_query(&c, "WRITE t1 x"), "COMPLETE") != 0, "a transaction was relayed");
+	line_query(&c, "ROLLBACK");
+	line_proxy_command(f, "pass vm0 vm1");
+	line_proxy_command(f, "pass vm1 vm0");
+	CU_ASSERT_TRUE(line_wait_until_writable(f, 1, 3000));
+	line_writer_stop(&w);
+	CU_ASSERT_EQUAL(line_report(f, "promotions"), 0);
+	line_close(&c);
+	line_fleet_stop(f);
+}
+
 static const struct test_case cases[] = {
 	{"a_primary_ends", test_a_primary_ends},
 	{"a_primary_falls_silent_and_wakes", test_a_primary_falls_silent_and_wakes},
@@ -435,5 +474,6 @@
 	{"a_planned_stop_cuts_nothing", test_a_planned_stop_cuts_nothing},
 	{"no_wait_for_a_token_without_an_owner", test_no_wait_for_a_token_without_an_owner},
 	{"all_vms_start_again", test_all_vms_start_again},
+	{"a_link_to_an_owner_is_lost", test_a_link_to_an_owner_is_lost},
 };
 HARNESS_MAIN("owners", cases)
--- /dev/null
+++ b/tests/test-owner-reach.c
@@ -0,0 +1,240 @@
+/**
+ * @file test-owner-reach.c
+ * An owner whose primary, or whose store, is reached by other VMs only, with the setting "relay".
+ */
+#include "harness-owner.h"
+
+#include <string.h>
+
+/** Lists vm-1, which is this VM, and vm-8 and vm-9, at which nothing listens. */
+static void list_peers(struct world *w)
+{
+	const struct vm_listing l[] = {
+		{.name = "vm-1", .address = SELF, .data_center = "dc"},
+		{.name = "vm-8", .address = "127.0.0.1:8", .data_center = "dc"},
+		{.name = "vm-9", .address = "127.0.0.1:2", .data_center = "dc2", .incarnation = 4}};
+	struct fleet *f = fleet_of(w->k);
+
+	peers_apply_list(&f->peers, f->peers.revision + 1, l, G_N_ELEMENTS(l));
+	fleet_members_changed(f);
+	w->settings.relay = true;
+}
+
+static struct owner_group *serve(struct world *w)
+{
+	struct owner_group *g = world_serve(w);
+
+	list_peers(w);
+	return g;
+}
+
+/** Lets vm-8 and vm-9 have been asked just now, of which vm-9 reaches the primary. */
+static void set_witnesses(struct owner_group *g)
+{
+	static const struct reach_answer answers[] = {
+		{.vm = "vm-8", .answered = true},
+		{.vm = "vm-9", .answered = true, .reaches = true}};
+
+	memcpy(g->witness, answers, sizeof(answers));
+	memset(g->witness_invited, 0, sizeof(g->witness_invited));
+	g->n_witnesses = G_N_ELEMENTS(answers);
+	g->others_asked_us = g->first_reached_us = now_us();
+	g->others_pending = 0;
+}
+
+/*
+ * Guards against seconds without an owner. The owner reaches neither its primary nor the store; it
+ * tried to write the hand-over itself, over and over, while another VM reached both.
+ */
+static void test_a_vm_that_reaches_the_primary_is_invited_without_the_store(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned commits;
+
+	g = serve(&w);
+	fake.store_refuses = true;
+	commits = fake.n_commits;
+	g->member[0].silent_since_us = now_us() - 600 * USEC_PER_MSEC;
+	set_witnesses(g);
+	/* Others that were asked have not answered: this must not be waited for. */
+	g->witness[0].answered = false;
+	g->others_pending = 1;
+	watch_tick(g, now_us());
+	CU_ASSERT_TRUE(g->witness_invited[1]);
+	CU_ASSERT_TRUE(g->invited_us != 0);
+	CU_ASSERT_EQUAL(fake.n_commits, commits);
+	CU_ASSERT_EQUAL(g->state, OWNER_SERVING);
+	/* None of them takes the group for seconds: the primary is replaced. */
+	g->member[0].silent_since_us -= 5 * USEC_PER_SEC;
+	g->others_asked = true;
+	watch_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->state, OWNER_FENCING);
+	world_close(&w);
+}
+
+/*
+ * Guards against a primary that is replaced although it serves others: the group has just fallen to
+ * a VM that does not reach it.
+ */
+static void test_a_new_owner_asks_who_reaches_the_primary(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	g = serve(&w);
+	owner_group_set_state(g, OWNER_FINDING, "test");
+	g->state_us = now_us() - 800 * USEC_PER_MSEC;
+	g->others_asked_us = 0;
+	g->member[1].observed_us = g->member[2].observed_us = now_us();
+	g->member[0].observed.reached = false;
+	/* Asks about m0, the only member that does not answer. */
+	g->state_us = now_us() - 200 * USEC_PER_MSEC;
+	change_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->n_witnesses, 2);
+	CU_ASSERT_EQUAL(g->witnessed, 0);
+	set_witnesses(g);
+	g->state_us = now_us() - 800 * USEC_PER_MSEC;
+	change_tick(g, now_us());
+	CU_ASSERT_TRUE(g->witness_invited[1]);
+	CU_ASSERT_EQUAL(g->state, OWNER_FINDING);
+	/* A VM that was invited itself does not pass the group on. */
+	g->from_invitation = true;
+	change_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->state, OWNER_FENCING);
+	world_close(&w);
+}
+
+static void move_away(struct conf_pool *pool, const char *member)
+{
+	int i = conf_pool_find(pool, member);
+
+	g_strlcpy(pool->member[i].data_center, "dc2", sizeof(pool->member[i].data_center));
+}
+
+/*
+ * Guards against a group that goes back and forth: the VM near the primary was given the group each
+ * 5 s although it reached neither the primary nor the store.
+ */
+static void test_a_vm_near_the_primary_is_asked_before_it_gets_the_group(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned commits;
+
+	g = serve(&w);
+	world_configure(&w, move_away, "m0");
+	g->state_us -= 10 * USEC_PER_SEC;
+	g->member[0].silent_since_us = 0;
+	commits = fake.n_commits;
+	claim_move_to_primary(g, now_us());
+	CU_ASSERT_TRUE(g->last_move_us != 0);
+	CU_ASSERT_EQUAL(fake.n_commits, commits);
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	/* Without the setting the record is written at once. */
+	w.settings.relay = false;
+	g->last_move_us = 0;
+	claim_move_to_primary(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, commits + 1);
+	world_close(&w);
+}
+
+static void invite(struct world *w, uint64_t revision)
+{
+	ml_owner a = {.pool = POOL, .vm = "", .address = "", .primary = "", .claim = true};
+
+	a.revision = revision;
+	rpc_start(rpc_of(w->k), SELF, ML_OWNER, &a, USEC_PER_SEC, NULL, NULL);
+	world_run_once(w);
+}
+
+/*
+ * Guards against a group that is taken from a VM that serves it: by a VM that was invited while it
+ * did not reach the store, or after another one that was invited too.
+ */
+static void test_an_invitation_is_not_followed_later(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	invite(&w, 3);
+	CU_ASSERT_TRUE(g->invited);
+	claim_tick(g, g->invited_until_us + 1);
+	CU_ASSERT_FALSE(g->invited);
+	invite(&w, 3);
+	g->revision = 4;
+	claim_tick(g, now_us());
+	CU_ASSERT_FALSE(g->invited);
+	world_close(&w);
+}
+
+static bool hold_answers(void)
+{
+	return true;
+}
+
+/*
+ * Guards against seconds without an owner. The VM that is to take over a group does not reach the
+ * store and waited for its answer, while others reached the store.
+ */
+static void test_a_report_is_passed_on_while_the_store_does_not_answer(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	fake.holds = hold_answers;
+	g->unreachable_reported_us = now_us();
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->record_busy);
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->report_sent_us, 0);
+	g->record_busy_us -= 300 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->report_sent_us != 0);
+	world_close(&w);
+}
+
+/*
+ * Guards against a group without an owner from the end of a lease, which its owner cannot renew,
+ * and from a choice of primary that the store does not take.
+ */
+static void test_an_owner_without_the_store_invites_others(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	g = serve(&w);
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	store_source.lease_until_us = now_us() + 3 * USEC_PER_SEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->invited_us != 0);
+	g->invited_us = 0;
+	owner_group_set_state(g, OWNER_RECORDING, "test");
+	change_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	g->state_us -= 300 * USEC_PER_MSEC;
+	change_tick(g, now_us());
+	CU_ASSERT_TRUE(g->invited_us != 0);
+	world_close(&w);
+}
+
+static const struct test_case cases[] = {
+	{"a_vm_that_reaches_the_primary_is_invited_without_the_store",
+	 test_a_vm_that_reaches_the_primary_is_invited_without_the_store},
+	{"a_new_owner_asks_who_reaches_the_primary", test_a_new_owner_asks_who_reaches_the_primary},
+	{"a_vm_near_the_primary_is_asked_before_it_gets_the_group",
+	 test_a_vm_near_the_primary_is_asked_before_it_gets_the_group},
+	{"an_invitation_is_not_followed_later", test_an_invitation_is_not_followed_later},
+	{"a_report_is_passed_on_while_the_store_does_not_answer",
+	 test_a_report_is_passed_on_while_the_store_does_not_answer},
+	{"an_owner_without_the_store_invites_others",
+	 test_an_owner_without_the_store_invites_others},
+};
+HARNESS_MAIN("owner-reach", cases)
