--- a/src/relay.c
+++ b/src/relay.c
@@ -28,11 +28,20 @@
 /** Data centre of an address that belongs to no VM of the fleet. */
 #define NOWHERE ""
 
+/** A statement or question that this VM handles for another. */
+struct passing {
+	TAILQ_ENTRY(passing) link;
+	struct relay *r;
+	struct rpc_request *rq;
+	const ml_relay_args *args; /**< of @a rq */
+};
+TAILQ_HEAD(passings, passing);
+
 struct relay {
 	struct service service;
 	struct reach reach;
-	int64_t contact_sent_us; /**< when a lost VM was last called */
-	unsigned n_passing;	 /**< requests of other VMs that were not answered yet */
+	int64_t contact_sent_us;  /**< when a lost VM was last called */
+	struct passings passings; /**< not answered yet */
 };
 
 static struct relay *relay_of(struct kernel *k)
@@ -308,18 +317,11 @@
 
 /* The relay */
 
-/** A statement or question that this VM handles for another. */
-struct passing {
-	struct relay *r;
-	struct rpc_request *rq;
-	const ml_relay_args *args; /**< of @a rq */
-};
-
 static void reply(struct passing *p, bool tried, const ml_run_res *run)
 {
 	ml_relay_res res = {.tried = tried, .run = *run};
 
-	p->r->n_passing--;
+	TAILQ_REMOVE(&p->r->passings, p, link);
 	rpc_reply(p->rq, &res);
 	g_free(p);
 }
@@ -413,7 +415,7 @@
 	enum reach_refusal why;
 
 	p->r = relay;
-	p->r->n_passing++;
+	TAILQ_INSERT_TAIL(&p->r->passings, p, link);
 	p->rq = rq;
 	p->args = a;
 	why = check(p->r, a);
@@ -440,12 +442,16 @@
 
 static bool relay_service_drained(struct service *s)
 {
-	return ((struct relay *)s)->n_passing == 0;
+	return TAILQ_EMPTY(&((struct relay *)s)->passings);
 }
 
 static void relay_service_stop(struct service *s)
 {
-	g_free(s);
+	struct relay *r = (struct relay *)s;
+
+	while (!TAILQ_EMPTY(&r->passings))
+		reply_outcome(TAILQ_FIRST(&r->passings), true, OUTCOME_LOST);
+	g_free(r);
 }
 
 static const struct service_ops relay_service_ops = {
@@ -460,6 +466,7 @@
 	struct relay *r = g_new0(struct relay, 1);
 
 	r->service.ops = &relay_service_ops;
+	TAILQ_INIT(&r->passings);
 	kernel_add(k, &r->service);
 	return &r->service;
 }
