--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -26,8 +26,12 @@
 #define INVITATION_US (1 * USEC_PER_SEC)
 /** A call to the store that takes longer may never be answered; usual ones take 20 ms. */
 #define STORE_SLOW_US (200 * USEC_PER_MSEC)
-/** Time before the end of its lease at which an owner invites others; a lease lasts 12 s. */
-#define LEASE_SHORT_US (4 * USEC_PER_SEC)
+/**
+ * Time before the end of its lease at which an owner invites others. A lease lasts 12 s and is
+ * renewed each 2.5 s; a claim takes 100 ms. Earlier invitations would move groups at the end of an
+ * outage of the store that their owners outlast.
+ */
+#define LEASE_SHORT_US (2 * USEC_PER_SEC)
 /**
  * A call that fails earlier was refused: the owner's process has ended. One that is lost on its way
  * fails when its time is up.
--- a/src/relay.c
+++ b/src/relay.c
@@ -112,7 +112,8 @@
 	reach_question_ended(reach, q->to, now_us());
 	log_info("relay-question", LOG_STR("to", q->to), LOG_STR("peer", q->name),
 		 LOG_NUM("answered", status == RPC_DONE), LOG_NUM("reaches", reaches));
-	if (reaches && !reach_is_lost(reach, q->via, now_us()))
+	/* The first to answer is the nearest. */
+	if (reaches && reach_via(reach, q->to, now_us()) == NULL)
 		reach_path(reach, q->to, q->via, now_us());
 	else if (!reaches)
 		reach_no_path(reach, q->to, q->via, pause_us, now_us());
