--- a/src/relay.c
+++ b/src/relay.c
@@ -246,10 +246,27 @@
 	return res->run.outcome == OUTCOME_LOST ? RPC_LOST : RPC_DONE;
 }
 
-static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+static void log_result(const struct relay_call *c, enum rpc_status result)
 {
 	static const char *const names[] = {
 		[RPC_DONE] = "served", [RPC_NOT_SENT] = "not-sent", [RPC_LOST] = "lost"};
+	const struct log_field fields[] = {
+		LOG_STR("request", c->request),
+		LOG_STR("pool", c->pool),
+		LOG_STR("to", c->to),
+		LOG_STR("via", c->via),
+		LOG_STR("outcome", names[result]),
+		LOG_NUM("us", now_us() - c->started_us),
+	};
+
+	if (result == RPC_DONE)
+		log_routine_fields("relay", fields, G_N_ELEMENTS(fields));
+	else
+		log_fields(G_LOG_LEVEL_INFO, "relay", fields, G_N_ELEMENTS(fields));
+}
+
+static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+{
 	struct reach *reach = &c->r->reach;
 
 	if (status != RPC_DONE)
@@ -262,9 +279,7 @@
 		stat_add_class(STAT_RELAY_SERVED, c->priority, 1);
 	else if (result == RPC_LOST)
 		stat_add_class(STAT_RELAY_LOST, c->priority, 1);
-	log_info("relay", LOG_STR("request", c->request), LOG_STR("pool", c->pool),
-		 LOG_STR("to", c->to), LOG_STR("via", c->via), LOG_STR("outcome", names[result]),
-		 LOG_NUM("us", now_us() - c->started_us));
+	log_result(c, result);
 }
 
 static void relayed(enum rpc_status status, const void *arg_res, void *arg)
--- a/tests/test-it-owner.c
+++ b/tests/test-it-owner.c
@@ -431,7 +431,7 @@
 static void test_a_link_to_an_owner_is_lost(void)
 {
 	struct line_fleet *f = line_fleet_start_with_settings(3, "[paths]\nrelay = true\n");
-	struct line_client c;
+	struct line_client c, gone;
 	struct line_writer w;
 	int i, served = 0;
 
@@ -445,6 +445,10 @@
 	CHECK(wait_log(f, 1, "outcome=served", 4000), "no statement went through the third VM");
 	for (i = 0; i < 50; i++) {
 		served += strcmp(line_query(&c, "READ x"), "COMPLETE") == 0 ? 1 : 0;
+		/* A caller disconnects while its statement is relayed. */
+		CU_ASSERT_TRUE(line_connect(&gone, f, 1, LINE_DB_PRIMARY, LINE_KEY));
+		line_send(&gone, "QUERY g WRITE y 1\r\n", 19);
+		line_close(&gone);
 		test_sleep_ms(20);
 	}
 	CHECK(served >= 48, "%d of 50 reads served", served);
