Owner: a former owner that still reaches the primary is invited back

Cause: the group was handed to a former owner by writing the record; one that does not reach the store would not serve although the record names it.

Change: with [paths] relay on it is invited to claim.

--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -234,7 +234,12 @@
 {
 	const struct vm *vm = peers_find(&owner_group_fleet(g)->peers, g->succession.vm);
 
-	if (vm != NULL && vm->incarnation == g->succession.incarnation)
+	if (vm == NULL || vm->incarnation != g->succession.incarnation)
+		return;
+	/* An owner that the record names but that does not reach the store would not serve. */
+	if (g->o->service.kernel->settings->relay)
+		claim_invite_vm(g, vm->name, "former-owner-serves");
+	else
 		claim_hand_over(g, vm->name, "former-owner-serves");
 }
 
