Owner: a group whose record the store lost is claimed again by its previous owner

Cause: with [paths] relay on, the time limit of an earlier invitation also ended the previous owner's own intent to claim a group whose record was lost in a restore.

Change: that intent has no time limit.

Checked: test-reach, test-relay, test-owner, test-owner-reach, test-change, test-lead, test-evacuation, test-it-owner (11), test-it-line (13), test-it-restore (4) pass.

--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -174,6 +174,7 @@
 	if (owned)
 		record_end_ownership(g, "record-lost");
 	g->invited = g->invited || owned;
+	g->invited_until_us = 0;
 	g->revision = 0;
 	g->recovered = g->record.choices > 0;
 	g->recover_at_us = now_us() + (owned ? 0 : RECOVER_PAUSE_US);
