--- a/tests/harness-line.c
+++ b/tests/harness-line.c
@@ -392,6 +392,11 @@
 	return fleet_start(vms, false, settings);
 }
 
+struct line_fleet *line_fleet_start_proxied_with(int vms, const char *settings)
+{
+	return fleet_start(vms, true, settings);
+}
+
 void line_fleet_stop(struct line_fleet *f)
 {
 	char *command;
--- a/tests/harness-line.h
+++ b/tests/harness-line.h
@@ -51,6 +51,8 @@
  * the VMs ("vm0"...).
  */
 struct line_fleet *line_fleet_start_proxied(int vms);
+/** Does the same with TOML @a settings appended to each daemon's settings. */
+struct line_fleet *line_fleet_start_proxied_with(int vms, const char *settings);
 /** Sends a command to the fleet's faultproxy, see faultproxy.c. */
 void line_proxy_command(struct line_fleet *f, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void line_fleet_stop(struct line_fleet *f);
