Owner budget: grants bind also while placement by load is off

Cause: owner-load.c exchanges wants and grants as soon as [connections] budget is set, but the limits of owner and reader used the grants only with [placement] member_load. With the budget alone, readers asked every 250 ms and held what they would have held without.

Checked: the new tests go through the message itself, at an owner and at a reader (wants stated, grant taken, next owner, reader that becomes the owner); they and the two existing tests of grants, now without member_load, failed before. make lint; test-owner-budget, test-load, test-budget, test-owner and test-place pass.

--- a/src/owner-budget.c
+++ b/src/owner-budget.c
@@ -161,12 +161,6 @@
 
 /* Limits */
 
-/** Whether grants limit what this VM holds: both owner and reader exchange the load of members. */
-static bool grants_bind(const struct owner_member *m)
-{
-	return budget_active(m) && settings_of(m->g)->member_load;
-}
-
 /** Returns the connections that a VM that takes over from this one after a power loss needs. */
 static unsigned reserve_of(const struct owner_member *m)
 {
@@ -221,7 +215,7 @@
 {
 	const struct owner_budget *b = &m->budget;
 
-	if (!grants_bind(m))
+	if (!budget_active(m))
 		return otherwise;
 	if (!owner_group_is_own(m->g))
 		return budget_allowed(&b->allowance, otherwise, now);
@@ -238,9 +232,9 @@
 	int64_t now = now_us();
 
 	/* What a reader was granted excludes the reserve. */
-	if (grants_bind(m) && !own && now - m->budget.allowance.granted_us < BUDGET_GRANT_US)
+	if (budget_active(m) && !own && now - m->budget.allowance.granted_us < BUDGET_GRANT_US)
 		return limit;
-	if (!grants_bind(m) || !own || !grants_given(&m->budget))
+	if (!budget_active(m) || !own || !grants_given(&m->budget))
 		part = (all > UNGRANTED_PROBE_CONNECTIONS ? all - UNGRANTED_PROBE_CONNECTIONS : 0) /
 		       conn_users(m);
 	part = part > reserve ? part - reserve : 0;
--- a/tests/test-owner-budget.c
+++ b/tests/test-owner-budget.c
@@ -86,7 +86,6 @@
 
 	world_open(&w);
 	add_teams(&w);
-	w.settings.member_load = true;
 	g = owner_group_find(w.o, POOL);
 	owner_group_use(g);
 	g->member[1].down = g->member[2].down = true;
@@ -128,7 +127,6 @@
 	m = &world_serve(&w)->member[1];
 	add_teams(&w);
 	CU_ASSERT_EQUAL(budget_limit(m, 7, now), 7);
-	w.settings.member_load = true;
 	m->budget.owner_since_us = now;
 	CU_ASSERT_EQUAL(budget_grant(m, "r", 20, now), floor);
 	m->budget.owner_since_us = now - BUDGET_COUNT_US;
@@ -141,6 +139,103 @@
 	world_close(&w);
 }
 
+static ml_member_load answered_load; /**< of m1, in the last answer of the owner */
+
+static void on_load(enum rpc_status status, const void *arg_res, void *arg)
+{
+	const ml_member_load_res *res = arg_res;
+
+	if (status == RPC_DONE && res->loads.loads_len > 1)
+		answered_load = res->loads.loads_val[1];
+}
+
+/*
+ * Guards against grants that travel with the load of members and do not limit the owner while
+ * placement by load is off.
+ */
+static void test_owner_grants_with_the_load(void)
+{
+	const unsigned floor = 2 + PLACE_PIPELINE_DEPTH,
+		       rest = 16 - BUDGET_PROBE_CONNECTIONS - 3 * floor;
+	ml_member_want want = {.member = "m1", .connections = 20, .in_flight = 1};
+	ml_member_load_args a = {.pool = POOL, .vm = "r", .data_center = "dc", .wants = {1, &want}};
+	struct owner_member *m;
+	struct world w;
+
+	m = &world_serve(&w)->member[1];
+	add_teams(&w);
+	load_start(w.o);
+	m->budget.owner_since_us = now_us() - BUDGET_COUNT_US;
+	rpc_start(rpc_of(w.k), SELF, ML_MEMBER_LOAD, &a, USEC_PER_SEC, on_load, NULL);
+	world_run_once(&w);
+	CU_ASSERT_EQUAL(answered_load.granted, rest);
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), 2 * floor);
+	world_close(&w);
+}
+
+static struct {
+	unsigned want; /**< connections to m0 that the reader asked for */
+	unsigned granted;
+} asked;
+
+static void serve_load(struct rpc_request *rq, const void *args, void *ctx)
+{
+	const ml_member_load_args *a = args;
+	ml_member_load load = {.member = "m0", .granted = asked.granted};
+	ml_member_load_res res = {.serving = true, .primary = "m0", .loads = {1, &load}};
+
+	asked.want = a->wants.wants_val[0].connections;
+	rpc_reply(rq, &res);
+}
+
+static void ask_owner(struct world *w, struct owner_group *g, unsigned granted)
+{
+	asked.granted = granted;
+	claim_ask_mark(g, now_us());
+	world_run_once(w);
+}
+
+/*
+ * Guards against a reader that does not state the teams it will use again, that goes on with the
+ * grant of a previous owner, or that keeps a reader's limit after it became the owner.
+ */
+static void test_reader_is_granted_with_the_load(void)
+{
+	struct owner_group *g;
+	struct owner_member *m;
+	struct world w;
+	unsigned i;
+
+	world_open(&w);
+	add_teams(&w);
+	rpc_serve(rpc_of(w.k), ML_MEMBER_LOAD, serve_load, NULL);
+	g = owner_group_find(w.o, POOL);
+	owner_group_use(g);
+	g_strlcpy(g->record.owner.name, "vm-2", sizeof(g->record.owner.name));
+	g_strlcpy(g->record.address, SELF, sizeof(g->record.address));
+	g->revision = 3;
+	g->serves_reads = true;
+	m = &g->member[0];
+	for (i = 0; i < 4; i++) {
+		budget_used(m, "t0", 0, now_us() - USEC_PER_SEC);
+		budget_used(m, "t1", 0, now_us() - USEC_PER_SEC);
+	}
+	budget_tick(m, now_us());
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), BUDGET_UNGRANTED);
+	ask_owner(&w, g, 7);
+	CU_ASSERT_EQUAL(asked.want, 2);
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), 7);
+	/* The next owner gives the floor until the grants of the one before have expired. */
+	ask_owner(&w, g, 3);
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), 3);
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us() + BUDGET_GRANT_US), BUDGET_UNGRANTED);
+	g_strlcpy(g->record.owner.name, w.settings.name, sizeof(g->record.owner.name));
+	g->record.owner.incarnation = w.k->incarnation;
+	budget_tick(m, now_us());
+	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), 16);
+	world_close(&w);
+}
+
 /*
  * Guards against transactions that idle callers of one team hold open until no other team can begin
  * one.
@@ -219,6 +314,8 @@
 static const struct test_case cases[] = {
 	{"reader_holds_what_was_granted", test_reader_holds_what_was_granted},
 	{"owner_leaves_what_it_granted", test_owner_leaves_what_it_granted},
+	{"owner_grants_with_the_load", test_owner_grants_with_the_load},
+	{"reader_is_granted_with_the_load", test_reader_is_granted_with_the_load},
 	{"begin_beyond_the_bound_is_refused", test_begin_beyond_the_bound_is_refused},
 	{"statement_takes_the_connection_opened_in_advance",
 	 test_statement_takes_the_connection_opened_in_advance},
