Owner load: a reader counts with what it may hold, not with what it wants

Cause: with the budget a reader states the connections that it wants. connections_left took that for its use, so that a member seemed full while its readers waited for grants.

Change: the use of a reader is bounded by its grant; without the budget nothing changes.

Checked: test-owner-budget owner_grants_with_the_load failed before (0 left instead of what the grant leaves); test-load passes.

--- a/src/owner-load.c
+++ b/src/owner-load.c
@@ -290,7 +290,12 @@
 	return n;
 }
 
-static void use_record(struct owner_member *m, const char *vm, const ml_member_want *w, int64_t now)
+/**
+ * Records what the reader uses. @param granted connections that it may hold; it states what it
+ * wants, which may be more than that
+ */
+static void use_record(struct owner_member *m, const char *vm, const ml_member_want *w,
+		       unsigned granted, int64_t now)
 {
 	struct load_use *use = &m->load.use[0];
 	unsigned i;
@@ -307,7 +312,8 @@
 	}
 	g_strlcpy(use->vm, vm, sizeof(use->vm));
 	use->in_flight = w->in_flight;
-	use->connections = w->connections;
+	use->connections = budget_active(m) ? MIN(w->connections, MAX(granted, BUDGET_UNGRANTED))
+					    : w->connections;
 	use->updated_us = now;
 }
 
@@ -337,14 +343,15 @@
 	ml_member_load l = {.member = m->conf.name, .unsteady = m->load.health.unsteady || m->down};
 	unsigned i;
 
-	if (w != NULL)
-		use_record(m, a->vm, w, now);
+	if (w != NULL) {
+		l.granted = budget_grant(m, a->vm, w->connections, now);
+		use_record(m, a->vm, w, l.granted, now);
+	}
 	l.in_flight = (u_int)lround(m->load.in_flight) + readers_in_flight(m, now);
 	l.waiting = waiting_for(m);
 	l.connections_left = connections_left(m, now);
 	for (i = 0; i < STAT_CLASSES; i++)
 		l.service_us[i] = (u_int)own_service_us(m, i, now);
-	l.granted = w != NULL ? budget_grant(m, a->vm, w->connections, now) : 0;
 	return l;
 }
 
--- a/tests/test-owner-budget.c
+++ b/tests/test-owner-budget.c
@@ -151,7 +151,7 @@
 
 /*
  * Guards against grants that travel with the load of members and do not limit the owner while
- * placement by load is off.
+ * placement by load is off, and against connections that count as used because a reader wants them.
  */
 static void test_owner_grants_with_the_load(void)
 {
@@ -169,6 +169,7 @@
 	rpc_start(rpc_of(w.k), SELF, ML_MEMBER_LOAD, &a, USEC_PER_SEC, on_load, NULL);
 	world_run_once(&w);
 	CU_ASSERT_EQUAL(answered_load.granted, rest);
+	CU_ASSERT_EQUAL(answered_load.connections_left, 16 - m->n_conns - rest);
 	CU_ASSERT_EQUAL(budget_limit(m, 16, now_us()), 2 * floor);
 	world_close(&w);
 }
