Owner: a member that was full is asked for one connection at a time, with a doubling pause

Cause: after MEMBER_FULL a VM opened no further connection for 300 ms (60 ms without any open one), then as many as waited, at the same interval for as long as the member was full.

Change, with the budget active only: within 3 s of a refusal one connection is opened at a time, and the pause doubles up to 1.2 s until one is opened.

Checked: the new test failed before (two openings after the pause). make lint; test-owner, test-owner-budget, test-load, test-place, test-change, test-standing, test-move, test-budget, test-dueq pass.

--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -40,6 +40,10 @@
 #define OPEN_TIMEOUT_US (400 * USEC_PER_MSEC)
 /** How long after MEMBER_FULL no more connections are opened than were open then. */
 #define FULL_PAUSE_US (300 * USEC_PER_MSEC)
+/** Longest pause after MEMBER_FULL with a budget; it doubles with each refusal. */
+#define FULL_PAUSE_MAX_US (1200 * USEC_PER_MSEC)
+/** Refusals within this time are of connections that were opened at the same time. */
+#define FULL_TOGETHER_US (50 * USEC_PER_MSEC)
 /** Pause before the next connection after any other failure to open one. */
 #define REFUSED_PAUSE_US (100 * USEC_PER_MSEC)
 /**
@@ -149,6 +153,50 @@
 	watch_probe_soon(m);
 }
 
+static bool recently_full(const struct owner_member *m, int64_t now)
+{
+	return m->full_us != 0 && now - m->full_us < FULL_RECENT_US;
+}
+
+/**
+ * Returns how long no more connections are opened than are open now. With a budget the pause
+ * doubles: a member that stays full for seconds, because of VMs that do not know of each other, is
+ * asked less and less often.
+ */
+static int64_t full_pause_us(struct owner_member *m, int64_t now)
+{
+	int64_t pause = m->n_open == 0 ? FULL_RETRY_US : FULL_PAUSE_US;
+
+	if (!budget_active(m))
+		return pause;
+	if (m->full_pause_us == 0 || !recently_full(m, now))
+		m->full_pause_us = pause;
+	else if (now - m->full_us >= FULL_TOGETHER_US)
+		m->full_pause_us = MIN(2 * m->full_pause_us, FULL_PAUSE_MAX_US);
+	return m->full_pause_us;
+}
+
+static void refused_as_full(struct owner_member *m, int64_t now)
+{
+	int64_t pause = full_pause_us(m, now);
+
+	m->full_limit = m->n_open;
+	m->full_us = now;
+	m->full_until_us = now + MAX(pause, FULL_PAUSE_US);
+	if (m->n_open == 0)
+		m->open_after_us = now + pause;
+}
+
+/**
+ * Whether no connection is opened now. With a budget, a member that was full lately gets one at a
+ * time: several at once would all be refused.
+ */
+static bool opening_waits(const struct owner_member *m, int64_t now)
+{
+	return now < m->open_after_us ||
+	       (recently_full(m, now) && m->n_conns > m->n_open && budget_active(m));
+}
+
 static void on_opened(struct member_conn *mc, enum member_result result, struct pos pos, void *arg)
 {
 	struct owner_conn *c = arg;
@@ -161,17 +209,13 @@
 		watch_answered(m, pos, c->sent_us);
 		c->open = true;
 		m->n_open++;
+		m->full_pause_us = 0;
 		c->state_since_us = now;
 	} else {
-		if (result == MEMBER_FULL) {
-			m->full_limit = m->n_open;
-			m->full_us = now;
-			m->full_until_us = now + FULL_PAUSE_US;
-			if (m->n_open == 0)
-				m->open_after_us = now + FULL_RETRY_US;
-		} else {
+		if (result == MEMBER_FULL)
+			refused_as_full(m, now);
+		else
 			m->open_after_us = now + REFUSED_PAUSE_US;
-		}
 		if (result == MEMBER_LOST)
 			m->refused = true;
 		log_warn("connection-refused", LOG_STR("pool", m->g->pool),
@@ -232,14 +276,16 @@
 
 bool conn_available(const struct owner_member *m, const ml_run_args *a)
 {
+	int64_t now = now_us();
+
 	if (!budget_begins_on(m, a))
 		return false;
 	if (conn_ready(m, a->team))
 		return true;
-	if (now_us() < m->open_after_us)
+	if (opening_waits(m, now))
 		return false;
 	if (budget_active(m))
-		return budget_opens(m, conn_limit(m), a->priority, now_us());
+		return budget_opens(m, conn_limit(m), a->priority, now);
 	return m->n_conns < conn_limit(m) || conn_oldest_idle(m) != NULL;
 }
 
@@ -297,7 +343,7 @@
 		budget_conn_taken(best);
 		return best;
 	}
-	if (now < m->open_after_us)
+	if (opening_waits(m, now))
 		return NULL;
 	if (budget_active(m)) {
 		if (!budget_opens(m, conn_limit(m), priority, now) ||
@@ -323,7 +369,7 @@
 	struct owner_conn *c;
 	int64_t now = now_us();
 
-	if (now < m->open_after_us || conn_ready(m, team) || conn_opening_ahead(m, team) != NULL ||
+	if (opening_waits(m, now) || conn_ready(m, team) || conn_opening_ahead(m, team) != NULL ||
 	    m->in_flight >= m->conf.slots || !budget_opens(m, conn_limit(m), priority, now))
 		return false;
 	if (m->n_conns > conn_usual_limit(m) ||
@@ -395,7 +441,7 @@
 	unsigned all = m->conf.connections;
 	struct keep_member k = {.slots = m->conf.slots};
 
-	if (!is_user(m->g, now) || (m->full_us != 0 && now - m->full_us < FULL_RECENT_US))
+	if (!is_user(m->g, now) || recently_full(m, now))
 		return 0;
 	if (budget_active(m))
 		return conn_usual_limit(m) > m->n_conns - unused
--- a/src/owner.h
+++ b/src/owner.h
@@ -177,7 +177,9 @@
 	unsigned full_limit; /**< connections open when it last refused one with MEMBER_FULL */
 	int64_t full_us;     /**< time of the last MEMBER_FULL refusal; 0: never */
 	int64_t full_until_us;
-	struct pos pos; /**< last log position it reported */
+	int64_t full_pause_us; /**< last pause after MEMBER_FULL, with a budget; 0: one was opened
+				*/
+	struct pos pos;	       /**< last log position it reported */
 	int64_t pos_updated_us;
 	int64_t last_answer_us;
 	int64_t silent_since_us; /**< first request since the last answer; 0: none */
--- a/tests/test-owner-budget.c
+++ b/tests/test-owner-budget.c
@@ -312,12 +312,67 @@
 	world_close(&w);
 }
 
+/** Dispatches what waits, after the pause of a statement whose connection was refused. */
+static void dispatch(struct owner_group *g)
+{
+	test_sleep_ms(5);
+	queue_tick(g, now_us());
+}
+
+static void refuse_full(struct fake_conn *c)
+{
+	member_opened opened = c->opened;
+
+	c->opened = NULL;
+	opened(&c->conn, MEMBER_FULL, (struct pos){0}, c->arg);
+}
+
+/*
+ * Guards against a VM that goes on opening several connections at once, every 300 ms, to a member
+ * on which VMs that it does not know of hold all connections.
+ */
+static void test_full_member_is_asked_once_at_a_time(void)
+{
+	struct owner_group *g;
+	struct owner_member *m;
+	struct world w;
+	unsigned n;
+
+	g = world_serve(&w);
+	m = &g->member[0];
+	add_teams(&w);
+	n = fake.n_conns;
+	begin(&w, "t0", 2);
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, n + 1);
+	answer_begin(fake.conns[n]);
+	begin(&w, "t1", 2);
+	begin(&w, "t2", 2);
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, n + 3);
+	refuse_full(fake.conns[n + 1]);
+	refuse_full(fake.conns[n + 2]);
+	CU_ASSERT_TRUE(m->full_until_us <= now_us() + 300 * USEC_PER_MSEC);
+	m->full_us -= 300 * USEC_PER_MSEC;
+	m->full_until_us = 0;
+	dispatch(g);
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, n + 4);
+	refuse_full(fake.conns[n + 3]);
+	CU_ASSERT_TRUE(m->full_until_us > now_us() + 500 * USEC_PER_MSEC);
+	m->full_until_us = 0;
+	dispatch(g);
+	CU_ASSERT_EQUAL_FATAL(fake.n_conns, n + 5);
+	answer_begin(fake.conns[n + 4]);
+	dispatch(g);
+	CU_ASSERT_EQUAL(fake.n_conns, n + 6);
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"reader_holds_what_was_granted", test_reader_holds_what_was_granted},
 	{"owner_leaves_what_it_granted", test_owner_leaves_what_it_granted},
 	{"owner_grants_with_the_load", test_owner_grants_with_the_load},
 	{"reader_is_granted_with_the_load", test_reader_is_granted_with_the_load},
 	{"begin_beyond_the_bound_is_refused", test_begin_beyond_the_bound_is_refused},
+	{"full_member_is_asked_once_at_a_time", test_full_member_is_asked_once_at_a_time},
 	{"statement_takes_the_connection_opened_in_advance",
 	 test_statement_takes_the_connection_opened_in_advance},
 };
