Budget: one VM of a data centre reads while the owner is unreachable

Cause: a read whose owner is not reached was served by the VM of its caller. Each of these VMs may hold 2 connections to each member without a grant, and the division counts one reader for a data centre.

Change, for pools with a budget: such a read goes to the VM that holds the role of reading the pool in this data centre, as reads with a reachable owner in another data centre do. If that VM does not answer or cannot read, the VM of the caller reads as before.

The effect on refusals is not measured.

--- a/src/owner-budget.c
+++ b/src/owner-budget.c
@@ -433,15 +433,12 @@
 	TAILQ_REMOVE(&job->g->begins, job, begin_link);
 }
 
-/* Opening in advance */
-
-bool budget_preopens(struct owner *o, const char *pool)
+bool budget_in_pool(struct owner *o, const char *pool)
 {
-	const struct settings *s = o->service.kernel->settings;
 	const struct conf_pool *p = conf_pool(fleet_of(o->service.kernel)->conf, pool);
 	unsigned i;
 
-	if (!s->connection_budget || !s->connection_preopen || p == NULL)
+	if (!o->service.kernel->settings->connection_budget || p == NULL)
 		return false;
 	for (i = 0; i < p->n; i++) {
 		if (count_teams(o) > p->member[i].connections)
@@ -450,6 +447,13 @@
 	return false;
 }
 
+/* Opening in advance */
+
+bool budget_preopens(struct owner *o, const char *pool)
+{
+	return o->service.kernel->settings->connection_preopen && budget_in_pool(o, pool);
+}
+
 static bool anything_waits(const struct owner_group *g)
 {
 	return dueq_length(&g->queues->write) > 0 || dueq_length(&g->queues->read) > 0 ||
--- a/src/owner-budget.h
+++ b/src/owner-budget.h
@@ -63,6 +63,8 @@
 
 /** Whether the connections of @a m are a budget. */
 bool budget_active(const struct owner_member *m);
+/** Whether the connections of some member of @a pool are a budget. */
+bool budget_in_pool(struct owner *o, const char *pool);
 /** Frees the state of @a m. */
 void budget_clear(struct owner_member *m);
 /**
--- a/src/owner.c
+++ b/src/owner.c
@@ -448,10 +448,31 @@
 	return g->owner_local;
 }
 
+/** Returns the address of the VM of this data centre that holds the role of reading the pool. */
+static const char *reader_of_data_center(struct owner_group *g)
+{
+	char role[NAME_SIZE + 8];
+
+	g_snprintf(role, sizeof(role), "read %s", g->pool);
+	return fleet_local_holder_address(owner_group_fleet(g), role);
+}
+
+const char *owner_shared_reader(struct owner *o, const char *pool)
+{
+	struct owner_group *g = owner_group_find(o, pool);
+	const char *address;
+
+	if (g == NULL || !budget_in_pool(o, pool))
+		return NULL;
+	address = reader_of_data_center(g);
+	return address != NULL && strcmp(address, o->service.kernel->settings->advertise) != 0
+		       ? address
+		       : NULL;
+}
+
 const char *owner_local_reader(struct owner *o, const char *pool)
 {
 	struct owner_group *g = owner_group_find(o, pool);
-	char role[NAME_SIZE + 8];
 	const char *address;
 	bool known;
 
@@ -460,8 +481,7 @@
 	address = owner_address(o, pool, &known);
 	if (!known || owner_is_local(g, address))
 		return NULL;
-	g_snprintf(role, sizeof(role), "read %s", pool);
-	return fleet_local_holder_address(owner_group_fleet(g), role);
+	return reader_of_data_center(g);
 }
 
 bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us)
--- a/src/owner.h
+++ b/src/owner.h
@@ -67,7 +67,8 @@
 	READER_OWNER, /**< the owner only */
 	READER_LOCAL, /**< the reader VM of the caller's data centre, from a replica there if it has
 			 one */
-	READER_ANY, /**< the entry VM, from any reachable replica, while the owner is unreachable */
+	READER_ANY,   /**< the entry VM, or the one that owner_shared_reader() names, from any
+			   reachable replica, while the owner is unreachable */
 };
 
 /** Prefix of the role of the VM that is to claim a group whose owner is gone. */
@@ -361,6 +362,12 @@
  * centre.
  */
 const char *owner_local_reader(struct owner *o, const char *pool);
+/**
+ * Returns the RPC address of the VM that serves the READER_ANY reads of this data centre, or NULL
+ * if each VM serves its own. With a budget of connections one VM does: if all VMs that do not reach
+ * the owner opened BUDGET_UNGRANTED connections, they would need more than the members accept.
+ */
+const char *owner_shared_reader(struct owner *o, const char *pool);
 /** Whether this VM itself could serve a read that allows data up to @a max_age_us old. */
 bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us);
 /** Takes a report that @a vm owns the group by a record newer than the known one. */
--- a/src/session-remote.c
+++ b/src/session-remote.c
@@ -104,6 +104,14 @@
 	return owner_local_reader(owner_of(session_kernel(s)), s->route.pool);
 }
 
+/** Returns the address of the VM that reads for this data centre without the owner, or NULL. */
+static const char *shared_reader(const struct session *s)
+{
+	return s->local_reader_failed
+		       ? NULL
+		       : owner_shared_reader(owner_of(session_kernel(s)), s->route.pool);
+}
+
 bool session_can_read_locally(const struct session *s)
 {
 	if (!replica_may_serve(s))
@@ -209,6 +217,22 @@
 	return true;
 }
 
+/**
+ * Reads from this VM if the VM that reads for the data centre while the owner is unreachable does
+ * not answer, or cannot read. Where members refuse connections, this VM would get none either.
+ */
+static bool read_here(struct session *s, enum rpc_status status, enum outcome o)
+{
+	if (s->reader != READER_ANY || s->closed || s->local_reader_failed ||
+	    strcmp(s->address, session_kernel(s)->settings->advertise) == 0)
+		return false;
+	if (status == RPC_DONE && o != OUTCOME_NOT_SENT && o != OUTCOME_LEAVING)
+		return false;
+	s->local_reader_failed = true;
+	session_run_remote(s);
+	return true;
+}
+
 /** Returns whether @a o allows another attempt: the statement has not run. */
 static bool may_retry(const struct session *s, enum outcome o)
 {
@@ -260,7 +284,8 @@
 			owner_note_newer_record(owner_of(session_kernel(s)), s->route.pool,
 						res->owner, res->owner_address,
 						res->owner_revision);
-		if (fall_back_to_owner(s, status, (enum outcome)res->outcome))
+		if (fall_back_to_owner(s, status, (enum outcome)res->outcome) ||
+		    read_here(s, status, (enum outcome)res->outcome))
 			return;
 		if (!s->closed && may_retry(s, (enum outcome)res->outcome)) {
 			if (s->reader == READER_OWNER && follow_redirect(s, res))
@@ -281,7 +306,7 @@
 	}
 	if (!relayed)
 		fleet_suspect(fleet_of(session_kernel(s)), s->address);
-	if (fall_back_to_owner(s, status, o))
+	if (fall_back_to_owner(s, status, o) || read_here(s, status, o))
 		return;
 	owner_report_unreachable(owner_of(session_kernel(s)), s->route.pool);
 	if (s->closed) {
@@ -359,7 +384,7 @@
 static bool can_continue_elsewhere(struct session *s)
 {
 	if (s->reader == READER_ANY)
-		return false;
+		return strcmp(s->address, session_kernel(s)->settings->advertise) != 0;
 	if (session_can_read_locally(s))
 		return true;
 	return s->reader == READER_OWNER && relayable(s) && has_no_lasting_effect(s) &&
@@ -379,7 +404,9 @@
 	if (s->tx_id != 0) {
 		g_strlcpy(s->address, s->tx_address, sizeof(s->address));
 	} else if (s->reader == READER_ANY) {
-		g_strlcpy(s->address, k->settings->advertise, sizeof(s->address));
+		address = shared_reader(s);
+		g_strlcpy(s->address, address != NULL ? address : k->settings->advertise,
+			  sizeof(s->address));
 	} else if (reader_address != NULL) {
 		s->reader = READER_LOCAL;
 		g_strlcpy(s->address, reader_address, sizeof(s->address));
@@ -457,6 +484,8 @@
 	detach(s);
 	if (s->reader == READER_OWNER)
 		owner_report_unreachable(owner_of(session_kernel(s)), s->route.pool);
+	if (read_here(s, RPC_NOT_SENT, OUTCOME_NOT_SENT))
+		return;
 	retry_or_refuse(s, OUTCOME_NOT_SENT);
 }
 
--- a/tests/test-owner-budget.c
+++ b/tests/test-owner-budget.c
@@ -2,6 +2,7 @@
  */
 #include "harness-owner.h"
 #include "place.h"
+#include "session-state.h"
 #include "table.h"
 
 #include <string.h>
@@ -366,6 +367,52 @@
 	world_close(&w);
 }
 
+static void on_answer(struct session *s, const struct session_answer *a, void *arg)
+{
+}
+
+/*
+ * Guards against reads without the owner for which each VM of a data centre opens connections of
+ * its own, until the members are full; and against such reads that end with the VM that is to
+ * serve them for all.
+ */
+static void test_one_vm_reads_without_the_owner(void)
+{
+	static const struct vm_listing l[] = {
+		{.name = "vm-2", .address = "127.0.0.1:2", .data_center = "dc"}};
+	static const struct session_ops ops = {.answer = on_answer};
+	struct session s = {.ops = &ops,
+			    .busy = true,
+			    .team = "t0",
+			    .route = {.pool = POOL, .mode = READ_BOUNDED, .max_age_ms = 1500},
+			    .st = {.request = "r", .op = STATEMENT_READ, .text = "READ a"},
+			    .reader = READER_ANY};
+	struct world w;
+
+	world_open(&w);
+	g_strlcpy(w.settings.data_center, "dc", sizeof(w.settings.data_center));
+	peers_apply_list(&fleet_of(w.k)->peers, 5, l, G_N_ELEMENTS(l));
+	CU_ASSERT_PTR_NULL(owner_shared_reader(w.o, POOL));
+	add_teams(&w);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner_shared_reader(w.o, POOL));
+	owner_update_mark(w.o, POOL, (struct pos){1, 35}, now_us());
+	session_service_create(w.k);
+	s.sessions = sessions_of(w.k);
+	s.values = g_ptr_array_new();
+	s.timer = event_new(w.k->base, -1, 0, session_on_timer, &s);
+	s.started_us = now_us();
+	s.deadline_us = s.started_us + 800 * USEC_PER_MSEC;
+	session_run_remote(&s);
+	CU_ASSERT_STRING_EQUAL(s.address, "127.0.0.1:2");
+	CU_ASSERT_EQUAL(fake.n_conns, 0);
+	/* Nothing listens there. */
+	while (!s.local_reader_failed && now_us() < s.deadline_us)
+		world_run_once(&w);
+	world_run_once(&w);
+	CU_ASSERT_STRING_EQUAL(s.address, SELF);
+	CU_ASSERT_EQUAL(fake.n_conns, 1);
+}
+
 static const struct test_case cases[] = {
 	{"reader_holds_what_was_granted", test_reader_holds_what_was_granted},
 	{"owner_leaves_what_it_granted", test_owner_leaves_what_it_granted},
@@ -373,6 +420,7 @@
 	{"reader_is_granted_with_the_load", test_reader_is_granted_with_the_load},
 	{"begin_beyond_the_bound_is_refused", test_begin_beyond_the_bound_is_refused},
 	{"full_member_is_asked_once_at_a_time", test_full_member_is_asked_once_at_a_time},
+	{"one_vm_reads_without_the_owner", test_one_vm_reads_without_the_owner},
 	{"statement_takes_the_connection_opened_in_advance",
 	 test_statement_takes_the_connection_opened_in_advance},
 };
