Owner budget: without the store an owner keeps idle connections in half of a member's limit

Cause: a group's owner that reaches neither its callers' VMs nor the store does not learn of its successor, and goes on to fill the primary with idle connections up to what one VM in trouble needs.

Change, with the budget active: while the last call to the store failed, an owner keeps idle connections in half of what the member accepts. The limit for connections in use stays.

Checked: the new test failed before. make lint; test-owner, test-owner-budget, test-load, test-change, test-standing, test-move, test-place, test-budget pass. The effect on refusals is not measured.

--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -102,6 +102,11 @@
 				 (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
 }
 
+bool fleet_store_lost(void)
+{
+	return store_source.store != NULL && !store_source.reachable;
+}
+
 /** Cancels the watch and lists all keys again. */
 static void relist(void)
 {
--- a/src/fleet-store.h
+++ b/src/fleet-store.h
@@ -32,6 +32,8 @@
  * from before the renewal was sent, so the store ends the lease later.
  */
 int64_t fleet_store_lease_until_us(struct fleet *f);
+/** Whether the last call to the store failed, so that changes of records may be unknown here. */
+bool fleet_store_lost(void);
 /** Whether @a revision is 0 or of the store's current era, so that it may guard a write. */
 bool fleet_store_is_current(uint64_t revision);
 /** The id of this VM's lease; 0 if it is not registered. */
--- a/src/owner-budget.c
+++ b/src/owner-budget.c
@@ -1,6 +1,7 @@
 /** @file owner-budget.c Connections to a member as a budget of teams, classes and VMs. */
 #include "owner.h"
 
+#include "fleet-store.h"
 #include "log.h"
 #include "place.h"
 #include "stat.h"
@@ -244,6 +245,9 @@
 	 */
 	if (own && !grants_settled(&m->budget, now))
 		part = MIN(part, reserve);
+	/* Another VM may have claimed the group unknown to this one, and both serve callers. */
+	if (own && fleet_store_lost())
+		part = MIN(part, all / 2);
 	return MIN(MAX(part, m->conf.slots + 1), limit);
 }
 
--- a/tests/test-owner-budget.c
+++ b/tests/test-owner-budget.c
@@ -140,6 +140,24 @@
 	world_close(&w);
 }
 
+/*
+ * Guards against an owner that does not learn of its successor, since it does not reach the store,
+ * and holds idle connections that the successor needs.
+ */
+static void test_owner_without_the_store_keeps_half(void)
+{
+	struct owner_member *m;
+	struct world w;
+
+	m = &world_serve(&w)->member[0];
+	add_teams(&w);
+	m->budget.owner_since_us = now_us() - BUDGET_COUNT_US;
+	CU_ASSERT_TRUE(budget_usual(m, 14) > 8);
+	source_set_reachable("test", false);
+	CU_ASSERT_EQUAL(budget_usual(m, 14), 8);
+	world_close(&w);
+}
+
 static ml_member_load answered_load; /**< of m1, in the last answer of the owner */
 
 static void on_load(enum rpc_status status, const void *arg_res, void *arg)
@@ -416,6 +434,7 @@
 static const struct test_case cases[] = {
 	{"reader_holds_what_was_granted", test_reader_holds_what_was_granted},
 	{"owner_leaves_what_it_granted", test_owner_leaves_what_it_granted},
+	{"owner_without_the_store_keeps_half", test_owner_without_the_store_keeps_half},
 	{"owner_grants_with_the_load", test_owner_grants_with_the_load},
 	{"reader_is_granted_with_the_load", test_reader_is_granted_with_the_load},
 	{"begin_beyond_the_bound_is_refused", test_begin_beyond_the_bound_is_refused},
