Owner load: an owner that has answered is not soon taken for an older build

Cause: two requests for the load that got no answer in 250 ms, followed by answers in the old way, marked the owner's VM as one of an older build for 10 s. Over a slow link that happens to a VM that has answered before; its readers then ask for no grants and fall to 2 connections.

Change: a VM that has answered at this address is marked after 12 requests in a row.

Checked: the new test failed before. make lint; test-load, test-owner, test-owner-budget, test-owner-reach, test-relay pass.

--- a/src/owner-load.c
+++ b/src/owner-load.c
@@ -20,6 +20,11 @@
  * build. One request may be lost.
  */
 #define LOAD_UNANSWERED_MAX 2
+/**
+ * The same for a VM that has answered requests. It may be replaced by an older build, but more
+ * often the link to it is slow for a while, and without requests its readers lose their grants.
+ */
+#define LOAD_UNANSWERED_KNOWN_MAX 12
 /** How long a VM of an older build is not asked for the load. */
 #define LOAD_OLD_BUILD_US (10 * USEC_PER_SEC)
 /** Weight of a new sample in the moving averages of times, as in owner-job.c. */
@@ -440,6 +445,7 @@
 		g->load.pending = false;
 	if (g != NULL && status == RPC_DONE) {
 		g->load.unanswered = 0;
+		g->load.answered = true;
 		if (res->primary[0] != '\0')
 			g_strlcpy(g->reported_primary, res->primary, sizeof(g->reported_primary));
 		owner_update_mark(q->o, q->pool, (struct pos){res->mark.term, res->mark.lsn},
@@ -456,7 +462,8 @@
 
 void load_answered_old_way(struct owner_group *g, int64_t now)
 {
-	if (g->load.unanswered < LOAD_UNANSWERED_MAX)
+	if (g->load.unanswered <
+	    (g->load.answered ? LOAD_UNANSWERED_KNOWN_MAX : LOAD_UNANSWERED_MAX))
 		return;
 	g->load.unanswered = 0;
 	g->load.old_until_us = now + LOAD_OLD_BUILD_US;
@@ -480,6 +487,7 @@
 	if (strcmp(address, g->load.address) != 0) {
 		g->load.old_until_us = 0;
 		g->load.unanswered = 0;
+		g->load.answered = false;
 	}
 	if (old_way || (now < g->load.old_until_us && strcmp(address, g->load.address) == 0))
 		return false;
--- a/src/owner-load.h
+++ b/src/owner-load.h
@@ -68,6 +68,7 @@
 	unsigned unanswered;	    /**< requests in a row that were not answered */
 	int64_t asked_us;	    /**< time of the last request */
 	char address[ADDRESS_SIZE]; /**< that the last request was sent to */
+	bool answered;		    /**< the VM there has answered one */
 	int64_t old_until_us; /**< the VM there does not know the message, and is not asked again
 				 before this time */
 };
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -171,10 +171,38 @@
 	CU_ASSERT_EQUAL(seen.load_requests, 1);
 }
 
+/*
+ * Guards against an owner that is taken for an older build, and not asked for 10 s, after its
+ * answers were late: its readers would lose their grants.
+ */
+static void test_owner_that_answered_is_asked_again(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned i;
+
+	g = open_reader(&w, serve_load);
+	ask(&w, g);
+	CU_ASSERT_EQUAL(seen.load_requests, 1);
+	rpc_serve(rpc_of(w.k), ML_MEMBER_LOAD, NULL, NULL);
+	for (i = 0; i < 3; i++)
+		ask(&w, g);
+	CU_ASSERT_EQUAL(seen.mark_requests, 3);
+	CU_ASSERT_EQUAL(g->load.old_until_us, 0);
+	rpc_serve(rpc_of(w.k), ML_MEMBER_LOAD, serve_load, NULL);
+	ask(&w, g);
+	CU_ASSERT_EQUAL(seen.load_requests, 2);
+	rpc_serve(rpc_of(w.k), ML_MEMBER_LOAD, NULL, NULL);
+	for (i = 0; i < 12; i++)
+		ask(&w, g);
+	CU_ASSERT_TRUE(g->load.old_until_us > now_us());
+}
+
 static const struct test_case cases[] = {
 	{"owner_counts_the_use_of_readers_for_a_second",
 	 test_owner_counts_the_use_of_readers_for_a_second},
 	{"reader_uses_the_report_of_the_owner", test_reader_uses_the_report_of_the_owner},
 	{"older_build_is_asked_in_the_old_way", test_older_build_is_asked_in_the_old_way},
+	{"owner_that_answered_is_asked_again", test_owner_that_answered_is_asked_again},
 };
 HARNESS_MAIN("load", cases)
