--- a/src/owner-budget.c
+++ b/src/owner-budget.c
@@ -1,6 +1,7 @@
 /** @file owner-budget.c Connections to a member as a budget of teams, classes and VMs. */
 #include "owner.h"
 
+#include "fleet-store.h"
 #include "log.h"
 #include "place.h"
 #include "stat.h"
@@ -161,12 +162,6 @@
 
 /* Limits */
 
-/** Whether grants limit what this VM holds: both owner and reader exchange the load of members. */
-static bool grants_bind(const struct owner_member *m)
-{
-	return budget_active(m) && settings_of(m->g)->member_load;
-}
-
 /** Returns the connections that a VM that takes over from this one after a power loss needs. */
 static unsigned reserve_of(const struct owner_member *m)
 {
@@ -221,7 +216,7 @@
 {
 	const struct owner_budget *b = &m->budget;
 
-	if (!grants_bind(m))
+	if (!budget_active(m))
 		return otherwise;
 	if (!owner_group_is_own(m->g))
 		return budget_allowed(&b->allowance, otherwise, now);
@@ -238,9 +233,9 @@
 	int64_t now = now_us();
 
 	/* What a reader was granted excludes the reserve. */
-	if (grants_bind(m) && !own && now - m->budget.allowance.granted_us < BUDGET_GRANT_US)
+	if (budget_active(m) && !own && now - m->budget.allowance.granted_us < BUDGET_GRANT_US)
 		return limit;
-	if (!grants_bind(m) || !own || !grants_given(&m->budget))
+	if (!budget_active(m) || !own || !grants_given(&m->budget))
 		part = (all > UNGRANTED_PROBE_CONNECTIONS ? all - UNGRANTED_PROBE_CONNECTIONS : 0) /
 		       conn_users(m);
 	part = part > reserve ? part - reserve : 0;
@@ -250,6 +245,9 @@
 	 */
 	if (own && !grants_settled(&m->budget, now))
 		part = MIN(part, reserve);
+	/* Another VM may have claimed the group unknown to this one, and both serve callers. */
+	if (own && fleet_store_lost())
+		part = MIN(part, all / 2);
 	return MIN(MAX(part, m->conf.slots + 1), limit);
 }
 
@@ -439,15 +437,12 @@
 	TAILQ_REMOVE(&job->g->begins, job, begin_link);
 }
 
-/* Opening in advance */
-
-bool budget_preopens(struct owner *o, const char *pool)
+bool budget_in_pool(struct owner *o, const char *pool)
 {
-	const struct settings *s = o->service.kernel->settings;
 	const struct conf_pool *p = conf_pool(fleet_of(o->service.kernel)->conf, pool);
 	unsigned i;
 
-	if (!s->connection_budget || !s->connection_preopen || p == NULL)
+	if (!o->service.kernel->settings->connection_budget || p == NULL)
 		return false;
 	for (i = 0; i < p->n; i++) {
 		if (count_teams(o) > p->member[i].connections)
@@ -456,6 +451,13 @@
 	return false;
 }
 
+/* Opening in advance */
+
+bool budget_preopens(struct owner *o, const char *pool)
+{
+	return o->service.kernel->settings->connection_preopen && budget_in_pool(o, pool);
+}
+
 static bool anything_waits(const struct owner_group *g)
 {
 	return dueq_length(&g->queues->write) > 0 || dueq_length(&g->queues->read) > 0 ||
--- a/src/owner-load.c
+++ b/src/owner-load.c
@@ -20,6 +20,11 @@
  * build. One request may be lost.
  */
 #define LOAD_UNANSWERED_MAX 2
+/**
+ * The same for a VM that has answered requests. It may be replaced by an older build, but more
+ * often the link to it is slow for a while, and without requests its readers lose their grants.
+ */
+#define LOAD_UNANSWERED_KNOWN_MAX 12
 /** How long a VM of an older build is not asked for the load. */
 #define LOAD_OLD_BUILD_US (10 * USEC_PER_SEC)
 /** Weight of a new sample in the moving averages of times, as in owner-job.c. */
@@ -290,7 +295,12 @@
 	return n;
 }
 
-static void use_record(struct owner_member *m, const char *vm, const ml_member_want *w, int64_t now)
+/**
+ * Records what the reader uses. @param granted connections that it may hold; it states what it
+ * wants, which may be more than that
+ */
+static void use_record(struct owner_member *m, const char *vm, const ml_member_want *w,
+		       unsigned granted, int64_t now)
 {
 	struct load_use *use = &m->load.use[0];
 	unsigned i;
@@ -307,7 +317,8 @@
 	}
 	g_strlcpy(use->vm, vm, sizeof(use->vm));
 	use->in_flight = w->in_flight;
-	use->connections = w->connections;
+	use->connections = budget_active(m) ? MIN(w->connections, MAX(granted, BUDGET_UNGRANTED))
+					    : w->connections;
 	use->updated_us = now;
 }
 
@@ -337,14 +348,15 @@
 	ml_member_load l = {.member = m->conf.name, .unsteady = m->load.health.unsteady || m->down};
 	unsigned i;
 
-	if (w != NULL)
-		use_record(m, a->vm, w, now);
+	if (w != NULL) {
+		l.granted = budget_grant(m, a->vm, w->connections, now);
+		use_record(m, a->vm, w, l.granted, now);
+	}
 	l.in_flight = (u_int)lround(m->load.in_flight) + readers_in_flight(m, now);
 	l.waiting = waiting_for(m);
 	l.connections_left = connections_left(m, now);
 	for (i = 0; i < STAT_CLASSES; i++)
 		l.service_us[i] = (u_int)own_service_us(m, i, now);
-	l.granted = w != NULL ? budget_grant(m, a->vm, w->connections, now) : 0;
 	return l;
 }
 
@@ -433,6 +445,7 @@
 		g->load.pending = false;
 	if (g != NULL && status == RPC_DONE) {
 		g->load.unanswered = 0;
+		g->load.answered = true;
 		if (res->primary[0] != '\0')
 			g_strlcpy(g->reported_primary, res->primary, sizeof(g->reported_primary));
 		owner_update_mark(q->o, q->pool, (struct pos){res->mark.term, res->mark.lsn},
@@ -449,7 +462,8 @@
 
 void load_answered_old_way(struct owner_group *g, int64_t now)
 {
-	if (g->load.unanswered < LOAD_UNANSWERED_MAX)
+	if (g->load.unanswered <
+	    (g->load.answered ? LOAD_UNANSWERED_KNOWN_MAX : LOAD_UNANSWERED_MAX))
 		return;
 	g->load.unanswered = 0;
 	g->load.old_until_us = now + LOAD_OLD_BUILD_US;
@@ -473,6 +487,7 @@
 	if (strcmp(address, g->load.address) != 0) {
 		g->load.old_until_us = 0;
 		g->load.unanswered = 0;
+		g->load.answered = false;
 	}
 	if (old_way || (now < g->load.old_until_us && strcmp(address, g->load.address) == 0))
 		return false;
--- a/src/owner.h
+++ b/src/owner.h
@@ -67,7 +67,8 @@
 	READER_OWNER, /**< the owner only */
 	READER_LOCAL, /**< the reader VM of the caller's data centre, from a replica there if it has
 			 one */
-	READER_ANY, /**< the entry VM, from any reachable replica, while the owner is unreachable */
+	READER_ANY,   /**< the entry VM, or the one that owner_shared_reader() names, from any
+			   reachable replica, while the owner is unreachable */
 };
 
 /** Prefix of the role of the VM that is to claim a group whose owner is gone. */
@@ -177,7 +178,9 @@
 	unsigned full_limit; /**< connections open when it last refused one with MEMBER_FULL */
 	int64_t full_us;     /**< time of the last MEMBER_FULL refusal; 0: never */
 	int64_t full_until_us;
-	struct pos pos; /**< last log position it reported */
+	int64_t full_pause_us; /**< last pause after MEMBER_FULL, with a budget; 0: one was opened
+				*/
+	struct pos pos;	       /**< last log position it reported */
 	int64_t pos_updated_us;
 	int64_t last_answer_us;
 	int64_t silent_since_us; /**< first request since the last answer; 0: none */
@@ -359,6 +362,12 @@
  * centre.
  */
 const char *owner_local_reader(struct owner *o, const char *pool);
+/**
+ * Returns the RPC address of the VM that serves the READER_ANY reads of this data centre, or NULL
+ * if each VM serves its own. With a budget of connections one VM does: if all VMs that do not reach
+ * the owner opened BUDGET_UNGRANTED connections, they would need more than the members accept.
+ */
+const char *owner_shared_reader(struct owner *o, const char *pool);
 /** Whether this VM itself could serve a read that allows data up to @a max_age_us old. */
 bool owner_can_read(struct owner *o, const char *pool, int64_t max_age_us);
 /** Takes a report that @a vm owns the group by a record newer than the known one. */
