Admission: classes and immediate refusals follow the configured routes

Cause: tokens went by class at a VM once it had seen requests of two classes of the team within 10 s. A holder that had seen one class gave no times either, and did not keep the tokens that it had promised.

Change: tokens go by class when the routes for the team (its own and those for all teams) state at least two classes. This costs one pass over the routes when they change and one comparison for a request, and all VMs decide alike. The allowance is still a matter of what was seen: a class needs one only while a more urgent class was seen at the holder, so a restarted holder serves by arrival. Only VMs of an older build, which never say so, are asked once more, while the team is within its rate and the next round ends while a token is of use.

Checked: test-shares, test-urgency, lint.

--- a/decide/urgency.c
+++ b/decide/urgency.c
@@ -112,13 +112,16 @@
 	demand_add(u, cls, 1, now_us);
 }
 
-bool urgency_active(const struct urgency *u, int64_t now_us)
+/** @return whether requests that are more urgent than @a cls were seen recently */
+static bool more_urgent_seen(const struct urgency *u, unsigned cls, int64_t now_us)
 {
-	unsigned i, seen = 0;
+	unsigned i;
 
-	for (i = 0; i < URGENCY_CLASSES; i++)
-		seen += u->seen_us[i] != 0 && now_us - u->seen_us[i] < URGENCY_SEEN_US ? 1 : 0;
-	return seen >= 2;
+	for (i = 0; i < cls; i++) {
+		if (u->seen_us[i] != 0 && now_us - u->seen_us[i] < URGENCY_SEEN_US)
+			return true;
+	}
+	return false;
 }
 
 /**
@@ -217,11 +220,9 @@
 	if (bucket_wait_us(b, 1, now_us) > 0)
 		return false;
 	update(u, b, now_us);
-	if (!urgency_active(u, now_us))
-		return true;
 	if (b->tokens + ROUNDING_TOLERANCE_TOKENS < tokens_needed(u, b, r, now_us))
 		return false;
-	if (r->cls == 0 || promise_find(u, r->cls, r->to, now_us) >= 0)
+	if (!more_urgent_seen(u, r->cls, now_us) || promise_find(u, r->cls, r->to, now_us) >= 0)
 		return true;
 	return lacks_to_full(u, b) <= ROUNDING_TOLERANCE_TOKENS ||
 	       u->allowance[r->cls] + ROUNDING_TOLERANCE_TOKENS >= 1;
@@ -259,7 +260,7 @@
 		return INT64_MAX;
 	wait_s = (tokens_needed(u, b, r, now_us) - b->tokens) / b->rate;
 	rate = urgency_rate(u, b, r->cls);
-	if (r->cls > 0 && u->allowance[r->cls] < 1) {
+	if (u->allowance[r->cls] < 1 && more_urgent_seen(u, r->cls, now_us)) {
 		before = demand_before(u, r->cls);
 		if (before > DEMAND_NOISE * b->rate)
 			return INT64_MAX;
--- a/decide/urgency.h
+++ b/decide/urgency.h
@@ -68,15 +68,14 @@
 void urgency_seen(struct urgency *u, unsigned cls, int64_t now_us);
 /** Count a request that is neither granted nor answered here, since the bucket has no rate. */
 void urgency_arrival(struct urgency *u, unsigned cls, int64_t now_us);
-/** @return whether requests of at least two classes were seen recently; else order of arrival */
-bool urgency_active(const struct urgency *u, int64_t now_us);
 /** @return whether @a to returns for a promised token: it precedes later requests of its class */
 bool urgency_promised(const struct urgency *u, unsigned cls, uint64_t to, int64_t now_us);
 /**
  * Whether the request may take a token of @a b now. A class takes a token if the bucket holds more
  * than was promised to requests that come first, and the class has an allowance, which accrues at
  * the rate less the demand of more urgent classes. A full bucket serves any class, since tokens
- * would be lost otherwise.
+ * would be lost otherwise. No allowance is needed while no more urgent request was seen recently:
+ * a bucket whose holder has restarted serves in order of arrival.
  */
 bool urgency_may_take(struct urgency *u, struct bucket *b, const struct urgency_request *r,
 		      int64_t now_us);
--- a/src/shares-admit.c
+++ b/src/shares-admit.c
@@ -36,10 +36,12 @@
 	return t->urgency;
 }
 
-bool team_by_class(const struct shares_team *t, int64_t now)
+bool team_by_class(const struct shares_team *t)
 {
+	unsigned classes = t->s->route_classes | t->route_classes;
+
 	return t->s->service.kernel->settings->admission_by_priority && t->urgency != NULL &&
-	       (urgency_active(t->urgency, now) || now < t->by_class_until_us);
+	       (classes & (classes - 1)) != 0;
 }
 
 unsigned team_waiting_before(const struct shares_team *t, unsigned cls)
@@ -143,7 +145,7 @@
 static bool take_token(struct shares_team *t, struct admission *a, unsigned ahead, int64_t now)
 {
 	const struct urgency_request r = {.cls = a->cls, .ahead = ahead};
-	bool by_class = team_by_class(t, now);
+	bool by_class = team_by_class(t);
 
 	if (by_class && !urgency_may_take(t->urgency, &t->bucket, &r, now))
 		return false;
@@ -167,7 +169,7 @@
 					  .ahead = team_waiting_before(t, a->cls) - 1};
 	const struct shares_ask *q = &t->cls[a->cls].ask;
 
-	if (!team_by_class(t, now))
+	if (!team_by_class(t))
 		return token_wait_us(t, now);
 	if (t->bucket.rate <= 0)
 		return q->next_us > now ? q->next_us - now : token_wait_us(t, now);
@@ -335,7 +337,7 @@
 		note_decision(a, true, false);
 		return 1;
 	}
-	by_class = team_by_class(t, now);
+	by_class = team_by_class(t);
 	verdict = by_class ? wait_by_class(t, a, retry_after_us, now)
 			   : wait_by_arrival(t, a, want->deadline_us, retry_after_us, now);
 	if (verdict < 0) {
@@ -399,7 +401,7 @@
 		return 0;
 	/* A VM that does not state classes gets what was not promised to those that do. */
 	while (granted < want &&
-	       (!team_by_class(t, now) || urgency_unpromised(t->urgency, &t->bucket, now) >= 1) &&
+	       (!team_by_class(t) || urgency_unpromised(t->urgency, &t->bucket, now) >= 1) &&
 	       bucket_take(&t->bucket, 1, now))
 		granted++;
 	return granted;
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -123,6 +123,7 @@
 		q->success_ratio += SUCCESS_RATIO_ALPHA * ((success ? 1 : 0) - q->success_ratio);
 	q->tried = 0;
 	q->asked = 0;
+	q->older_build = false;
 	offer_release(t, cls);
 }
 
@@ -206,9 +207,6 @@
 			q->remote_empty_us = now;
 		if (granted < c->want)
 			note_next(t, c->cls, c->place, next_us, now);
-		/* The classes of the team that this VM has seen may be fewer. */
-		if (next_us > 0)
-			t->by_class_until_us = now + URGENCY_SEEN_US;
 		t->granted = now - q->sent_us < GRANT_AGE_MAX_US ? granted : 0;
 		team_admit_waiting(t, now);
 		ask_continue(t, now);
@@ -219,8 +217,12 @@
 static void tokens_received(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_tokens_res *res = arg_res;
+	struct ask *c = arg;
+	struct shares_team *t = shares_team(c->s, c->team);
 
-	answered(arg, status, status == RPC_DONE ? res->granted : 0, 0);
+	if (t != NULL && status == RPC_DONE)
+		t->cls[c->cls].ask.older_build = true;
+	answered(c, status, status == RPC_DONE ? res->granted : 0, 0);
 }
 
 static void tokens_class_received(enum rpc_status status, const void *arg_res, void *arg)
@@ -411,12 +413,20 @@
 	round_end(t, cls, retry == 0);
 }
 
-/** Returns whether a holder, or this VM's own bucket, says when the class gets a token. */
-static bool next_known(const struct shares_team *t, unsigned cls, int64_t now)
+/**
+ * Returns whether @a a waits for another round after one that found no token. Only VMs of an older
+ * build do not say when they will have one; they are asked again while the team is within its rate.
+ */
+static bool worth_another_round(const struct shares_team *t, unsigned cls,
+				const struct admission *a, int64_t now)
 {
 	const struct shares_ask *q = &t->cls[cls].ask;
 
-	return q->offer_us > 0 || q->next_us > now || t->bucket.rate > 0 || q->asked == 0;
+	if (!team_by_class(t))
+		return true;
+	if (q->offer_us > 0 || q->next_us > now || t->bucket.rate > 0 || !q->older_build)
+		return false;
+	return ask_class_within_rate(t, cls) && now + EMPTY_PAUSE_US <= a->useful_us;
 }
 
 /** Continues the round of the class. @param may_end whether callbacks of requests may be called */
@@ -434,7 +444,7 @@
 	}
 	if (ask_another(t, cls, a, now))
 		return;
-	if (team_by_class(t, now) && next_known(t, cls, now)) {
+	if (!worth_another_round(t, cls, a, now)) {
 		if (may_end)
 			round_settle(t, cls, now);
 		return;
@@ -515,7 +525,7 @@
 	if (urgency_promised(u, r.cls, conn, now))
 		r.ahead -= t->cls[r.cls].n_waiting;
 	urgency_seen(u, r.cls, now);
-	if (!team_by_class(t, now)) {
+	if (!team_by_class(t)) {
 		res->granted = team_grant(t, a->want, now);
 		return;
 	}
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -47,6 +47,7 @@
 				    token, or the promise of one in time */
 
 	/* Only if admission is by priority. Times are 0 if not known. */
+	bool older_build;    /**< a VM answered in this round that does not know classes */
 	int64_t patience_us; /**< maximum wait that was sent with the RPC in flight */
 	int64_t offer_us;    /**< earliest token that a place promised in this round */
 	int offer_place;
@@ -75,9 +76,9 @@
 	struct bucket bucket;
 	/** Only the first is used unless admission is by priority. */
 	struct shares_class cls[URGENCY_CLASSES];
-	unsigned n_waiting;	   /**< of all classes */
-	int64_t by_class_until_us; /**< a holder of a part grants tokens by class */
-	struct urgency *urgency;   /**< of @a bucket; NULL until a request came with its class */
+	unsigned n_waiting;	 /**< of all classes */
+	unsigned route_classes;	 /**< bit mask of the classes of the routes for this team only */
+	struct urgency *urgency; /**< of @a bucket; NULL until a request came with its class */
 	double granted; /**< single tokens granted by another VM to the requests that wait now */
 
 	bool fixed; /**< the rate is divided into fixed parts, and no part of it moves */
@@ -105,15 +106,17 @@
 	int64_t due_us;	   /**< 0: not set */
 	int64_t started_us;
 	int64_t ticked_us;
-	bool listed;	       /**< this VM's lease is confirmed: other VMs still count it */
-	struct parts *parts;   /**< NULL where the platform has no fixed parts */
-	uint64_t conf_version; /**< configuration version that last changed a team */
-	uint64_t vms_revision; /**< revision of the list of VMs that the rates are divided over */
-	unsigned n_left;       /**< VMs on that list that have announced that they leave */
-	double all_rates;      /**< sum of the rates of all configured teams */
-	unsigned held;	       /**< bit mask of the fixed parts that this VM holds */
-	unsigned inherited;    /**< bit mask of the parts whose unspent tokens were credited */
-	GHashTable *builds;    /**< struct holder_build by address, of VMs that were asked */
+	bool listed;		/**< this VM's lease is confirmed: other VMs still count it */
+	struct parts *parts;	/**< NULL where the platform has no fixed parts */
+	uint64_t conf_version;	/**< configuration version that last changed a team */
+	uint64_t route_version; /**< configuration version that last changed a route */
+	unsigned route_classes; /**< bit mask of the classes of the routes for all teams */
+	uint64_t vms_revision;	/**< revision of the list of VMs that the rates are divided over */
+	unsigned n_left;	/**< VMs on that list that have announced that they leave */
+	double all_rates;	/**< sum of the rates of all configured teams */
+	unsigned held;		/**< bit mask of the fixed parts that this VM holds */
+	unsigned inherited;	/**< bit mask of the parts whose unspent tokens were credited */
+	GHashTable *builds;	/**< struct holder_build by address, of VMs that were asked */
 
 	/** Addresses that reports go to, by allocator role; empty while a role has no VM. */
 	char allocator[ALLOCATORS][ADDRESS_SIZE];
@@ -146,8 +149,12 @@
 unsigned team_grant(struct shares_team *t, unsigned want, int64_t now);
 /** Returns the state of the team's classes, which is made at the first call. */
 struct urgency *team_urgency(struct shares_team *t, int64_t now);
-/** Returns whether tokens go by class: it is set, and at least two classes were seen. */
-bool team_by_class(const struct shares_team *t, int64_t now);
+/**
+ * Returns whether tokens go by class: it is set, and the routes of the team state at least two
+ * classes. What a VM has seen of the classes is no criterion: most VMs see one class of most teams,
+ * and their requests waited for 300 ms instead of the answer that a holder can give at once.
+ */
+bool team_by_class(const struct shares_team *t);
 /** Returns how many requests of at least the urgency of @a cls wait on this VM. */
 unsigned team_waiting_before(const struct shares_team *t, unsigned cls);
 /** Ends the wait of @a a and calls its callback. */
--- a/src/shares.c
+++ b/src/shares.c
@@ -128,6 +128,30 @@
 	g_free(t);
 }
 
+/** Notes which classes the routes of each team state. */
+static void take_routes(struct shares *s, const struct conf *conf)
+{
+	struct shares_team *t;
+	GHashTableIter iter;
+	gpointer value;
+
+	s->route_version = conf->changed[CONF_ROUTE];
+	s->route_classes = 0;
+	TAILQ_FOREACH(t, &s->teams, link)
+		t->route_classes = 0;
+	g_hash_table_iter_init(&iter, conf->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct conf_route *r = &((const struct conf_entry *)value)->route;
+		unsigned cls = 1U << urgency_class(r->priority);
+
+		t = shares_team(s, r->team);
+		if (strcmp(r->team, "*") == 0)
+			s->route_classes |= cls;
+		else if (t != NULL)
+			t->route_classes |= cls;
+	}
+}
+
 static void team_configure(struct shares *s, const struct conf_entry *e)
 {
 	struct shares_team *t = shares_team(s, e->team.name);
@@ -179,13 +203,17 @@
 	int64_t now = now_us();
 
 	g_hash_table_foreach_remove(s->builds, address_unlisted, f);
+	if (s->route_version != f->conf->changed[CONF_ROUTE])
+		take_routes(s, f->conf);
 	if (s->conf_version == f->conf->changed[CONF_TEAM] &&
 	    s->vms_revision == f->peers.revision && s->n_left == f->n_left)
 		return;
 	s->vms_revision = f->peers.revision;
 	s->n_left = f->n_left;
-	if (s->conf_version != f->conf->changed[CONF_TEAM])
+	if (s->conf_version != f->conf->changed[CONF_TEAM]) {
 		teams_configure(s, f->conf);
+		take_routes(s, f->conf);
+	}
 	/* A team's parts depend on the rates of all teams, so all are recomputed. */
 	TAILQ_FOREACH(t, &s->teams, link) {
 		if (t->configured)
@@ -413,7 +441,7 @@
 {
 	int64_t now = now_us();
 
-	if (!team_by_class(t, now) || urgency_unpromised(t->urgency, &t->bucket, now) >= 1)
+	if (!team_by_class(t) || urgency_unpromised(t->urgency, &t->bucket, now) >= 1)
 		return;
 	put_classes(b, "demand_by_class", t->urgency->demand);
 	put_classes(b, "allowance_by_class", t->urgency->allowance);
--- a/tests/test-urgency.c
+++ b/tests/test-urgency.c
@@ -240,6 +240,26 @@
 	CU_ASSERT_TRUE(urgency_may_take(&h.urgency, &h.bucket, &other, 2 * due));
 }
 
+/*
+ * Guards against promised tokens going to later requests at a holder that has seen one class only,
+ * and against that class being limited to an allowance after the holder's restart.
+ */
+static void test_promises_are_kept_at_a_holder_that_sees_one_class(void)
+{
+	const struct urgency_request first = {.cls = 1, .to = 7}, later = {.cls = 1, .to = 8};
+	struct holder h;
+	int64_t due;
+
+	bucket_init(&h.bucket, 10, 20, 2, 0);
+	urgency_init(&h.urgency, 0);
+	CU_ASSERT_TRUE(grant(&h, true, &first, 1));
+	CU_ASSERT_TRUE(grant(&h, true, &later, 1));
+	due = urgency_answer_us(&h.urgency, &h.bucket, &first, 150000, 1, 1);
+	CU_ASSERT_TRUE(due > 90000 && due <= 100001);
+	CU_ASSERT_FALSE(urgency_may_take(&h.urgency, &h.bucket, &later, due + 1));
+	CU_ASSERT_TRUE(urgency_may_take(&h.urgency, &h.bucket, &first, due + 1));
+}
+
 /*
  * Guards against an urgent request being refused because promises to less urgent ones, which wait
  * longer, fill the table.
@@ -296,6 +316,8 @@
 static const struct test_case cases[] = {
 	{"promised_tokens_are_kept_for_a_short_time",
 	 test_promised_tokens_are_kept_for_a_short_time},
+	{"promises_are_kept_at_a_holder_that_sees_one_class",
+	 test_promises_are_kept_at_a_holder_that_sees_one_class},
 	{"promises_of_less_urgent_requests_give_way",
 	 test_promises_of_less_urgent_requests_give_way},
 	{"retries_are_spread_at_the_rate_of_the_class",
