Admission: a holder that does not answer does not hold up the others

Cause: a round asked one holder after the other and awaited the answer or the timeout of each (100 ms, 150 ms by the old method). At the beginning of a partition one holder out of reach used up the wait of a request whose latency target is 100 to 300 ms, and each team and class found out by itself.

Change: with by_priority the next holder is asked when a call has taken 30 ms (a call to another data centre takes up to 8 ms). The VM counts as slow until it answers, at most until its call has ended, so that other teams and classes ask other holders first; if all are slow, one is asked. Tokens that arrive late are used as before, a promise that arrives late is given back. The timeouts are unchanged, since a lost call makes the VM suspect for all purposes.

Checked: test-shares; the new case has a holder that accepts connections and answers nothing next to one that has a token, for each of the four parts.

--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -21,6 +21,12 @@
  * next VM has a token.
  */
 #define ASK_TIMEOUT_US (150 * USEC_PER_MSEC)
+/**
+ * A VM that has not answered within this time may be out of reach: the next one is asked too. A
+ * call to another data centre takes up to 8 ms, and a request whose latency target is 100 ms cannot
+ * await the timeout. Tokens that arrive later are still used.
+ */
+#define ASK_SLOW_US (30 * USEC_PER_MSEC)
 /** VMs asked in a round. Each costs an RPC, and it is rare that all of them are out of tokens. */
 #define ASKS_MAX 6
 /** Pause after a round in which no VM had enough tokens. */
@@ -51,13 +57,29 @@
 	unsigned place;
 	unsigned want;
 	uint64_t call; /**< see struct shares_ask */
+	int64_t sent_us;
+	int64_t patience_us; /**< maximum wait that was sent */
 };
 
-/** What is known about the build of the VM at an address; none is kept while nothing is known. */
-struct holder_build {
-	int64_t older_until_us; /**< asked with ML_TOKENS until then; 0: it understands classes */
+/** What is known about the VM at an address that was asked. */
+struct holder_vm {
+	bool knows_classes;	/**< it has answered ML_TOKENS_CLASS */
+	int64_t older_until_us; /**< it is of an older build, and asked with ML_TOKENS until then */
+	int64_t slow_until_us;	/**< it owes an answer: others are asked before this time */
 };
 
+/** Returns what is known about the VM at @a address; made at the first call. */
+static struct holder_vm *holder_vm(struct shares *s, const char *address)
+{
+	struct holder_vm *h = g_hash_table_lookup(s->holders, address);
+
+	if (h == NULL) {
+		h = g_new0(struct holder_vm, 1);
+		g_hash_table_insert(s->holders, g_strdup(address), h);
+	}
+	return h;
+}
+
 /** Returns the RPC address of the VM that holds the part, or NULL if that VM cannot be asked. */
 static const char *place_address(struct shares *s, const struct fleet_part *part)
 {
@@ -97,20 +119,27 @@
 	return n;
 }
 
-/** Tells the holder that promised a token that it will not be taken. */
+/** Tells the holder at @a address that a token it promised will not be taken. */
+static void release_at(struct shares_team *t, unsigned cls, const char *address)
+{
+	ml_tokens_class_args args = {.team = t->name, .priority = cls};
+
+	rpc_start(rpc_of(t->s->service.kernel), address, ML_TOKENS_CLASS, &args,
+		  ASK_CLASS_TIMEOUT_US, NULL, NULL);
+}
+
+/** Gives back the token that was promised in this round, if any. */
 static void offer_release(struct shares_team *t, unsigned cls)
 {
 	struct part_candidate places[SHARES_PLACES_MAX];
 	struct shares_ask *q = &t->cls[cls].ask;
-	ml_tokens_class_args args = {.team = t->name, .priority = cls};
 	unsigned n;
 
 	if (q->offer_us == 0)
 		return;
 	n = places_list(t, 0, places);
 	if (q->offer_place < (int)n && places[q->offer_place].address != NULL)
-		rpc_start(rpc_of(t->s->service.kernel), places[q->offer_place].address,
-			  ML_TOKENS_CLASS, &args, ASK_CLASS_TIMEOUT_US, NULL, NULL);
+		release_at(t, cls, places[q->offer_place].address);
 	q->offer_us = 0;
 }
 
@@ -151,25 +180,6 @@
 
 /* Answers */
 
-/** Returns what is known about the build of the VM, or NULL. */
-static struct holder_build *build_known(struct shares *s, const char *address, int64_t now)
-{
-	struct holder_build *b = g_hash_table_lookup(s->builds, address);
-
-	if (b == NULL || b->older_until_us == 0 || b->older_until_us > now)
-		return b;
-	g_hash_table_remove(s->builds, address);
-	return NULL;
-}
-
-static void build_note(struct shares *s, const char *address, int64_t older_until_us)
-{
-	struct holder_build *b = g_new(struct holder_build, 1);
-
-	b->older_until_us = older_until_us;
-	g_hash_table_replace(s->builds, g_strdup(address), b);
-}
-
 /** Notes when a holder without a token will have one for the class. */
 static void note_next(struct shares_team *t, unsigned cls, unsigned place, int64_t next_us,
 		      int64_t now)
@@ -189,25 +199,38 @@
 		q->next_us = due;
 }
 
+/** Uses the answer to the call that the round waits for. */
+static void answer_take(struct shares_team *t, const struct ask *c, unsigned granted,
+			int64_t next_us, int64_t now)
+{
+	struct shares_ask *q = &t->cls[c->cls].ask;
+
+	q->in_flight = false;
+	if (granted >= c->want)
+		return;
+	q->tried |= UINT64_C(1) << c->place;
+	if (q->remote)
+		q->remote_empty_us = now;
+	note_next(t, c->cls, c->place, next_us, now);
+}
+
 /** Processes the end of a call. @param next_us as in ml_tokens_class_res, 0 for ML_TOKENS */
 static void answered(struct ask *c, enum rpc_status status, unsigned granted, int64_t next_us)
 {
 	struct shares_team *t = shares_team(c->s, c->team);
 	int64_t now = now_us();
-	struct shares_ask *q = t != NULL ? &t->cls[c->cls].ask : NULL;
 
-	if (status != RPC_DONE)
+	if (status == RPC_DONE)
+		holder_vm(c->s, c->address)->slow_until_us = 0;
+	else
 		fleet_suspect(fleet_of(c->s->service.kernel), c->address);
-	if (q != NULL && q->call == c->call) {
-		granted = MIN(granted, c->want);
-		q->in_flight = false;
-		if (granted < c->want)
-			q->tried |= UINT64_C(1) << c->place;
-		if (granted < c->want && q->remote)
-			q->remote_empty_us = now;
-		if (granted < c->want)
-			note_next(t, c->cls, c->place, next_us, now);
-		t->granted = now - q->sent_us < GRANT_AGE_MAX_US ? granted : 0;
+	granted = MIN(granted, c->want);
+	if (t != NULL) {
+		if (t->cls[c->cls].ask.call == c->call)
+			answer_take(t, c, granted, next_us, now);
+		else if (next_us > 0 && next_us <= c->patience_us)
+			release_at(t, c->cls, c->address);
+		t->granted = now - c->sent_us < GRANT_AGE_MAX_US ? granted : 0;
 		team_admit_waiting(t, now);
 		ask_continue(t, now);
 	}
@@ -229,19 +252,20 @@
 {
 	const ml_tokens_class_res *res = arg_res;
 	struct ask *c = arg;
-	const struct holder_build *b = build_known(c->s, c->address, now_us());
+	struct holder_vm *h = holder_vm(c->s, c->address);
 
 	if (status == RPC_DONE) {
-		build_note(c->s, c->address, 0);
+		h->knows_classes = true;
+		h->older_until_us = 0;
 		answered(c, status, res->granted,
 			 (int64_t)MIN(res->next_us, (uint64_t)URGENCY_AHEAD_MAX_US));
-	} else if (b != NULL && b->older_until_us != 0) {
+	} else if (h->older_until_us > now_us()) {
 		g_free(c);
 	} else {
 		log_info("tokens-class-unanswered", LOG_STR("address", c->address),
-			 LOG_NUM("answered_before", b != NULL));
+			 LOG_NUM("answered_before", h->knows_classes));
 		/* Its process may be replaced by one of an older build. */
-		g_hash_table_remove(c->s->builds, c->address);
+		h->knows_classes = false;
 		answered(c, status, 0, 0);
 	}
 }
@@ -255,16 +279,19 @@
 {
 	struct ask *c = arg;
 	struct shares_team *t = shares_team(c->s, c->team);
+	struct holder_vm *h = holder_vm(c->s, c->address);
+	struct shares_ask *q = t != NULL ? &t->cls[c->cls].ask : NULL;
 	int64_t now = now_us();
 
-	if (status == RPC_DONE && build_known(c->s, c->address, now) == NULL) {
+	if (status == RPC_DONE && !h->knows_classes && h->older_until_us <= now) {
 		log_info("tokens-class-older-build", LOG_STR("address", c->address));
-		build_note(c->s, c->address, now + OLDER_BUILD_US);
+		h->older_until_us = now + OLDER_BUILD_US;
+		h->slow_until_us = 0;
 	}
-	if (status == RPC_DONE && t != NULL && t->cls[c->cls].ask.call == c->call &&
-	    t->cls[c->cls].ask.in_flight) {
-		t->cls[c->cls].ask.in_flight = false;
-		t->cls[c->cls].ask.call++;
+	if (status == RPC_DONE && q != NULL && q->call == c->call && q->in_flight) {
+		q->in_flight = false;
+		q->call++;
+		q->tried &= ~(UINT64_C(1) << c->place);
 		ask_continue(t, now);
 	}
 	g_free(c);
@@ -281,18 +308,18 @@
 }
 
 /** Sends ML_TOKENS_CLASS, and what tells an older build from a VM that is out of reach. */
-static void send_by_class(struct shares_team *t, struct ask *c, int64_t patience)
+static void send_by_class(struct shares_team *t, struct ask *c)
 {
 	struct rpc *rpc = rpc_of(t->s->service.kernel);
 	ml_tokens_class_args args = {.team = t->name,
 				     .want = c->want,
 				     .priority = c->cls,
-				     .patience_us = (u_quad_t)patience};
+				     .patience_us = (u_quad_t)c->patience_us};
 	ml_tokens_args none = {.team = t->name, .want = 0};
 
 	rpc_start(rpc, c->address, ML_TOKENS_CLASS, &args, ASK_CLASS_TIMEOUT_US,
 		  tokens_class_received, c);
-	if (g_hash_table_lookup(t->s->builds, c->address) == NULL)
+	if (!holder_vm(t->s, c->address)->knows_classes)
 		rpc_start(rpc, c->address, ML_TOKENS, &none, ASK_CLASS_TIMEOUT_US, build_received,
 			  g_memdup2(c, sizeof(*c)));
 }
@@ -302,24 +329,26 @@
 {
 	struct shares_ask *q = &t->cls[cls].ask;
 	struct ask *c = g_new0(struct ask, 1);
-	const struct holder_build *b = build_known(t->s, address, now);
 	ml_tokens_args args = {.team = t->name};
 
+	q->in_flight = true;
+	q->place = place;
+	if (q->asked++ == 0)
+		q->next_us = 0;
+	q->sent_us = now;
+	q->patience_us = patience_us(q, a, now);
 	c->s = t->s;
 	c->cls = cls;
 	c->place = place;
 	c->want = count_due(t, cls, now);
 	c->call = ++q->call;
+	c->sent_us = now;
+	c->patience_us = q->patience_us;
 	g_strlcpy(c->team, t->name, sizeof(c->team));
 	g_strlcpy(c->address, address, sizeof(c->address));
-	q->in_flight = true;
-	if (q->asked++ == 0)
-		q->next_us = 0;
-	q->sent_us = now;
-	q->patience_us = patience_us(q, a, now);
 	if (t->s->service.kernel->settings->admission_by_priority &&
-	    (b == NULL || b->older_until_us == 0)) {
-		send_by_class(t, c, q->patience_us);
+	    holder_vm(t->s, address)->older_until_us <= now) {
+		send_by_class(t, c);
 		return;
 	}
 	args.want = c->want;
@@ -327,21 +356,40 @@
 		  tokens_received, c);
 }
 
+/** Chooses the place that a round asks next. @return its index, or -1 */
+static int choose_place(struct shares_team *t, unsigned cls, const struct admission *a,
+			const struct part_candidate *places, unsigned n, int64_t now)
+{
+	const char *self = t->s->service.kernel->settings->name;
+	int at = a->place;
+
+	if (at >= 0 && at < (int)n && places[at].address != NULL && !places[at].tried)
+		return at;
+	return part_choose(places, n, (unsigned)XXH64(self, strlen(self), 0),
+			   part_may_ask_remote(ask_class_within_rate(t, cls),
+					       t->cls[cls].ask.remote_empty_us, now));
+}
+
 /** Sends the next call of the class's round. @return false if there is no VM left to ask */
 static bool ask_another(struct shares_team *t, unsigned cls, const struct admission *a, int64_t now)
 {
-	struct part_candidate places[SHARES_PLACES_MAX];
-	const char *self = t->s->service.kernel->settings->name;
+	struct part_candidate places[SHARES_PLACES_MAX], not_slow[SHARES_PLACES_MAX];
 	struct shares_ask *q = &t->cls[cls].ask;
-	unsigned n = places_list(t, q->tried, places);
-	int at = a->place;
+	unsigned i, n = places_list(t, q->tried, places);
+	int at;
 
 	if (q->asked >= ASKS_MAX || (q->offer_us > 0 && q->offer_us <= now + OFFER_SOON_US))
 		return false;
-	if (at < 0 || at >= (int)n || places[at].address == NULL || places[at].tried)
-		at = part_choose(places, n, (unsigned)XXH64(self, strlen(self), 0),
-				 part_may_ask_remote(ask_class_within_rate(t, cls),
-						     q->remote_empty_us, now));
+	for (i = 0; i < n; i++) {
+		not_slow[i] = places[i];
+		if (places[i].address != NULL &&
+		    holder_vm(t->s, places[i].address)->slow_until_us > now)
+			not_slow[i].tried = true;
+	}
+	at = choose_place(t, cls, a, not_slow, n, now);
+	/* If all of them are slow, one may still be within reach. */
+	if (at < 0 && q->asked == 0)
+		at = choose_place(t, cls, a, places, n, now);
 	if (at < 0)
 		return false;
 	q->remote = !places[at].near;
@@ -429,14 +477,42 @@
 	return ask_class_within_rate(t, cls) && now + EMPTY_PAUSE_US <= a->useful_us;
 }
 
+/** Returns whether the call in flight has been for so long that other VMs are asked too. */
+static bool call_slow(const struct shares_team *t, const struct shares_ask *q, int64_t now)
+{
+	return t->s->service.kernel->settings->admission_by_priority &&
+	       now - q->sent_us >= ASK_SLOW_US;
+}
+
+/** Asks the next VM, if there is one, while a call is in flight that takes long. */
+static void ask_beyond_slow(struct shares_team *t, unsigned cls, int64_t now)
+{
+	struct part_candidate places[SHARES_PLACES_MAX];
+	struct shares_ask *q = &t->cls[cls].ask;
+	const struct admission *a = first_due(t, cls, now);
+	unsigned n = places_list(t, q->tried, places);
+
+	if (q->place < n && places[q->place].address != NULL)
+		holder_vm(t->s, places[q->place].address)->slow_until_us =
+			q->sent_us + ASK_TIMEOUT_US;
+	q->tried |= UINT64_C(1) << q->place;
+	if (a != NULL)
+		(void)ask_another(t, cls, a, now);
+}
+
 /** Continues the round of the class. @param may_end whether callbacks of requests may be called */
 static void ask_class(struct shares_team *t, unsigned cls, bool may_end, int64_t now)
 {
 	struct shares_ask *q = &t->cls[cls].ask;
 	struct admission *a;
 
-	if (!t->fixed || q->in_flight || now < q->paused_until_us)
+	if (!t->fixed || now < q->paused_until_us)
 		return;
+	if (q->in_flight) {
+		if (call_slow(t, q, now))
+			ask_beyond_slow(t, cls, now);
+		return;
+	}
 	a = first_due(t, cls, now);
 	if (a == NULL) {
 		round_end(t, cls, true);
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -36,6 +36,7 @@
 /** State of asking other VMs for tokens of a team. A round is described in shares-ask.c. */
 struct shares_ask {
 	bool in_flight; /**< an RPC is in flight */
+	unsigned place; /**< that is asked */
 	uint64_t call;	/**< number of the last RPC; the answers to others are not waited for */
 	uint64_t tried; /**< bit mask of the places that had too few tokens in this round */
 	unsigned asked; /**< RPCs of this round */
@@ -116,7 +117,7 @@
 	double all_rates;	/**< sum of the rates of all configured teams */
 	unsigned held;		/**< bit mask of the fixed parts that this VM holds */
 	unsigned inherited;	/**< bit mask of the parts whose unspent tokens were credited */
-	GHashTable *builds;	/**< struct holder_build by address, of VMs that were asked */
+	GHashTable *holders;	/**< struct holder_vm by address, of VMs that hold parts */
 
 	/** Addresses that reports go to, by allocator role; empty while a role has no VM. */
 	char allocator[ALLOCATORS][ADDRESS_SIZE];
--- a/src/shares.c
+++ b/src/shares.c
@@ -188,7 +188,7 @@
 	}
 }
 
-static gboolean address_unlisted(gpointer address, gpointer build, gpointer fleet)
+static gboolean address_unlisted(gpointer address, gpointer value, gpointer fleet)
 {
 	const struct fleet *f = fleet;
 
@@ -202,7 +202,7 @@
 	struct shares_team *t, *next;
 	int64_t now = now_us();
 
-	g_hash_table_foreach_remove(s->builds, address_unlisted, f);
+	g_hash_table_foreach_remove(s->holders, address_unlisted, f);
 	if (s->route_version != f->conf->changed[CONF_ROUTE])
 		take_routes(s, f->conf);
 	if (s->conf_version == f->conf->changed[CONF_TEAM] &&
@@ -401,7 +401,7 @@
 	while ((t = TAILQ_FIRST(&s->teams)) != NULL)
 		team_free(t);
 	g_hash_table_destroy(s->by_name);
-	g_hash_table_destroy(s->builds);
+	g_hash_table_destroy(s->holders);
 	g_free(s);
 }
 
@@ -420,7 +420,7 @@
 	TAILQ_INIT(&s->teams);
 	TAILQ_INIT(&s->busy);
 	s->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	s->builds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->holders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	kernel_add(k, &s->service);
 	return &s->service;
 }
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -155,8 +155,8 @@
 	rpc_reply(rq, &res);
 }
 
-/** Finds a free port. */
-static void free_address(char address[ADDRESS_SIZE])
+/** Opens a socket on a free port, whose number is written to @a address. */
+static int open_address(char address[ADDRESS_SIZE])
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET};
 	socklen_t len = sizeof(sin);
@@ -165,14 +165,50 @@
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&sin, len), 0);
 	getsockname(fd, (struct sockaddr *)&sin, &len);
-	close(fd);
 	g_snprintf(address, ADDRESS_SIZE, "127.0.0.1:%u", ntohs(sin.sin_port));
+	return fd;
 }
 
-static void holder_open(struct world *w)
+/** Finds a free port. */
+static void free_address(char address[ADDRESS_SIZE])
+{
+	close(open_address(address));
+}
+
+/** Lists both VMs, and @a part, or each if it is -1, as held at the holder and the others at @a
+ * other. */
+static void list_parts(struct world *w, int part, const char *other)
 {
-	char *text;
+	GString *text = g_string_new("[");
+	int i;
+
+	for (i = 0; i < PARTS_PER_DC; i++) {
+		bool its = part < 0 || part == i;
 
+		g_string_append_printf(text,
+				       "{\"part\":%d,\"name\":\"%s\",\"address\":\"%s\","
+				       "\"data_center\":\"dc\",\"incarnation\":\"9\","
+				       "\"lease\":\"1\"},",
+				       i, its ? "vm-2" : "vm-3", its ? holder.address : other);
+	}
+	g_string_append_printf(text,
+			       "{\"name\":\"vm-1\",\"address\":\"" SELF
+			       "\",\"data_center\":\"dc\"},"
+			       "{\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
+			       "\"incarnation\":\"9\"}",
+			       holder.address);
+	if (part >= 0)
+		g_string_append_printf(text,
+				       ",{\"name\":\"vm-3\",\"address\":\"%s\","
+				       "\"data_center\":\"dc\",\"incarnation\":\"9\"}",
+				       other);
+	g_string_append_c(text, ']');
+	fleet_apply_vms(fleet_of(w->k), part < 0 ? 5 : 6, text->str);
+	g_string_free(text, TRUE);
+}
+
+static void holder_open(struct world *w)
+{
 	memset(&holder, 0, sizeof(holder));
 	g_strlcpy(holder.settings.name, "vm-2", sizeof(holder.settings.name));
 	g_strlcpy(holder.settings.advertise, "127.0.0.1:2", sizeof(holder.settings.advertise));
@@ -185,21 +221,7 @@
 	rpc_serve(rpc_of(holder.k), ML_TOKENS_CLASS, holder_serve_class, NULL);
 	free_address(holder.address);
 	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(holder.k), holder.address, NULL));
-	text = g_strdup_printf(
-		"[{\"part\":0,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
-		"\"incarnation\":\"9\",\"lease\":\"1\"},"
-		"{\"part\":1,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
-		"\"incarnation\":\"9\",\"lease\":\"1\"},"
-		"{\"part\":2,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
-		"\"incarnation\":\"9\",\"lease\":\"1\"},"
-		"{\"part\":3,\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
-		"\"incarnation\":\"9\",\"lease\":\"1\"},"
-		"{\"name\":\"vm-1\",\"address\":\"" SELF "\",\"data_center\":\"dc\"},"
-		"{\"name\":\"vm-2\",\"address\":\"%s\",\"data_center\":\"dc\","
-		"\"incarnation\":\"9\"}]",
-		holder.address, holder.address, holder.address, holder.address, holder.address);
-	fleet_apply_vms(fleet_of(w->k), 5, text);
-	g_free(text);
+	list_parts(w, -1, NULL);
 }
 
 struct request {
@@ -542,6 +564,34 @@
 	CU_ASSERT_EQUAL(holder.calls, 0);
 }
 
+/*
+ * Guards against a holder that is out of reach using up the wait of a request for which another one
+ * has a token: the next one is asked before the call to it ends, which makes it suspect.
+ */
+static void test_a_holder_out_of_reach_does_not_hold_up_the_others(void)
+{
+	char silent[ADDRESS_SIZE];
+	struct request r;
+	struct world w;
+	int part, fd;
+
+	for (part = 0; part < PARTS_PER_DC; part++) {
+		world_open_rate(&w, 300);
+		w.settings.admission_by_priority = true;
+		holder_open(&w);
+		holder.tokens = 1;
+		fd = open_address(silent);
+		CU_ASSERT_EQUAL_FATAL(listen(fd, 8), 0);
+		list_parts(&w, part, silent);
+		request_class(&w, &r, 0);
+		while (r.verdict == 0)
+			run_ms(&w, 2);
+		CU_ASSERT_EQUAL(r.verdict, 1);
+		CU_ASSERT_FALSE(peers_find(&fleet_of(w.k)->peers, "vm-3")->suspect);
+		close(fd);
+	}
+}
+
 /* Guards against requests waiting in vain when the last holder of their team's parts is lost. */
 static void test_requests_are_refused_at_once_when_the_holder_is_lost(void)
 {
@@ -624,6 +674,8 @@
 	 test_requests_are_refused_when_the_holder_is_cut_off},
 	{"a_holder_out_of_reach_is_not_taken_for_an_older_build",
 	 test_a_holder_out_of_reach_is_not_taken_for_an_older_build},
+	{"a_holder_out_of_reach_does_not_hold_up_the_others",
+	 test_a_holder_out_of_reach_does_not_hold_up_the_others},
 	{"requests_are_refused_at_once_when_the_holder_is_lost",
 	 test_requests_are_refused_at_once_when_the_holder_is_lost},
 	{"an_operation_that_did_not_run_returns_its_token",
