Admission: one promise for each request, and at most two waits

Cause of the refusals after 100 to 290 ms of the team that was far over its rate: a round got one promise, and the following requests of the VM waited without one for 1/rate of the whole team, asked again and waited again; a request whose promise was overtaken by a more urgent one got the next promise until its latency target expired. With a low rate the following requests were refused although the holder would have had a token in time.

Change: the first request takes the promise and the others begin a round of their own, which ends with a promise or with the refusal of all that cannot wait. A request waits at most twice (class 0, which nothing overtakes, as often as it wants). Requests that wait for this VM's own bucket are spaced by what it gains for their class, not by the rate of the team.

Checked: test-urgency, whose callers follow the same rule; test-shares, with two new cases that fail before this change; lint.

--- a/decide/urgency.c
+++ b/decide/urgency.c
@@ -26,6 +26,14 @@
  */
 #define WORK_OF_AIM_MAX 0.5
 
+/**
+ * Most times that a request waits for a promised token, which more urgent requests may take.
+ * Without a limit, requests were refused only when their latency target had expired. With 1,
+ * buckets of one token lost 13% of their tokens at 7.5 times the rate (test-urgency). The most
+ * urgent class needs no limit.
+ */
+#define WAITS_MAX 2
+
 void urgency_init(struct urgency *u, int64_t now_us)
 {
 	memset(u, 0, sizeof(*u));
@@ -293,6 +301,11 @@
 	return place - now_us;
 }
 
+bool urgency_may_wait(unsigned cls, unsigned waits)
+{
+	return cls == 0 || waits < WAITS_MAX;
+}
+
 void urgency_release(struct urgency *u, unsigned cls, uint64_t to, int64_t now_us)
 {
 	int found = -1;
--- a/decide/urgency.h
+++ b/decide/urgency.h
@@ -94,6 +94,11 @@
  */
 int64_t urgency_answer_us(struct urgency *u, struct bucket *b, const struct urgency_request *r,
 			  int64_t patience_us, unsigned holders, int64_t now_us);
+/**
+ * @param waits times that a request of the class has waited for a promised token
+ * @return whether it may wait for another one; else it is refused at once
+ */
+bool urgency_may_wait(unsigned cls, unsigned waits);
 /** Withdraw the latest promise to @a to, which will get a token elsewhere. */
 void urgency_release(struct urgency *u, unsigned cls, uint64_t to, int64_t now_us);
 /** @return tokens of @a b that are promised to nobody; may be negative */
--- a/src/shares-admit.c
+++ b/src/shares-admit.c
@@ -324,6 +324,7 @@
 	a->cls = 0;
 	a->useful_us = 0;
 	a->due_us = 0;
+	a->waits = 0;
 	a->place = -1;
 	/* A team without a configured rate is not limited. */
 	if (t == NULL || !t->configured)
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -422,11 +422,21 @@
 	return place < INT64_MAX ? place : now + NO_HOLDER_RETRY_US;
 }
 
+/** Returns the time between two tokens of this VM's bucket for the class. */
+static int64_t own_spacing_us(const struct shares_team *t, unsigned cls)
+{
+	double rate = urgency_rate(t->urgency, &t->bucket, cls);
+
+	if (rate <= 0)
+		rate = t->bucket.rate > 0 ? t->bucket.rate : t->rate;
+	return (int64_t)((double)USEC_PER_SEC / rate);
+}
+
 /**
- * Ends a round in which not every request of the class got a token. The first one waits for the
- * earliest token that was promised or that this VM's bucket will have; the following ones wait for
- * the time at which the team's rate brings further tokens. Requests that cannot wait so long are
- * refused with a place in the schedule of retries.
+ * Ends a round in which not every request of the class got a token. The first one that can waits
+ * for the token that was promised; the others begin another round, since it is promised once. Or,
+ * if this VM's bucket will have a token earlier, they wait for those that it gains. Requests that
+ * cannot wait so long, or have waited before, are refused with a place in the schedule of retries.
  */
 static void round_settle(struct shares_team *t, unsigned cls, int64_t now)
 {
@@ -435,24 +445,25 @@
 	int64_t spacing = (int64_t)((double)USEC_PER_SEC / t->rate);
 	bool promised = q->offer_us > 0 && q->offer_us <= own;
 	int64_t due = promised ? q->offer_us : own;
-	int place = promised ? q->offer_place : -1;
 	struct admission *a;
 	int64_t retry = 0;
 
 	while ((a = first_due(t, cls, now)) != NULL) {
-		if (due <= a->useful_us) {
-			a->due_us = due;
-			a->place = place;
-			shares_wake_at(t->s, due);
-			if (place >= 0)
-				q->offer_us = 0;
-			a->until_us = a->useful_us + OFFER_SOON_US;
-			due += spacing;
-			place = -1;
+		if (due > a->useful_us || !urgency_may_wait(cls, a->waits)) {
+			retry = retry == 0 ? retry_place_us(t, cls, now) : retry + spacing;
+			admission_end(a, false, MIN(retry - now, URGENCY_AHEAD_MAX_US));
 			continue;
 		}
-		retry = retry == 0 ? retry_place_us(t, cls, now) : retry + spacing;
-		admission_end(a, false, MIN(retry - now, URGENCY_AHEAD_MAX_US));
+		a->waits++;
+		a->due_us = due;
+		a->place = promised ? q->offer_place : -1;
+		a->until_us = a->useful_us + OFFER_SOON_US;
+		shares_wake_at(t->s, due);
+		if (promised) {
+			q->offer_us = 0;
+			break;
+		}
+		due += own_spacing_us(t, cls);
 	}
 	if (retry > 0) {
 		q->next_us = retry + spacing;
@@ -521,8 +532,12 @@
 	if (ask_another(t, cls, a, now))
 		return;
 	if (!worth_another_round(t, cls, a, now)) {
-		if (may_end)
-			round_settle(t, cls, now);
+		if (!may_end)
+			return;
+		round_settle(t, cls, now);
+		a = first_due(t, cls, now);
+		if (a != NULL)
+			(void)ask_another(t, cls, a, now);
 		return;
 	}
 	round_end(t, cls, false);
--- a/src/shares.h
+++ b/src/shares.h
@@ -33,6 +33,7 @@
 	int64_t until_us;    /**< end of the wait */
 	int64_t useful_us;   /**< a later token is of no use; only if admission is by priority */
 	int64_t due_us;	     /**< other VMs are not asked before; 0: now */
+	unsigned waits;	     /**< times that it waited for a promised token, or one of this VM */
 	int place;	     /**< place that promised a token at @a due_us, or -1 */
 	int64_t admitted_us; /**< 0 unless it was admitted and not settled */
 	bool will_settle;    /**< set by the embedding object: it will call shares_settle() */
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -491,6 +491,44 @@
 	CU_ASSERT_EQUAL(r.verdict, 1);
 }
 
+/*
+ * Guards against a request whose promised token is taken by more urgent ones waiting from one
+ * promise to the next until its latency target expires.
+ */
+static void test_an_overtaken_request_does_not_wait_again_and_again(void)
+{
+	struct request r;
+	struct world w;
+	unsigned calls;
+
+	world_open_classes(&w);
+	holder.next_us = 40 * USEC_PER_MSEC;
+	request_class(&w, &r, 1);
+	run_ms(&w, 20);
+	calls = holder.class_calls;
+	while (r.verdict == 0)
+		run_ms(&w, 2);
+	CU_ASSERT_EQUAL(r.verdict, -1);
+	CHECK(holder.class_calls <= calls * 3, "%u", holder.class_calls);
+}
+
+/* Guards against refusing, or letting wait for nothing, the second of two requests on one VM. */
+static void test_each_request_waits_for_a_promise_of_its_own(void)
+{
+	struct request r[2];
+	struct world w;
+
+	world_open_classes(&w);
+	holder.next_us = 120 * USEC_PER_MSEC;
+	request_class(&w, &r[0], 1);
+	request_class(&w, &r[1], 1);
+	run_ms(&w, 60);
+	CU_ASSERT_TRUE(r[0].verdict == 0 && r[1].verdict == 0);
+	CHECK(holder.class_calls >= 2, "%u", holder.class_calls);
+	shares_cancel(&r[0].a);
+	shares_cancel(&r[1].a);
+}
+
 /*
  * Guards against callers being refused by VMs of a newer build during an upgrade: a holder of an
  * older build does not answer ML_TOKENS_CLASS. It is asked with ML_TOKENS, for 10 s at once.
@@ -668,6 +706,10 @@
 	{"a_vm_that_sees_one_class_refuses_after_one_round",
 	 test_a_vm_that_sees_one_class_refuses_after_one_round},
 	{"a_promised_token_is_waited_for", test_a_promised_token_is_waited_for},
+	{"an_overtaken_request_does_not_wait_again_and_again",
+	 test_an_overtaken_request_does_not_wait_again_and_again},
+	{"each_request_waits_for_a_promise_of_its_own",
+	 test_each_request_waits_for_a_promise_of_its_own},
 	{"a_holder_of_an_older_build_is_asked_by_the_old_method",
 	 test_a_holder_of_an_older_build_is_asked_by_the_old_method},
 	{"requests_are_refused_when_the_holder_is_cut_off",
--- a/tests/test-urgency.c
+++ b/tests/test-urgency.c
@@ -40,6 +40,7 @@
 	unsigned tries;
 	int64_t first_us, began_us, next_us; /**< of the first and this attempt; next action */
 	int holder;			     /**< that promised a token, or -1 */
+	unsigned waits;			     /**< for a promised token, in this attempt */
 };
 
 static struct holder {
@@ -91,8 +92,12 @@
 		}
 		earliest = MIN(earliest, next);
 	}
-	if (c->holder >= 0)
+	if (c->holder >= 0 && urgency_may_wait(c->r.cls, c->waits++))
 		return 0;
+	if (c->holder >= 0)
+		urgency_release(&holders[c->holder].urgency, c->r.cls, c->r.to, now);
+	c->holder = -1;
+	c->waits = 0;
 	c->next_us = now + (l->by_class ? earliest : ARRIVAL_PAUSE_US);
 	if (!l->by_class && c->next_us <= c->began_us + ARRIVAL_WAIT_US)
 		return 0;
@@ -137,7 +142,7 @@
 		bucket_init(&holders[i].bucket, l->rate / l->holders, l->burst, l->burst, 0);
 	for (now = STEP_US; now < RUN_US; now += STEP_US) {
 		for (i = 0; i < 3; i++) {
-			struct caller c = {{i, id + 1, 0}, 0, now, now, now, -1};
+			struct caller c = {{i, id + 1, 0}, 0, now, now, now, -1, 0};
 
 			if (g_rand_double(random) >= demand[i] * STEP_US / USEC_PER_SEC)
 				continue;
