Admission: no second call when a refused caller has started one

The callback of a refusal may admit the next request of its caller, which sends a call; the round that goes on after the refusals then must not send another.

--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -536,7 +536,7 @@
 			return;
 		round_settle(t, cls, now);
 		a = first_due(t, cls, now);
-		if (a != NULL)
+		if (a != NULL && !q->in_flight)
 			(void)ask_another(t, cls, a, now);
 		return;
 	}
