Admission: promises given back, unknown times not stated, bounds

Found in review: - A request that was given up, or got a token elsewhere, left its promise at the holder, which kept a token for it until 15 ms after the promised time. It is given back. - A holder whose lease is not confirmed answered "in 2 s", which callers took as retry time although another VM holds the part by then.

Checked: test-shares, with cases for the first two that fail before this change, and one for holders of an older build without tokens: the request is refused after one round.

--- a/src/shares-admit.c
+++ b/src/shares-admit.c
@@ -83,6 +83,8 @@
 	TAILQ_REMOVE(&c->waiting, a, link);
 	c->n_waiting--;
 	a->team->n_waiting--;
+	if (a->place >= 0 && a->due_us > now_us())
+		ask_release(a->team, a->cls, a->place);
 	a->team = NULL;
 }
 
--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -128,18 +128,23 @@
 		  ASK_CLASS_TIMEOUT_US, NULL, NULL);
 }
 
+void ask_release(struct shares_team *t, unsigned cls, int place)
+{
+	struct part_candidate places[SHARES_PLACES_MAX];
+	unsigned n = places_list(t, 0, places);
+
+	if (place < (int)n && places[place].address != NULL)
+		release_at(t, cls, places[place].address);
+}
+
 /** Gives back the token that was promised in this round, if any. */
 static void offer_release(struct shares_team *t, unsigned cls)
 {
-	struct part_candidate places[SHARES_PLACES_MAX];
 	struct shares_ask *q = &t->cls[cls].ask;
-	unsigned n;
 
 	if (q->offer_us == 0)
 		return;
-	n = places_list(t, 0, places);
-	if (q->offer_place < (int)n && places[q->offer_place].address != NULL)
-		release_at(t, cls, places[q->offer_place].address);
+	ask_release(t, cls, q->offer_place);
 	q->offer_us = 0;
 }
 
@@ -299,12 +304,15 @@
 
 /* Rounds */
 
-/** Returns for how long a request can wait for a token that would be the best offer so far. */
+/**
+ * Returns for how long a request can wait for a token that would be the best offer so far. Later
+ * tokens are not told, see tokens_class_received().
+ */
 static int64_t patience_us(const struct shares_ask *q, const struct admission *a, int64_t now)
 {
 	int64_t until = q->offer_us > 0 ? MIN(q->offer_us, a->useful_us) : a->useful_us;
 
-	return until > now ? until - now : 0;
+	return until > now ? MIN(until - now, URGENCY_AHEAD_MAX_US) : 0;
 }
 
 /** Sends ML_TOKENS_CLASS, and what tells an older build from a VM that is out of reach. */
@@ -600,10 +608,30 @@
 	rpc_reply(rq, &res);
 }
 
+/** Returns how many requests that wait on this VM come before one of another VM. */
+static unsigned waiting_ahead(const struct shares_team *t, const struct urgency_request *r,
+			      int64_t now)
+{
+	unsigned n = team_waiting_before(t, r->cls);
+
+	return urgency_promised(t->urgency, r->cls, r->to, now) ? n - t->cls[r->cls].n_waiting : n;
+}
+
+/** Takes a token for a request of another VM, if there is one for its class. */
+static bool class_take(struct shares_team *t, struct urgency_request *r, int64_t now)
+{
+	r->ahead = waiting_ahead(t, r, now);
+	if (!urgency_may_take(t->urgency, &t->bucket, r, now) || !bucket_take(&t->bucket, 1, now))
+		return false;
+	urgency_taken(t->urgency, r, now);
+	return true;
+}
+
 /** Grants tokens to another VM, or tells it when one will be available. */
 static void class_grant(struct shares_team *t, const ml_tokens_class_args *a, uint64_t conn,
 			ml_tokens_class_res *res)
 {
+	int64_t patience = (int64_t)MIN(a->patience_us, (u_quad_t)URGENCY_AHEAD_MAX_US);
 	int64_t now = now_us();
 	struct urgency *u = team_urgency(t, now);
 	struct urgency_request r = {.cls = urgency_class(a->priority), .to = conn};
@@ -612,22 +640,17 @@
 		urgency_release(u, r.cls, conn, now);
 		return;
 	}
-	r.ahead = team_waiting_before(t, r.cls);
-	if (urgency_promised(u, r.cls, conn, now))
-		r.ahead -= t->cls[r.cls].n_waiting;
 	urgency_seen(u, r.cls, now);
 	if (!team_by_class(t)) {
 		res->granted = team_grant(t, a->want, now);
 		return;
 	}
-	while (res->granted < a->want && urgency_may_take(u, &t->bucket, &r, now) &&
-	       bucket_take(&t->bucket, 1, now)) {
-		urgency_taken(u, &r, now);
+	while (res->granted < a->want && class_take(t, &r, now))
 		res->granted++;
-	}
-	if (res->granted < a->want)
-		res->next_us = (u_quad_t)urgency_answer_us(u, &t->bucket, &r,
-							   (int64_t)MIN(a->patience_us, INT64_MAX),
+	/* A VM that may not spend tokens now does not know when it may, or which VM will instead.
+	 */
+	if (res->granted < a->want && t->bucket.rate > 0)
+		res->next_us = (u_quad_t)urgency_answer_us(u, &t->bucket, &r, patience,
 							   t->part.per_dc, now);
 }
 
--- a/src/shares-state.h
+++ b/src/shares-state.h
@@ -176,6 +176,8 @@
  * are refused.
  */
 void ask_continue(struct shares_team *t, int64_t now);
+/** Tells the holder of the place that a token it promised will not be taken. */
+void ask_release(struct shares_team *t, unsigned cls, int place);
 /** Returns whether a round of any class is in progress. */
 bool ask_in_progress(const struct shares_team *t);
 /** Returns whether most recent rounds of the class satisfied every request. */
