Admission: every class notices that a holder is of an older build

Cause: a call of ML_TOKENS_CLASS that ended after another class had found its VM to be of an older build stayed "in flight", and its class asked nobody for the rest of the process's life unless another place was left. A call that takes long also made the VM slow again at every tick after it had answered another call.

Change: such a call is repeated by the old method, and makes the VM slow once.

Checked: test-shares, with a new case that fails before this change (the class was refused), three runs; lint.

--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -253,6 +253,21 @@
 	answered(c, status, status == RPC_DONE ? res->granted : 0, 0);
 }
 
+/** Ends the call if it is still in flight, and asks the same VM again, by the old method. */
+static void ask_again(const struct ask *c, int64_t now)
+{
+	struct shares_team *t = shares_team(c->s, c->team);
+	struct shares_ask *q = t != NULL ? &t->cls[c->cls].ask : NULL;
+
+	holder_vm(c->s, c->address)->slow_until_us = 0;
+	if (q == NULL || q->call != c->call || !q->in_flight)
+		return;
+	q->in_flight = false;
+	q->call++;
+	q->tried &= ~(UINT64_C(1) << c->place);
+	ask_continue(t, now);
+}
+
 static void tokens_class_received(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_tokens_class_res *res = arg_res;
@@ -265,6 +280,7 @@
 		answered(c, status, res->granted,
 			 (int64_t)MIN(res->next_us, (uint64_t)URGENCY_AHEAD_MAX_US));
 	} else if (h->older_until_us > now_us()) {
+		ask_again(c, now_us());
 		g_free(c);
 	} else {
 		log_info("tokens-class-unanswered", LOG_STR("address", c->address),
@@ -283,22 +299,15 @@
 static void build_received(enum rpc_status status, const void *res, void *arg)
 {
 	struct ask *c = arg;
-	struct shares_team *t = shares_team(c->s, c->team);
 	struct holder_vm *h = holder_vm(c->s, c->address);
-	struct shares_ask *q = t != NULL ? &t->cls[c->cls].ask : NULL;
 	int64_t now = now_us();
 
 	if (status == RPC_DONE && !h->knows_classes && h->older_until_us <= now) {
 		log_info("tokens-class-older-build", LOG_STR("address", c->address));
 		h->older_until_us = now + OLDER_BUILD_US;
-		h->slow_until_us = 0;
-	}
-	if (status == RPC_DONE && q != NULL && q->call == c->call && q->in_flight) {
-		q->in_flight = false;
-		q->call++;
-		q->tried &= ~(UINT64_C(1) << c->place);
-		ask_continue(t, now);
 	}
+	if (status == RPC_DONE)
+		ask_again(c, now);
 	g_free(c);
 }
 
@@ -511,7 +520,8 @@
 	const struct admission *a = first_due(t, cls, now);
 	unsigned n = places_list(t, q->tried, places);
 
-	if (q->place < n && places[q->place].address != NULL)
+	/* Once for each call: it may answer another one before this call ends. */
+	if (q->place < n && places[q->place].address != NULL && !places[q->place].tried)
 		holder_vm(t->s, places[q->place].address)->slow_until_us =
 			q->sent_us + ASK_TIMEOUT_US;
 	q->tried |= UINT64_C(1) << q->place;
--- a/tests/test-shares.c
+++ b/tests/test-shares.c
@@ -617,6 +617,30 @@
 	CU_ASSERT_EQUAL(holder.class_calls, 1);
 }
 
+/*
+ * Guards against a class that never asks again after a call to a VM that turned out to be of an
+ * older build by the call of another class.
+ */
+static void test_each_class_notices_that_a_holder_became_an_older_build(void)
+{
+	struct request r[3];
+	struct world w;
+
+	world_open_classes(&w);
+	holder.silent = true;
+	holder.tokens = 2;
+	request_class(&w, &r[0], 0);
+	run_ms(&w, 50);
+	request_class(&w, &r[1], 1);
+	wait_verdict(&w, &r[0]);
+	peers_record_contact(peers_find(&fleet_of(w.k)->peers, "vm-2"), 9, 0);
+	request_class(&w, &r[2], 2);
+	wait_verdict(&w, &r[2]);
+	wait_verdict(&w, &r[1]);
+	CHECK(r[1].verdict == 1 && r[2].verdict == 1, "%d %d calls %u class %u", r[1].verdict,
+	      r[2].verdict, holder.calls, holder.class_calls);
+}
+
 /** Checks that a request is refused within @a ms, with a retry time while its caller retries. */
 static void check_refused(struct world *w, int ms)
 {
@@ -796,6 +820,8 @@
 	 test_requests_are_refused_after_a_round_of_older_builds},
 	{"a_holder_of_an_older_build_is_asked_by_the_old_method",
 	 test_a_holder_of_an_older_build_is_asked_by_the_old_method},
+	{"each_class_notices_that_a_holder_became_an_older_build",
+	 test_each_class_notices_that_a_holder_became_an_older_build},
 	{"requests_are_refused_when_the_holder_is_cut_off",
 	 test_requests_are_refused_when_the_holder_is_cut_off},
 	{"a_holder_out_of_reach_is_not_taken_for_an_older_build",
