Owner: a VM whose store does not answer reads the record before it claims again

Cause: with [paths] relay on, reports of an unreachable owner reach VMs that do not reach the store either. Each of them claimed the group over and over: a write of unknown outcome, a read that fails, and the next claim 100 ms later.

Change: after a failed call a VM that is not the owner reads the record again before it claims. While the store does not answer it, nothing is written.

Checked: the new case of test-owner-reach fails without the change (one commit too many) and passes with it; test-owner-reach (8), test-owner (30), test-change (4), test-lead (7), test-reach (6), test-relay (4); make lint.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -401,6 +401,9 @@
 	struct vm *vm;
 
 	g->store_failed_us = now_us();
+	/* Without the store a claim takes 1.2 s to fail, so the record is read before the next. */
+	if (is_relay_on(g) && !owner_group_is_own(g))
+		g->record_loaded = false;
 	if (!is_reported(g, g->store_failed_us))
 		return;
 	vm = random_peer(owner_group_fleet(g));
--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -200,6 +200,35 @@
 	world_close(&w);
 }
 
+/* Guards against repeated claims, of unknown outcome, by VMs that do not reach the store. */
+static void test_a_vm_without_the_store_reads_before_it_claims_again(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->revision = 3;
+	g->record_loaded = true;
+	g->owner_lost = true;
+	g->unreachable_reported_us = now_us();
+	fake.store_refuses = true;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(fake.n_commits == 1 && g->state == OWNER_NONE);
+	g->next_call_us = 0;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, 1);
+	CU_ASSERT_EQUAL(g->state, OWNER_NONE);
+	/* The record was read. */
+	fake.store_refuses = false;
+	g->record_loaded = true;
+	g->next_call_us = 0;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, 2);
+	world_close(&w);
+}
+
 /* Guards against a group without an owner after a lease, or a choice, that the store missed. */
 static void test_an_owner_without_the_store_invites_others(void)
 {
@@ -232,6 +261,8 @@
 	{"an_invitation_is_not_followed_later", test_an_invitation_is_not_followed_later},
 	{"a_report_is_passed_on_while_the_store_does_not_answer",
 	 test_a_report_is_passed_on_while_the_store_does_not_answer},
+	{"a_vm_without_the_store_reads_before_it_claims_again",
+	 test_a_vm_without_the_store_reads_before_it_claims_again},
 	{"an_owner_without_the_store_invites_others",
 	 test_an_owner_without_the_store_invites_others},
 };
