Owner: a report of an unreachable owner is passed on once

Cause: with [paths] relay on, a VM whose store does not answer passed a report on every 200 ms while the report was fresh (1 s), to a random VM, which did the same. One report became several.

Change: each received report is passed on at most once. Without the setting nothing changes.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -351,14 +351,15 @@
 	g_free(r);
 }
 
-static void report_send(struct owner_group *g, const char *address)
+/** Reports that the owner is unreachable. @return false within a pause after the last report */
+static bool report_send(struct owner_group *g, const char *address)
 {
 	ml_owner args = {
 		.pool = g->pool, .vm = "", .address = "", .primary = "", .unreachable = true};
 	struct report *r;
 
 	if (now_us() - g->report_sent_us < REPORT_PAUSE_US)
-		return;
+		return false;
 	g->report_sent_us = now_us();
 	log_info("owner-unreachable", LOG_STR("pool", g->pool),
 		 LOG_STR("owner", g->record.owner.name), LOG_REVISION("revision", g->revision),
@@ -369,6 +370,7 @@
 	g_strlcpy(r->address, address, sizeof(r->address));
 	rpc_start(rpc_of(g->o->service.kernel), r->address, ML_OWNER, &args, QUERY_TIMEOUT_US,
 		  report_answered, r);
+	return true;
 }
 
 void owner_report_unreachable(struct owner *o, const char *pool)
@@ -396,19 +398,30 @@
 	return chosen;
 }
 
-void claim_store_failed(struct owner_group *g)
+/**
+ * Passes a received report on to another VM. With the setting "relay" each report is passed on
+ * once: a third of the VMs reach the store, so that it is passed on three times before one acts on
+ * it, whereas several copies for each one received would reach all VMs.
+ */
+static void pass_report_on(struct owner_group *g, int64_t now)
 {
-	struct vm *vm;
+	const struct vm *vm;
+
+	if (!is_reported(g, now) ||
+	    (is_relay_on(g) && g->report_passed_us >= g->unreachable_reported_us))
+		return;
+	vm = random_peer(owner_group_fleet(g));
+	if (vm != NULL && report_send(g, vm->address))
+		g->report_passed_us = now;
+}
 
+void claim_store_failed(struct owner_group *g)
+{
 	g->store_failed_us = now_us();
 	/* Without the store a claim takes 1.2 s to fail, so the record is read before the next. */
 	if (is_relay_on(g) && !owner_group_is_own(g))
 		g->record_loaded = false;
-	if (!is_reported(g, g->store_failed_us))
-		return;
-	vm = random_peer(owner_group_fleet(g));
-	if (vm != NULL)
-		report_send(g, vm->address);
+	pass_report_on(g, g->store_failed_us);
 }
 
 /** Takes a report that the owner is unreachable. Passes it on if the store refuses this VM. */
@@ -480,19 +493,14 @@
 }
 
 /**
- * Passes a report of an unreachable owner to another VM if the store does not answer this one. The
- * call would otherwise be waited for until its time limit, while other VMs may reach the store.
+ * Passes a report of an unreachable owner on if the store does not answer this VM. The call would
+ * otherwise be waited for until its time limit, while other VMs may reach the store.
  */
-static void pass_report_on(struct owner_group *g, int64_t now)
+static void check_store_slow(struct owner_group *g, int64_t now)
 {
-	const struct vm *vm;
-
-	if (!is_relay_on(g) || !g->record_busy || now - g->record_busy_us < STORE_SLOW_US ||
-	    !is_reported(g, now) || owner_group_is_own(g))
-		return;
-	vm = random_peer(owner_group_fleet(g));
-	if (vm != NULL)
-		report_send(g, vm->address);
+	if (is_relay_on(g) && g->record_busy && now - g->record_busy_us >= STORE_SLOW_US &&
+	    !owner_group_is_own(g))
+		pass_report_on(g, now);
 }
 
 /**
@@ -562,7 +570,7 @@
 	if (!g->configured || g->o->leaving)
 		return false;
 	check_invitation(g, now);
-	pass_report_on(g, now);
+	check_store_slow(g, now);
 	invite_before_lease_ends(g, now);
 	if (g->record_busy || now < g->next_call_us)
 		return true;
--- a/src/owner.h
+++ b/src/owner.h
@@ -231,6 +231,7 @@
 	bool owner_query_pending;  /**< a request to the owner is in flight */
 	int64_t unreachable_reported_us; /**< last report of another VM; 0: never */
 	int64_t report_sent_us;		 /**< when this VM last reported the owner unreachable */
+	int64_t report_passed_us;	 /**< when it last passed on a report of another VM */
 	int64_t store_failed_us; /**< when the last read of the record failed; 0: it succeeded */
 	bool invited;		 /**< the owner has asked this VM to claim the group */
 	uint64_t newer_revision; /**< revision of a newer record, announced by its writer */
--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -200,6 +200,33 @@
 	world_close(&w);
 }
 
+/* Guards against reports that reach all VMs, each of which sends several on for one it received. */
+static void test_a_report_is_passed_on_once(void)
+{
+	struct owner_group *g;
+	struct world w;
+	int64_t sent_us;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->unreachable_reported_us = now_us() - 500 * USEC_PER_MSEC;
+	claim_store_failed(g);
+	CU_ASSERT_TRUE(g->report_sent_us != 0);
+	/* The pause between two reports has passed. */
+	sent_us = g->report_sent_us = now_us() - 300 * USEC_PER_MSEC;
+	claim_store_failed(g);
+	g->record_busy = true;
+	g->record_busy_us = now_us() - 300 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->report_sent_us, sent_us);
+	/* Another one is received. */
+	g->unreachable_reported_us = now_us();
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->report_sent_us != sent_us);
+	world_close(&w);
+}
+
 /* Guards against repeated claims, of unknown outcome, by VMs that do not reach the store. */
 static void test_a_vm_without_the_store_reads_before_it_claims_again(void)
 {
@@ -261,6 +288,7 @@
 	{"an_invitation_is_not_followed_later", test_an_invitation_is_not_followed_later},
 	{"a_report_is_passed_on_while_the_store_does_not_answer",
 	 test_a_report_is_passed_on_while_the_store_does_not_answer},
+	{"a_report_is_passed_on_once", test_a_report_is_passed_on_once},
 	{"a_vm_without_the_store_reads_before_it_claims_again",
 	 test_a_vm_without_the_store_reads_before_it_claims_again},
 	{"an_owner_without_the_store_invites_others",
