Reach: questions about a receiver that nobody reaches become rare

Cause: a VM without a path to an owner asked two VMs every 100 ms for as long as callers wanted the owner.

Change: after 8 rounds (16 VMs) without a path the pause is 1 s. It is short again when the receiver is reached or was not asked about for 3 s.

--- a/decide/reach.c
+++ b/decide/reach.c
@@ -53,7 +53,10 @@
 
 void reach_received(struct reach *r, const char *address, int64_t now_us)
 {
-	use(r, address, now_us)->received_us = now_us;
+	struct reach_entry *e = use(r, address, now_us);
+
+	e->received_us = now_us;
+	e->rounds = 0;
 }
 
 void reach_failed(struct reach *r, const char *address, int64_t now_us)
@@ -87,6 +90,7 @@
 	reach_received(r, via, now_us);
 	e = use(r, to, now_us);
 	copy_address(e->via, via);
+	e->rounds = 0;
 	e->via_until_us = now_us + REACH_PATH_US;
 }
 
@@ -131,10 +135,15 @@
 bool reach_may_ask(struct reach *r, const char *to, int64_t now_us)
 {
 	struct reach_entry *e = use(r, to, now_us);
+	int64_t pause_us;
 
-	if ((e->asked_us != 0 && now_us - e->asked_us < REACH_ASK_PAUSE_US) ||
+	if (now_us - e->asked_us > REACH_ASK_FORGET_US)
+		e->rounds = 0;
+	pause_us = e->rounds < REACH_ASK_ROUNDS ? REACH_ASK_PAUSE_US : REACH_ASK_LONG_PAUSE_US;
+	if ((e->asked_us != 0 && now_us - e->asked_us < pause_us) ||
 	    (r->asked_us != 0 && now_us - r->asked_us < REACH_ASK_ANY_PAUSE_US))
 		return false;
+	e->rounds++;
 	e->asked_us = r->asked_us = now_us;
 	return true;
 }
--- a/decide/reach.h
+++ b/decide/reach.h
@@ -28,6 +28,14 @@
 #define REACH_ASK_PAUSE_US (100 * USEC_PER_MSEC)
 /** Pause between two questions for different receivers, which bounds the cost of many lost ones. */
 #define REACH_ASK_ANY_PAUSE_US (50 * USEC_PER_MSEC)
+/**
+ * After this many rounds of questions without a path, that is 16 VMs, the pause is longer. The
+ * receiver is most likely behind a partition then, and each question costs three VMs a message.
+ */
+#define REACH_ASK_ROUNDS 8
+#define REACH_ASK_LONG_PAUSE_US (1 * USEC_PER_SEC)
+/** A receiver that nobody asked about for this long is asked about as if for the first time. */
+#define REACH_ASK_FORGET_US (3 * USEC_PER_SEC)
 /** How long a VM that does not reach a receiver is not asked to relay. */
 #define REACH_REFUSED_US (500 * USEC_PER_MSEC)
 /** How long a VM that did not answer a question, as one of an older build, is not asked again. */
@@ -44,6 +52,7 @@
 	int64_t failed_us;	/**< when a call to it last failed */
 	int64_t unfit_until_us; /**< not asked to relay before this time */
 	int64_t asked_us;	/**< when another VM was last asked to relay to it */
+	unsigned rounds;	/**< rounds of questions since it was last reached */
 	unsigned asking;	/**< VMs that have not answered yet whether they relay to it */
 	char via[ADDRESS_SIZE]; /**< relay that last reached it; "" for none */
 	int64_t via_until_us;	/**< until when that relay is used */
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -123,6 +123,27 @@
 	}
 }
 
+/* Guards against questions without end about a receiver that nobody reaches. */
+static void test_questions_without_a_path_become_rare(void)
+{
+	const int64_t second = USEC_PER_SEC, tick = 10 * USEC_PER_MSEC;
+	unsigned asked[12] = {0};
+	struct reach r = {0};
+	int64_t t;
+
+	for (t = 0; t < 12 * second; t += tick) {
+		if (t == 6 * second)
+			reach_path(&r, "owner", "relay", START_US + t);
+		/* Nothing is sent to it for longer than REACH_ASK_FORGET_US. */
+		if (t < 7 * second || t >= 11 * second)
+			asked[t / second] += reach_may_ask(&r, "owner", START_US + t);
+	}
+	CHECK(asked[0] == REACH_ASK_ROUNDS, "%u rounds in the first second", asked[0]);
+	for (t = 1; t < 6; t++)
+		CHECK(asked[t] == 1, "%u rounds in second %d", asked[t], (int)t);
+	CU_ASSERT_TRUE(asked[6] >= REACH_ASK_ROUNDS && asked[11] >= REACH_ASK_ROUNDS);
+}
+
 /* Guards against loops, and against work for a caller who has gone. */
 static void test_what_a_relay_refuses(void)
 {
@@ -204,6 +225,7 @@
 	{"a_path_of_one_extra_hop_is_found_within_two_seconds",
 	 test_a_path_of_one_extra_hop_is_found_within_two_seconds},
 	{"a_write_is_relayed_at_most_once", test_a_write_is_relayed_at_most_once},
+	{"questions_without_a_path_become_rare", test_questions_without_a_path_become_rare},
 	{"what_a_relay_refuses", test_what_a_relay_refuses},
 	{"witnesses_are_of_different_data_centers", test_witnesses_are_of_different_data_centers},
 	{"the_heir_reaches_the_primary", test_the_heir_reaches_the_primary},
