Relay: a path is kept until other VMs are asked anew

Cause: relay_ask_again() dropped the known path also within the pause after a question, when nobody is asked. The VM that is to claim a group asks so each 200 ms, and several groups share the pause of 50 ms: it then took an owner that others reach for gone, and claimed the group from it.

Change: the path is dropped only when VMs are asked.

Checked: the new case of test-relay fails without the change; test-relay (5), test-reach (7); make lint.

--- a/src/relay.c
+++ b/src/relay.c
@@ -208,14 +208,14 @@
 	struct relay *r = relay_of(k);
 	char via[ADDRESS_SIZE];
 
-	if (!relay_enabled(k) || strcmp(to, k->settings->advertise) == 0)
+	if (!relay_enabled(k) || strcmp(to, k->settings->advertise) == 0 ||
+	    !reach_may_ask(&r->reach, to, now_us()))
 		return;
 	if (reach_via(&r->reach, to, now_us()) != NULL) {
 		g_strlcpy(via, reach_via(&r->reach, to, now_us()), sizeof(via));
 		reach_no_path(&r->reach, to, via, 0, now_us());
 	}
-	if (reach_may_ask(&r->reach, to, now_us()))
-		ask_relays(r, to);
+	ask_relays(r, to);
 }
 
 bool relay_reaches(struct kernel *k, const char *to)
--- a/src/relay.h
+++ b/src/relay.h
@@ -36,7 +36,10 @@
 bool relay_is_lost(struct kernel *k, const char *address);
 /** Looks for a VM that reaches @a to, and asks others if none is known. */
 enum relay_way relay_find(struct kernel *k, const char *to);
-/** Asks other VMs anew whether they reach @a to; what they said before is not used any more. */
+/**
+ * Asks other VMs anew whether they reach @a to; what they said before is not used any more. Within
+ * the pause after a question nothing is asked, and the last answer remains in use.
+ */
 void relay_ask_again(struct kernel *k, const char *to);
 /** Whether another VM has answered lately that it reaches @a to. */
 bool relay_reaches(struct kernel *k, const char *to);
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -160,6 +160,22 @@
 	close_all();
 }
 
+/* Guards against a claim by a VM that drops what it knows and has not asked anew yet. */
+static void test_a_path_is_kept_until_others_are_asked(void)
+{
+	open_all();
+	CU_ASSERT_EQUAL(find_way(), RELAY_KNOWN);
+	/* VMs were asked a moment ago, so they are not asked now. */
+	relay_ask_again(node[ENTRY].k, TO);
+	CU_ASSERT_TRUE(relay_reaches(node[ENTRY].k, TO));
+	run_ms(150);
+	relay_ask_again(node[ENTRY].k, TO);
+	CU_ASSERT_FALSE(relay_reaches(node[ENTRY].k, TO));
+	run_ms(50);
+	CU_ASSERT_TRUE(relay_reaches(node[ENTRY].k, TO));
+	close_all();
+}
+
 /* Guards against a write with an unknown outcome at a VM that does not know the message. */
 static void test_no_statement_is_sent_to_a_vm_of_an_older_build(void)
 {
@@ -233,6 +249,7 @@
 
 static const struct test_case cases[] = {
 	{"a_statement_goes_through_a_third_vm", test_a_statement_goes_through_a_third_vm},
+	{"a_path_is_kept_until_others_are_asked", test_a_path_is_kept_until_others_are_asked},
 	{"no_statement_is_sent_to_a_vm_of_an_older_build",
 	 test_no_statement_is_sent_to_a_vm_of_an_older_build},
 	{"what_is_known_after_a_loss", test_what_is_known_after_a_loss},
