Relay: a lost VM is not called for each question about it

Cause: a VM that was asked whether it reaches an owner called that owner for up to 200 ms if it had not heard of it, for each VM that asked, and did not keep what it learned.

Change: how the call ended is recorded, and for 500 ms after a failed one the answer is no without a call.

Checked: the new case of test-relay fails without the change; test-relay (6), test-reach (7), test-owner-reach (9); make lint.

--- a/decide/reach.c
+++ b/decide/reach.c
@@ -70,10 +70,16 @@
 	}
 }
 
-static bool is_lost(const struct reach_entry *e, int64_t now_us)
+/** Whether a call failed within @a within_us, and nothing was received since. */
+static bool has_failed(const struct reach_entry *e, int64_t within_us, int64_t now_us)
 {
 	return e->failed_us != 0 && e->failed_us > e->received_us &&
-	       now_us - e->failed_us < REACH_FAILED_US;
+	       now_us - e->failed_us < within_us;
+}
+
+static bool is_lost(const struct reach_entry *e, int64_t now_us)
+{
+	return has_failed(e, REACH_FAILED_US, now_us);
 }
 
 bool reach_is_lost(const struct reach *r, const char *address, int64_t now_us)
@@ -83,6 +89,13 @@
 	return e != NULL && is_lost(e, now_us);
 }
 
+bool reach_has_just_failed(const struct reach *r, const char *address, int64_t now_us)
+{
+	const struct reach_entry *e = find(r, address);
+
+	return e != NULL && has_failed(e, REACH_REFUSED_US, now_us);
+}
+
 void reach_path(struct reach *r, const char *to, const char *via, int64_t now_us)
 {
 	struct reach_entry *e;
--- a/decide/reach.h
+++ b/decide/reach.h
@@ -70,6 +70,8 @@
 void reach_failed(struct reach *r, const char *address, int64_t now_us);
 /** Whether the last call to @a address failed, so that a relay is used instead of a call to it. */
 bool reach_is_lost(const struct reach *r, const char *address, int64_t now_us);
+/** Whether a call to @a address failed so lately that another one would tell nothing new. */
+bool reach_has_just_failed(const struct reach *r, const char *address, int64_t now_us);
 /** Records that @a via reaches @a to. */
 void reach_path(struct reach *r, const char *to, const char *via, int64_t now_us);
 /** Records that @a via did not relay to @a to, and is not asked again for @a pause_us. */
--- a/src/relay.c
+++ b/src/relay.c
@@ -390,14 +390,17 @@
 /** Answers a question after a call has shown whether the receiver is reached. */
 static void asked_contact(enum rpc_status status, const void *res, void *arg)
 {
-	reply_outcome(arg, false, status == RPC_DONE ? OUTCOME_DONE : OUTCOME_NOT_SENT);
+	struct passing *p = arg;
+
+	relay_note_call(p->r->service.kernel, p->args->to, status == RPC_DONE);
+	reply_outcome(p, false, status == RPC_DONE ? OUTCOME_DONE : OUTCOME_NOT_SENT);
 }
 
 static void answer_question(struct passing *p, enum reach_refusal why)
 {
 	ml_owner args = {.pool = "", .vm = "", .address = "", .primary = ""};
 
-	if (why == REACH_UNHEARD)
+	if (why == REACH_UNHEARD && !reach_has_just_failed(&p->r->reach, p->args->to, now_us()))
 		rpc_start(rpc_of(p->r->service.kernel), p->args->to, ML_OWNER, &args,
 			  CONTACT_TIMEOUT_US, asked_contact, p);
 	else
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -19,8 +19,10 @@
 
 static unsigned ran; /**< statements that the owner received */
 static bool owner_is_mute;
-static struct rpc_request *unanswered; /**< request that the mute owner holds */
-static enum rpc_status ended;	       /**< how the statement ended */
+static unsigned contacts; /**< calls that the owner received to find out whether it is reached */
+static struct rpc_request *unanswered_contact; /**< the last of them, if the owner is mute */
+static struct rpc_request *unanswered;	       /**< request that the mute owner holds */
+static enum rpc_status ended;		       /**< how the statement ended */
 static bool done;
 
 static const ml_run_res run_res = {
@@ -34,11 +36,14 @@
 		rpc_reply(rq, &run_res);
 }
 
+static const ml_owner contact_res = {.pool = "", .vm = "", .address = "", .primary = ""};
+
 static void serve_contact(struct rpc_request *rq, const void *args, void *ctx)
 {
-	ml_owner res = {.pool = "", .vm = "", .address = "", .primary = ""};
-
-	rpc_reply(rq, &res);
+	contacts++;
+	unanswered_contact = rq;
+	if (!owner_is_mute)
+		rpc_reply(rq, &contact_res);
 }
 
 static void node_open(struct node *n, const struct vm_listing *l)
@@ -74,7 +79,7 @@
 		node_open(&node[i], l);
 	rpc_serve(rpc_of(node[OWNER].k), ML_RUN, serve_run, NULL);
 	rpc_serve(rpc_of(node[OWNER].k), ML_OWNER, serve_contact, NULL);
-	ran = 0;
+	ran = contacts = 0;
 	owner_is_mute = done = false;
 }
 
@@ -176,6 +181,37 @@
 	close_all();
 }
 
+static void on_question_answered(enum rpc_status status, const void *res, void *arg)
+{
+	done = true;
+	CU_ASSERT_TRUE(status == RPC_DONE &&
+		       ((const ml_relay_res *)res)->run.outcome == OUTCOME_NOT_SENT);
+}
+
+static void ask_relay(int ms)
+{
+	ml_relay_args a = {.to = TO, .via = "entry", .hops = 0, .run = write_args};
+
+	done = false;
+	rpc_start(rpc_of(node[ENTRY].k), node[RELAY].settings.advertise, ML_RELAY, &a, USEC_PER_SEC,
+		  on_question_answered, NULL);
+	run_ms(ms);
+	CU_ASSERT_TRUE(done);
+}
+
+/* Guards against a call of 200 ms to a lost VM for each VM that asks about it. */
+static void test_a_relay_does_not_call_a_lost_vm_for_each_question(void)
+{
+	open_all();
+	owner_is_mute = true;
+	ask_relay(300);
+	CU_ASSERT_EQUAL(contacts, 1);
+	ask_relay(50);
+	CU_ASSERT_EQUAL(contacts, 1);
+	rpc_reply(unanswered_contact, &contact_res);
+	close_all();
+}
+
 /* Guards against a write with an unknown outcome at a VM that does not know the message. */
 static void test_no_statement_is_sent_to_a_vm_of_an_older_build(void)
 {
@@ -250,6 +286,8 @@
 static const struct test_case cases[] = {
 	{"a_statement_goes_through_a_third_vm", test_a_statement_goes_through_a_third_vm},
 	{"a_path_is_kept_until_others_are_asked", test_a_path_is_kept_until_others_are_asked},
+	{"a_relay_does_not_call_a_lost_vm_for_each_question",
+	 test_a_relay_does_not_call_a_lost_vm_for_each_question},
 	{"no_statement_is_sent_to_a_vm_of_an_older_build",
 	 test_no_statement_is_sent_to_a_vm_of_an_older_build},
 	{"what_is_known_after_a_loss", test_what_is_known_after_a_loss},
