Owner: a group that works goes only to a VM that reaches its primary

Cause: with [paths] relay on, an owner that served its callers invited random VMs to claim the group from 2 s before the end of its lease, and when a planned change was not written. A VM that reaches the store but not the primary would have claimed the group and replaced a primary that works; one that reaches neither the callers nor this owner's side would have taken the group up to 2 s before the store may have been back.

Change: an owner in the state serving invites only a VM that answered within the last second that it reaches the primary, asked about just that member; the VM proves that it reaches the store by the claim. VMs are asked 1 s and invited 0.5 s before the lease ends, and for 2 s after it. Answers from before the primary fell silent no longer count as answers about its silence.

Test: an_owner_without_the_store_invites_others demanded an invitation of a random VM 1 s before the end of the lease, which is the fault; it now sets VMs that were asked, 0.4 s before the end, and demands that the one that reaches the primary is invited. The new case holds the rest.

Checked: the new case fails on the old owner-claim.c and on the old owner-watch.c; test-owner-reach (10), test-owner (30), test-change (4), test-lead (7), test-evacuation (4), test-move (5); make lint.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -27,11 +27,15 @@
 /** A call to the store that takes longer may never be answered; usual ones take 20 ms. */
 #define STORE_SLOW_US (200 * USEC_PER_MSEC)
 /**
- * Time before the end of its lease at which an owner invites others. A lease lasts 12 s and is
- * renewed each 2.5 s; a claim takes 100 ms. Earlier invitations would move groups at the end of an
- * outage of the store that their owners outlast.
+ * Time before the end of its lease at which an owner asks others whether they reach its primary,
+ * and at which it invites one that does. An answer takes up to 400 ms, and a claim 100 ms. Earlier
+ * invitations would take a group from callers that only this owner reaches, although the store may
+ * be back before the lease ends.
  */
-#define LEASE_SHORT_US (2 * USEC_PER_SEC)
+#define LEASE_ASK_US (1 * USEC_PER_SEC)
+#define LEASE_SHORT_US (500 * USEC_PER_MSEC)
+/** How long after the end of its lease an owner invites others; they notice it by then. */
+#define LEASE_ENDED_US (2 * USEC_PER_SEC)
 /**
  * A call that fails earlier was refused: the owner's process has ended. One that is lost on its way
  * fails when its time is up.
@@ -466,6 +470,11 @@
 		return;
 	if (is_relay_on(g))
 		to = witness_next(g);
+	/* A VM that does not reach a primary that works would replace it. */
+	if (to == NULL && is_relay_on(g) && g->state == OWNER_SERVING) {
+		witness_refresh(g, now_us());
+		return;
+	}
 	/*
 	 * A random VM, since the store may refuse others too, and the next attempt then asks
 	 * another one.
@@ -509,9 +518,15 @@
  */
 static void invite_before_lease_ends(struct owner_group *g, int64_t now)
 {
-	if (is_relay_on(g) && g->state == OWNER_SERVING && owner_group_is_own(g) &&
-	    fleet_store_lease_until_us(owner_group_fleet(g)) - now < LEASE_SHORT_US)
+	int64_t left_us = fleet_store_lease_until_us(owner_group_fleet(g)) - now;
+
+	if (!is_relay_on(g) || g->state != OWNER_SERVING || !owner_group_is_own(g) ||
+	    left_us > LEASE_ASK_US || left_us < -LEASE_ENDED_US)
+		return;
+	if (left_us < LEASE_SHORT_US)
 		claim_invite(g, "lease-ends");
+	else
+		witness_refresh(g, now);
 }
 
 /**
--- a/src/owner-reach.c
+++ b/src/owner-reach.c
@@ -112,6 +112,14 @@
 		g->others_asked = true;
 }
 
+void witness_refresh(struct owner_group *g, int64_t now)
+{
+	const struct owner_member *m = owner_group_primary(g);
+
+	if (m != NULL && (m->index != g->witnessed || now - g->others_asked_us > REACH_FRESH_US))
+		witness_ask(g, m, now);
+}
+
 /** Returns the VM that the group should go to next, or -1, or REACH_UNDECIDED. */
 static int next_heir(const struct owner_group *g, int64_t now)
 {
@@ -127,9 +135,11 @@
 
 const char *witness_next(struct owner_group *g)
 {
+	const struct owner_member *m = owner_group_primary(g);
 	int heir = now_us() - g->others_asked_us < REACH_FRESH_US ? next_heir(g, now_us()) : -1;
 
-	if (heir < 0)
+	/* They may have been asked about a member that turned out not to be the primary. */
+	if (heir < 0 || (g->state == OWNER_SERVING && (m == NULL || m->index != g->witnessed)))
 		return NULL;
 	g->witness_invited[heir] = true;
 	return g->witness[heir].vm;
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -323,8 +323,10 @@
 		return;
 	s = (struct lead_silence){.unanswered_since_us = m->silent_since_us,
 				  .refused = m->refused,
-				  .others_asked = g->others_asked &&
-						  now - g->others_asked_us < REACH_FRESH_US};
+				  .others_asked =
+					  g->others_asked &&
+					  (!relay || g->others_asked_us >= m->silent_since_us) &&
+					  now - g->others_asked_us < REACH_FRESH_US};
 	switch (lead_judge_primary(&s, now)) {
 	case LEAD_HEALTHY:
 		return;
--- a/src/owner.h
+++ b/src/owner.h
@@ -412,8 +412,8 @@
 /** Asks the owner for its newest mark. */
 void claim_ask_mark(struct owner_group *g, int64_t now);
 /**
- * Asks another VM to claim the group, when the store refuses this VM and a change of primary has to
- * be recorded.
+ * Asks another VM to claim the group, when the store refuses this VM. With the setting "relay" and
+ * while this VM serves the group, it is one that has just answered that it reaches the primary.
  */
 void claim_invite(struct owner_group *g, const char *why);
 /**
@@ -508,6 +508,8 @@
 /* owner-reach.c */
 /** Asks other VMs whether they reach the member @a m. */
 void witness_ask(struct owner_group *g, const struct owner_member *m, int64_t now);
+/** Asks other VMs whether they reach the primary, unless their last answers are still used. */
+void witness_refresh(struct owner_group *g, int64_t now);
 /**
  * Invites a VM that reaches the member asked about to claim the group, one after another.
  * @param since_us since when the group has had no primary that this VM reaches
--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -265,9 +265,10 @@
 	g = serve(&w);
 	claim_tick(g, now_us());
 	CU_ASSERT_EQUAL(g->invited_us, 0);
-	store_source.lease_until_us = now_us() + USEC_PER_SEC;
+	store_source.lease_until_us = now_us() + 400 * USEC_PER_MSEC;
+	set_witnesses(g);
 	claim_tick(g, now_us());
-	CU_ASSERT_TRUE(g->invited_us != 0);
+	CU_ASSERT_TRUE(g->invited_us != 0 && g->witness_invited[1]);
 	g->invited_us = 0;
 	owner_group_set_state(g, OWNER_RECORDING, "test");
 	change_tick(g, now_us());
@@ -278,6 +279,44 @@
 	world_close(&w);
 }
 
+/* Guards against a group that a VM which does not reach its primary takes from one that does. */
+static void test_a_working_group_goes_only_to_a_vm_that_reaches_its_primary(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	g = serve(&w);
+	g->others_asked_us = 0;
+	/* The store may be back before the lease ends. */
+	set_witnesses(g);
+	store_source.lease_until_us = now_us() + 1500 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	g->others_asked_us = g->n_witnesses = 0;
+	store_source.lease_until_us = now_us() + 800 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->n_witnesses == 2 && g->invited_us == 0);
+	store_source.lease_until_us = now_us() + 400 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	claim_invite(g, "planned-change-not-written");
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	/* They were asked about another member. */
+	set_witnesses(g);
+	g->witnessed = 1;
+	claim_invite(g, "planned-change-not-written");
+	CU_ASSERT_TRUE(g->invited_us == 0 && g->witnessed == 0);
+	/* What others answered while the primary worked does not count once it is silent. */
+	set_witnesses(g);
+	g->others_asked = true;
+	g->witness[1].reaches = false;
+	g->first_reached_us = 0;
+	g->others_asked_us -= 700 * USEC_PER_MSEC;
+	g->member[0].silent_since_us = now_us() - 600 * USEC_PER_MSEC;
+	watch_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->state, OWNER_SERVING);
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"a_vm_that_reaches_the_primary_is_invited_without_the_store",
 	 test_a_vm_that_reaches_the_primary_is_invited_without_the_store},
@@ -293,5 +332,7 @@
 	 test_a_vm_without_the_store_reads_before_it_claims_again},
 	{"an_owner_without_the_store_invites_others",
 	 test_an_owner_without_the_store_invites_others},
+	{"a_working_group_goes_only_to_a_vm_that_reaches_its_primary",
+	 test_a_working_group_goes_only_to_a_vm_that_reaches_its_primary},
 };
 HARNESS_MAIN("owner-reach", cases)
