Tests: an owner that others reach is not claimed; a claim after a restore has no time limit

The two cases of [paths] relay that had no test. The first runs an owner that accepts connections and never answers, and a VM that says whether it reaches the owner.

--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -3,6 +3,7 @@
  * An owner whose primary, or whose store, is reached by other VMs only, with the setting "relay".
  */
 #include "harness-owner.h"
+#include "relay.h"
 
 #include <string.h>
 
@@ -317,6 +318,107 @@
 	world_close(&w);
 }
 
+/* Guards against a group that its previous owner leaves alone after a restore of the store. */
+static void test_an_earlier_invitation_does_not_end_the_claim_after_a_restore(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned commits;
+
+	g = serve(&w);
+	/* It had been invited to claim the group that it owns. */
+	g->invited_until_us = now_us() - USEC_PER_SEC;
+	store_source.era.now++;
+	record_read(g);
+	CU_ASSERT_TRUE(g->invited && g->state == OWNER_NONE && g->revision == 0);
+	g->next_call_us = 0;
+	commits = fake.n_commits;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, commits + 1);
+	world_close(&w);
+}
+
+static enum outcome relay_outcome;
+
+static void serve_question(struct rpc_request *rq, const void *args, void *ctx)
+{
+	ml_relay_res res = {
+		.run = {.message = "", .signature = "", .owner = "", .owner_address = ""}};
+
+	res.run.outcome = (int)relay_outcome;
+	rpc_reply(rq, &res);
+}
+
+/** Creates a VM at a free port. It answers while its event loop is run. */
+static struct kernel *peer_open(struct settings *settings, char address[ADDRESS_SIZE])
+{
+	struct kernel *k = kernel_create(settings);
+	int port;
+
+	test_free_ports(&port, 1);
+	g_snprintf(address, ADDRESS_SIZE, "127.0.0.1:%d", port);
+	rpc_service_create(k);
+	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(k), address, NULL));
+	return k;
+}
+
+/** Lets this VM find out whether the owner is gone, after a report that it is not reached. */
+static void check_reported_owner(struct world *w, struct owner_group *g, struct kernel *relay)
+{
+	int64_t until = test_now_ms() + 800;
+
+	g->unreachable_reported_us = now_us();
+	g->owner_asked_us = 0;
+	claim_tick(g, now_us());
+	while (!g->owner_lost && test_now_ms() < until) {
+		event_base_loop(w->k->base, EVLOOP_NONBLOCK);
+		event_base_loop(relay->base, EVLOOP_NONBLOCK);
+		g_usleep(500);
+	}
+	claim_tick(g, now_us());
+}
+
+/* Guards against a group that is taken from an owner which only this VM does not reach. */
+static void test_a_vm_that_alone_does_not_reach_the_owner_does_not_claim(void)
+{
+	static struct settings settings = {.silent_ms = 600, .relay = true};
+	char relay_address[ADDRESS_SIZE], owner_address[ADDRESS_SIZE], record[256];
+	struct vm_listing l[] = {{.name = "vm-1", .address = SELF, .data_center = "dc"},
+				 {.name = "vm-8", .data_center = "dc"},
+				 {.name = "vm-9", .data_center = "dc", .incarnation = 5}};
+	struct store_item item = {
+		.key = FLEET_STORE_PREFIX "group/" POOL, .value = record, .revision = 3};
+	struct kernel *relay, *owner;
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	w.settings.silent_ms = 600;
+	relay_service_create(w.k);
+	relay = peer_open(&settings, relay_address);
+	rpc_serve(rpc_of(relay), ML_RELAY, serve_question, NULL);
+	owner = peer_open(&settings, owner_address);
+	l[1].address = relay_address;
+	l[2].address = owner_address;
+	peers_apply_list(&fleet_of(w.k)->peers, 6, l, G_N_ELEMENTS(l));
+	g_snprintf(record, sizeof(record),
+		   "{\"vm\":\"vm-9\",\"incarnation\":\"5\",\"address\":\"%s\"}", owner_address);
+	store_source.listeners[0].cb(&item, w.o);
+	fake.n_commits = 0;
+
+	relay_outcome = OUTCOME_DONE;
+	check_reported_owner(&w, g, relay);
+	CU_ASSERT_TRUE(!g->owner_lost && fake.n_commits == 0);
+	relay_outcome = OUTCOME_NOT_SENT;
+	check_reported_owner(&w, g, relay);
+	CU_ASSERT_TRUE(fake.n_commits > 0);
+	rpc_free(rpc_of(owner));
+	rpc_free(rpc_of(relay));
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"a_vm_that_reaches_the_primary_is_invited_without_the_store",
 	 test_a_vm_that_reaches_the_primary_is_invited_without_the_store},
@@ -334,5 +436,9 @@
 	 test_an_owner_without_the_store_invites_others},
 	{"a_working_group_goes_only_to_a_vm_that_reaches_its_primary",
 	 test_a_working_group_goes_only_to_a_vm_that_reaches_its_primary},
+	{"an_earlier_invitation_does_not_end_the_claim_after_a_restore",
+	 test_an_earlier_invitation_does_not_end_the_claim_after_a_restore},
+	{"a_vm_that_alone_does_not_reach_the_owner_does_not_claim",
+	 test_a_vm_that_alone_does_not_reach_the_owner_does_not_claim},
 };
 HARNESS_MAIN("owner-reach", cases)
