Relay: a statement whose path has expired is not sent

Cause: a path is looked up when a statement is to be sent and again when it is. If it expired in between, a NULL address was copied (GLib-CRITICAL, which ends the daemon if criticals are fatal) and an entry without an address was kept.

Change: the statement ends as not sent, and nothing is recorded about the path.

--- a/src/relay.c
+++ b/src/relay.c
@@ -265,16 +265,24 @@
 		log_fields(G_LOG_LEVEL_INFO, "relay", fields, G_N_ELEMENTS(fields));
 }
 
-static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+/** Records what the result says about the path. */
+static void note_path(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
 {
 	struct reach *reach = &c->r->reach;
 
+	if (c->via[0] == '\0')
+		return;
 	if (status != RPC_DONE)
 		reach_failed(reach, c->via, now_us());
 	else if (result == RPC_DONE)
 		reach_path(reach, c->to, c->via, now_us());
 	else if (result == RPC_NOT_SENT)
 		reach_no_path(reach, c->to, c->via, REACH_REFUSED_US, now_us());
+}
+
+static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+{
+	note_path(c, status, result);
 	if (result == RPC_DONE)
 		stat_add_class(STAT_RELAY_SERVED, c->priority, 1);
 	else if (result == RPC_LOST)
@@ -309,7 +317,8 @@
 
 	c->r = r;
 	g_strlcpy(c->to, to, sizeof(c->to));
-	g_strlcpy(c->via, via, sizeof(c->via));
+	/* The path may have expired since relay_find(). A call to no address is not sent. */
+	g_strlcpy(c->via, via != NULL ? via : "", sizeof(c->via));
 	c->request = g_strdup(run->request);
 	c->pool = g_strdup(run->pool);
 	c->priority = run->priority;
--- a/tests/test-relay.c
+++ b/tests/test-relay.c
@@ -181,6 +181,18 @@
 	close_all();
 }
 
+/* Guards against an invalid address when a path expires between its choice and its use. */
+static void test_a_statement_without_a_path_is_not_sent(void)
+{
+	GLogLevelFlags fatal = g_log_set_always_fatal(G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+
+	open_all();
+	send_write(50);
+	CU_ASSERT_TRUE(done && ended == RPC_NOT_SENT && ran == 0);
+	close_all();
+	g_log_set_always_fatal(fatal);
+}
+
 static void on_question_answered(enum rpc_status status, const void *res, void *arg)
 {
 	done = true;
@@ -286,6 +298,7 @@
 static const struct test_case cases[] = {
 	{"a_statement_goes_through_a_third_vm", test_a_statement_goes_through_a_third_vm},
 	{"a_path_is_kept_until_others_are_asked", test_a_path_is_kept_until_others_are_asked},
+	{"a_statement_without_a_path_is_not_sent", test_a_statement_without_a_path_is_not_sent},
 	{"a_relay_does_not_call_a_lost_vm_for_each_question",
 	 test_a_relay_does_not_call_a_lost_vm_for_each_question},
 	{"no_statement_is_sent_to_a_vm_of_an_older_build",
