Reach, relay: plain names, one list of VMs, one test of the setting

"heir" is the next owner; "passing" is a request at the relay. The list of VMs to choose from was built in two places, and the setting was looked up in five. No change of behaviour.

Checked: test-owner-reach (12), test-reach (7), test-relay (7), test-owner (30), test-change (4), test-lead (7), test-move (5), test-evacuation (4); make lint.

--- a/decide/reach.c
+++ b/decide/reach.c
@@ -276,18 +276,18 @@
 	return choose_spread(&s, max, out);
 }
 
-int reach_heir(const struct reach_answer *a, unsigned n, int64_t since_first_us)
+int reach_next_owner(const struct reach_answer *a, unsigned n, int64_t since_first_us)
 {
 	bool near_may_answer = false;
-	int heir = -1;
+	int next = -1;
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
 		near_may_answer = near_may_answer || (a[i].near && !a[i].answered);
-		if (a[i].reaches && (heir < 0 || (a[i].near && !a[heir].near)))
-			heir = (int)i;
+		if (a[i].reaches && (next < 0 || (a[i].near && !a[next].near)))
+			next = (int)i;
 	}
-	if (heir >= 0 && !a[heir].near && near_may_answer && since_first_us < NEAR_ANSWER_US)
+	if (next >= 0 && !a[next].near && near_may_answer && since_first_us < NEAR_ANSWER_US)
 		return REACH_UNDECIDED;
-	return heir;
+	return next;
 }
--- a/decide/reach.h
+++ b/decide/reach.h
@@ -156,6 +156,6 @@
  * in the primary's data centre may still answer
  */
 #define REACH_UNDECIDED (-2)
-int reach_heir(const struct reach_answer *a, unsigned n, int64_t since_first_us);
+int reach_next_owner(const struct reach_answer *a, unsigned n, int64_t since_first_us);
 
 #endif
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -257,7 +257,7 @@
 	if (vm == NULL || vm->incarnation != g->succession.incarnation)
 		return;
 	/* An owner that the record names but that does not reach the store would not serve. */
-	if (g->o->service.kernel->settings->relay)
+	if (owner_group_uses_relay(g))
 		claim_invite_vm(g, vm->name, "former-owner-serves");
 	else
 		claim_hand_over(g, vm->name, "former-owner-serves");
@@ -444,8 +444,7 @@
 	struct owner_member *m;
 
 	/* The VM that invited this one does not reach the primary either. */
-	if (!g->o->service.kernel->settings->relay || g->from_invitation ||
-	    now - g->state_us < FIND_ASK_US)
+	if (!owner_group_uses_relay(g) || g->from_invitation || now - g->state_us < FIND_ASK_US)
 		return false;
 	if (g->others_asked_us >= g->state_us)
 		return witness_hand_over(g, g->state_us, now, "primary-not-found");
@@ -480,7 +479,7 @@
 /** Waits for the store, which may not answer this VM. */
 static void await_record(struct owner_group *g, int64_t now)
 {
-	if (g->o->service.kernel->settings->relay && now - g->state_us > RECORD_SLOW_US)
+	if (owner_group_uses_relay(g) && now - g->state_us > RECORD_SLOW_US)
 		claim_invite(g, "record-slow");
 }
 
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -54,11 +54,6 @@
 	char pool[NAME_SIZE];
 };
 
-static bool is_relay_on(const struct owner_group *g)
-{
-	return g->o->service.kernel->settings->relay;
-}
-
 static void owner_query(struct owner_group *g, const char *address, rpc_done cb)
 {
 	ml_owner args = {.pool = g->pool,
@@ -224,7 +219,7 @@
  */
 static bool is_reached_by_others(const struct owner_group *g)
 {
-	return is_relay_on(g) && now_us() - g->owner_asked_us > REFUSED_WITHIN_US &&
+	return owner_group_uses_relay(g) && now_us() - g->owner_asked_us > REFUSED_WITHIN_US &&
 	       relay_reaches(g->o->service.kernel, g->record.address);
 }
 
@@ -412,7 +407,7 @@
 	const struct vm *vm;
 
 	if (!is_reported(g, now) ||
-	    (is_relay_on(g) && g->report_passed_us >= g->unreachable_reported_us))
+	    (owner_group_uses_relay(g) && g->report_passed_us >= g->unreachable_reported_us))
 		return;
 	vm = random_peer(owner_group_fleet(g));
 	if (vm != NULL && report_send(g, vm->address))
@@ -423,7 +418,7 @@
 {
 	g->store_failed_us = now_us();
 	/* Without the store a claim takes 1.2 s to fail, so the record is read before the next. */
-	if (is_relay_on(g) && !owner_group_is_own(g))
+	if (owner_group_uses_relay(g) && !owner_group_is_own(g))
 		g->record_loaded = false;
 	pass_report_on(g, g->store_failed_us);
 }
@@ -452,7 +447,7 @@
 	if (vm == NULL || now - g->invited_us < INVITE_PAUSE_US)
 		return false;
 	g->invited_us = now;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		args.revision = g->revision;
 	log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
 		 LOG_STR("why", why));
@@ -468,10 +463,10 @@
 
 	if (now_us() - g->invited_us < INVITE_PAUSE_US)
 		return;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		to = witness_next(g);
 	/* A VM that does not reach a primary that works would replace it. */
-	if (to == NULL && is_relay_on(g) && g->state == OWNER_SERVING) {
+	if (to == NULL && owner_group_uses_relay(g) && g->state == OWNER_SERVING) {
 		witness_refresh(g, now_us());
 		return;
 	}
@@ -507,8 +502,8 @@
  */
 static void check_store_slow(struct owner_group *g, int64_t now)
 {
-	if (is_relay_on(g) && g->record_busy && now - g->record_busy_us >= STORE_SLOW_US &&
-	    !owner_group_is_own(g))
+	if (owner_group_uses_relay(g) && g->record_busy &&
+	    now - g->record_busy_us >= STORE_SLOW_US && !owner_group_is_own(g))
 		pass_report_on(g, now);
 }
 
@@ -520,7 +515,7 @@
 {
 	int64_t left_us = fleet_store_lease_until_us(owner_group_fleet(g)) - now;
 
-	if (!is_relay_on(g) || g->state != OWNER_SERVING || !owner_group_is_own(g) ||
+	if (!owner_group_uses_relay(g) || g->state != OWNER_SERVING || !owner_group_is_own(g) ||
 	    left_us > LEASE_ASK_US || left_us < -LEASE_ENDED_US)
 		return;
 	if (left_us < LEASE_SHORT_US)
@@ -692,7 +687,7 @@
 	vm = peers_holder(&f->peers, g->role, m->conf.data_center);
 	if (vm == NULL || vm->incarnation == 0 || strcmp(vm->data_center, m->conf.data_center) != 0)
 		return;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		ask_near_primary(g, vm, m);
 	else
 		claim_hand_over(g, vm->name, "near-primary");
@@ -777,7 +772,7 @@
 	ml_owner res = {.pool = "", .vm = "", .address = "", .primary = ""};
 
 	if (g != NULL && a->claim && !owner_group_is_own(g) && !g->o->leaving) {
-		g->invited_until_us = is_relay_on(g) ? now_us() + INVITATION_US : 0;
+		g->invited_until_us = owner_group_uses_relay(g) ? now_us() + INVITATION_US : 0;
 		g->invited_revision = a->revision;
 		/* The known record may be older than the last one the owner has written. */
 		g->invited = true;
--- a/src/owner-reach.c
+++ b/src/owner-reach.c
@@ -6,6 +6,7 @@
 #include "owner.h"
 
 #include "log.h"
+#include "relay.h"
 
 #include <string.h>
 
@@ -83,8 +84,8 @@
 void witness_ask(struct owner_group *g, const struct owner_member *m, int64_t now)
 {
 	const struct peers *peers = &owner_group_fleet(g)->peers;
-	struct reach_vm *vms = g_new0(struct reach_vm, peers->n + 1);
-	bool relay = g->o->service.kernel->settings->relay;
+	struct reach_vm *vms = relay_list_vms(owner_group_fleet(g));
+	bool relay = owner_group_uses_relay(g);
 	unsigned out[OWNER_WITNESSES_MAX], n, i;
 
 	g->reached_by[0] = '\0';
@@ -96,12 +97,6 @@
 	g->witnessed = m->index;
 	g->first_reached_us = 0;
 	memset(g->witness_invited, 0, sizeof(g->witness_invited));
-	for (i = 0; i < peers->n; i++) {
-		const struct vm *vm = peers->order[i];
-
-		vms[i] = (struct reach_vm){vm->address, vm->data_center,
-					   vm != peers->self && peers_usable(vm)};
-	}
 	n = reach_witnesses(vms, peers->n, m->conf.data_center,
 			    relay ? OWNER_WITNESSES_MAX : WITNESSES_WITHOUT_RELAY, random_bits(),
 			    out);
@@ -121,7 +116,7 @@
 }
 
 /** Returns the VM that the group should go to next, or -1, or REACH_UNDECIDED. */
-static int next_heir(const struct owner_group *g, int64_t now)
+static int next_owner(const struct owner_group *g, int64_t now)
 {
 	struct reach_answer left[OWNER_WITNESSES_MAX];
 	unsigned i;
@@ -130,33 +125,33 @@
 		left[i] = g->witness[i];
 		left[i].reaches = left[i].reaches && !g->witness_invited[i];
 	}
-	return reach_heir(left, g->n_witnesses, now - g->first_reached_us);
+	return reach_next_owner(left, g->n_witnesses, now - g->first_reached_us);
 }
 
 const char *witness_next(struct owner_group *g)
 {
 	const struct owner_member *m = owner_group_primary(g);
-	int heir = now_us() - g->others_asked_us < REACH_FRESH_US ? next_heir(g, now_us()) : -1;
+	int next = now_us() - g->others_asked_us < REACH_FRESH_US ? next_owner(g, now_us()) : -1;
 
 	/* They may have been asked about a member that turned out not to be the primary. */
-	if (heir < 0 || (g->state == OWNER_SERVING && (m == NULL || m->index != g->witnessed)))
+	if (next < 0 || (g->state == OWNER_SERVING && (m == NULL || m->index != g->witnessed)))
 		return NULL;
-	g->witness_invited[heir] = true;
-	return g->witness[heir].vm;
+	g->witness_invited[next] = true;
+	return g->witness[next].vm;
 }
 
 bool witness_hand_over(struct owner_group *g, int64_t since_us, int64_t now, const char *why)
 {
-	int heir;
+	int next;
 
 	if (g->first_reached_us == 0 || g->others_asked_us < since_us ||
 	    now - since_us > WITNESS_TIMEOUT_US)
 		return false;
-	heir = next_heir(g, now);
-	if (heir >= 0 && claim_invite_vm(g, g->witness[heir].vm, why))
-		g->witness_invited[heir] = true;
+	next = next_owner(g, now);
+	if (next >= 0 && claim_invite_vm(g, g->witness[next].vm, why))
+		g->witness_invited[next] = true;
 	/* None of them took the group: others are asked. */
-	if (heir == -1 && g->others_pending == 0 && now - g->others_asked_us > REACH_FRESH_US)
+	if (next == -1 && g->others_pending == 0 && now - g->others_asked_us > REACH_FRESH_US)
 		witness_ask(g, &g->member[g->witnessed], now);
 	return true;
 }
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -315,7 +315,7 @@
 
 static void judge_primary(struct owner_group *g, int64_t now)
 {
-	bool relay = g->o->service.kernel->settings->relay;
+	bool relay = owner_group_uses_relay(g);
 	struct owner_member *m = owner_group_primary(g);
 	struct lead_silence s;
 
--- a/src/owner.c
+++ b/src/owner.c
@@ -76,6 +76,11 @@
 	return g_hash_table_lookup(o->by_pool, pool);
 }
 
+bool owner_group_uses_relay(const struct owner_group *g)
+{
+	return g->o->service.kernel->settings->relay;
+}
+
 bool owner_group_is_own(const struct owner_group *g)
 {
 	const struct kernel *k = g->o->service.kernel;
--- a/src/owner.h
+++ b/src/owner.h
@@ -376,6 +376,8 @@
 bool owner_group_is_own(const struct owner_group *g);
 /** Whether this VM may send to the group's primary and trust its answers now. */
 bool owner_group_may_send(const struct owner_group *g);
+/** Whether the setting "relay" is on. */
+bool owner_group_uses_relay(const struct owner_group *g);
 /**
  * Has the timer drive the group until nothing is left to do. Everything that gives a group
  * something to do calls this; a VM owns few of the fleet's groups, and the others cost it nothing.
--- a/src/relay.c
+++ b/src/relay.c
@@ -29,19 +29,19 @@
 #define NOWHERE ""
 
 /** A statement or question that this VM handles for another. */
-struct passing {
-	TAILQ_ENTRY(passing) link;
+struct relay_request {
+	TAILQ_ENTRY(relay_request) link;
 	struct relay *r;
 	struct rpc_request *rq;
 	const ml_relay_args *args; /**< of @a rq */
 };
-TAILQ_HEAD(passings, passing);
+TAILQ_HEAD(relay_requests, relay_request);
 
 struct relay {
 	struct service service;
 	struct reach reach;
-	int64_t contact_sent_us;  /**< when a lost VM was last called */
-	struct passings passings; /**< not answered yet */
+	int64_t contact_sent_us;	/**< when a lost VM was last called */
+	struct relay_requests requests; /**< not answered yet */
 };
 
 static struct relay *relay_of(struct kernel *k)
@@ -141,22 +141,30 @@
 	rpc_start(rpc_of(k), q->via, ML_RELAY, &args, QUESTION_TIMEOUT_US, question_answered, q);
 }
 
+struct reach_vm *relay_list_vms(const struct fleet *f)
+{
+	const struct peers *peers = &f->peers;
+	struct reach_vm *vms = g_new0(struct reach_vm, peers->n + 1);
+	unsigned i;
+
+	for (i = 0; i < peers->n; i++) {
+		const struct vm *vm = peers->order[i];
+
+		vms[i] = (struct reach_vm){vm->address, vm->data_center,
+					   vm != peers->self && peers_usable(vm)};
+	}
+	return vms;
+}
+
 /** Asks some VMs whether they reach @a to. @return whether there was one to ask */
 static bool ask_relays(struct relay *r, const char *to)
 {
 	struct fleet *f = fleet_of(r->service.kernel);
 	const struct vm *receiver = peers_find_address(&f->peers, to);
 	const char *data_center = receiver != NULL ? receiver->data_center : NOWHERE;
-	struct reach_vm *vms = g_new0(struct reach_vm, f->peers.n + 1);
+	struct reach_vm *vms = relay_list_vms(f);
 	unsigned out[REACH_RELAYS_MAX], n, i;
 
-	for (i = 0; i < f->peers.n; i++) {
-		const struct vm *vm = f->peers.order[i];
-
-		vms[i].address = vm->address;
-		vms[i].data_center = vm->data_center;
-		vms[i].usable = vm != f->peers.self && peers_usable(vm);
-	}
 	n = reach_relays(&r->reach, to, data_center, vms, f->peers.n, REACH_RELAYS_MAX,
 			 random_bits(), now_us(), out);
 	for (i = 0; i < n; i++)
@@ -342,16 +350,16 @@
 
 /* The relay */
 
-static void reply(struct passing *p, bool tried, const ml_run_res *run)
+static void reply(struct relay_request *p, bool tried, const ml_run_res *run)
 {
 	ml_relay_res res = {.tried = tried, .run = *run};
 
-	TAILQ_REMOVE(&p->r->passings, p, link);
+	TAILQ_REMOVE(&p->r->requests, p, link);
 	rpc_reply(p->rq, &res);
 	g_free(p);
 }
 
-static void reply_outcome(struct passing *p, bool tried, enum outcome o)
+static void reply_outcome(struct relay_request *p, bool tried, enum outcome o)
 {
 	ml_run_res run = {.outcome = (int)o,
 			  .message = "",
@@ -362,7 +370,7 @@
 	reply(p, tried, &run);
 }
 
-static void refuse(struct passing *p, enum stat_id counter, const char *why)
+static void refuse(struct relay_request *p, enum stat_id counter, const char *why)
 {
 	const ml_relay_args *a = p->args;
 
@@ -399,13 +407,13 @@
 /** Answers a question after a call has shown whether the receiver is reached. */
 static void asked_contact(enum rpc_status status, const void *res, void *arg)
 {
-	struct passing *p = arg;
+	struct relay_request *p = arg;
 
 	relay_note_call(p->r->service.kernel, p->args->to, status == RPC_DONE);
 	reply_outcome(p, false, status == RPC_DONE ? OUTCOME_DONE : OUTCOME_NOT_SENT);
 }
 
-static void answer_question(struct passing *p, enum reach_refusal why)
+static void answer_question(struct relay_request *p, enum reach_refusal why)
 {
 	ml_owner args = {.pool = "", .vm = "", .address = "", .primary = ""};
 
@@ -418,7 +426,7 @@
 
 static void passed_on(enum rpc_status status, const void *res, void *arg)
 {
-	struct passing *p = arg;
+	struct relay_request *p = arg;
 
 	if (status == RPC_DONE)
 		reply(p, true, res);
@@ -438,12 +446,12 @@
 		[REACH_TRANSACTION] = STAT_RELAY_REFUSED_TRANSACTION,
 		[REACH_UNHEARD] = STAT_RELAY_REFUSED_UNHEARD,
 	};
-	struct passing *p = g_new0(struct passing, 1);
+	struct relay_request *p = g_new0(struct relay_request, 1);
 	const ml_relay_args *a = args;
 	enum reach_refusal why;
 
 	p->r = relay;
-	TAILQ_INSERT_TAIL(&p->r->passings, p, link);
+	TAILQ_INSERT_TAIL(&p->r->requests, p, link);
 	p->rq = rq;
 	p->args = a;
 	why = check(p->r, a);
@@ -470,15 +478,15 @@
 
 static bool relay_service_drained(struct service *s)
 {
-	return TAILQ_EMPTY(&((struct relay *)s)->passings);
+	return TAILQ_EMPTY(&((struct relay *)s)->requests);
 }
 
 static void relay_service_stop(struct service *s)
 {
 	struct relay *r = (struct relay *)s;
 
-	while (!TAILQ_EMPTY(&r->passings))
-		reply_outcome(TAILQ_FIRST(&r->passings), true, OUTCOME_LOST);
+	while (!TAILQ_EMPTY(&r->requests))
+		reply_outcome(TAILQ_FIRST(&r->requests), true, OUTCOME_LOST);
 	g_free(r);
 }
 
@@ -494,7 +502,7 @@
 	struct relay *r = g_new0(struct relay, 1);
 
 	r->service.ops = &relay_service_ops;
-	TAILQ_INIT(&r->passings);
+	TAILQ_INIT(&r->requests);
 	kernel_add(k, &r->service);
 	return &r->service;
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -14,6 +14,8 @@
 #include "kernel.h"
 #include "rpc.h"
 
+struct fleet;
+struct reach_vm;
 struct relay_call;
 
 /** Whether there is a way through another VM to a receiver. */
@@ -34,6 +36,8 @@
  * needs it is better sent through another VM.
  */
 bool relay_is_lost(struct kernel *k, const char *address);
+/** Returns all VMs, in the order of peers.order, to choose from; freed with g_free(). */
+struct reach_vm *relay_list_vms(const struct fleet *f);
 /** Looks for a VM that reaches @a to, and asks others if none is known. */
 enum relay_way relay_find(struct kernel *k, const char *to);
 /**
--- a/tests/test-reach.c
+++ b/tests/test-reach.c
@@ -193,16 +193,16 @@
 }
 
 /* Guards against a group that is given to a VM that does not reach its primary. */
-static void test_the_heir_reaches_the_primary(void)
+static void test_the_next_owner_reaches_the_primary(void)
 {
 	struct reach_answer a[3] = {{.near = true}, {.answered = true}, {.answered = true}};
 
-	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), -1);
+	CU_ASSERT_EQUAL(reach_next_owner(a, 3, 0), -1);
 	a[2].reaches = true;
-	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), REACH_UNDECIDED);
-	CU_ASSERT_EQUAL(reach_heir(a, 3, USEC_PER_SEC), 2);
+	CU_ASSERT_EQUAL(reach_next_owner(a, 3, 0), REACH_UNDECIDED);
+	CU_ASSERT_EQUAL(reach_next_owner(a, 3, USEC_PER_SEC), 2);
 	a[0].answered = a[0].reaches = true;
-	CU_ASSERT_EQUAL(reach_heir(a, 3, 0), 0);
+	CU_ASSERT_EQUAL(reach_next_owner(a, 3, 0), 0);
 }
 
 /* Guards against a table that grows with the fleet, and against one that forgets what is in use. */
@@ -228,7 +228,7 @@
 	{"questions_without_a_path_become_rare", test_questions_without_a_path_become_rare},
 	{"what_a_relay_refuses", test_what_a_relay_refuses},
 	{"witnesses_are_of_different_data_centers", test_witnesses_are_of_different_data_centers},
-	{"the_heir_reaches_the_primary", test_the_heir_reaches_the_primary},
+	{"the_next_owner_reaches_the_primary", test_the_next_owner_reaches_the_primary},
 	{"only_addresses_in_use_are_kept", test_only_addresses_in_use_are_kept},
 };
 HARNESS_MAIN("reach", cases)
