Owner: a report does not have the record read again

Cause: the change "a VM whose store does not answer reads the record before it claims again" also applied when a report arrived at a VM that is not listed or whose store failed lately. With tens of reports a second the record would be read again before each claim, and no claim would come.

Change: only a call to the store that failed has the record read again.

Checked: the new case of test-owner-reach fails without the change; test-owner-reach (13), test-reach (7), test-relay (7), test-owner (30), test-change (4), test-lead (7), test-move (5), test-evacuation (4); make lint.

--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -414,13 +414,19 @@
 		g->report_passed_us = now;
 }
 
-void claim_store_failed(struct owner_group *g)
+/** Leaves the group to a VM that reaches the store, which this one does not. */
+static void leave_to_others(struct owner_group *g)
 {
 	g->store_failed_us = now_us();
+	pass_report_on(g, g->store_failed_us);
+}
+
+void claim_store_failed(struct owner_group *g)
+{
 	/* Without the store a claim takes 1.2 s to fail, so the record is read before the next. */
 	if (owner_group_uses_relay(g) && !owner_group_is_own(g))
 		g->record_loaded = false;
-	pass_report_on(g, g->store_failed_us);
+	leave_to_others(g);
 }
 
 /** Takes a report that the owner is unreachable. Passes it on if the store refuses this VM. */
@@ -435,7 +441,7 @@
 		record_outdated(g);
 	if (!listed ||
 	    (g->store_failed_us != 0 && now - g->store_failed_us < STORE_FAILURE_FRESH_US))
-		claim_store_failed(g);
+		leave_to_others(g);
 }
 
 bool claim_invite_vm(struct owner_group *g, const char *to, const char *why)
--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -228,6 +228,26 @@
 	world_close(&w);
 }
 
+/* Guards against a claim that never comes since each of many reports has the record read again. */
+static void test_a_report_does_not_have_the_record_read_again(void)
+{
+	ml_owner a = {.pool = POOL, .vm = "", .address = "", .primary = "", .unreachable = true};
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->revision = a.revision = 3;
+	g->record_loaded = true;
+	g->store_failed_us = now_us() - USEC_PER_SEC;
+	rpc_start(rpc_of(w.k), SELF, ML_OWNER, &a, USEC_PER_SEC, NULL, NULL);
+	world_run_once(&w);
+	CU_ASSERT_TRUE(g->unreachable_reported_us != 0 && g->report_sent_us != 0);
+	CU_ASSERT_TRUE(g->record_loaded);
+	world_close(&w);
+}
+
 /* Guards against repeated claims, of unknown outcome, by VMs that do not reach the store. */
 static void test_a_vm_without_the_store_reads_before_it_claims_again(void)
 {
@@ -430,6 +450,8 @@
 	{"a_report_is_passed_on_while_the_store_does_not_answer",
 	 test_a_report_is_passed_on_while_the_store_does_not_answer},
 	{"a_report_is_passed_on_once", test_a_report_is_passed_on_once},
+	{"a_report_does_not_have_the_record_read_again",
+	 test_a_report_does_not_have_the_record_read_again},
 	{"a_vm_without_the_store_reads_before_it_claims_again",
 	 test_a_vm_without_the_store_reads_before_it_claims_again},
 	{"an_owner_without_the_store_invites_others",
