--- a/decide/reach.c
+++ b/decide/reach.c
@@ -53,7 +53,10 @@
 
 void reach_received(struct reach *r, const char *address, int64_t now_us)
 {
-	use(r, address, now_us)->received_us = now_us;
+	struct reach_entry *e = use(r, address, now_us);
+
+	e->received_us = now_us;
+	e->rounds = 0;
 }
 
 void reach_failed(struct reach *r, const char *address, int64_t now_us)
@@ -67,10 +70,16 @@
 	}
 }
 
-static bool is_lost(const struct reach_entry *e, int64_t now_us)
+/** Whether a call failed within @a within_us, and nothing was received since. */
+static bool has_failed(const struct reach_entry *e, int64_t within_us, int64_t now_us)
 {
 	return e->failed_us != 0 && e->failed_us > e->received_us &&
-	       now_us - e->failed_us < REACH_FAILED_US;
+	       now_us - e->failed_us < within_us;
+}
+
+static bool is_lost(const struct reach_entry *e, int64_t now_us)
+{
+	return has_failed(e, REACH_FAILED_US, now_us);
 }
 
 bool reach_is_lost(const struct reach *r, const char *address, int64_t now_us)
@@ -80,6 +89,13 @@
 	return e != NULL && is_lost(e, now_us);
 }
 
+bool reach_has_just_failed(const struct reach *r, const char *address, int64_t now_us)
+{
+	const struct reach_entry *e = find(r, address);
+
+	return e != NULL && has_failed(e, REACH_REFUSED_US, now_us);
+}
+
 void reach_path(struct reach *r, const char *to, const char *via, int64_t now_us)
 {
 	struct reach_entry *e;
@@ -87,6 +103,7 @@
 	reach_received(r, via, now_us);
 	e = use(r, to, now_us);
 	copy_address(e->via, via);
+	e->rounds = 0;
 	e->via_until_us = now_us + REACH_PATH_US;
 }
 
@@ -131,10 +148,15 @@
 bool reach_may_ask(struct reach *r, const char *to, int64_t now_us)
 {
 	struct reach_entry *e = use(r, to, now_us);
+	int64_t pause_us;
 
-	if ((e->asked_us != 0 && now_us - e->asked_us < REACH_ASK_PAUSE_US) ||
+	if (now_us - e->asked_us > REACH_ASK_FORGET_US)
+		e->rounds = 0;
+	pause_us = e->rounds < REACH_ASK_ROUNDS ? REACH_ASK_PAUSE_US : REACH_ASK_LONG_PAUSE_US;
+	if ((e->asked_us != 0 && now_us - e->asked_us < pause_us) ||
 	    (r->asked_us != 0 && now_us - r->asked_us < REACH_ASK_ANY_PAUSE_US))
 		return false;
+	e->rounds++;
 	e->asked_us = r->asked_us = now_us;
 	return true;
 }
@@ -254,18 +276,18 @@
 	return choose_spread(&s, max, out);
 }
 
-int reach_heir(const struct reach_answer *a, unsigned n, int64_t since_first_us)
+int reach_next_owner(const struct reach_answer *a, unsigned n, int64_t since_first_us)
 {
 	bool near_may_answer = false;
-	int heir = -1;
+	int next = -1;
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
 		near_may_answer = near_may_answer || (a[i].near && !a[i].answered);
-		if (a[i].reaches && (heir < 0 || (a[i].near && !a[heir].near)))
-			heir = (int)i;
+		if (a[i].reaches && (next < 0 || (a[i].near && !a[next].near)))
+			next = (int)i;
 	}
-	if (heir >= 0 && !a[heir].near && near_may_answer && since_first_us < NEAR_ANSWER_US)
+	if (next >= 0 && !a[next].near && near_may_answer && since_first_us < NEAR_ANSWER_US)
 		return REACH_UNDECIDED;
-	return heir;
+	return next;
 }
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -27,11 +27,15 @@
 /** A call to the store that takes longer may never be answered; usual ones take 20 ms. */
 #define STORE_SLOW_US (200 * USEC_PER_MSEC)
 /**
- * Time before the end of its lease at which an owner invites others. A lease lasts 12 s and is
- * renewed each 2.5 s; a claim takes 100 ms. Earlier invitations would move groups at the end of an
- * outage of the store that their owners outlast.
+ * Time before the end of its lease at which an owner asks others whether they reach its primary,
+ * and at which it invites one that does. An answer takes up to 400 ms, and a claim 100 ms. Earlier
+ * invitations would take a group from callers that only this owner reaches, although the store may
+ * be back before the lease ends.
  */
-#define LEASE_SHORT_US (2 * USEC_PER_SEC)
+#define LEASE_ASK_US (1 * USEC_PER_SEC)
+#define LEASE_SHORT_US (500 * USEC_PER_MSEC)
+/** How long after the end of its lease an owner invites others; they notice it by then. */
+#define LEASE_ENDED_US (2 * USEC_PER_SEC)
 /**
  * A call that fails earlier was refused: the owner's process has ended. One that is lost on its way
  * fails when its time is up.
@@ -50,11 +54,6 @@
 	char pool[NAME_SIZE];
 };
 
-static bool is_relay_on(const struct owner_group *g)
-{
-	return g->o->service.kernel->settings->relay;
-}
-
 static void owner_query(struct owner_group *g, const char *address, rpc_done cb)
 {
 	ml_owner args = {.pool = g->pool,
@@ -220,7 +219,7 @@
  */
 static bool is_reached_by_others(const struct owner_group *g)
 {
-	return is_relay_on(g) && now_us() - g->owner_asked_us > REFUSED_WITHIN_US &&
+	return owner_group_uses_relay(g) && now_us() - g->owner_asked_us > REFUSED_WITHIN_US &&
 	       relay_reaches(g->o->service.kernel, g->record.address);
 }
 
@@ -351,14 +350,15 @@
 	g_free(r);
 }
 
-static void report_send(struct owner_group *g, const char *address)
+/** Reports that the owner is unreachable. @return false within a pause after the last report */
+static bool report_send(struct owner_group *g, const char *address)
 {
 	ml_owner args = {
 		.pool = g->pool, .vm = "", .address = "", .primary = "", .unreachable = true};
 	struct report *r;
 
 	if (now_us() - g->report_sent_us < REPORT_PAUSE_US)
-		return;
+		return false;
 	g->report_sent_us = now_us();
 	log_info("owner-unreachable", LOG_STR("pool", g->pool),
 		 LOG_STR("owner", g->record.owner.name), LOG_REVISION("revision", g->revision),
@@ -369,6 +369,7 @@
 	g_strlcpy(r->address, address, sizeof(r->address));
 	rpc_start(rpc_of(g->o->service.kernel), r->address, ML_OWNER, &args, QUERY_TIMEOUT_US,
 		  report_answered, r);
+	return true;
 }
 
 void owner_report_unreachable(struct owner *o, const char *pool)
@@ -396,16 +397,36 @@
 	return chosen;
 }
 
-void claim_store_failed(struct owner_group *g)
+/**
+ * Passes a received report on to another VM. With the setting "relay" each report is passed on
+ * once: a third of the VMs reach the store, so that it is passed on three times before one acts on
+ * it, whereas several copies for each one received would reach all VMs.
+ */
+static void pass_report_on(struct owner_group *g, int64_t now)
 {
-	struct vm *vm;
+	const struct vm *vm;
 
-	g->store_failed_us = now_us();
-	if (!is_reported(g, g->store_failed_us))
+	if (!is_reported(g, now) ||
+	    (owner_group_uses_relay(g) && g->report_passed_us >= g->unreachable_reported_us))
 		return;
 	vm = random_peer(owner_group_fleet(g));
-	if (vm != NULL)
-		report_send(g, vm->address);
+	if (vm != NULL && report_send(g, vm->address))
+		g->report_passed_us = now;
+}
+
+/** Leaves the group to a VM that reaches the store, which this one does not. */
+static void leave_to_others(struct owner_group *g)
+{
+	g->store_failed_us = now_us();
+	pass_report_on(g, g->store_failed_us);
+}
+
+void claim_store_failed(struct owner_group *g)
+{
+	/* Without the store a claim takes 1.2 s to fail, so the record is read before the next. */
+	if (owner_group_uses_relay(g) && !owner_group_is_own(g))
+		g->record_loaded = false;
+	leave_to_others(g);
 }
 
 /** Takes a report that the owner is unreachable. Passes it on if the store refuses this VM. */
@@ -420,7 +441,7 @@
 		record_outdated(g);
 	if (!listed ||
 	    (g->store_failed_us != 0 && now - g->store_failed_us < STORE_FAILURE_FRESH_US))
-		claim_store_failed(g);
+		leave_to_others(g);
 }
 
 bool claim_invite_vm(struct owner_group *g, const char *to, const char *why)
@@ -432,7 +453,7 @@
 	if (vm == NULL || now - g->invited_us < INVITE_PAUSE_US)
 		return false;
 	g->invited_us = now;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		args.revision = g->revision;
 	log_warn("invite", LOG_STR("pool", g->pool), LOG_STR("peer", vm->name),
 		 LOG_STR("why", why));
@@ -448,8 +469,13 @@
 
 	if (now_us() - g->invited_us < INVITE_PAUSE_US)
 		return;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		to = witness_next(g);
+	/* A VM that does not reach a primary that works would replace it. */
+	if (to == NULL && owner_group_uses_relay(g) && g->state == OWNER_SERVING) {
+		witness_refresh(g, now_us());
+		return;
+	}
 	/*
 	 * A random VM, since the store may refuse others too, and the next attempt then asks
 	 * another one.
@@ -477,19 +503,14 @@
 }
 
 /**
- * Passes a report of an unreachable owner to another VM if the store does not answer this one. The
- * call would otherwise be waited for until its time limit, while other VMs may reach the store.
+ * Passes a report of an unreachable owner on if the store does not answer this VM. The call would
+ * otherwise be waited for until its time limit, while other VMs may reach the store.
  */
-static void pass_report_on(struct owner_group *g, int64_t now)
+static void check_store_slow(struct owner_group *g, int64_t now)
 {
-	const struct vm *vm;
-
-	if (!is_relay_on(g) || !g->record_busy || now - g->record_busy_us < STORE_SLOW_US ||
-	    !is_reported(g, now) || owner_group_is_own(g))
-		return;
-	vm = random_peer(owner_group_fleet(g));
-	if (vm != NULL)
-		report_send(g, vm->address);
+	if (owner_group_uses_relay(g) && g->record_busy &&
+	    now - g->record_busy_us >= STORE_SLOW_US && !owner_group_is_own(g))
+		pass_report_on(g, now);
 }
 
 /**
@@ -498,9 +519,15 @@
  */
 static void invite_before_lease_ends(struct owner_group *g, int64_t now)
 {
-	if (is_relay_on(g) && g->state == OWNER_SERVING && owner_group_is_own(g) &&
-	    fleet_store_lease_until_us(owner_group_fleet(g)) - now < LEASE_SHORT_US)
+	int64_t left_us = fleet_store_lease_until_us(owner_group_fleet(g)) - now;
+
+	if (!owner_group_uses_relay(g) || g->state != OWNER_SERVING || !owner_group_is_own(g) ||
+	    left_us > LEASE_ASK_US || left_us < -LEASE_ENDED_US)
+		return;
+	if (left_us < LEASE_SHORT_US)
 		claim_invite(g, "lease-ends");
+	else
+		witness_refresh(g, now);
 }
 
 /**
@@ -559,7 +586,7 @@
 	if (!g->configured || g->o->leaving)
 		return false;
 	check_invitation(g, now);
-	pass_report_on(g, now);
+	check_store_slow(g, now);
 	invite_before_lease_ends(g, now);
 	if (g->record_busy || now < g->next_call_us)
 		return true;
@@ -666,7 +693,7 @@
 	vm = peers_holder(&f->peers, g->role, m->conf.data_center);
 	if (vm == NULL || vm->incarnation == 0 || strcmp(vm->data_center, m->conf.data_center) != 0)
 		return;
-	if (is_relay_on(g))
+	if (owner_group_uses_relay(g))
 		ask_near_primary(g, vm, m);
 	else
 		claim_hand_over(g, vm->name, "near-primary");
@@ -751,7 +778,7 @@
 	ml_owner res = {.pool = "", .vm = "", .address = "", .primary = ""};
 
 	if (g != NULL && a->claim && !owner_group_is_own(g) && !g->o->leaving) {
-		g->invited_until_us = is_relay_on(g) ? now_us() + INVITATION_US : 0;
+		g->invited_until_us = owner_group_uses_relay(g) ? now_us() + INVITATION_US : 0;
 		g->invited_revision = a->revision;
 		/* The known record may be older than the last one the owner has written. */
 		g->invited = true;
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -315,7 +315,7 @@
 
 static void judge_primary(struct owner_group *g, int64_t now)
 {
-	bool relay = g->o->service.kernel->settings->relay;
+	bool relay = owner_group_uses_relay(g);
 	struct owner_member *m = owner_group_primary(g);
 	struct lead_silence s;
 
@@ -323,8 +323,10 @@
 		return;
 	s = (struct lead_silence){.unanswered_since_us = m->silent_since_us,
 				  .refused = m->refused,
-				  .others_asked = g->others_asked &&
-						  now - g->others_asked_us < REACH_FRESH_US};
+				  .others_asked =
+					  g->others_asked &&
+					  (!relay || g->others_asked_us >= m->silent_since_us) &&
+					  now - g->others_asked_us < REACH_FRESH_US};
 	switch (lead_judge_primary(&s, now)) {
 	case LEAD_HEALTHY:
 		return;
--- a/src/owner.h
+++ b/src/owner.h
@@ -234,6 +234,7 @@
 	bool owner_query_pending;  /**< a request to the owner is in flight */
 	int64_t unreachable_reported_us; /**< last report of another VM; 0: never */
 	int64_t report_sent_us;		 /**< when this VM last reported the owner unreachable */
+	int64_t report_passed_us;	 /**< when it last passed on a report of another VM */
 	int64_t store_failed_us; /**< when the last read of the record failed; 0: it succeeded */
 	bool invited;		 /**< the owner has asked this VM to claim the group */
 	uint64_t newer_revision; /**< revision of a newer record, announced by its writer */
@@ -384,6 +385,8 @@
 bool owner_group_is_own(const struct owner_group *g);
 /** Whether this VM may send to the group's primary and trust its answers now. */
 bool owner_group_may_send(const struct owner_group *g);
+/** Whether the setting "relay" is on. */
+bool owner_group_uses_relay(const struct owner_group *g);
 /**
  * Has the timer drive the group until nothing is left to do. Everything that gives a group
  * something to do calls this; a VM owns few of the fleet's groups, and the others cost it nothing.
@@ -420,8 +423,8 @@
 /** Asks the owner for its newest mark. */
 void claim_ask_mark(struct owner_group *g, int64_t now);
 /**
- * Asks another VM to claim the group, when the store refuses this VM and a change of primary has to
- * be recorded.
+ * Asks another VM to claim the group, when the store refuses this VM. With the setting "relay" and
+ * while this VM serves the group, it is one that has just answered that it reaches the primary.
  */
 void claim_invite(struct owner_group *g, const char *why);
 /**
@@ -516,6 +519,8 @@
 /* owner-reach.c */
 /** Asks other VMs whether they reach the member @a m. */
 void witness_ask(struct owner_group *g, const struct owner_member *m, int64_t now);
+/** Asks other VMs whether they reach the primary, unless their last answers are still used. */
+void witness_refresh(struct owner_group *g, int64_t now);
 /**
  * Invites a VM that reaches the member asked about to claim the group, one after another.
  * @param since_us since when the group has had no primary that this VM reaches
--- a/src/relay.c
+++ b/src/relay.c
@@ -29,19 +29,19 @@
 #define NOWHERE ""
 
 /** A statement or question that this VM handles for another. */
-struct passing {
-	TAILQ_ENTRY(passing) link;
+struct relay_request {
+	TAILQ_ENTRY(relay_request) link;
 	struct relay *r;
 	struct rpc_request *rq;
 	const ml_relay_args *args; /**< of @a rq */
 };
-TAILQ_HEAD(passings, passing);
+TAILQ_HEAD(relay_requests, relay_request);
 
 struct relay {
 	struct service service;
 	struct reach reach;
-	int64_t contact_sent_us;  /**< when a lost VM was last called */
-	struct passings passings; /**< not answered yet */
+	int64_t contact_sent_us;	/**< when a lost VM was last called */
+	struct relay_requests requests; /**< not answered yet */
 };
 
 static struct relay *relay_of(struct kernel *k)
@@ -141,22 +141,30 @@
 	rpc_start(rpc_of(k), q->via, ML_RELAY, &args, QUESTION_TIMEOUT_US, question_answered, q);
 }
 
+struct reach_vm *relay_list_vms(const struct fleet *f)
+{
+	const struct peers *peers = &f->peers;
+	struct reach_vm *vms = g_new0(struct reach_vm, peers->n + 1);
+	unsigned i;
+
+	for (i = 0; i < peers->n; i++) {
+		const struct vm *vm = peers->order[i];
+
+		vms[i] = (struct reach_vm){vm->address, vm->data_center,
+					   vm != peers->self && peers_usable(vm)};
+	}
+	return vms;
+}
+
 /** Asks some VMs whether they reach @a to. @return whether there was one to ask */
 static bool ask_relays(struct relay *r, const char *to)
 {
 	struct fleet *f = fleet_of(r->service.kernel);
 	const struct vm *receiver = peers_find_address(&f->peers, to);
 	const char *data_center = receiver != NULL ? receiver->data_center : NOWHERE;
-	struct reach_vm *vms = g_new0(struct reach_vm, f->peers.n + 1);
+	struct reach_vm *vms = relay_list_vms(f);
 	unsigned out[REACH_RELAYS_MAX], n, i;
 
-	for (i = 0; i < f->peers.n; i++) {
-		const struct vm *vm = f->peers.order[i];
-
-		vms[i].address = vm->address;
-		vms[i].data_center = vm->data_center;
-		vms[i].usable = vm != f->peers.self && peers_usable(vm);
-	}
 	n = reach_relays(&r->reach, to, data_center, vms, f->peers.n, REACH_RELAYS_MAX,
 			 random_bits(), now_us(), out);
 	for (i = 0; i < n; i++)
@@ -208,14 +216,14 @@
 	struct relay *r = relay_of(k);
 	char via[ADDRESS_SIZE];
 
-	if (!relay_enabled(k) || strcmp(to, k->settings->advertise) == 0)
+	if (!relay_enabled(k) || strcmp(to, k->settings->advertise) == 0 ||
+	    !reach_may_ask(&r->reach, to, now_us()))
 		return;
 	if (reach_via(&r->reach, to, now_us()) != NULL) {
 		g_strlcpy(via, reach_via(&r->reach, to, now_us()), sizeof(via));
 		reach_no_path(&r->reach, to, via, 0, now_us());
 	}
-	if (reach_may_ask(&r->reach, to, now_us()))
-		ask_relays(r, to);
+	ask_relays(r, to);
 }
 
 bool relay_reaches(struct kernel *k, const char *to)
@@ -265,16 +273,24 @@
 		log_fields(G_LOG_LEVEL_INFO, "relay", fields, G_N_ELEMENTS(fields));
 }
 
-static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+/** Records what the result says about the path. */
+static void note_path(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
 {
 	struct reach *reach = &c->r->reach;
 
+	if (c->via[0] == '\0')
+		return;
 	if (status != RPC_DONE)
 		reach_failed(reach, c->via, now_us());
 	else if (result == RPC_DONE)
 		reach_path(reach, c->to, c->via, now_us());
 	else if (result == RPC_NOT_SENT)
 		reach_no_path(reach, c->to, c->via, REACH_REFUSED_US, now_us());
+}
+
+static void note_result(const struct relay_call *c, enum rpc_status status, enum rpc_status result)
+{
+	note_path(c, status, result);
 	if (result == RPC_DONE)
 		stat_add_class(STAT_RELAY_SERVED, c->priority, 1);
 	else if (result == RPC_LOST)
@@ -309,7 +325,8 @@
 
 	c->r = r;
 	g_strlcpy(c->to, to, sizeof(c->to));
-	g_strlcpy(c->via, via, sizeof(c->via));
+	/* The path may have expired since relay_find(). A call to no address is not sent. */
+	g_strlcpy(c->via, via != NULL ? via : "", sizeof(c->via));
 	c->request = g_strdup(run->request);
 	c->pool = g_strdup(run->pool);
 	c->priority = run->priority;
@@ -333,16 +350,16 @@
 
 /* The relay */
 
-static void reply(struct passing *p, bool tried, const ml_run_res *run)
+static void reply(struct relay_request *p, bool tried, const ml_run_res *run)
 {
 	ml_relay_res res = {.tried = tried, .run = *run};
 
-	TAILQ_REMOVE(&p->r->passings, p, link);
+	TAILQ_REMOVE(&p->r->requests, p, link);
 	rpc_reply(p->rq, &res);
 	g_free(p);
 }
 
-static void reply_outcome(struct passing *p, bool tried, enum outcome o)
+static void reply_outcome(struct relay_request *p, bool tried, enum outcome o)
 {
 	ml_run_res run = {.outcome = (int)o,
 			  .message = "",
@@ -353,7 +370,7 @@
 	reply(p, tried, &run);
 }
 
-static void refuse(struct passing *p, enum stat_id counter, const char *why)
+static void refuse(struct relay_request *p, enum stat_id counter, const char *why)
 {
 	const ml_relay_args *a = p->args;
 
@@ -390,14 +407,17 @@
 /** Answers a question after a call has shown whether the receiver is reached. */
 static void asked_contact(enum rpc_status status, const void *res, void *arg)
 {
-	reply_outcome(arg, false, status == RPC_DONE ? OUTCOME_DONE : OUTCOME_NOT_SENT);
+	struct relay_request *p = arg;
+
+	relay_note_call(p->r->service.kernel, p->args->to, status == RPC_DONE);
+	reply_outcome(p, false, status == RPC_DONE ? OUTCOME_DONE : OUTCOME_NOT_SENT);
 }
 
-static void answer_question(struct passing *p, enum reach_refusal why)
+static void answer_question(struct relay_request *p, enum reach_refusal why)
 {
 	ml_owner args = {.pool = "", .vm = "", .address = "", .primary = ""};
 
-	if (why == REACH_UNHEARD)
+	if (why == REACH_UNHEARD && !reach_has_just_failed(&p->r->reach, p->args->to, now_us()))
 		rpc_start(rpc_of(p->r->service.kernel), p->args->to, ML_OWNER, &args,
 			  CONTACT_TIMEOUT_US, asked_contact, p);
 	else
@@ -406,7 +426,7 @@
 
 static void passed_on(enum rpc_status status, const void *res, void *arg)
 {
-	struct passing *p = arg;
+	struct relay_request *p = arg;
 
 	if (status == RPC_DONE)
 		reply(p, true, res);
@@ -426,12 +446,12 @@
 		[REACH_TRANSACTION] = STAT_RELAY_REFUSED_TRANSACTION,
 		[REACH_UNHEARD] = STAT_RELAY_REFUSED_UNHEARD,
 	};
-	struct passing *p = g_new0(struct passing, 1);
+	struct relay_request *p = g_new0(struct relay_request, 1);
 	const ml_relay_args *a = args;
 	enum reach_refusal why;
 
 	p->r = relay;
-	TAILQ_INSERT_TAIL(&p->r->passings, p, link);
+	TAILQ_INSERT_TAIL(&p->r->requests, p, link);
 	p->rq = rq;
 	p->args = a;
 	why = check(p->r, a);
@@ -458,15 +478,15 @@
 
 static bool relay_service_drained(struct service *s)
 {
-	return TAILQ_EMPTY(&((struct relay *)s)->passings);
+	return TAILQ_EMPTY(&((struct relay *)s)->requests);
 }
 
 static void relay_service_stop(struct service *s)
 {
 	struct relay *r = (struct relay *)s;
 
-	while (!TAILQ_EMPTY(&r->passings))
-		reply_outcome(TAILQ_FIRST(&r->passings), true, OUTCOME_LOST);
+	while (!TAILQ_EMPTY(&r->requests))
+		reply_outcome(TAILQ_FIRST(&r->requests), true, OUTCOME_LOST);
 	g_free(r);
 }
 
@@ -482,7 +502,7 @@
 	struct relay *r = g_new0(struct relay, 1);
 
 	r->service.ops = &relay_service_ops;
-	TAILQ_INIT(&r->passings);
+	TAILQ_INIT(&r->requests);
 	kernel_add(k, &r->service);
 	return &r->service;
 }
--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -3,6 +3,7 @@
  * An owner whose primary, or whose store, is reached by other VMs only, with the setting "relay".
  */
 #include "harness-owner.h"
+#include "relay.h"
 
 #include <string.h>
 
@@ -200,6 +201,82 @@
 	world_close(&w);
 }
 
+/* Guards against reports that reach all VMs, each of which sends several on for one it received. */
+static void test_a_report_is_passed_on_once(void)
+{
+	struct owner_group *g;
+	struct world w;
+	int64_t sent_us;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->unreachable_reported_us = now_us() - 500 * USEC_PER_MSEC;
+	claim_store_failed(g);
+	CU_ASSERT_TRUE(g->report_sent_us != 0);
+	/* The pause between two reports has passed. */
+	sent_us = g->report_sent_us = now_us() - 300 * USEC_PER_MSEC;
+	claim_store_failed(g);
+	g->record_busy = true;
+	g->record_busy_us = now_us() - 300 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->report_sent_us, sent_us);
+	/* Another one is received. */
+	g->unreachable_reported_us = now_us();
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->report_sent_us != sent_us);
+	world_close(&w);
+}
+
+/* Guards against a claim that never comes since each of many reports has the record read again. */
+static void test_a_report_does_not_have_the_record_read_again(void)
+{
+	ml_owner a = {.pool = POOL, .vm = "", .address = "", .primary = "", .unreachable = true};
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->revision = a.revision = 3;
+	g->record_loaded = true;
+	g->store_failed_us = now_us() - USEC_PER_SEC;
+	rpc_start(rpc_of(w.k), SELF, ML_OWNER, &a, USEC_PER_SEC, NULL, NULL);
+	world_run_once(&w);
+	CU_ASSERT_TRUE(g->unreachable_reported_us != 0 && g->report_sent_us != 0);
+	CU_ASSERT_TRUE(g->record_loaded);
+	world_close(&w);
+}
+
+/* Guards against repeated claims, of unknown outcome, by VMs that do not reach the store. */
+static void test_a_vm_without_the_store_reads_before_it_claims_again(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	g->revision = 3;
+	g->record_loaded = true;
+	g->owner_lost = true;
+	g->unreachable_reported_us = now_us();
+	fake.store_refuses = true;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(fake.n_commits == 1 && g->state == OWNER_NONE);
+	g->next_call_us = 0;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, 1);
+	CU_ASSERT_EQUAL(g->state, OWNER_NONE);
+	/* The record was read. */
+	fake.store_refuses = false;
+	g->record_loaded = true;
+	g->next_call_us = 0;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, 2);
+	world_close(&w);
+}
+
 /* Guards against a group without an owner after a lease, or a choice, that the store missed. */
 static void test_an_owner_without_the_store_invites_others(void)
 {
@@ -209,9 +286,10 @@
 	g = serve(&w);
 	claim_tick(g, now_us());
 	CU_ASSERT_EQUAL(g->invited_us, 0);
-	store_source.lease_until_us = now_us() + USEC_PER_SEC;
+	store_source.lease_until_us = now_us() + 400 * USEC_PER_MSEC;
+	set_witnesses(g);
 	claim_tick(g, now_us());
-	CU_ASSERT_TRUE(g->invited_us != 0);
+	CU_ASSERT_TRUE(g->invited_us != 0 && g->witness_invited[1]);
 	g->invited_us = 0;
 	owner_group_set_state(g, OWNER_RECORDING, "test");
 	change_tick(g, now_us());
@@ -222,6 +300,145 @@
 	world_close(&w);
 }
 
+/* Guards against a group that a VM which does not reach its primary takes from one that does. */
+static void test_a_working_group_goes_only_to_a_vm_that_reaches_its_primary(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	g = serve(&w);
+	g->others_asked_us = 0;
+	/* The store may be back before the lease ends. */
+	set_witnesses(g);
+	store_source.lease_until_us = now_us() + 1500 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	g->others_asked_us = g->n_witnesses = 0;
+	store_source.lease_until_us = now_us() + 800 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(g->n_witnesses == 2 && g->invited_us == 0);
+	store_source.lease_until_us = now_us() + 400 * USEC_PER_MSEC;
+	claim_tick(g, now_us());
+	claim_invite(g, "planned-change-not-written");
+	CU_ASSERT_EQUAL(g->invited_us, 0);
+	/* They were asked about another member. */
+	set_witnesses(g);
+	g->witnessed = 1;
+	claim_invite(g, "planned-change-not-written");
+	CU_ASSERT_TRUE(g->invited_us == 0 && g->witnessed == 0);
+	/* What others answered while the primary worked does not count once it is silent. */
+	set_witnesses(g);
+	g->others_asked = true;
+	g->witness[1].reaches = false;
+	g->first_reached_us = 0;
+	g->others_asked_us -= 700 * USEC_PER_MSEC;
+	g->member[0].silent_since_us = now_us() - 600 * USEC_PER_MSEC;
+	watch_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->state, OWNER_SERVING);
+	world_close(&w);
+}
+
+/* Guards against a group that its previous owner leaves alone after a restore of the store. */
+static void test_an_earlier_invitation_does_not_end_the_claim_after_a_restore(void)
+{
+	struct owner_group *g;
+	struct world w;
+	unsigned commits;
+
+	g = serve(&w);
+	/* It had been invited to claim the group that it owns. */
+	g->invited_until_us = now_us() - USEC_PER_SEC;
+	store_source.era.now++;
+	record_read(g);
+	CU_ASSERT_TRUE(g->invited && g->state == OWNER_NONE && g->revision == 0);
+	g->next_call_us = 0;
+	commits = fake.n_commits;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_commits, commits + 1);
+	world_close(&w);
+}
+
+static enum outcome relay_outcome;
+
+static void serve_question(struct rpc_request *rq, const void *args, void *ctx)
+{
+	ml_relay_res res = {
+		.run = {.message = "", .signature = "", .owner = "", .owner_address = ""}};
+
+	res.run.outcome = (int)relay_outcome;
+	rpc_reply(rq, &res);
+}
+
+/** Creates a VM at a free port. It answers while its event loop is run. */
+static struct kernel *peer_open(struct settings *settings, char address[ADDRESS_SIZE])
+{
+	struct kernel *k = kernel_create(settings);
+	int port;
+
+	test_free_ports(&port, 1);
+	g_snprintf(address, ADDRESS_SIZE, "127.0.0.1:%d", port);
+	rpc_service_create(k);
+	CU_ASSERT_TRUE_FATAL(rpc_listen(rpc_of(k), address, NULL));
+	return k;
+}
+
+/** Lets this VM find out whether the owner is gone, after a report that it is not reached. */
+static void check_reported_owner(struct world *w, struct owner_group *g, struct kernel *relay)
+{
+	int64_t until = test_now_ms() + 800;
+
+	g->unreachable_reported_us = now_us();
+	g->owner_asked_us = 0;
+	claim_tick(g, now_us());
+	while (!g->owner_lost && test_now_ms() < until) {
+		event_base_loop(w->k->base, EVLOOP_NONBLOCK);
+		event_base_loop(relay->base, EVLOOP_NONBLOCK);
+		g_usleep(500);
+	}
+	claim_tick(g, now_us());
+}
+
+/* Guards against a group that is taken from an owner which only this VM does not reach. */
+static void test_a_vm_that_alone_does_not_reach_the_owner_does_not_claim(void)
+{
+	static struct settings settings = {.silent_ms = 600, .relay = true};
+	char relay_address[ADDRESS_SIZE], owner_address[ADDRESS_SIZE], record[256];
+	struct vm_listing l[] = {{.name = "vm-1", .address = SELF, .data_center = "dc"},
+				 {.name = "vm-8", .data_center = "dc"},
+				 {.name = "vm-9", .data_center = "dc", .incarnation = 5}};
+	struct store_item item = {
+		.key = FLEET_STORE_PREFIX "group/" POOL, .value = record, .revision = 3};
+	struct kernel *relay, *owner;
+	struct owner_group *g;
+	struct world w;
+
+	world_open(&w);
+	g = world_join(&w);
+	w.settings.relay = true;
+	w.settings.silent_ms = 600;
+	relay_service_create(w.k);
+	relay = peer_open(&settings, relay_address);
+	rpc_serve(rpc_of(relay), ML_RELAY, serve_question, NULL);
+	owner = peer_open(&settings, owner_address);
+	l[1].address = relay_address;
+	l[2].address = owner_address;
+	peers_apply_list(&fleet_of(w.k)->peers, 6, l, G_N_ELEMENTS(l));
+	g_snprintf(record, sizeof(record),
+		   "{\"vm\":\"vm-9\",\"incarnation\":\"5\",\"address\":\"%s\"}", owner_address);
+	store_source.listeners[0].cb(&item, w.o);
+	fake.n_commits = 0;
+
+	relay_outcome = OUTCOME_DONE;
+	check_reported_owner(&w, g, relay);
+	CU_ASSERT_TRUE(!g->owner_lost && fake.n_commits == 0);
+	relay_outcome = OUTCOME_NOT_SENT;
+	check_reported_owner(&w, g, relay);
+	CU_ASSERT_TRUE(fake.n_commits > 0);
+	rpc_free(rpc_of(owner));
+	rpc_free(rpc_of(relay));
+	world_close(&w);
+}
+
 static const struct test_case cases[] = {
 	{"a_vm_that_reaches_the_primary_is_invited_without_the_store",
 	 test_a_vm_that_reaches_the_primary_is_invited_without_the_store},
@@ -232,7 +449,18 @@
 	{"an_invitation_is_not_followed_later", test_an_invitation_is_not_followed_later},
 	{"a_report_is_passed_on_while_the_store_does_not_answer",
 	 test_a_report_is_passed_on_while_the_store_does_not_answer},
+	{"a_report_is_passed_on_once", test_a_report_is_passed_on_once},
+	{"a_report_does_not_have_the_record_read_again",
+	 test_a_report_does_not_have_the_record_read_again},
+	{"a_vm_without_the_store_reads_before_it_claims_again",
+	 test_a_vm_without_the_store_reads_before_it_claims_again},
 	{"an_owner_without_the_store_invites_others",
 	 test_an_owner_without_the_store_invites_others},
+	{"a_working_group_goes_only_to_a_vm_that_reaches_its_primary",
+	 test_a_working_group_goes_only_to_a_vm_that_reaches_its_primary},
+	{"an_earlier_invitation_does_not_end_the_claim_after_a_restore",
+	 test_an_earlier_invitation_does_not_end_the_claim_after_a_restore},
+	{"a_vm_that_alone_does_not_reach_the_owner_does_not_claim",
+	 test_a_vm_that_alone_does_not_reach_the_owner_does_not_claim},
 };
 HARNESS_MAIN("owner-reach", cases)
