Soak: each random seed draws which optional settings are on

Cause: the soak ran with the default settings only, so no random faults reached admission by priority, the budget of connections, opening in advance, the queue by latency target, the load of members or the relay.

Change: a seed draws none, all or a random choice of the six settings, from a generator of its own, so the faults of a seed are the same as before. The settings are printed with the seed and with its result. SOAK_SETTINGS selects them instead. With any setting on, the document has routes of priority 0, 1 and 2 with latency targets, and more teams than connections; otherwise these settings would stay inactive. The seeds that failed in the past run with the settings off, as they did when they failed. All checks are unchanged.

--- a/tests/harness-line.c
+++ b/tests/harness-line.c
@@ -185,26 +185,50 @@
 
 void line_write_document(struct line_fleet *f)
 {
-	static const char *const routes =
-		"{\"name\":\"r1\",\"host\":\"" LINE_DB_PRIMARY
-		"\",\"kind\":\"primary\",\"timeout-ms\":1500,\"priority\":1,\"service\":\"svc\"},"
-		"{\"name\":\"r2\",\"host\":\"" LINE_DB_BOUNDED
-		"\",\"kind\":\"bounded_staleness\",\"timeout-ms\":1500,\"priority\":2,"
-		"\"max-staleness-ms\":1000,\"service\":\"svc\"},"
-		"{\"name\":\"r3\",\"host\":\"" LINE_DB_SESSION
-		"\",\"kind\":\"read_own_writes\",\"timeout-ms\":1500,\"priority\":2,"
-		"\"max-staleness-ms\":1000,\"service\":\"svc\"},{\"name\":7},\"broken\"";
-	char *doc = g_strdup_printf(
-		"{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":\"svc\","
-		"\"connection-limit\":32}],\"limits\":{\"transaction-idle-ms\":2000},"
-		"\"tenants\":[{\"name\":\"clerks\",\"api-keys\":%s,\"rate-per-s\":%d,\"burst\":%d}]"
-		"}",
-		++f->version, routes, f->keys, f->rate, f->rate);
-	char *escaped_doc = g_strescape(doc, NULL);
-
+	static const struct {
+		const char *name, *host, *kind, *more;
+		int priority, class, target_ms; /**< with_classes: class is the priority */
+	} routes[] = {
+		{"r1", LINE_DB_PRIMARY, "primary", "", 1, 0, 100},
+		{"r2", LINE_DB_BOUNDED, "bounded_staleness", "\"max-staleness-ms\":1000,", 2, 2,
+		 600},
+		{"r3", LINE_DB_SESSION, "read_own_writes", "\"max-staleness-ms\":1000,", 2, 1, 200},
+	};
+	GString *text = g_string_new(NULL);
+	char *escaped_doc;
+	unsigned i;
+	int k;
+
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", ++f->version);
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		g_string_append_printf(text,
+				       "{\"name\":\"%s\",\"host\":\"%s\",\"kind\":\"%s\","
+				       "\"timeout-ms\":1500,\"priority\":%d,%s",
+				       routes[i].name, routes[i].host, routes[i].kind,
+				       f->with_classes ? routes[i].class : routes[i].priority,
+				       routes[i].more);
+		if (f->with_classes)
+			g_string_append_printf(text, "\"target-latency-ms\":%d,",
+					       routes[i].target_ms);
+		g_string_append(text, "\"service\":\"svc\"},");
+	}
+	g_string_append_printf(
+		text,
+		"{\"name\":7},\"broken\"],\"services\":[{\"name\":\"svc\","
+		"\"connection-limit\":%d}],\"limits\":{\"transaction-idle-ms\":2000},"
+		"\"tenants\":[{\"name\":\"clerks\",\"api-keys\":%s,\"rate-per-s\":%d,"
+		"\"burst\":%d}",
+		LINE_CONNECTIONS, f->keys, f->rate, f->rate);
+	for (k = 0; k < f->idle_teams; k++)
+		g_string_append_printf(text,
+				       ",{\"name\":\"idle%d\",\"api-keys\":[\"idle%dsecret\"],"
+				       "\"rate-per-s\":%d,\"burst\":%d}",
+				       k, k, f->rate, f->rate);
+	g_string_append(text, "]}");
+	escaped_doc = g_strescape(text->str, NULL);
 	line_fault(f, "{\"put\":\"op/config\",\"value\":\"%s\"}", escaped_doc);
 	g_free(escaped_doc);
-	g_free(doc);
+	g_string_free(text, TRUE);
 }
 
 /* Daemons */
--- a/tests/harness-line.h
+++ b/tests/harness-line.h
@@ -16,6 +16,8 @@
 
 #define LINE_VMS_MAX 4
 #define LINE_MEMBERS 3
+/** Connections that a member accepts from the daemons. */
+#define LINE_CONNECTIONS 32
 /** API key of the team "clerks". */
 #define LINE_KEY "u3f1secret"
 
@@ -41,6 +43,10 @@
 	const char *settings; /**< further sections of the daemons' settings */
 	const char *keys;     /**< JSON list of the team's keys */
 	int rate;
+	/** The document's routes have priorities 0, 1 and 2 and state latency targets. */
+	bool with_classes;
+	/** Number of further teams in the document: "idle0" with the key "idle0secret"... */
+	int idle_teams;
 };
 
 struct line_fleet *line_fleet_start(int vms);
--- a/tests/test-it-soak.c
+++ b/tests/test-it-soak.c
@@ -2,8 +2,10 @@
  * @file test-it-soak.c
  * Random faults, sequential and overlapping, while callers write and read back. Processes are
  * paused, killed and restarted; a proxy silences, resets and delays connections or blocks one
- * direction; the store and the members return errors. The environment variable
- * SOAK_SEEDS="FIRST COUNT" selects other seeds, SOAK_S another duration of each seed in seconds.
+ * direction; the store and the members return errors. Each random seed draws which optional
+ * settings are on in its fleet. The environment variable SOAK_SEEDS="FIRST COUNT" selects other
+ * seeds, SOAK_S another duration of each seed in seconds, SOAK_SETTINGS="NAME ..." the settings
+ * that are on ("off": none, "on": all) instead of drawing them.
  */
 #include "harness-line.h"
 #include "harness-writer.h"
@@ -23,11 +25,12 @@
 #define PAUSE_MIN_MS 300
 #define PAUSE_MAX_MS 1500
 /**
- * Evacuations and restores have random sequences of their own, seeded with these offsets, so that
- * the other faults of a seed do not depend on them.
+ * Evacuations, restores and the choice of settings have random sequences of their own, seeded with
+ * these offsets, so that the other faults of a seed do not depend on them.
  */
 #define EVACUATION_SEED_OFFSET 1000000
 #define RESTORE_SEED_OFFSET 2000000
+#define SETTINGS_SEED_OFFSET 3000000
 /** Longest time between a restore and the repeated writes of operators and members. */
 #define REWRITE_DELAY_MAX_MS 2000
 
@@ -324,15 +327,91 @@
 	}
 }
 
+/** Optional settings, all off by default. Those of one section are adjacent. */
+static const struct {
+	const char *section, *key;
+} optional_settings[] = {
+	{"admission", "by_priority"}, {"connections", "budget"},    {"connections", "preopen"},
+	{"queue", "by_aim"},	      {"placement", "member_load"}, {"paths", "relay"},
+};
+#define OPTIONAL_SETTINGS G_N_ELEMENTS(optional_settings)
+#define ALL_SETTINGS ((1U << OPTIONAL_SETTINGS) - 1)
+
+/** Draws a set of bits of optional_settings: none, all or a random choice, equally likely. */
+static unsigned draw_settings(unsigned seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed + SETTINGS_SEED_OFFSET);
+	int kind = g_rand_int_range(rand, 0, 3);
+	unsigned chosen = (unsigned)g_rand_int_range(rand, 0, (int)ALL_SETTINGS + 1);
+
+	g_rand_free(rand);
+	return kind == 0 ? 0 : kind == 1 ? ALL_SETTINGS : chosen;
+}
+
+/** Parses SOAK_SETTINGS. @return false, with a message, if @a text holds an unknown name */
+static bool parse_settings(const char *text, unsigned *on)
+{
+	char **names = g_strsplit(text, " ", -1);
+	bool ok = true;
+	unsigned i, k;
+
+	*on = 0;
+	for (i = 0; names[i] != NULL; i++) {
+		unsigned found = strcmp(names[i], "on") == 0 ? ALL_SETTINGS : 0;
+
+		for (k = 0; k < OPTIONAL_SETTINGS; k++)
+			found |= strcmp(names[i], optional_settings[k].key) == 0 ? 1U << k : 0;
+		ok &= found != 0 || strcmp(names[i], "off") == 0;
+		*on |= found;
+	}
+	g_strfreev(names);
+	CHECK(ok, "SOAK_SETTINGS \"%s\" holds an unknown name", text);
+	return ok;
+}
+
+/** Returns the names of the settings @a on, or "off"; free with g_free(). */
+static char *settings_names(unsigned on)
+{
+	GString *names = g_string_new(on == 0 ? "off" : "");
+	unsigned i;
+
+	for (i = 0; i < OPTIONAL_SETTINGS; i++) {
+		if (on & 1U << i)
+			g_string_append_printf(names, "%s%s", names->len > 0 ? " " : "",
+					       optional_settings[i].key);
+	}
+	return g_string_free(names, FALSE);
+}
+
+/** Returns the settings @a on as TOML; free with g_free(). */
+static char *settings_toml(unsigned on)
+{
+	GString *toml = g_string_new(NULL);
+	const char *section = "";
+	unsigned i;
+
+	for (i = 0; i < OPTIONAL_SETTINGS; i++) {
+		if (!(on & 1U << i))
+			continue;
+		if (strcmp(section, optional_settings[i].section) != 0)
+			g_string_append_printf(toml, "[%s]\n", optional_settings[i].section);
+		section = optional_settings[i].section;
+		g_string_append_printf(toml, "%s = true\n", optional_settings[i].key);
+	}
+	return g_string_free(toml, FALSE);
+}
+
 /**
- * Runs the faults of one seed. Callers may see delays, refusals and lost connections meanwhile.
- * Checks that no statement reported as not run has run, that none has run twice, that each session
- * reads its own writes, that no replaced primary commits, that no fencing token goes back, that no
- * daemon exits by itself, and that every VM serves writes again after the last fault.
+ * Runs the faults of one seed in a fleet with the optional settings @a on. Callers may see delays,
+ * refusals and lost connections meanwhile. Checks that no statement reported as not run has run,
+ * that none has run twice, that each session reads its own writes, that no replaced primary
+ * commits, that no fencing token goes back, that no daemon exits by itself, and that every VM
+ * serves writes again after the last fault.
  */
-static void run_seed(unsigned seed, int duration_s)
+static void run_seed(unsigned seed, int duration_s, unsigned on)
 {
-	struct soak s = {.f = line_fleet_start_proxied(VMS),
+	char *names = settings_names(on), *toml = settings_toml(on);
+	struct soak s = {.f = line_fleet_start_proxied_with(VMS, toml),
 			 .rand = g_rand_new_with_seed(seed),
 			 .rand_evacuations = g_rand_new_with_seed(seed + EVACUATION_SEED_OFFSET),
 			 .rand_restores = g_rand_new_with_seed(seed + RESTORE_SEED_OFFSET)};
@@ -340,7 +419,13 @@
 	struct line_writer w[VMS];
 	int i, status;
 
-	printf("seed %u\n", seed);
+	printf("seed %u, settings: %s\n", seed, names);
+	if (on != 0) {
+		/* by_priority and by_aim need classes, and budget more teams than connections. */
+		s.f->with_classes = true;
+		s.f->idle_teams = LINE_CONNECTIONS;
+		line_write_document(s.f);
+	}
 	for (i = 0; i < VMS; i++)
 		line_writer_start_read_back(&w[i], s.f, i);
 	run_faults(&s, duration_s);
@@ -359,10 +444,12 @@
 	CU_ASSERT_EQUAL(line_report(s.f, "replaced_commits"), 0);
 	CU_ASSERT_EQUAL(line_report(s.f, "token_regressed"), 0);
 	CU_ASSERT_EQUAL(line_report(s.f, "foreign_tx"), 0);
-	printf("seed %u: %s, %ld promotions\n", seed,
-	       (int)CU_get_number_of_failures() == failed ? "ok" : "FAILED SEED",
+	printf("seed %u: %s, settings: %s, %ld promotions\n", seed,
+	       (int)CU_get_number_of_failures() == failed ? "ok" : "FAILED SEED", names,
 	       (long)line_report(s.f, "promotions"));
 	line_fleet_stop(s.f);
+	g_free(names);
+	g_free(toml);
 	g_rand_free(s.rand);
 	g_rand_free(s.rand_evacuations);
 	g_rand_free(s.rand_restores);
@@ -373,7 +460,8 @@
  * 147: promotions were refused while the primary was silent. When the primary answered again, it
  * was itself chosen for the promotion, which changes nothing. 229: a VM that was briefly next in
  * line as owner kept sending to the next candidate after the owner was in contact again. 5205: a VM
- * that started while the store was restored from a copy did not retry to list itself.
+ * that started while the store was restored from a copy did not retry to list itself. They run with
+ * the optional settings off, as they did when they failed.
  */
 static const unsigned regression_seeds[] = {147, 229, 5205};
 
@@ -382,18 +470,22 @@
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(regression_seeds); i++)
-		run_seed(regression_seeds[i], SEED_DURATION_S);
+		run_seed(regression_seeds[i], SEED_DURATION_S, 0);
 }
 
 static void test_random_faults(void)
 {
 	const char *seeds = getenv("SOAK_SEEDS"), *length = getenv("SOAK_S");
-	unsigned first = 1, count = 2, i;
+	const char *settings = getenv("SOAK_SETTINGS");
+	unsigned first = 1, count = 2, on = 0, i;
 
 	if (seeds != NULL && sscanf(seeds, "%u %u", &first, &count) < 1)
 		printf("SOAK_SEEDS must be \"FIRST COUNT\"\n");
+	if (settings != NULL && !parse_settings(settings, &on))
+		return;
 	for (i = 0; i < count; i++)
-		run_seed(first + i, length != NULL ? atoi(length) : SEED_DURATION_S);
+		run_seed(first + i, length != NULL ? atoi(length) : SEED_DURATION_S,
+			 settings != NULL ? on : draw_settings(first + i));
 }
 
 static const struct test_case cases[] = {
