Measure: load of several classes and teams, with the new settings off and on

Change: `build/measure load` plays 40 teams in three classes (priorities 0, 1, 2, targets 100, 200, 600 ms) on three daemons for 20 s, twice. One team sends six times its demand for 10 s; half of the callers are at one daemon; 8 callers keep transactions open. It prints the outcomes by class, openings and resets over the limit. standin-prepared can limit a member's slots and connections; opening a connection then occupies a slot for 12 ms. Without these fault commands it answers at once, as before.

--- a/Makefile
+++ b/Makefile
@@ -101,7 +101,8 @@
 generate:
 	cd src && rm -f mango.h mango_xdr.c && rpcgen -h -o mango.h mango.x && rpcgen -c -o mango_xdr.c mango.x
 
-# Figures for docs/: `make measure`, or one of them by `build/measure latency`.
+# Figures for docs/: `make measure`, or one of them by `build/measure latency`;
+# `build/measure load`: classes and teams on the prepared platform, with the new settings off and on.
 measure: all $(B)/measure
 	BIN=$(B) $(B)/measure
 
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -7,11 +7,12 @@
  * daemon that a caller is connected to.
  */
 #include "conf.h"
-#include "harness.h"
+#include "harness-line.h"
 #include "page.h"
 #include "peers.h"
 #include "table.h"
 
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -450,6 +451,252 @@
 	conf_free(c);
 }
 
+/* Load of several classes and teams on the prepared platform. */
+
+#define LOAD_VMS 3
+/** More teams than a member accepts connections (LINE_CONNECTIONS). */
+#define LOAD_TEAMS 40
+#define LOAD_CLASSES 3
+#define LOAD_SECONDS 20
+/** The first team sends LOAD_SURGE_FACTOR times its demand from second 5 to second 15. */
+#define LOAD_SURGE_FROM_MS 5000
+#define LOAD_SURGE_UNTIL_MS 15000
+#define LOAD_SURGE_FACTOR 6
+/** A team's rate; its usual demand is the sum over load_classes, 9 a second. */
+#define LOAD_TEAM_RATE 20
+/** Callers of one class of the first team, so that waiting ones do not hold back its surge. */
+#define LOAD_SURGE_CALLERS 8
+#define LOAD_RESTING 8
+#define LOAD_RESTING_MS 400
+#define LOAD_SLOTS 4
+#define LOAD_WORK_MS 8
+/** A caller makes this many attempts, and none later than this after the first. */
+#define LOAD_ATTEMPTS 3
+#define LOAD_DEADLINE_MS 1500
+/** Pause after a refusal without a retry time. */
+#define LOAD_RETRY_MS 50
+#define LOAD_CALLERS_MAX (LOAD_CLASSES * (LOAD_TEAMS + LOAD_SURGE_CALLERS) + LOAD_RESTING)
+
+/** Classes by priority; the routes of line_write_document() state the same targets. */
+static const struct {
+	const char *database;
+	int target_ms;
+	double per_s;	 /**< demand of a team */
+	int write_share; /**< percent */
+} load_classes[LOAD_CLASSES] = {
+	{LINE_DB_PRIMARY, 100, 1.8, 100},
+	{LINE_DB_SESSION, 200, 4.8, 12},
+	{LINE_DB_BOUNDED, 600, 2.4, 0},
+};
+
+struct load_caller {
+	struct line_fleet *f;
+	GThread *thread;
+	int vm, team;
+	int class; /**< LOAD_CLASSES: a caller with transactions at rest */
+	char key[32];
+	double per_s;
+	int64_t start_ms;
+	unsigned seed;
+	int asked, within, late, refused, lost;
+	GArray *refusal_ms; /**< double; from an attempt to its refusal */
+};
+
+/** Makes one attempt. @return whether it was answered; if not, *retry_ms is the pause */
+static bool load_attempt(struct load_caller *a, struct line_client *c, bool write, int *retry_ms)
+{
+	int64_t start = test_now_us();
+	const char *retry;
+	double ms;
+
+	if (c->fd >= 0 || line_connect(c, a->f, a->vm, load_classes[a->class].database, a->key))
+		line_query(c, "%s %s v", write ? "WRITE" : "READ", a->key);
+	ms = (double)(test_now_us() - start) / 1000;
+	if (c->state != 'I')
+		line_close(c);
+	if (strcmp(c->code, "COMPLETE") == 0)
+		return true;
+	if (c->code[0] != '\0')
+		g_array_append_val(a->refusal_ms, ms);
+	retry = strstr(c->text, "retry-after-ms=");
+	*retry_ms = retry != NULL ? atoi(retry + strlen("retry-after-ms=")) : LOAD_RETRY_MS;
+	return false;
+}
+
+/** Runs one operation that was due at @a due_ms, and counts its outcome. */
+static void load_operation(struct load_caller *a, struct line_client *c, bool write, int64_t due_ms)
+{
+	int i, retry_ms;
+
+	a->asked++;
+	for (i = 0; i < LOAD_ATTEMPTS; i++) {
+		if (load_attempt(a, c, write, &retry_ms)) {
+			bool met = test_now_ms() - due_ms <= load_classes[a->class].target_ms;
+
+			*(met ? &a->within : &a->late) += 1;
+			return;
+		}
+		if (i + 1 == LOAD_ATTEMPTS || test_now_ms() + retry_ms > due_ms + LOAD_DEADLINE_MS)
+			break;
+		test_sleep_ms(retry_ms);
+	}
+	*(c->code[0] == '\0' ? &a->lost : &a->refused) += 1;
+}
+
+/** Sends at random times, or when the previous operation is over if that is later. */
+static gpointer load_caller_run(gpointer data)
+{
+	struct load_caller *a = data;
+	struct line_client c = {.fd = -1};
+	GRand *rand = g_rand_new_with_seed(a->seed);
+	double due = (double)a->start_ms;
+
+	for (;;) {
+		double since = due - (double)a->start_ms, per_s = a->per_s;
+		int64_t now;
+
+		if (a->team == 0 && since >= LOAD_SURGE_FROM_MS && since < LOAD_SURGE_UNTIL_MS)
+			per_s *= LOAD_SURGE_FACTOR;
+		due += -log(1 - g_rand_double(rand)) * 1000 / per_s;
+		if (due > (double)a->start_ms + LOAD_SECONDS * 1000)
+			break;
+		now = test_now_ms();
+		if ((int64_t)due > now)
+			test_sleep_ms((int)((int64_t)due - now));
+		load_operation(a, &c,
+			       g_rand_int_range(rand, 0, 100) < load_classes[a->class].write_share,
+			       (int64_t)due);
+	}
+	line_close(&c);
+	g_rand_free(rand);
+	return NULL;
+}
+
+/** Holds transactions open without statements; "within" counts those that committed. */
+static gpointer load_resting_run(gpointer data)
+{
+	struct load_caller *a = data;
+	struct line_client c = {.fd = -1};
+
+	for (; test_now_ms() < a->start_ms + LOAD_SECONDS * 1000; test_sleep_ms(LOAD_RETRY_MS)) {
+		a->asked++;
+		if ((c.fd >= 0 || line_connect(&c, a->f, a->vm, LINE_DB_PRIMARY, a->key)) &&
+		    strcmp(line_query(&c, "BEGIN"), "COMPLETE") == 0 &&
+		    strcmp(line_query(&c, "WRITE %s v", a->key), "COMPLETE") == 0) {
+			test_sleep_ms(LOAD_RESTING_MS);
+			a->within += strcmp(line_query(&c, "COMMIT"), "COMPLETE") == 0;
+		}
+		if (c.state != 'I')
+			line_close(&c);
+	}
+	line_close(&c);
+	return NULL;
+}
+
+/** Fills @a a with the callers of all teams and classes. @return their number */
+static int load_callers(struct load_caller *a, struct line_fleet *f)
+{
+	/* Half of the callers are at the first VM, a sixth at the last. */
+	static const int vms[] = {0, 1, 0, 2, 0, 1};
+	int n = 0, i, k;
+
+	for (i = 0; i < LOAD_CLASSES * LOAD_TEAMS; i++) {
+		int callers = i < LOAD_CLASSES ? LOAD_SURGE_CALLERS : 1;
+
+		for (k = 0; k < callers; k++, n++) {
+			a[n].team = i / LOAD_CLASSES;
+			a[n].class = i % LOAD_CLASSES;
+			a[n].per_s = load_classes[a[n].class].per_s / callers;
+		}
+	}
+	for (i = 0; i < LOAD_RESTING; i++, n++) {
+		a[n].team = 1 + i / 2;
+		a[n].class = LOAD_CLASSES;
+	}
+	for (i = 0; i < n; i++) {
+		a[i].f = f;
+		a[i].seed = (unsigned)i + 1;
+		a[i].vm = vms[(a[i].team + i) % (int)G_N_ELEMENTS(vms)];
+		a[i].start_ms = test_now_ms();
+		a[i].refusal_ms = g_array_new(FALSE, FALSE, sizeof(double));
+		g_snprintf(a[i].key, sizeof(a[i].key), "idle%dsecret", a[i].team);
+	}
+	return n;
+}
+
+/** Prints the sums over the callers of @a class. */
+static void load_print_class(const struct load_caller *a, int n, int class)
+{
+	static const char *const names[] = {"0", "1", "2", "resting"};
+	GArray *ms = g_array_new(FALSE, FALSE, sizeof(double));
+	int asked = 0, within = 0, late = 0, refused = 0, lost = 0, i;
+
+	for (i = 0; i < n; i++) {
+		if (a[i].class != class)
+			continue;
+		asked += a[i].asked;
+		within += a[i].within;
+		late += a[i].late;
+		refused += a[i].refused;
+		lost += a[i].lost;
+		g_array_append_vals(ms, a[i].refusal_ms->data, a[i].refusal_ms->len);
+	}
+	g_array_sort(ms, compare_doubles);
+	printf("%8s %7d %7d %7d %7d %7d", names[class], asked, within, late, refused, lost);
+	printf(" %17.1f (n %u)\n", ms->len > 0 ? g_array_index(ms, double, ms->len / 2) : 0,
+	       ms->len);
+	g_array_unref(ms);
+}
+
+/** Plays the load on daemons with further @a settings and prints the outcomes by class. */
+static void measure_load(const char *what, const char *settings)
+{
+	struct line_fleet *f = line_fleet_start_with(LOAD_VMS, settings);
+	struct load_caller *a = g_new0(struct load_caller, LOAD_CALLERS_MAX);
+	int64_t openings = 0, resets = 0;
+	int i, n;
+	char name[8];
+
+	f->with_classes = true;
+	f->idle_teams = LOAD_TEAMS;
+	f->rate = LOAD_TEAM_RATE;
+	line_write_document(f);
+	for (i = 0; i < LINE_MEMBERS; i++)
+		line_fault(f, "{\"member\":\"m%d\",\"slots\":%d,\"work_ms\":%d,\"limit\":%d}", i,
+			   LOAD_SLOTS, LOAD_WORK_MS, LINE_CONNECTIONS);
+	test_sleep_ms(1000);
+	n = load_callers(a, f);
+	for (i = 0; i < n; i++)
+		a[i].thread = g_thread_new(
+			"load", a[i].class < LOAD_CLASSES ? load_caller_run : load_resting_run,
+			&a[i]);
+	for (i = 0; i < n; i++)
+		g_thread_join(a[i].thread);
+	printf("new settings %s\n%8s %7s %7s %7s %7s %7s %17s\n", what, "priority", "asked",
+	       "within", "late", "refused", "lost", "ms to a refusal");
+	for (i = 0; i <= LOAD_CLASSES; i++)
+		load_print_class(a, n, i);
+	for (i = 0; i < LINE_MEMBERS; i++) {
+		g_snprintf(name, sizeof(name), "m%d", i);
+		openings += line_member_report(f, name, "openings");
+		resets += line_member_report(f, name, "resets");
+	}
+	for (i = 0; i < n; i++)
+		g_array_unref(a[i].refusal_ms);
+	printf("connections opened %ld, reset over the limit %ld\n", (long)openings, (long)resets);
+	g_free(a);
+	line_fleet_stop(f);
+}
+
+static void run_load(void)
+{
+	measure_load("off", "");
+	measure_load("on", "[admission]\nby_priority = true\n"
+			   "[connections]\nbudget = true\npreopen = true\n"
+			   "[queue]\nby_aim = true\n[placement]\nmember_load = true\n"
+			   "[paths]\nrelay = true\n");
+}
+
 static void run_kill(void)
 {
 	measure_gap("kill", 20);
@@ -483,6 +730,6 @@
 	{"kill", run_kill},	      {"cut", run_cut},
 	{"replicas", run_replicas},   {"lost", run_lost},
 	{"slopes", measure_scaling},  {"sizes", measure_sizes},
-	{"freeze", run_freeze},
+	{"freeze", run_freeze},	      {"load", run_load},
 };
 HARNESS_MAIN("measure", cases)
--- a/tests/standin-prepared-member.c
+++ b/tests/standin-prepared-member.c
@@ -13,6 +13,12 @@
 #define PROMOTION_DELAY_US (150 * USEC_PER_MSEC)
 /** Time between a promotion and the demotion of the previous primary. */
 #define DEMOTION_DELAY_US (1 * USEC_PER_SEC)
+/** Slots in a member's entry unless a fault command limits them. */
+#define DEFAULT_SLOTS 2
+/** Time that opening a session occupies a slot. */
+#define OPENING_US (12 * USEC_PER_MSEC)
+/** Interval at which a line that is due is checked again while its member is silent. */
+#define SILENT_RETRY_US (10 * USEC_PER_MSEC)
 
 struct standin_conn {
 	struct standin_member *m;
@@ -24,6 +30,8 @@
 	GPtrArray *writes; /**< of the open transaction */
 	char *last_request;
 	GHashTable *prepared; /**< statement name to "READ ..." or "WRITE ..." */
+	char *line;	      /**< the line that occupies or awaits a slot, or NULL */
+	struct event *done;   /**< when that line is answered */
 };
 
 static struct {
@@ -64,9 +72,10 @@
 	char *value = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"dc-%s\",\"version\":"
 		"\"v1\","
-		"\"slots\":2,\"state\":\"%s\",\"cold-remaining-ms\":0,\"database-role\":\"%s\","
+		"\"slots\":%d,\"state\":\"%s\",\"cold-remaining-ms\":0,\"database-role\":\"%s\","
 		"\"sequence\":1,\"born\":1}",
-		standin.service, m->advertised_port, m->name, m->draining ? "draining" : "ready",
+		standin.service, m->advertised_port, m->name,
+		m->slots > 0 ? m->slots : DEFAULT_SLOTS, m->draining ? "draining" : "ready",
 		m->primary ? "primary" : "replica");
 
 	store_put(key, value, 0);
@@ -81,6 +90,8 @@
 	g_ptr_array_remove(c->m->conns, c);
 	c->m->n_conns--;
 	bufferevent_free(c->bev);
+	event_free(c->done);
+	free(c->line);
 	g_ptr_array_unref(c->writes);
 	g_hash_table_destroy(c->prepared);
 	g_free(c->last_request);
@@ -356,6 +367,7 @@
 			return;
 		}
 		g_strlcpy(c->team, team != NULL ? team : "", sizeof(c->team));
+		c->m->openings++;
 		reply(c, "%s", "");
 		return;
 	}
@@ -373,19 +385,68 @@
 		*closed = apply_answer_fault(c);
 }
 
+/** Occupies the slot of @a m that is free first. @return the time until @a line is answered */
+static int64_t occupy_slot(struct standin_member *m, const char *line)
+{
+	int64_t now = standin_now_us(), work_us = 0, *slot = &m->slot_free_us[0];
+	int i;
+
+	if (g_str_has_prefix(line, "START "))
+		work_us = OPENING_US;
+	else if (strstr(line, " READ ") != NULL || strstr(line, " WRITE ") != NULL)
+		work_us = m->work_ms * USEC_PER_MSEC;
+	if (m->slots == 0 || work_us == 0)
+		return 0;
+	for (i = 1; i < m->slots; i++)
+		slot = m->slot_free_us[i] < *slot ? &m->slot_free_us[i] : slot;
+	*slot = MAX(*slot, now) + work_us;
+	return *slot - now;
+}
+
+static void wait_for(struct standin_conn *c, int64_t us)
+{
+	struct timeval tv = {.tv_sec = us / USEC_PER_SEC, .tv_usec = us % USEC_PER_SEC};
+
+	evtimer_add(c->done, &tv);
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct standin_conn *c = arg;
 	bool closed = false;
+	int64_t wait_us;
 	char *line;
 
-	while (!closed && c->m->mode == MEMBER_UP &&
+	while (!closed && c->line == NULL && c->m->mode == MEMBER_UP &&
 	       line_take(bufferevent_get_input(bev), &line) == LINE_COMPLETE) {
+		wait_us = occupy_slot(c->m, line);
+		if (wait_us > 0) {
+			c->line = line;
+			wait_for(c, wait_us);
+			return;
+		}
 		handle_line(c, line, &closed);
 		free(line);
 	}
 }
 
+static void on_done(evutil_socket_t fd, short what, void *arg)
+{
+	struct standin_conn *c = arg;
+	char *line = c->line;
+	bool closed = false;
+
+	if (c->m->mode != MEMBER_UP) {
+		wait_for(c, SILENT_RETRY_US);
+		return;
+	}
+	c->line = NULL;
+	handle_line(c, line, &closed);
+	free(line);
+	if (!closed)
+		on_read(c->bev, c);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
@@ -395,9 +456,19 @@
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
 		      void *arg)
 {
-	struct standin_conn *c = g_new0(struct standin_conn, 1);
-
-	c->m = arg;
+	struct linger reset = {.l_onoff = 1};
+	struct standin_member *m = arg;
+	struct standin_conn *c;
+
+	if (m->limit > 0 && m->n_conns >= (unsigned)m->limit) {
+		m->resets++;
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		evutil_closesocket(fd);
+		return;
+	}
+	c = g_new0(struct standin_conn, 1);
+	c->m = m;
+	c->done = evtimer_new(standin.base, on_done, c);
 	c->writes = g_ptr_array_new_with_free_func(g_free);
 	c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->bev = bufferevent_socket_new(standin.base, fd, BEV_OPT_CLOSE_ON_FREE);
--- a/tests/standin-prepared.c
+++ b/tests/standin-prepared.c
@@ -22,6 +22,8 @@
  *   "cut_answers": N                      break off the next N answers
  *   "busy": N                             refuse the next N statements as BUSY
  *   "lag_ms": MS                          set the replication lag
+ *   "slots": N, "work_ms": MS             run N statements at a time, each for MS; 0: at once
+ *   "limit": N                            reset connections above N; 0: none
  *   "draining": bool                      set the state in its store entry
  *
  * GET /report returns counters, the members and the primary's log.
@@ -59,6 +61,10 @@
 		json_builder_add_int_value(b, m->n_conns);
 		json_builder_set_member_name(b, "statements");
 		json_builder_add_int_value(b, m->statements);
+		json_builder_set_member_name(b, "openings");
+		json_builder_add_int_value(b, m->openings);
+		json_builder_set_member_name(b, "resets");
+		json_builder_add_int_value(b, m->resets);
 		json_builder_end_object(b);
 	}
 	json_builder_end_array(b);
@@ -128,6 +134,14 @@
 		m->busy = (int)json_object_get_int_member(o, "busy");
 	if (json_object_has_member(o, "lag_ms"))
 		m->lag_us = json_object_get_int_member(o, "lag_ms") * USEC_PER_MSEC;
+	if (json_object_has_member(o, "slots")) {
+		m->slots = CLAMP((int)json_object_get_int_member(o, "slots"), 0, STANDIN_SLOTS_MAX);
+		member_register(m);
+	}
+	if (json_object_has_member(o, "work_ms"))
+		m->work_ms = (int)json_object_get_int_member(o, "work_ms");
+	if (json_object_has_member(o, "limit"))
+		m->limit = (int)json_object_get_int_member(o, "limit");
 	if (json_object_has_member(o, "draining")) {
 		m->draining = json_object_get_boolean_member(o, "draining");
 		member_register(m);
--- a/tests/standin-prepared.h
+++ b/tests/standin-prepared.h
@@ -28,6 +28,8 @@
 	MEMBER_SILENT, /**< accepts connections, but sends nothing */
 };
 
+#define STANDIN_SLOTS_MAX 16
+
 /** A committed transaction in a member's log. */
 struct standin_record {
 	uint64_t term;
@@ -51,6 +53,12 @@
 	int lose_answers; /**< answers still to be dropped; their connections go silent */
 	int cut_answers;  /**< answers still to be sent incompletely, then closing the connection */
 	int busy;	  /**< statements still to be refused with BUSY */
+	int slots;	  /**< statements and openings that run at a time; 0: unlimited, at once */
+	int work_ms;	  /**< time that a READ or WRITE occupies a slot */
+	int limit;	  /**< connections; further ones are reset. 0: unlimited */
+	int64_t slot_free_us[STANDIN_SLOTS_MAX];
+	int openings; /**< sessions opened, by START */
+	int resets;   /**< connections reset over the limit */
 	struct evconnlistener *listener;
 	GPtrArray *conns;
 	unsigned n_conns;
