Relay: questions in flight are freed when the service stops

Cause: a call that has not been answered when the process stops ends without its callback, which frees the question. The relay keeps a list of them.

--- a/src/relay.c
+++ b/src/relay.c
@@ -37,11 +37,22 @@
 };
 TAILQ_HEAD(relay_requests, relay_request);
 
+/** A question to a VM in flight, or a call to a lost VM. */
+struct question {
+	TAILQ_ENTRY(question) link;
+	struct relay *r;
+	char to[ADDRESS_SIZE];
+	char via[ADDRESS_SIZE]; /**< "" for a call to @a to itself */
+	char name[NAME_SIZE];	/**< of the VM that was asked */
+};
+TAILQ_HEAD(questions, question);
+
 struct relay {
 	struct service service;
 	struct reach reach;
 	int64_t contact_sent_us;	/**< when a lost VM was last called */
 	struct relay_requests requests; /**< not answered yet */
+	struct questions questions;	/**< in flight */
 };
 
 static struct relay *relay_of(struct kernel *k)
@@ -84,23 +95,22 @@
 
 /* The sender: finding a VM that reaches the receiver */
 
-/** A question to a VM in flight, or a call to a lost VM. */
-struct question {
-	struct relay *r;
-	char to[ADDRESS_SIZE];
-	char via[ADDRESS_SIZE]; /**< "" for a call to @a to itself */
-	char name[NAME_SIZE];	/**< of the VM that was asked */
-};
-
 static struct question *question_create(struct relay *r, const char *to)
 {
 	struct question *q = g_new0(struct question, 1);
 
 	q->r = r;
 	g_strlcpy(q->to, to, sizeof(q->to));
+	TAILQ_INSERT_TAIL(&r->questions, q, link);
 	return q;
 }
 
+static void question_free(struct question *q)
+{
+	TAILQ_REMOVE(&q->r->questions, q, link);
+	g_free(q);
+}
+
 static void question_answered(enum rpc_status status, const void *arg_res, void *arg)
 {
 	const ml_relay_res *res = arg_res;
@@ -117,7 +127,7 @@
 		reach_path(reach, q->to, q->via, now_us());
 	else if (!reaches)
 		reach_no_path(reach, q->to, q->via, pause_us, now_us());
-	g_free(q);
+	question_free(q);
 }
 
 static void ask(struct relay *r, const char *to, const struct vm *vm)
@@ -182,7 +192,7 @@
 		reach_received(&q->r->reach, q->to, now_us());
 	else
 		reach_failed(&q->r->reach, q->to, now_us());
-	g_free(q);
+	question_free(q);
 }
 
 /** Calls a lost VM now and then, since no statement is sent to it that would find it back. */
@@ -487,6 +497,8 @@
 
 	while (!TAILQ_EMPTY(&r->requests))
 		reply_outcome(TAILQ_FIRST(&r->requests), true, OUTCOME_LOST);
+	while (!TAILQ_EMPTY(&r->questions))
+		question_free(TAILQ_FIRST(&r->questions));
 	g_free(r);
 }
 
@@ -503,6 +515,7 @@
 
 	r->service.ops = &relay_service_ops;
 	TAILQ_INIT(&r->requests);
+	TAILQ_INIT(&r->questions);
 	kernel_add(k, &r->service);
 	return &r->service;
 }
