Tokens: a holder checks its lease before it grants any to another VM

Cause: the lease was checked by the timer alone, each 50 ms while nothing waits, so a holder granted tokens for up to 50 ms after its lease had ended, when other VMs may hold the part.

--- a/src/shares-ask.c
+++ b/src/shares-ask.c
@@ -613,6 +613,7 @@
 	int64_t now = now_us();
 
 	shares_check_pause(owner, now);
+	shares_check_lease(owner, now);
 	if (t != NULL && t->configured && t->fixed)
 		res.granted = team_grant(t, a->want, now);
 	rpc_reply(rq, &res);
@@ -672,6 +673,7 @@
 	ml_tokens_class_res res = {0};
 
 	shares_check_pause(s, now_us());
+	shares_check_lease(s, now_us());
 	/* Not by class unless it is set here too; the other VM then waits as without classes. */
 	if (t == NULL || !t->configured || !t->fixed)
 		res.granted = 0;
