--- a/src/shares-admit.c
+++ b/src/shares-admit.c
@@ -24,6 +24,11 @@
 #define WAITING_MAX 5000
 /** Weight of the newest operation in the moving average of the time of the work. */
 #define WORK_ALPHA 0.1
+/**
+ * Least part of the time until the latency target that is left for the work: the average does not
+ * include the caller's round trips within its operation, and half of the work takes longer.
+ */
+#define WORK_OF_AIM_MIN 0.5
 /** Shorter operations are statements that need no member, such as BEGIN. */
 #define WORK_MIN_US 200
 
@@ -299,7 +304,8 @@
 	const struct urgency_limits limits = {
 		.aim_us = want->aim_us,
 		.deadline_us = want->deadline_us,
-		.work_us = t->cls[urgency_class(want->priority)].work_us};
+		.work_us = MAX(t->cls[urgency_class(want->priority)].work_us,
+			       (int64_t)((double)(want->aim_us - now) * WORK_OF_AIM_MIN))};
 
 	a->cls = urgency_class(want->priority);
 	a->useful_us = urgency_wait_until_us(&limits, now);
