--- a/tests/test-owner-reach.c
+++ b/tests/test-owner-reach.c
@@ -434,8 +434,8 @@
 	relay_outcome = OUTCOME_NOT_SENT;
 	check_reported_owner(&w, g, relay);
 	CU_ASSERT_TRUE(fake.n_commits > 0);
-	rpc_free(rpc_of(owner));
-	rpc_free(rpc_of(relay));
+	kernel_free(owner);
+	kernel_free(relay);
 	world_close(&w);
 }
 
