Fair queue: the end of a team's turn is one function

Cause: fairq_next_fit(), which came with the queue by target latency, repeated the five lines with which fairq_next() ends a turn. Both call fairq_end_turn() now; behaviour does not change.

--- a/decide/fairq.c
+++ b/decide/fairq.c
@@ -241,6 +241,18 @@
 	return largest;
 }
 
+/**
+ * Ends the turn of @a t. Its deficit grows in every round, so it reaches 1 after a finite number of
+ * rounds.
+ */
+static void fairq_end_turn(struct fairq *q, struct fairq_team *t, double quantum)
+{
+	t->deficit += t->weight / quantum;
+	q->turns++;
+	TAILQ_REMOVE(&q->active, t, link);
+	TAILQ_INSERT_TAIL(&q->active, t, link);
+}
+
 struct fairq_item *fairq_next(struct fairq *q)
 {
 	double quantum = fairq_largest_weight(q);
@@ -252,14 +264,7 @@
 		if (t == NULL)
 			return NULL;
 		if (t->deficit < 1) {
-			/*
-			 * The team's turn ends. Its deficit grows in every round, so it reaches 1
-			 * after a finite number of rounds.
-			 */
-			t->deficit += t->weight / quantum;
-			q->turns++;
-			TAILQ_REMOVE(&q->active, t, link);
-			TAILQ_INSERT_TAIL(&q->active, t, link);
+			fairq_end_turn(q, t, quantum);
 			continue;
 		}
 		t->deficit -= 1;
@@ -338,10 +343,7 @@
 		struct fairq_item *item;
 
 		if (t->deficit < 1) {
-			t->deficit += t->weight / quantum;
-			q->turns++;
-			TAILQ_REMOVE(&q->active, t, link);
-			TAILQ_INSERT_TAIL(&q->active, t, link);
+			fairq_end_turn(q, t, quantum);
 			continue;
 		}
 		item = fairq_first_fit(q, t, fits, arg);
