--- a/review/lib/case-1.c
+++ b/review/lib/case-1.c
@@ -1,7 +1,7 @@
 /**
  * @file case-1.c
- * A primary is to be replaced: it drains, its owner orders the promotion of a replica, and then the zone of both is cut
- * off before the promotion shows.
+ * A primary is to be replaced: it drains, its owner orders the promotion of a replica, and then the
+ * zone of both is cut off before the promotion shows.
  */
 #include "rig.h"
 
@@ -47,7 +47,8 @@
 	r = rig.promotions > 0 ? commit_at_old_primary(c->id) : NULL;
 	if (r != NULL) {
 		broken_writes++;
-		note("BROKEN     ONE: %s was acknowledged; it was committed at the old primary %.1f ms after the promotion",
+		note("BROKEN     ONE: %s was acknowledged; it was committed at the old primary "
+		     "%.1f ms after the promotion",
 		     c->id, (double)(r->at_us - rig.newest_us) / 1000);
 	}
 }
@@ -59,8 +60,8 @@
 	/* The write was acknowledged before the first byte of this read. */
 	if ((unsigned)atoi(row) < last_outside_value) {
 		stale_reads++;
-		note("BROKEN     STALE: %s read %s on a primary route; %u had been acknowledged", c->id, row,
-		     last_outside_value);
+		note("BROKEN     STALE: %s read %s on a primary route; %u had been acknowledged",
+		     c->id, row, last_outside_value);
 	}
 }
 
@@ -74,7 +75,8 @@
 	if (rig.promotions == 0)
 		rig_end(CASE_NOT_RUN, "no promotion took effect");
 	snprintf(why, sizeof(why),
-		 "%u writes acknowledged at the old primary after a promotion, %u stale reads; %u promotions, writes "
+		 "%u writes acknowledged at the old primary after a promotion, %u stale reads; %u "
+		 "promotions, writes "
 		 "acknowledged inside %u, outside %u",
 		 broken_writes, stale_reads, rig.promotions, inside->completed, outside->completed);
 	rig_end(broken_writes > 0 ? CASE_BROKEN : CASE_HELD, why);
@@ -112,8 +114,8 @@
 
 	for (i = 0; i < N_VMS; i++)
 		ready += vm_is_ready(&rig.vm[i]) ? 1 : 0;
-	if (ready == N_VMS && record != NULL && strstr(record, "\"" OWNER_NAME "\"") != NULL && inside->completed > 20 &&
-	    outside->completed > 20)
+	if (ready == N_VMS && record != NULL && strstr(record, "\"" OWNER_NAME "\"") != NULL &&
+	    inside->completed > 20 && outside->completed > 20)
 		after_ms(2000, release, NULL);
 	else if (now_us() - rig.started_us > (int64_t)START_MS * 1000)
 		rig_end(CASE_NOT_RUN, "the daemons do not serve");
@@ -138,6 +140,7 @@
 		vm_start(&rig.vm[i]);
 	inside = client_start("inside", owner, DB_PRIMARY, 20, next_write, on_write);
 	reader = client_start("reader", owner, DB_PRIMARY, 20, next_read, on_read);
-	outside = client_start("outside", &rig.vm[(OWNER_VM + 1) % N_VMS], DB_PRIMARY, 20, next_write, on_write);
+	outside = client_start("outside", &rig.vm[(OWNER_VM + 1) % N_VMS], DB_PRIMARY, 20,
+			       next_write, on_write);
 	await_start(NULL);
 }
--- a/review/lib/case-2.c
+++ b/review/lib/case-2.c
@@ -1,7 +1,7 @@
 /**
  * @file case-2.c
- * A daemon starts while the store loses an answer: its registration is run late. The daemon is killed and starts again, and
- * then its zone is cut off together with the primary that it serves.
+ * A daemon starts while the store loses an answer: its registration is run late. The daemon is
+ * killed and starts again, and then its zone is cut off together with the primary that it serves.
  */
 #include "rig.h"
 
@@ -9,7 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** When the registration is run, after its call: platform_lost (late) runs writes 1 to 6 s later. */
+/** When the registration is run, after its call: platform_lost (late) runs writes 1 to 6 s later.
+ */
 #define LATE_MIN_MS 1500
 #define LATE_MAX_MS 6000
 #define FIRST_LIFE_MS 300
@@ -19,6 +20,7 @@
 /** Time limit for that. */
 #define OWNED_AGAIN_MS 30000
 #define CUT_MS 6000
+#define START_MS 30000
 /** Of the daemons, the one that ranks first for the group. */
 #define OWNER_VM 0
 #define OWNER_NAME "front-tunis-ben-1"
@@ -54,7 +56,8 @@
 	r = rig.promotions > 0 ? commit_at_old_primary(c->id) : NULL;
 	if (r != NULL) {
 		broken_writes++;
-		note("BROKEN     ONE: %s was acknowledged; it was committed at the old primary %.1f ms after the promotion",
+		note("BROKEN     ONE: %s was acknowledged; it was committed at the old primary "
+		     "%.1f ms after the promotion",
 		     c->id, (double)(r->at_us - rig.newest_us) / 1000);
 	}
 }
@@ -66,8 +69,8 @@
 	/* The write was acknowledged before the first byte of this read. */
 	if ((unsigned)atoi(row) < last_outside_value) {
 		stale_reads++;
-		note("BROKEN     STALE: %s read %s on a primary route; %u had been acknowledged", c->id, row,
-		     last_outside_value);
+		note("BROKEN     STALE: %s read %s on a primary route; %u had been acknowledged",
+		     c->id, row, last_outside_value);
 	}
 }
 
@@ -81,7 +84,8 @@
 	if (rig.trouble && !rig.without_late && !rig.register_late)
 		rig_end(CASE_NOT_RUN, "the late registration was not run");
 	snprintf(why, sizeof(why),
-		 "%u writes acknowledged at the old primary after a promotion, %u stale reads; %u promotions, writes "
+		 "%u writes acknowledged at the old primary after a promotion, %u stale reads; %u "
+		 "promotions, writes "
 		 "acknowledged inside %u, outside %u",
 		 broken_writes, stale_reads, rig.promotions, inside->completed, outside->completed);
 	rig_end(broken_writes > 0 ? CASE_BROKEN : CASE_HELD, why);
@@ -98,8 +102,8 @@
 static char *incarnation; /**< of the last process of the owner, as it registered it */
 
 /**
- * Waits until the group's record names the owner's last process. Then the late write is run, within the time that the
- * pages give, and the cut follows.
+ * Waits until the group's record names the owner's last process. Then the late write is run, within
+ * the time that the pages give, and the cut follows.
  */
 static void await_owned(void *arg)
 {
@@ -111,7 +115,8 @@
 	const char *senders = record != NULL ? strstr(record, "senders") : NULL, *found;
 
 	if (incarnation == NULL && key != NULL && strstr(key, "incarnation") != NULL)
-		incarnation = g_strndup(strstr(key, "incarnation"), strlen("incarnation\":\"") + 16);
+		incarnation =
+			g_strndup(strstr(key, "incarnation"), strlen("incarnation\":\"") + 16);
 	found = incarnation != NULL && record != NULL ? strstr(record, incarnation) : NULL;
 	owned = found != NULL && (senders == NULL || found < senders);
 	if (!rig.without_late && !rig.register_late && rig.register_lost_us != 0 &&
@@ -148,7 +153,8 @@
 		after_ms(LATE_MAX_MS + SETTLE_MS, cut, NULL);
 		return;
 	}
-	/* The process that is running has registered long ago; the next one's registration is run late. */
+	/* The process that is running has registered long ago; the next one's registration is run
+	 * late. */
 	vm_kill(owner);
 	if (!rig.without_late)
 		rig.lose_register = owner;
@@ -166,9 +172,11 @@
 
 	for (i = 0; i < N_VMS; i++)
 		ready += vm_is_ready(&rig.vm[i]) ? 1 : 0;
-	if (ready == N_VMS && record != NULL && strstr(record, name) != NULL && inside->completed > 20 &&
-	    outside->completed > 20)
+	if (ready == N_VMS && record != NULL && strstr(record, name) != NULL &&
+	    inside->completed > 20 && outside->completed > 20)
 		after_ms(2000, begin_trouble, NULL);
+	else if (now_us() - rig.started_us > (int64_t)START_MS * 1000)
+		rig_end(CASE_NOT_RUN, "the daemons do not serve");
 	else
 		after_ms(200, await_start, NULL);
 	g_free(name);
@@ -191,6 +199,7 @@
 		vm_start(&rig.vm[i]);
 	inside = client_start("inside", owner, DB_PRIMARY, 20, next_write, on_write);
 	reader = client_start("reader", owner, DB_PRIMARY, 20, next_read, on_read);
-	outside = client_start("outside", &rig.vm[(OWNER_VM + 1) % N_VMS], DB_PRIMARY, 20, next_write, on_write);
+	outside = client_start("outside", &rig.vm[(OWNER_VM + 1) % N_VMS], DB_PRIMARY, 20,
+			       next_write, on_write);
 	await_start(NULL);
 }
--- a/review/lib/case-3.c
+++ b/review/lib/case-3.c
@@ -1,7 +1,7 @@
 /**
  * @file case-3.c
- * Two sessions of one team, at daemons of two zones, prepare statements whose shapes begin alike. One daemon is killed and
- * its client comes back through the other one.
+ * Two sessions of one team, at daemons of two zones, prepare statements whose shapes begin alike.
+ * One daemon is killed and its client comes back through the other one.
  */
 #include "rig.h"
 
@@ -9,9 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SELECT                                                                                                         \
-	"select o.id, o.salon, o.placed_at, o.promised_for, o.carton_count, l.article, l.quantity, l.unit_price, "      \
-	"l.discount, a.title, a.shelf, a.supplier from orders o join order_lines l on l.order_id = o.id join articles " \
+#define SELECT                                                                                     \
+	"select o.id, o.salon, o.placed_at, o.promised_for, o.carton_count, l.article, "           \
+	"l.quantity, l.unit_price, "                                                               \
+	"l.discount, a.title, a.shelf, a.supplier from orders o join order_lines l on l.order_id " \
+	"= o.id join articles "                                                                    \
 	"a on a.id = l.article where o.depot = 'sfax' and o.salon = $1 and o.state = "
 #define OWNER_VM 0
 #define OTHER_VM 1
@@ -25,7 +27,8 @@
 	struct client *client;
 };
 
-static struct prepared open_orders = {.shape = SELECT "'open'"}, paid_orders = {.shape = SELECT "'paid'"};
+static struct prepared open_orders = {.shape = SELECT "'open'"},
+		       paid_orders = {.shape = SELECT "'paid'"};
 static struct client *warm[N_VMS];
 static unsigned wrong, right;
 static int64_t killed_us;
@@ -62,8 +65,9 @@
 		right++;
 	} else {
 		wrong++;
-		note("BROKEN     PINNED: %s executed its s1 and got %s; the shape that it had prepared returns %s", c->id, row,
-		     expected);
+		note("BROKEN     PINNED: %s executed its s1 and got %s; the shape that it had "
+		     "prepared returns %s",
+		     c->id, row, expected);
 	}
 	g_free(expected);
 }
@@ -76,8 +80,9 @@
 	client_stop(paid_orders.client);
 	if (right == 0)
 		rig_end(CASE_NOT_RUN, "nothing was executed");
-	snprintf(why, sizeof(why), "%u executions ran a shape that their client had not prepared, %u the right one", wrong,
-		 right);
+	snprintf(why, sizeof(why),
+		 "%u executions ran a shape that their client had not prepared, %u the right one",
+		 wrong, right);
 	rig_end(wrong > 0 ? CASE_BROKEN : CASE_HELD, why);
 }
 
@@ -104,8 +109,10 @@
 
 	for (i = 0; i < N_VMS; i++)
 		client_stop(warm[i]);
-	open_orders.client = client_start("open", &rig.vm[OWNER_VM], DB_BOUNDED, 50, next_prepared, on_prepared);
-	paid_orders.client = client_start("paid", &rig.vm[OTHER_VM], DB_BOUNDED, 50, next_prepared, on_prepared);
+	open_orders.client =
+		client_start("open", &rig.vm[OWNER_VM], DB_BOUNDED, 50, next_prepared, on_prepared);
+	paid_orders.client =
+		client_start("paid", &rig.vm[OTHER_VM], DB_BOUNDED, 50, next_prepared, on_prepared);
 	after_ms(CALM_MS, trouble, NULL);
 }
 
--- a/review/lib/rig-client.c
+++ b/review/lib/rig-client.c
@@ -1,4 +1,5 @@
-/** @file rig-client.c Clients (PROTOCOL.md, "Clients"): one statement after the other on a session. */
+/** @file rig-client.c Clients (PROTOCOL.md, "Clients"): one statement after the other on a session.
+ */
 #include "rig.h"
 
 #include <stdlib.h>
@@ -22,8 +23,10 @@
 	bool read = g_str_has_prefix(c->text, "READ ") || g_str_has_prefix(c->text, "EXECUTE ");
 
 	c->outstanding = false;
-	note("answer     %s: %s %s%s%s after %.1f ms", c->name, c->id, code[0] != '\0' ? code : "(connection lost)",
-	     read && strcmp(code, "COMPLETE") == 0 ? " " : "", read && strcmp(code, "COMPLETE") == 0 ? c->row : "",
+	note("answer     %s: %s %s%s%s after %.1f ms", c->name, c->id,
+	     code[0] != '\0' ? code : "(connection lost)",
+	     read && strcmp(code, "COMPLETE") == 0 ? " " : "",
+	     read && strcmp(code, "COMPLETE") == 0 ? c->row : "",
 	     (double)(now_us() - c->sent_us) / 1000);
 	if (strcmp(code, "COMPLETE") == 0)
 		c->completed++;
@@ -57,7 +60,8 @@
 	c->row[0] = c->code[0] = '\0';
 	c->outstanding = true;
 	c->sent_us = now_us();
-	note("send       %s: %s %.60s%s, to %s", c->name, c->id, text, strlen(text) > 60 ? "..." : "", c->vm->name);
+	note("send       %s: %s %.60s%s, to %s", c->name, c->id, text,
+	     strlen(text) > 60 ? "..." : "", c->vm->name);
 	evbuffer_add_printf(bufferevent_get_output(c->bev), "QUERY %s %s\r\n", c->id, text);
 }
 
@@ -85,8 +89,8 @@
 	struct client *c = arg;
 	char *line;
 
-	while (c->bev == bev &&
-	       (line = evbuffer_readln(bufferevent_get_input(bev), NULL, EVBUFFER_EOL_CRLF_STRICT)) != NULL) {
+	while (c->bev == bev && (line = evbuffer_readln(bufferevent_get_input(bev), NULL,
+							EVBUFFER_EOL_CRLF_STRICT)) != NULL) {
 		on_line(c, line);
 		free(line);
 	}
@@ -128,8 +132,8 @@
 	bufferevent_socket_connect(c->bev, (struct sockaddr *)&sin, sizeof(sin));
 }
 
-struct client *client_start(const char *name, struct vm *vm, const char *database, int pace_ms, client_next next,
-			    client_answered cb)
+struct client *client_start(const char *name, struct vm *vm, const char *database, int pace_ms,
+			    client_next next, client_answered cb)
 {
 	struct client *c = g_new0(struct client, 1);
 
--- a/review/lib/rig-member.c
+++ b/review/lib/rig-member.c
@@ -1,8 +1,8 @@
 /**
  * @file rig-member.c
- * The members of one database (PROTOCOL.md, "The wire" and "Backends"). Replicas receive a commit REPLICATION_MS after it.
- * A promotion takes effect PROMOTE_MS after the call. A primary that was replaced goes on until STEPDOWN, or until a second
- * after it can reach the new one.
+ * The members of one database (PROTOCOL.md, "The wire" and "Backends"). Replicas receive a commit
+ * REPLICATION_MS after it. A promotion takes effect PROMOTE_MS after the call. A primary that was
+ * replaced goes on until STEPDOWN, or until a second after it can reach the new one.
  */
 #include "rig.h"
 
@@ -20,7 +20,7 @@
 	struct bufferevent *bev;
 	char team[64];
 	bool started, read_only;
-	char state; /**< I, T or E */
+	char state;	   /**< I, T or E */
 	GPtrArray *writes; /**< item, data, ... of the open transaction */
 	char *write_id;
 	GHashTable *values, *prepared; /**< statement name to "READ shape" or "WRITE shape" */
@@ -40,9 +40,12 @@
 {
 	char *key = g_strdup_printf("servers/%s", m->id);
 	char *value = g_strdup_printf(
-		"{\"service\":\"" SERVICE "\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
-		"\"state\":\"%s\",\"cold-remaining-ms\":0,\"database-role\":\"%s\",\"sequence\":1,\"born\":1}",
-		m->port, m->zone, m->draining ? "draining" : "ready", m->primary ? "primary" : "replica");
+		"{\"service\":\"" SERVICE
+		"\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
+		"\"state\":\"%s\",\"cold-remaining-ms\":0,\"database-role\":\"%s\",\"sequence\":1,"
+		"\"born\":1}",
+		m->port, m->zone, m->draining ? "draining" : "ready",
+		m->primary ? "primary" : "replica");
 
 	/* A member behind a cut does not reach the store. */
 	if (!is_cut(m->zone, NULL)) {
@@ -67,13 +70,15 @@
 
 static void put_ready(struct conn *c)
 {
-	evbuffer_add_printf(bufferevent_get_output(c->bev), "READY %c %lu.%u\r\n", c->state, c->m->term, c->m->log->len);
+	evbuffer_add_printf(bufferevent_get_output(c->bev), "READY %c %lu.%u\r\n", c->state,
+			    c->m->term, c->m->log->len);
 }
 
 static void complete(struct conn *c, bool signed_by_member)
 {
 	if (signed_by_member)
-		evbuffer_add_printf(bufferevent_get_output(c->bev), "COMPLETE %s.%u\r\n", c->m->id, ++signatures);
+		evbuffer_add_printf(bufferevent_get_output(c->bev), "COMPLETE %s.%u\r\n", c->m->id,
+				    ++signatures);
 	else
 		evbuffer_add_printf(bufferevent_get_output(c->bev), "COMPLETE -\r\n");
 	put_ready(c);
@@ -98,8 +103,9 @@
 	r->data = g_strdup(g_ptr_array_index(c->writes, 1));
 	g_ptr_array_add(c->m->log, r);
 	g_ptr_array_set_size(c->writes, 0);
-	note("commit     %s commits %lu.%u: request %s, %s = %s%s", c->m->id, c->m->term, c->m->log->len, r->request,
-	     r->item, r->data, c->m != rig.newest ? "  <- another member has been the primary since then" : "");
+	note("commit     %s commits %lu.%u: request %s, %s = %s%s", c->m->id, c->m->term,
+	     c->m->log->len, r->request, r->item, r->data,
+	     c->m != rig.newest ? "  <- another member has been the primary since then" : "");
 }
 
 const struct commit *commit_at_old_primary(const char *request)
@@ -111,7 +117,8 @@
 		for (j = 0; j < rig.member[i].log->len; j++) {
 			const struct commit *r = g_ptr_array_index(rig.member[i].log, j);
 
-			if (strcmp(r->request, request) == 0 && r->term < rig.newest->term && r->at_us > rig.newest_us)
+			if (strcmp(r->request, request) == 0 && r->term < rig.newest->term &&
+			    r->at_us > rig.newest_us)
 				return r;
 		}
 	}
@@ -167,8 +174,9 @@
 	} else {
 		char *row = shape_row(shape + strlen("READ "), f[1]);
 
-		note("execute    %s runs request %s from %s with the shape \"%.40s%s\" (%zu characters): row %s", c->m->id, id,
-		     c->vm != NULL ? c->vm->name : "?", shape + strlen("READ "),
+		note("execute    %s runs request %s from %s with the shape \"%.40s%s\" (%zu "
+		     "characters): row %s",
+		     c->m->id, id, c->vm != NULL ? c->vm->name : "?", shape + strlen("READ "),
 		     strlen(shape) > 45 ? "..." : "", strlen(shape) - strlen("READ "), row);
 		evbuffer_add_printf(bufferevent_get_output(c->bev), "ROW %s\r\n", row);
 		complete(c, true);
@@ -181,7 +189,8 @@
 {
 	struct member *m = c->m;
 
-	if (g_str_has_prefix(text, "STEPDOWN ") && m->primary && strtoull(text + 9, NULL, 10) > m->term) {
+	if (g_str_has_prefix(text, "STEPDOWN ") && m->primary &&
+	    strtoull(text + 9, NULL, 10) > m->term) {
 		m->primary = false;
 		note("stepdown   %s is a replica", m->id);
 	}
@@ -221,8 +230,9 @@
 {
 	char **f;
 
-	if (strcmp(id, "-") == 0 && (strcmp(text, "STATUS") == 0 || g_str_has_prefix(text, "STEPDOWN ") ||
-				     g_str_has_prefix(text, "PAUSE "))) {
+	if (strcmp(id, "-") == 0 &&
+	    (strcmp(text, "STATUS") == 0 || g_str_has_prefix(text, "STEPDOWN ") ||
+	     g_str_has_prefix(text, "PAUSE "))) {
 		run_control(c, text);
 		return;
 	}
@@ -243,7 +253,8 @@
 		return;
 	}
 	if (g_str_has_prefix(text, "READ ")) {
-		evbuffer_add_printf(bufferevent_get_output(c->bev), "ROW %s\r\n", read_item(c->m, text + 5));
+		evbuffer_add_printf(bufferevent_get_output(c->bev), "ROW %s\r\n",
+				    read_item(c->m, text + 5));
 		complete(c, true);
 	} else if (g_str_has_prefix(text, "WRITE ")) {
 		f = g_strsplit(text + 6, " ", 2);
@@ -253,7 +264,8 @@
 		run_execute(c, id, text + 8);
 	} else if (g_str_has_prefix(text, "PREPARE ")) {
 		f = g_strsplit(text + 8, " ", 2);
-		g_hash_table_replace(c->prepared, g_strdup(f[0]), g_strdup(f[1] != NULL ? f[1] : ""));
+		g_hash_table_replace(c->prepared, g_strdup(f[0]),
+				     g_strdup(f[1] != NULL ? f[1] : ""));
 		g_strfreev(f);
 		complete(c, false);
 	} else if (g_str_has_prefix(text, "SET ")) {
@@ -297,8 +309,8 @@
 			put_ready(c);
 			return true;
 		}
-		evbuffer_add_printf(bufferevent_get_output(c->bev), "ERROR %s %s\r\n", ok ? "TOOMANY" : "MISROUTED",
-				    c->m->id);
+		evbuffer_add_printf(bufferevent_get_output(c->bev), "ERROR %s %s\r\n",
+				    ok ? "TOOMANY" : "MISROUTED", c->m->id);
 		return true;
 	}
 	if (strcmp(line, "TERMINATE") == 0) {
@@ -325,7 +337,8 @@
 	/* Nothing passes a cut. */
 	if (is_cut(c->m->zone, c->vm != NULL ? c->vm->zone : NULL))
 		return;
-	while (open && (line = evbuffer_readln(bufferevent_get_input(bev), NULL, EVBUFFER_EOL_CRLF_STRICT)) != NULL) {
+	while (open && (line = evbuffer_readln(bufferevent_get_input(bev), NULL,
+					       EVBUFFER_EOL_CRLF_STRICT)) != NULL) {
 		open = handle_line(c, line);
 		free(line);
 	}
@@ -342,7 +355,8 @@
 		conn_free(c);
 }
 
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg)
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		      void *arg)
 {
 	struct conn *c = g_new0(struct conn, 1);
 
@@ -380,7 +394,8 @@
 	rig.newest = m;
 	rig.newest_us = m->led_us;
 	rig.promotions++;
-	note("promotion  takes effect: %s is the primary of term %lu with %u commits", m->id, m->term, m->log->len);
+	note("promotion  takes effect: %s is the primary of term %lu with %u commits", m->id,
+	     m->term, m->log->len);
 	member_register(m);
 }
 
--- a/review/lib/rig-store.c
+++ b/review/lib/rig-store.c
@@ -1,4 +1,5 @@
-/** @file rig-store.c The platform's store (PROTOCOL.md, "The platform's metadata store") and the promoter. */
+/** @file rig-store.c The platform's store (PROTOCOL.md, "The platform's metadata store") and the
+ * promoter. */
 #include "rig.h"
 
 #include <event2/keyvalq_struct.h>
@@ -70,8 +71,8 @@
 	g_tree_replace(items, g_strdup(key), it);
 	add_change(key, value, lease);
 	if (g_str_has_prefix(key, "mangoloom/vm/") || g_str_has_prefix(key, "mangoloom/group/"))
-		note("store      revision %lu: %s = %s%s%s", revision, key, value, lease != 0 ? ", lease " : "",
-		     lease != 0 ? g_strdup_printf("%lu", lease) : "");
+		note("store      revision %lu: %s = %s%s%s", revision, key, value,
+		     lease != 0 ? ", lease " : "", lease != 0 ? g_strdup_printf("%lu", lease) : "");
 }
 
 static void remove_item(const char *key, const char *why)
@@ -112,17 +113,20 @@
 		evbuffer_add(out, text->str, text->len);
 		g_string_free(text, TRUE);
 	}
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", "application/json");
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+			  "application/json");
 	evhttp_send_reply(req, code, "", out);
 	evbuffer_free(out);
 }
 
-static void put_json_item(GString *out, const char *key, const char *value, uint64_t rev, uint64_t created,
-			  uint64_t lease)
+static void put_json_item(GString *out, const char *key, const char *value, uint64_t rev,
+			  uint64_t created, uint64_t lease)
 {
 	char *b64 = g_base64_encode((const guchar *)value, strlen(value));
 
-	g_string_append_printf(out, "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%lu,\"create-rev\":%lu,\"lease\":%lu",
+	g_string_append_printf(out,
+			       "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%lu,\"create-rev\":%"
+			       "lu,\"lease\":%lu",
 			       key, b64, rev, created, lease);
 	g_free(b64);
 }
@@ -180,7 +184,8 @@
 	answer(req, 200, r.out);
 }
 
-static bool watch_answer(struct evhttp_request *req, const char *prefix, uint64_t after, bool timed_out)
+static bool watch_answer(struct evhttp_request *req, const char *prefix, uint64_t after,
+			 bool timed_out)
 {
 	GString *out = g_string_new("{\"events\":[");
 	unsigned n = 0;
@@ -197,8 +202,9 @@
 			put_json_item(out, c->key, c->value, c->revision, c->revision, c->lease);
 			g_string_append_c(out, '}');
 		} else {
-			g_string_append_printf(out, "{\"key\":\"%s\",\"revision\":%lu,\"removed\":true}", c->key,
-					       c->revision);
+			g_string_append_printf(out,
+					       "{\"key\":\"%s\",\"revision\":%lu,\"removed\":true}",
+					       c->key, c->revision);
 		}
 	}
 	if (n == 0 && !timed_out) {
@@ -256,7 +262,8 @@
 			char *host;
 			ev_uint16_t port;
 
-			evhttp_connection_get_peer(evhttp_request_get_connection(w->req), &host, &port);
+			evhttp_connection_get_peer(evhttp_request_get_connection(w->req), &host,
+						   &port);
 			vm = vm_of_port(port);
 			if (vm != NULL && is_cut(vm->zone, NULL)) {
 				i++;
@@ -265,7 +272,8 @@
 		}
 		evhttp_connection_set_closecb(evhttp_request_get_connection(w->req), NULL, NULL);
 		if (!watch_answer(w->req, w->prefix, w->after, now_us() >= w->until_us)) {
-			evhttp_connection_set_closecb(evhttp_request_get_connection(w->req), watch_closed, NULL);
+			evhttp_connection_set_closecb(evhttp_request_get_connection(w->req),
+						      watch_closed, NULL);
 			i++;
 			continue;
 		}
@@ -283,9 +291,11 @@
 
 	for (i = 0; expected != NULL && i < json_array_get_length(expected); i++) {
 		JsonObject *o = json_array_get_object_element(expected, i);
-		const struct item *it = g_tree_lookup(items, json_object_get_string_member(o, "key"));
+		const struct item *it =
+			g_tree_lookup(items, json_object_get_string_member(o, "key"));
 
-		if ((it != NULL ? it->revision : 0) != (uint64_t)json_object_get_int_member(o, "revision"))
+		if ((it != NULL ? it->revision : 0) !=
+		    (uint64_t)json_object_get_int_member(o, "revision"))
 			return false;
 	}
 	return true;
@@ -298,8 +308,8 @@
 	guint i;
 
 	for (i = 0; i < json_array_get_length(expected); i++) {
-		const char *key =
-			json_object_get_string_member(json_array_get_object_element(expected, i), "key");
+		const char *key = json_object_get_string_member(
+			json_array_get_object_element(expected, i), "key");
 		const struct item *it = g_tree_lookup(items, key);
 
 		if (it == NULL)
@@ -327,9 +337,12 @@
 		return 400;
 	}
 	o = json_node_get_object(json_parser_get_root(parser));
-	expected = json_object_has_member(o, "expected") ? json_object_get_array_member(o, "expected") : NULL;
+	expected = json_object_has_member(o, "expected")
+			   ? json_object_get_array_member(o, "expected")
+			   : NULL;
 	puts = json_object_has_member(o, "puts") ? json_object_get_array_member(o, "puts") : NULL;
-	deletes = json_object_has_member(o, "deletes") ? json_object_get_array_member(o, "deletes") : NULL;
+	deletes = json_object_has_member(o, "deletes") ? json_object_get_array_member(o, "deletes")
+						       : NULL;
 	for (i = 0; puts != NULL && i < json_array_get_length(puts); i++) {
 		uint64_t lease = (uint64_t)json_object_get_int_member_with_default(
 			json_array_get_object_element(puts, i), "lease", 0);
@@ -346,7 +359,8 @@
 		for (i = 0; puts != NULL && i < json_array_get_length(puts); i++) {
 			JsonObject *p = json_array_get_object_element(puts, i);
 			gsize len;
-			guchar *bytes = g_base64_decode(json_object_get_string_member(p, "value"), &len);
+			guchar *bytes =
+				g_base64_decode(json_object_get_string_member(p, "value"), &len);
 			char *value = g_strndup((const char *)bytes, len);
 
 			put_item(json_object_get_string_member(p, "key"), value,
@@ -397,7 +411,8 @@
 	if (vm != NULL && vm == rig.lose_register && registers(body, vm)) {
 		rig.lose_register = NULL;
 		rig.register_lost_us = now_us();
-		note("store      the registration of %s gets no answer and is not run yet", vm->name);
+		note("store      the registration of %s gets no answer and is not run yet",
+		     vm->name);
 		lost_body = g_strdup(body);
 		return;
 	}
@@ -413,10 +428,13 @@
 	GString *out = g_string_new(NULL);
 
 	json_parser_load_from_data(parser, body, -1, NULL);
-	l->ttl_us = json_object_get_int_member(json_node_get_object(json_parser_get_root(parser)), "ttl-ms") * 1000;
+	l->ttl_us = json_object_get_int_member(json_node_get_object(json_parser_get_root(parser)),
+					       "ttl-ms") *
+		    1000;
 	l->until_us = now_us() + l->ttl_us;
 	g_hash_table_insert(leases, GUINT_TO_POINTER(++next_lease), l);
-	g_string_printf(out, "{\"lease\":%lu,\"ttl-ms\":%ld}", next_lease, (long)(l->ttl_us / 1000));
+	g_string_printf(out, "{\"lease\":%lu,\"ttl-ms\":%ld}", next_lease,
+			(long)(l->ttl_us / 1000));
 	g_object_unref(parser);
 	answer(req, 200, out);
 }
@@ -513,7 +531,8 @@
 	else if (g_str_has_prefix(path, "/-/kv-keep/"))
 		post_keep(req, strtoull(path + strlen("/-/kv-keep/"), NULL, 10));
 	else if (g_str_has_prefix(path, "/-/kv-lease-end/")) {
-		lease_end(strtoull(path + strlen("/-/kv-lease-end/"), NULL, 10), ", its lease was ended");
+		lease_end(strtoull(path + strlen("/-/kv-lease-end/"), NULL, 10),
+			  ", its lease was ended");
 		answer(req, 200, g_string_new("{}"));
 	} else {
 		answer(req, 404, NULL);
@@ -542,11 +561,13 @@
 	evhttp_connection_get_peer(evhttp_request_get_connection(req), &host, &port);
 	vm = vm_of_port(port);
 	if (vm == NULL || is_cut(vm->zone, NULL) ||
-	    !json_parser_load_from_data(parser, (const char *)evbuffer_pullup(in, -1), (gssize)len, NULL)) {
+	    !json_parser_load_from_data(parser, (const char *)evbuffer_pullup(in, -1), (gssize)len,
+					NULL)) {
 		g_object_unref(parser);
 		return;
 	}
-	id = json_object_get_string_member(json_node_get_object(json_parser_get_root(parser)), "id");
+	id = json_object_get_string_member(json_node_get_object(json_parser_get_root(parser)),
+					   "id");
 	for (i = 0; i < N_MEMBERS; i++) {
 		if (strcmp(rig.member[i].id, id) == 0)
 			target = &rig.member[i];
@@ -579,7 +600,8 @@
 	return http;
 }
 
-/** Members write their entries about every HEARTBEAT_MS; one that does not reach the store is taken off. */
+/** Members write their entries about every HEARTBEAT_MS; one that does not reach the store is taken
+ * off. */
 static void on_heartbeat(evutil_socket_t fd, short what, void *arg)
 {
 	static unsigned missed[N_MEMBERS];
@@ -602,16 +624,20 @@
 {
 	store_put("op/config",
 		  "{\"version\":7,\"routes\":["
-		  "{\"name\":\"r-1\",\"host\":\"" DB_PRIMARY "\",\"prefix\":\"/\",\"kind\":\"primary\",\"timeout-ms\":800,"
+		  "{\"name\":\"r-1\",\"host\":\"" DB_PRIMARY
+		  "\",\"prefix\":\"/\",\"kind\":\"primary\",\"timeout-ms\":800,"
 		  "\"target-latency-ms\":100,\"priority\":1,\"service\":\"" SERVICE
 		  "\",\"max-attempts\":2,\"allow-anonymous\":false},"
-		  "{\"name\":\"r-2\",\"host\":\"" DB_BOUNDED "\",\"prefix\":\"/\",\"kind\":\"bounded_staleness\","
-		  "\"timeout-ms\":1200,\"target-latency-ms\":300,\"priority\":2,\"service\":\"" SERVICE
+		  "{\"name\":\"r-2\",\"host\":\"" DB_BOUNDED
+		  "\",\"prefix\":\"/\",\"kind\":\"bounded_staleness\","
+		  "\"timeout-ms\":1200,\"target-latency-ms\":300,\"priority\":2,\"service\":"
+		  "\"" SERVICE
 		  "\",\"max-attempts\":2,\"max-staleness-ms\":1500,\"allow-anonymous\":false}],"
-		  "\"services\":[{\"name\":\"" SERVICE
-		  "\",\"health-path\":\"/health\",\"connection-limit\":16,\"protocol\":\"h1\",\"tls-enabled\":false,"
+		  "\"services\":[{\"name\":\"" SERVICE "\",\"health-path\":\"/"
+		  "health\",\"connection-limit\":16,\"protocol\":\"h1\",\"tls-enabled\":false,"
 		  "\"synchronous-replicas\":0}],"
-		  "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
+		  "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,\"header-"
+		  "timeout-ms\":3000,"
 		  "\"idle-timeout-ms\":15000,\"transaction-idle-ms\":3000},"
 		  "\"tenants\":[{\"name\":\"" TEAM "\",\"api-keys\":[\"" KEY
 		  "\"],\"priority\":1,\"rate-per-s\":1000,\"burst\":1000}]}",
@@ -621,7 +647,8 @@
 void store_start(void)
 {
 	const struct timeval tick = {.tv_usec = 10000};
-	const struct timeval beat = {.tv_sec = HEARTBEAT_MS / 1000, .tv_usec = HEARTBEAT_MS % 1000 * 1000};
+	const struct timeval beat = {.tv_sec = HEARTBEAT_MS / 1000,
+				     .tv_usec = HEARTBEAT_MS % 1000 * 1000};
 
 	items = g_tree_new_full(key_cmp, NULL, g_free, item_free);
 	changes = g_ptr_array_new();
--- a/review/lib/rig.c
+++ b/review/lib/rig.c
@@ -49,7 +49,8 @@
 	FILE *f = fopen("/proc/net/tcp", "r");
 
 	while (f != NULL && fgets(line, sizeof(line), f) != NULL) {
-		if (sscanf(line, " %*d: %*8x:%x %*8x:%*x %*x %*x:%*x %*x:%*x %*x %*d %*d %lu", &local, &inode) == 2 &&
+		if (sscanf(line, " %*d: %*8x:%x %*8x:%*x %*x %*x:%*x %*x:%*x %*x %*d %*d %lu",
+			   &local, &inode) == 2 &&
 		    (int)local == port && inode != 0)
 			found = inode;
 	}
@@ -116,9 +117,9 @@
 	struct sockaddr_in sin = {.sin_family = AF_INET,
 				  .sin_port = htons((uint16_t)*port),
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	struct evconnlistener *l = evconnlistener_new_bind(rig.base, cb, arg,
-							   LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
-							   (struct sockaddr *)&sin, sizeof(sin));
+	struct evconnlistener *l = evconnlistener_new_bind(
+		rig.base, cb, arg, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
+		(struct sockaddr *)&sin, sizeof(sin));
 	socklen_t len = sizeof(sin);
 
 	if (l == NULL)
@@ -128,18 +129,29 @@
 	return l;
 }
 
+/** Ports below those that the system gives to outgoing connections, which could take one meanwhile.
+ */
+#define PORT_FIRST 12000
+#define PORT_RANGE 20000
+
 /** Returns a port that is free now. */
 static int free_port(void)
 {
+	static unsigned tries;
 	struct sockaddr_in sin = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
+	bool bound = false;
+	int fd, port = 0;
+
+	while (!bound && tries < PORT_RANGE) {
+		port = PORT_FIRST + (int)(((unsigned)getpid() * 97 + tries++) % PORT_RANGE);
+		sin.sin_port = htons((uint16_t)port);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		bound = bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
+		close(fd);
+	}
+	if (!bound)
 		rig_end(CASE_NOT_RUN, "no free port");
-	close(fd);
-	return ntohs(sin.sin_port);
+	return port;
 }
 
 /* The network between daemons. While it is cut, nothing is delivered in either direction. */
@@ -187,7 +199,8 @@
 		link_close(l);
 }
 
-static void link_accept(struct evconnlistener *listener, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg)
+static void link_accept(struct evconnlistener *listener, evutil_socket_t fd, struct sockaddr *sa,
+			int len, void *arg)
 {
 	struct vm *to = arg, *from = vm_of_port(peer_port(fd));
 	struct sockaddr_in sin = {.sin_family = AF_INET,
@@ -224,7 +237,9 @@
 {
 	guint i;
 
-	note("network    zone %s is cut off from the other zones and the platform; clients still reach it", zone);
+	note("network    zone %s is cut off from the other zones and the platform; clients still "
+	     "reach it",
+	     zone);
 	rig.cut_zone = zone;
 	for (i = 0; i < links->len; i++) {
 		struct link *l = g_ptr_array_index(links, i);
@@ -252,10 +267,14 @@
 static void write_settings(const struct vm *vm, const char *path)
 {
 	static const char *const bounds[][2] = {
-		{"{{bounds.drain-timeout-ms}}", "7000"}, {"{{bounds.grace-period-s}}", "6"},
-		{"{{bounds.quota-window-s}}", "5"},	 {"{{bounds.quota-overshoot}}", "0.1"},
+		{"{{bounds.drain-timeout-ms}}", "7000"},
+		{"{{bounds.grace-period-s}}", "6"},
+		{"{{bounds.quota-window-s}}", "5"},
+		{"{{bounds.quota-overshoot}}", "0.1"},
 		{"{{bounds.quota-slack}}", "20"},
-		{"{{#bounds.evacuation-ms}}evacuate_ms = {{bounds.evacuation-ms}}{{/bounds.evacuation-ms}}", ""},
+		{"{{#bounds.evacuation-ms}}evacuate_ms = "
+		 "{{bounds.evacuation-ms}}{{/bounds.evacuation-ms}}",
+		 ""},
 	};
 	char *text = NULL, *seeds, address[128];
 	guint i;
@@ -269,7 +288,8 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%d", vm->front);
 	replace(&text, "{{listen-addresses.front}}", address);
 	/* The other daemons reach this one through the rig, which cuts the links between zones. */
-	snprintf(address, sizeof(address), "127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d", vm->control, vm->advertised);
+	snprintf(address, sizeof(address), "127.0.0.1:%d\"\nadvertise = \"127.0.0.1:%d",
+		 vm->control, vm->advertised);
 	replace(&text, "{{listen-addresses.control}}", address);
 	snprintf(address, sizeof(address), "127.0.0.1:%d", vm->ready);
 	replace(&text, "{{listen-addresses.ready}}", address);
@@ -280,8 +300,8 @@
 	replace(&text, "{{platform.address}}", address);
 	snprintf(address, sizeof(address), "127.0.0.1:%d", rig.promoter_port);
 	replace(&text, "{{cloud-api.address}}", address);
-	seeds = g_strdup_printf("[\"127.0.0.1:%d\",\"127.0.0.1:%d\",\"127.0.0.1:%d\"]", rig.vm[0].advertised,
-				rig.vm[1].advertised, rig.vm[2].advertised);
+	seeds = g_strdup_printf("[\"127.0.0.1:%d\",\"127.0.0.1:%d\",\"127.0.0.1:%d\"]",
+				rig.vm[0].advertised, rig.vm[1].advertised, rig.vm[2].advertised);
 	replace(&text, "{{seed-nodes|json}}", seeds);
 	g_free(seeds);
 	if (strstr(text, "{{") != NULL || !g_file_set_contents(path, text, -1, NULL))
@@ -306,7 +326,8 @@
 		dup2(fd, 2);
 		for (fd = 3; fd < 1024; fd++)
 			close(fd);
-		execl("target/mangoloomd", "target/mangoloomd", "--settings", settings, (char *)NULL);
+		execl("target/mangoloomd", "target/mangoloomd", "--settings", settings,
+		      (char *)NULL);
 		_exit(127);
 	}
 	note("process    %s starts", vm->name);
@@ -333,8 +354,8 @@
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
 	ready = connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
-		write(fd, request, sizeof(request) - 1) > 0 && read(fd, answer, sizeof(answer) - 1) > 0 &&
-		strstr(answer, " 200 ") != NULL;
+		write(fd, request, sizeof(request) - 1) > 0 &&
+		read(fd, answer, sizeof(answer) - 1) > 0 && strstr(answer, " 200 ") != NULL;
 	close(fd);
 	return ready;
 }
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -1,9 +1,9 @@
 /**
  * @file rig.h
- * A small deployment on loopback addresses: three daemons, one in each zone, started with the command of
- * deploy/system.toml and the template deploy/settings.toml.in, and stand-ins for the platform's store, the promoter, the
- * three members of one database and the clients. All stand-ins run in one process and one event loop, so that the record
- * has one clock.
+ * A small deployment on loopback addresses: three daemons, one in each zone, started with the
+ * command of deploy/system.toml and the template deploy/settings.toml.in, and stand-ins for the
+ * platform's store, the promoter, the three members of one database and the clients. All stand-ins
+ * run in one process and one event loop, so that the record has one clock.
  *
  * rig.c         daemons, network between zones, record, main()
  * rig-store.c   the store and the promoter
@@ -72,12 +72,13 @@
 	struct member member[N_MEMBERS];
 	int store_port, promoter_port;
 	const char *cut_zone; /**< partitioned from the other zones and the platform; NULL: none */
-	/** The next registration of this VM gets no answer and is run by store_run_late(); NULL: none. */
+	/** The next registration of this VM gets no answer and is run by store_run_late(); NULL:
+	 * none. */
 	struct vm *lose_register;
 	int64_t register_lost_us; /**< when it was called; 0: not yet */
 	bool register_late;	  /**< it was run */
 	unsigned promotions;
-	int64_t ordered_us; /**< first order of a promotion; 0: none */
+	int64_t ordered_us;    /**< first order of a promotion; 0: none */
 	struct member *newest; /**< promoted last */
 	int64_t newest_us;     /**< when that took effect */
 	FILE *record;
@@ -117,12 +118,14 @@
 void member_register(struct member *m);
 /** Returns the commit of a request at a member that was not the newest primary then, or NULL. */
 const struct commit *commit_at_old_primary(const char *request);
-/** Returns a text that depends on the shape and the item, as a statement of that shape returns it. */
+/** Returns a text that depends on the shape and the item, as a statement of that shape returns it.
+ */
 char *shape_row(const char *shape, const char *item);
 
 /* rig-client.c */
 struct client;
-/** Called for each answer. @param code "COMPLETE" or an error code; "" if the connection was lost */
+/** Called for each answer. @param code "COMPLETE" or an error code; "" if the connection was lost
+ */
 typedef void (*client_answered)(struct client *c, const char *code, const char *row);
 /** Returns the text of the next statement, or NULL to wait. */
 typedef char *(*client_next)(struct client *c);
@@ -137,9 +140,9 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	bool ready, outstanding, stopped;
-	unsigned n;	 /**< number of the last statement */
-	char id[64];	 /**< of the last statement */
-	char *text;	 /**< of the last statement */
+	unsigned n;  /**< number of the last statement */
+	char id[64]; /**< of the last statement */
+	char *text;  /**< of the last statement */
 	char row[4096];
 	char code[64];
 	int64_t sent_us;
@@ -147,8 +150,8 @@
 	unsigned completed;
 	int step;
 };
-struct client *client_start(const char *name, struct vm *vm, const char *database, int pace_ms, client_next next,
-			    client_answered answered);
+struct client *client_start(const char *name, struct vm *vm, const char *database, int pace_ms,
+			    client_next next, client_answered answered);
 void client_stop(struct client *c);
 
 /* case-N.c */
