--- a/review/lib/case-1.c
+++ b/review/lib/case-1.c
@@ -1,7 +1,8 @@
 /**
  * @file case-1.c
- * A primary is to be replaced: it drains, its owner orders the promotion of a replica, and then the
- * zone of both is cut off before the promotion shows.
+ * A primary is to be replaced: it drains, its owner orders the promotion of a replica, and before
+ * the promotion shows the zone of that replica is cut off. Neither the owner nor the old primary is
+ * behind the cut. With CUT=owner it is their zone instead.
  */
 #include "rig.h"
 
@@ -84,8 +85,10 @@
 
 static void cut(void *arg)
 {
+	bool target = g_strcmp0(g_getenv("CUT"), "owner") != 0;
+
 	if (rig.trouble)
-		cut_begin(owner->zone);
+		cut_begin(target ? rig.ordered->zone : owner->zone);
 	after_ms(CUT_MS, finish, NULL);
 }
 
--- a/review/lib/rig-store.c
+++ b/review/lib/rig-store.c
@@ -580,6 +580,7 @@
 		evhttp_send_reply(req, 409, "", NULL);
 		return;
 	}
+	rig.ordered = target;
 	if (target != rig.newest)
 		member_promote(target);
 	evhttp_send_reply(req, 200, "", NULL);
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -78,9 +78,10 @@
 	int64_t register_lost_us; /**< when it was called; 0: not yet */
 	bool register_late;	  /**< it was run */
 	unsigned promotions;
-	int64_t ordered_us;    /**< first order of a promotion; 0: none */
-	struct member *newest; /**< promoted last */
-	int64_t newest_us;     /**< when that took effect */
+	struct member *ordered; /**< whose promotion was ordered last */
+	int64_t ordered_us;	/**< first order of a promotion; 0: none */
+	struct member *newest;	/**< promoted last */
+	int64_t newest_us;	/**< when that took effect */
 	FILE *record;
 	char dir[256];
 } rig;
