Owner: a primary whose successor was ordered does not serve again

Cause: a change that is called off returns to the old primary. After the wait for a promotion's effect ran out, a planned change went back to the choice still as a planned one; there it was called off after 1.5 s as "replica-behind" (or at once as "stays"). Only moves of a primary asked whether an order was out. In the same state the old primary's positions counted as marks of bounded reads.

Ruled out: the lease (held), the record (names the successor throughout), answers of statements sent before the change (connections are closed before the order).

Change: choose_keeps_primary() is the one test of whether a primary may go on: the record accepts it, without a choice that can be taken back. A choice can be taken back while no order of it may take effect; orders are counted, a refusal takes one off. change_cancel() and the marks ask it, and a change whose order may still take effect goes on as an unplanned one, which promotes another member that holds the whole log. Why this suffices: the group enters OWNER_SERVING only in change_set_primary(), with a primary that the record accepts, and in change_cancel(). The wait of 2.5 s before another order stays: of two promotions under way the first could take effect last.

Related paths: a refused promotion of a planned change was repeated without end while the target answered probes; the old primary now goes on at once. The failover of PostgreSQL groups has pledges of a majority and no way back.

--- a/decide/lead.c
+++ b/decide/lead.c
@@ -77,6 +77,11 @@
 	return true;
 }
 
+bool lead_accepts(const struct lead_record *r, const char *member, uint64_t term)
+{
+	return term > r->term_floor && (r->target[0] == '\0' || strcmp(member, r->target) == 0);
+}
+
 int lead_find_primary(const struct lead_record *r, const char *const *names,
 		      const struct lead_candidate *c, unsigned n)
 {
@@ -84,13 +89,7 @@
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
-		/*
-		 * A primary that was replaced still reports to be primary until it learns of the
-		 * new one. Writes that it accepts are discarded later and must not be acknowledged.
-		 */
-		if (!c[i].reached || !c[i].primary || c[i].term <= r->term_floor)
-			continue;
-		if (r->target[0] != '\0' && strcmp(names[i], r->target) != 0)
+		if (!c[i].reached || !c[i].primary || !lead_accepts(r, names[i], c[i].term))
 			continue;
 		if (best < 0 || c[i].term > c[best].term)
 			best = (int)i;
--- a/decide/lead.h
+++ b/decide/lead.h
@@ -58,6 +58,13 @@
  */
 bool lead_recover_choice(struct lead_record *r, const struct lead_record *known);
 
+/**
+ * Whether the record accepts @a member as primary of @a term. A primary that was replaced still
+ * reports to be primary until it learns of the new one; writes that it accepts are discarded later
+ * and must not be acknowledged.
+ */
+bool lead_accepts(const struct lead_record *r, const char *member, uint64_t term);
+
 /** Status of a member as the owner sees it when it looks for the primary or chooses a new one. */
 struct lead_candidate {
 	bool reached;
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -173,6 +173,13 @@
 
 void change_cancel(struct owner_group *g, const char *why)
 {
+	if (!choose_keeps_primary(g)) {
+		log_warn("change-goes-on", LOG_STR("pool", g->pool),
+			 LOG_STR("member", g->record.target), LOG_NUM("term", g->term),
+			 LOG_NUM("floor", g->record.term_floor), LOG_STR("why", why));
+		g->planned = false;
+		return;
+	}
 	log_info("change-called-off", LOG_STR("pool", g->pool), LOG_STR("why", why));
 	g->next_call_us = now_us() + PLANNED_PAUSE_US;
 	standing_called_off(g, why);
@@ -302,6 +309,21 @@
 
 /* States OWNER_ORDERING and OWNER_AWAITING */
 
+/**
+ * Returns to the choice after an order was refused or had no effect. If an order may still take
+ * effect, the old primary must not serve again, and the change goes on as an unplanned one.
+ */
+static void order_given_up(struct owner_group *g, const char *why)
+{
+	g->excluded = g->target;
+	g->planned = g->planned && g->undo.possible;
+	log_info("order-given-up", LOG_STR("pool", g->pool),
+		 LOG_STR("member", g->member[g->target].conf.name), LOG_REVISION("token", g->token),
+		 LOG_NUM("orders", g->undo.orders), LOG_NUM("planned", g->planned),
+		 LOG_STR("why", why));
+	owner_group_set_state(g, OWNER_CHOOSING, why);
+}
+
 /** A promotion order in flight. */
 struct order {
 	struct owner *o;
@@ -317,9 +339,10 @@
 	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_REVISION("token", q->token),
 		 LOG_NUM("code", code));
 	if (g != NULL && g->state == OWNER_ORDERING && g->token == q->token) {
+		if (result == PROMOTER_REFUSED)
+			g->undo.possible = --g->undo.orders == 0;
 		if (result == PROMOTER_REFUSED && code == 409) {
-			g->excluded = g->target;
-			owner_group_set_state(g, OWNER_CHOOSING, "promotion-refused");
+			order_given_up(g, "promotion-refused");
 		} else if (result == PROMOTER_ACCEPTED) {
 			owner_group_set_state(g, OWNER_AWAITING, "promotion-accepted");
 		} else {
@@ -352,6 +375,7 @@
 		return;
 	g->ordered = true;
 	g->undo.possible = false;
+	g->undo.orders++;
 	q = g_new0(struct order, 1);
 	q->o = g->o;
 	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
@@ -374,10 +398,8 @@
 		change_set_primary(g, found, "promoted");
 		return;
 	}
-	if (now - g->state_us < AWAIT_TIMEOUT_US)
-		return;
-	g->excluded = g->target;
-	owner_group_set_state(g, OWNER_CHOOSING, "promotion-without-effect");
+	if (now - g->state_us >= AWAIT_TIMEOUT_US)
+		order_given_up(g, "promotion-without-effect");
 }
 
 /* State OWNER_FINDING */
--- a/src/owner-choose.c
+++ b/src/owner-choose.c
@@ -71,6 +71,13 @@
 	return r;
 }
 
+bool choose_keeps_primary(const struct owner_group *g)
+{
+	struct lead_record r = g->undo.possible ? undo_record(g) : g->record;
+
+	return g->primary >= 0 && lead_accepts(&r, g->member[g->primary].conf.name, g->term);
+}
+
 static void undo_written(struct owner_group *g, bool ok)
 {
 	if (ok)
@@ -143,6 +150,7 @@
 		g->undo.term_floor = r.term_floor;
 		g_strlcpy(g->undo.target, r.target, sizeof(g->undo.target));
 	}
+	g->undo.orders = 0;
 	r.choices++;
 	r.term_floor = MAX(r.term_floor, highest);
 	g_strlcpy(r.target, g->member[target].conf.name, sizeof(r.target));
@@ -188,17 +196,11 @@
 }
 
 /**
- * Ends a move that takes too long or whose target may not lead any more. If its promotion was
- * ordered and had no effect, that may still come, so the change goes on as an unplanned one.
+ * Ends a move that takes too long or whose target may not lead any more.
  * @return whether the move has ended
  */
 static bool move_fails(struct owner_group *g, int64_t now)
 {
-	if (!g->undo.possible) {
-		g->planned = false;
-		log_info("move-without-effect", LOG_STR("pool", g->pool));
-		return true;
-	}
 	if (!standing_target_fits(g))
 		change_cancel(g, "target-leaves");
 	else if (!has_caught_up(g) && now - g->state_us > STANDING_STEP_MAX_US)
@@ -208,7 +210,10 @@
 	return true;
 }
 
-/** Orders the promotion of a planned change once the chosen member has caught up. */
+/**
+ * Orders the promotion of a planned change once the chosen member has caught up. No promotion that
+ * may take effect was ordered yet, so the old primary may continue.
+ */
 static void catch_up(struct owner_group *g, int64_t now)
 {
 	const struct owner_member *old = owner_group_primary(g);
@@ -224,6 +229,13 @@
 		change_cancel(g, "stays");
 		return;
 	}
+	if (g->target >= 0 && g->target == g->excluded) {
+		if (change_exceeds_leave_time(old, now))
+			g->planned = false;
+		else
+			change_cancel(g, "promotion-refused");
+		return;
+	}
 	if (standing_moves(g) && move_fails(g, now))
 		return;
 	if (g->target < 0) {
@@ -326,6 +338,7 @@
 	}
 	g->planned = true;
 	g->target = -1;
+	g->excluded = -1;
 	g->primary = leader;
 	g->term = g->member[leader].observed.term;
 }
--- a/src/owner-watch.c
+++ b/src/owner-watch.c
@@ -41,7 +41,8 @@
 {
 	if (g->state == OWNER_SERVING)
 		return true;
-	return g->planned && g->state >= OWNER_SETTLING && g->state <= OWNER_CHOOSING;
+	return g->planned && g->state >= OWNER_SETTLING && g->state <= OWNER_CHOOSING &&
+	       choose_keeps_primary(g);
 }
 
 void watch_answered(struct owner_member *m, struct pos pos, int64_t asked_us)
--- a/src/owner.h
+++ b/src/owner.h
@@ -273,7 +273,9 @@
 	bool ordered;		   /**< the promotion of @a target was ordered */
 	struct succession succession;
 	struct {
-		bool possible;	     /**< no promotion was ordered for the recorded choice */
+		bool possible;	     /**< no promotion that may take effect was ordered for the
+					  recorded choice */
+		unsigned orders;     /**< orders of the recorded choice that may take effect */
 		uint64_t term_floor; /**< a primary is accepted only with a term above this one */
 		char target[NAME_SIZE];
 	} undo;		       /**< record fields before the choice */
@@ -451,7 +453,10 @@
 void change_move(struct owner_group *g, int target);
 /** Makes the member at @a i the primary and serves the group. */
 void change_set_primary(struct owner_group *g, int i, const char *why);
-/** Cancels a planned change that cannot be made now: the old primary continues to serve. */
+/**
+ * Cancels a planned change that cannot be made now: the old primary continues to serve. If it may
+ * have been replaced, the change goes on as an unplanned one.
+ */
 void change_cancel(struct owner_group *g, const char *why);
 /** Whether the primary must be replaced although it may be alive. */
 bool change_must_leave(const struct owner_member *m, int64_t now);
@@ -479,6 +484,11 @@
  * @a highest.
  */
 void choose_record(struct owner_group *g, int target, uint64_t highest, record_written cb);
+/**
+ * Whether the primary may continue to serve: the record accepts it, without a choice that can be
+ * reverted.
+ */
+bool choose_keeps_primary(const struct owner_group *g);
 /** Reverts the recorded choice if no promotion was ordered for it. */
 void choose_undo(struct owner_group *g);
 /**
