Owner: a prepared statement is known by the whole of its shape

A write would have been applied in another shape in the same way.

Cause: callers of a team share connections, and a statement was prepared on them under its shape, cut to 253 characters and with blanks replaced. A shape whose name the connection had was taken for prepared.

Ruled out: the session's table (by the caller's own name, whole shape), the call to the owner (whole shape), connections shared by teams.

Change: a connection knows its statements by a digest of kind and whole shape (BLAKE2b, 256 bits) and names them s1, s2, ...; a number is not used again on a connection. The digest is kept, since sessions choose how many shapes there are and how long. Why it works: equal names now need equal digests of the whole identity, and the name is chosen by us, so nothing that a caller sends is cut or rewritten.

--- a/src/owner-command.c
+++ b/src/owner-command.c
@@ -5,10 +5,15 @@
  */
 #include "owner.h"
 
+#include <sodium.h>
 #include <string.h>
 
 /** Number of commands reserved for a reset, a prepare, a begin and the statement. */
 #define COMMANDS_RESERVED 4
+/** Size of the digest of a prepared statement; no two statements with the same one can be found. */
+#define DIGEST_SIZE crypto_generichash_BYTES
+
+/* Session values */
 
 static void save_value(struct owner_conn *c, const ml_value *v)
 {
@@ -54,33 +59,60 @@
 	return n;
 }
 
+/* Prepared statements */
+
+static guint digest_hash(gconstpointer digest)
+{
+	guint h;
+
+	memcpy(&h, digest, sizeof(h));
+	return h;
+}
+
+static gboolean digest_equal(gconstpointer a, gconstpointer b)
+{
+	return memcmp(a, b, DIGEST_SIZE) == 0;
+}
+
+GHashTable *command_prepared_create(void)
+{
+	return g_hash_table_new_full(digest_hash, digest_equal, g_free, NULL);
+}
+
 /**
- * Names a prepared statement after its shape, so that all callers of a connection share it and it
- * is prepared only once.
+ * Identifies a prepared statement by all of its shape, so that all callers of a connection share it
+ * and it is prepared only once. The shape itself, of up to ML_TEXT_MAX, is not kept.
  */
-static void statement_name(const ml_run_args *a, char name[OWNER_NAME_MAX])
+static void digest_statement(const ml_run_args *a, unsigned char digest[DIGEST_SIZE])
 {
-	char *at;
+	const unsigned char kind = a->write ? 'w' : 'r';
+	crypto_generichash_state state;
 
-	g_snprintf(name, OWNER_NAME_MAX, "%c_%s", a->write ? 'w' : 'r', a->shape);
-	for (at = name; *at != '\0'; at++) {
-		if (*at == ' ')
-			*at = '_';
-	}
+	crypto_generichash_init(&state, NULL, 0, DIGEST_SIZE);
+	crypto_generichash_update(&state, &kind, sizeof(kind));
+	crypto_generichash_update(&state, (const unsigned char *)a->shape, strlen(a->shape));
+	crypto_generichash_final(&state, digest, DIGEST_SIZE);
 }
 
-unsigned command_prepare(struct owner_job *job, char name[OWNER_NAME_MAX],
+unsigned command_prepare(struct owner_job *job, char name[OWNER_STATEMENT_NAME_SIZE],
 			 struct member_command *out)
 {
 	const ml_run_args *a = job->args;
 	struct owner_conn *c = job->conn;
+	unsigned char digest[DIGEST_SIZE];
+	uint64_t number;
 
 	if (a->op != STATEMENT_EXECUTE)
 		return 0;
-	statement_name(a, name);
-	if (g_hash_table_contains(c->prepared, name))
+	digest_statement(a, digest);
+	number = (uint64_t)g_hash_table_lookup(c->prepared, digest);
+	if (number != 0) {
+		g_snprintf(name, OWNER_STATEMENT_NAME_SIZE, "s%lu", number);
 		return 0;
-	g_hash_table_add(c->prepared, g_strdup(name));
+	}
+	number = ++c->last_prepared;
+	g_snprintf(name, OWNER_STATEMENT_NAME_SIZE, "s%lu", number);
+	g_hash_table_insert(c->prepared, g_memdup2(digest, DIGEST_SIZE), (gpointer)number);
 	*out = (struct member_command){
 		.op = STATEMENT_PREPARE, .name = name, .operand = a->shape, .write = a->write};
 	return 1;
--- a/src/owner-conn.c
+++ b/src/owner-conn.c
@@ -247,7 +247,7 @@
 	c->m = m;
 	g_strlcpy(c->team, team, sizeof(c->team));
 	c->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->prepared = command_prepared_create();
 	c->state_since_us = now_us();
 	c->sent_us = c->state_since_us;
 	c->budget.priority = priority;
--- a/src/owner-job.c
+++ b/src/owner-job.c
@@ -296,7 +296,7 @@
 {
 	struct member_command commands[OWNER_COMMANDS_MAX];
 	const ml_run_args *a = job->args;
-	char name[OWNER_NAME_MAX];
+	char name[OWNER_STATEMENT_NAME_SIZE];
 	unsigned n = 0;
 
 	job->step = OWNER_STATEMENT;
--- a/src/owner.h
+++ b/src/owner.h
@@ -77,8 +77,8 @@
 #define OWNER_PRIORITIES STAT_CLASSES
 /** Most VMs that an owner asks whether they reach its primary. */
 #define OWNER_WITNESSES_MAX 6
-/** Size of a prepared statement's name: 'r' or 'w', '_', and the shape of the statement. */
-#define OWNER_NAME_MAX 256
+/** Size of a prepared statement's name on a connection: 's' and its number. */
+#define OWNER_STATEMENT_NAME_SIZE 24
 
 /** A connection to a member that runs statements. It belongs to one team until it is closed. */
 struct owner_conn {
@@ -89,7 +89,8 @@
 	bool open;
 	bool values_uncertain;	/**< reset before use: a rollback may have changed values */
 	GHashTable *values;	/**< session values set on the connection: name to value */
-	GHashTable *prepared;	/**< names of the statements prepared on the connection */
+	GHashTable *prepared;	/**< statements prepared on the connection: digest to number */
+	uint64_t last_prepared; /**< number of the last one; a number is never used again */
 	struct owner_job *job;	/**< statement that runs on it or waits for it to open */
 	struct owner_tx *tx;	/**< open transaction it is reserved for, or NULL */
 	bool abandoned;		/**< runs a statement whose caller was already answered */
@@ -607,11 +608,13 @@
 #define OWNER_COMMANDS_MAX 64
 /** Writes the commands that give the connection the session's values. @return their number */
 unsigned command_values(struct owner_job *job, struct member_command *out);
+/** Creates the table of the statements that are prepared on a connection. */
+GHashTable *command_prepared_create(void);
 /**
  * Writes the command that prepares the statement of @a job if the connection lacks it, and stores
  * its name in @a name. @return the number of commands: 0 or 1
  */
-unsigned command_prepare(struct owner_job *job, char name[OWNER_NAME_MAX],
+unsigned command_prepare(struct owner_job *job, char name[OWNER_STATEMENT_NAME_SIZE],
 			 struct member_command *out);
 
 /* owner-conn.c */
--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -20,6 +20,8 @@
 	struct fake_conn *f = (struct fake_conn *)c;
 	unsigned i;
 
+	if (fake.run != NULL)
+		fake.run(f, commands, n);
 	for (i = 0; i < n; i++) {
 		fake.sent_on[fake.n_sent] = f;
 		fake.sent[fake.n_sent++] = commands[i];
--- a/tests/harness-owner.h
+++ b/tests/harness-owner.h
@@ -46,6 +46,8 @@
 	char *(*value)(const char *key);
 	/** Whether answers of the store are held back. NULL: none are. */
 	bool (*holds)(void);
+	/** Called with the commands that are sent on a connection; may be NULL. */
+	void (*run)(struct fake_conn *f, const struct member_command *commands, unsigned n);
 	/** Called when a promotion is ordered. NULL: the order gets no answer. */
 	void (*promote)(const char *member, promoter_done cb, void *arg);
 };
