Home: the value that a query of the proxy returns is not cut

Change: a value is kept whole up to 64 KiB; a longer one is no value, and neither proves that a statement is lost nor is taken for a report. The report and the list are read in place. A report with a name that is too long or with anything malformed is refused.

--- a/src/db-libpq.c
+++ b/src/db-libpq.c
@@ -20,6 +20,7 @@
 	struct db_query query; /**< only numbers and flags; the pointers are cleared */
 	unsigned results;      /**< results of the running query received so far */
 	bool described_params; /**< the Prepare step of a describe has been answered */
+	bool value_seen;       /**< a result had a row, whose first column is the value */
 	struct db_result res;
 };
 
@@ -34,6 +35,7 @@
 	if (c->res.frames != NULL)
 		g_byte_array_unref(c->res.frames);
 	g_free(c->res.message);
+	g_free(c->res.value);
 	PQfinish(c->pg);
 	g_free(c);
 }
@@ -147,6 +149,7 @@
 	cb(&c->db, &res, c->arg);
 	g_byte_array_unref(res.frames);
 	g_free(res.message);
+	g_free(res.value);
 }
 
 static void put_row_description(GByteArray *out, const PGresult *r)
@@ -240,8 +243,11 @@
 
 static void save_first_value(struct libpq_conn *c, const PGresult *r)
 {
-	if (c->res.value[0] == '\0' && PQntuples(r) > 0 && PQnfields(r) > 0)
-		g_strlcpy(c->res.value, PQgetvalue(r, 0, 0), sizeof(c->res.value));
+	if (c->value_seen || PQntuples(r) == 0 || PQnfields(r) == 0)
+		return;
+	c->value_seen = true;
+	if (PQgetlength(r, 0, 0) <= DB_VALUE_MAX)
+		c->res.value = g_strdup(PQgetvalue(r, 0, 0));
 }
 
 static void handle_describe(struct libpq_conn *c, const PGresult *r)
@@ -380,6 +386,7 @@
 	c->query.sql = NULL;
 	c->results = 0;
 	c->described_params = false;
+	c->value_seen = false;
 	c->res.status = DB_OK;
 	c->res.frames = g_byte_array_new();
 	c->res.message = g_strdup("");
--- a/src/db.h
+++ b/src/db.h
@@ -40,18 +40,22 @@
 	size_t result_max;     /**< limit on the size of the frames, in bytes; 0 for none */
 };
 
-/** Size of the single value that the proxy's own queries return. */
-#define DB_VALUE_SIZE 512
+/** Longest single value that the proxy's own queries return, in bytes. */
+#define DB_VALUE_MAX 65536
 
 /** The complete answer to one query. */
 struct db_result {
 	enum db_status status;
 	char sqlstate[6];
-	char *message;		   /**< error message, or "" */
-	GByteArray *frames;	   /**< PostgreSQL protocol messages for the caller */
-	bool too_large;		   /**< the frames exceeded result_max and were dropped */
-	char value[DB_VALUE_SIZE]; /**< first column of the first result that has a row */
-	struct pos pos;		   /**< log position that the member reported with the answer */
+	char *message;	    /**< error message, or "" */
+	GByteArray *frames; /**< PostgreSQL protocol messages for the caller */
+	bool too_large;	    /**< the frames exceeded result_max and were dropped */
+	/**
+	 * First column of the first result that has a row. NULL: there is none, or it is longer
+	 * than DB_VALUE_MAX.
+	 */
+	char *value;
+	struct pos pos; /**< log position that the member reported with the answer */
 };
 
 typedef void (*db_opened)(struct db_conn *c, bool ok, const char *why, void *arg);
--- a/src/home-commit-status.c
+++ b/src/home-commit-status.c
@@ -62,9 +62,9 @@
 		status_query_step(q);
 		return;
 	}
-	if (strcmp(res->value, "committed") == 0)
+	if (g_strcmp0(res->value, "committed") == 0)
 		status_query_end(q, COMMIT_STATUS_COMMITTED, res->pos);
-	else if (strcmp(res->value, "aborted") == 0)
+	else if (g_strcmp0(res->value, "aborted") == 0)
 		status_query_end(q, COMMIT_STATUS_ABORTED, res->pos);
 	else
 		status_query_end(q, COMMIT_STATUS_UNKNOWN, res->pos);
--- a/src/home-failover.c
+++ b/src/home-failover.c
@@ -198,8 +198,9 @@
 	ml_order_res res = {0};
 	char verdict[16];
 
-	if (r->status == DB_OK && sscanf(r->value, "%15s %lu %lu %lu", verdict, &res.seen_term,
-					 &res.received.term, &res.received.lsn) == 4) {
+	if (r->status == DB_OK && r->value != NULL &&
+	    sscanf(r->value, "%15s %lu %lu %lu", verdict, &res.seen_term, &res.received.term,
+		   &res.received.lsn) == 4) {
 		res.reached = true;
 		res.ok = strcmp(verdict, "ok") == 0;
 	}
--- a/src/home-job.c
+++ b/src/home-job.c
@@ -171,6 +171,14 @@
 	return job->tx != NULL ? OUTCOME_TX_LOST : OUTCOME_NOT_PRIMARY;
 }
 
+/** Keeps the transaction id that the first query returned; "" if it returned none. */
+static void save_xid(struct home_job *job, const struct db_result *res)
+{
+	const char *xid = res->value != NULL ? res->value : "";
+
+	g_strlcpy(job->xid, strlen(xid) < sizeof(job->xid) ? xid : "", sizeof(job->xid));
+}
+
 static void after_prologue(struct home_job *job, const struct db_result *res)
 {
 	if (res->status == DB_SQL_ERROR) {
@@ -180,7 +188,7 @@
 		job_step(job, JOB_ROLLBACK);
 		return;
 	}
-	g_strlcpy(job->xid, res->value, sizeof(job->xid));
+	save_xid(job, res);
 	if (job->args->control != ML_CONTROL_BEGIN) {
 		job_step(job, JOB_STATEMENT);
 		return;
@@ -255,7 +263,7 @@
 		return;
 	}
 	if (job->xid[0] == '\0')
-		g_strlcpy(job->xid, res->value, sizeof(job->xid));
+		save_xid(job, res);
 	job_save_result(job, res);
 	if (res->status == DB_SQL_ERROR) {
 		bool once_used = job->args->once[0] != '\0' &&
--- a/src/home-silent.c
+++ b/src/home-silent.c
@@ -18,14 +18,17 @@
 /** Consecutive checks without an active backend after which a connection counts as silent. */
 #define SILENT_CHECKS 3
 
-static bool pid_listed(const char *list, int pid)
+bool watch_backend_listed(const char *list, int pid)
 {
 	char wanted[16];
-	char all[DB_VALUE_SIZE + 2];
+	size_t len = (size_t)snprintf(wanted, sizeof(wanted), "%d", pid);
+	const char *at;
 
-	snprintf(wanted, sizeof(wanted), ",%d,", pid);
-	snprintf(all, sizeof(all), ",%s,", list);
-	return strstr(all, wanted) != NULL;
+	for (at = strstr(list, wanted); at != NULL; at = strstr(at + 1, wanted)) {
+		if ((at == list || at[-1] == ',') && (at[len] == ',' || at[len] == '\0'))
+			return true;
+	}
+	return false;
 }
 
 static void activity_answered(struct db_conn *db, const struct db_result *res, void *arg)
@@ -35,14 +38,14 @@
 	struct home_conn *c, *next;
 
 	l->busy = false;
-	if (res->status != DB_OK) {
+	if (res->status != DB_OK || res->value == NULL) {
 		watch_link_close(l);
 		return;
 	}
 	TAILQ_FOREACH_SAFE(c, &m->conns, link, next) {
 		if (c->job == NULL || now_us() - c->job->started_us < SILENT_AFTER_US)
 			continue;
-		if (pid_listed(res->value, c->db->ops->backend_pid(c->db))) {
+		if (watch_backend_listed(res->value, c->db->ops->backend_pid(c->db))) {
 			c->idle_checks = 0;
 			continue;
 		}
--- a/src/home-watch.c
+++ b/src/home-watch.c
@@ -37,32 +37,38 @@
 
 /* Reports */
 
-/**
- * Parses "role seen term lsn applied upstream term:lsn,...", the result of the member's status
- * function.
- */
-static bool report_parse(const char *text, struct member_report *r)
+/** Adds the starts of terms in "term:lsn,...". @return false if it is malformed */
+static bool parse_terms(const char *text, struct term_history *terms)
+{
+	unsigned long term, lsn;
+	const char *at = text;
+	int len;
+
+	while (sscanf(at, "%lu:%lu%n", &term, &lsn, &len) == 2) {
+		term_history_add(terms, term, lsn);
+		at += len;
+		if (*at == '\0')
+			return true;
+		if (*at++ != ',')
+			return false;
+	}
+	return false;
+}
+
+bool home_report_parse(const char *text, struct member_report *r)
 {
 	char role[16];
-	char history[256];
-	char *save = NULL;
-	char *part;
+	int end = 0;
 
 	memset(r, 0, sizeof(*r));
-	if (sscanf(text, "%15s %lu %lu %lu %lu %63s %255s", role, &r->seen_term, &r->received.term,
-		   &r->received.lsn, &r->applied_lsn, r->upstream, history) != 7)
+	if (sscanf(text, "%15s %lu %lu %lu %lu %63s%n", role, &r->seen_term, &r->received.term,
+		   &r->received.lsn, &r->applied_lsn, r->upstream, &end) != 6 ||
+	    text[end] != ' ')
 		return false;
 	r->primary = strcmp(role, "primary") == 0;
 	if (strcmp(r->upstream, "-") == 0)
 		r->upstream[0] = '\0';
-	for (part = strtok_r(history, ",", &save); part != NULL;
-	     part = strtok_r(NULL, ",", &save)) {
-		unsigned long term, lsn;
-
-		if (sscanf(part, "%lu:%lu", &term, &lsn) == 2)
-			term_history_add(&r->terms, term, lsn);
-	}
-	return true;
+	return parse_terms(text + end + 1, &r->terms);
 }
 
 void home_report_from_res(const ml_member_res *res, struct member_report *r)
@@ -195,7 +201,7 @@
 	struct member_report r;
 
 	l->busy = false;
-	if (res->status != DB_OK || !report_parse(res->value, &r)) {
+	if (res->status != DB_OK || res->value == NULL || !home_report_parse(res->value, &r)) {
 		watch_link_close(l);
 		return false;
 	}
--- a/src/home-watch.h
+++ b/src/home-watch.h
@@ -53,6 +53,8 @@
 /** Returns the RPC address of the home of member @a i; NULL if none is known. */
 const char *watch_address_of(struct home_watch *w, int i);
 void watch_link_close(struct watch_link *l);
+/** Whether @a list, process IDs separated by commas, has @a pid. */
+bool watch_backend_listed(const char *list, int pid);
 int64_t watch_timeout_us(const struct home_watch *w);
 /** Processes a report of member @a i whose request was sent at @a asked_us. */
 void watch_report(struct home_watch *w, int i, const struct member_report *r, int64_t asked_us);
--- a/src/home.h
+++ b/src/home.h
@@ -242,6 +242,11 @@
  * @a wait_for or @a wait_us has passed.
  */
 void home_watch_request_report(struct home_member *m, int i, struct pos wait_for, int64_t wait_us);
+/**
+ * Parses "role seen term lsn applied upstream term:lsn,...", the result of the member's status
+ * function. @return false if it is malformed
+ */
+bool home_report_parse(const char *text, struct member_report *r);
 /** Decodes the report of another home. */
 void home_report_from_res(const ml_member_res *res, struct member_report *r);
 
--- a/tests/standin-db.c
+++ b/tests/standin-db.c
@@ -10,6 +10,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** Process IDs of clients are above it, and as long as those of a server that has run for a while.
+ */
+#define FIRST_PID 1000000
 #define POS_WAIT_TIMEOUT_US (100 * USEC_PER_MSEC)
 
 struct db_server server = {.clients = TAILQ_HEAD_INITIALIZER(server.clients),
@@ -419,7 +422,7 @@
 	struct db_client *c = g_new0(struct db_client, 1);
 
 	net_set_nodelay(fd);
-	c->pid = ++server.next_pid;
+	c->pid = FIRST_PID + ++server.next_pid;
 	c->bev = bufferevent_socket_new(server.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	c->timer = event_new(server.base, -1, 0, on_client_timer, c);
 	bufferevent_setcb(c->bev, on_client_read, on_client_written, on_client_event, c);
--- a/tests/test-it-once.c
+++ b/tests/test-it-once.c
@@ -11,6 +11,8 @@
 #include <string.h>
 
 #define WRITERS 6
+/** Statements at a time whose process IDs make a list of more than 512 bytes. */
+#define MANY 90
 
 /** Returns whether the VM with the index *@a arg serves a write. */
 static bool write_served(struct test_fleet *f, void *arg)
@@ -144,6 +146,46 @@
 	fleet_tear_down(f);
 }
 
+/*
+ * More statements run at the primary at a time than usual. Guards against taking a statement that
+ * runs for one whose connection went silent, since the list of active backends is long.
+ */
+static void test_none_of_many_long_statements_is_lost(void)
+{
+	struct test_fleet *f = fleet_start_up(
+		&(struct fleet_plan){.slots = MANY,
+				     .connections = 2 * MANY,
+				     .work_us = 800000,
+				     .settings = "[callers]\ndeadline_ms = 20000\n"});
+	PGconn *c[MANY];
+	int i, done = 0;
+
+	for (i = 0; i < MANY; i++) {
+		char text[64];
+
+		c[i] = fleet_connect_orders(f, 0);
+		snprintf(text, sizeof(text), "INSERT INTO orders VALUES ('many-%d', 'x')", i);
+		CU_ASSERT_TRUE(PQsendQuery(c[i], text));
+	}
+	for (i = 0; i < MANY; i++) {
+		PGresult *r = PQgetResult(c[i]);
+
+		done += PQresultStatus(r) == PGRES_COMMAND_OK ? 1 : 0;
+		PQclear(r);
+		PQfinish(c[i]);
+	}
+	CHECK(done == MANY, "%d of %d", done, MANY);
+	for (i = 0; i < f->plan.vms; i++) {
+		char *path = g_strdup_printf("%s/%s.log", f->dir, f->vm[i].name), *log = NULL;
+
+		CU_ASSERT_TRUE(g_file_get_contents(path, &log, NULL, NULL));
+		CHECK(log != NULL && strstr(log, "event=connection-silent") == NULL, "%s", path);
+		g_free(log);
+		g_free(path);
+	}
+	fleet_tear_down(f);
+}
+
 /*
  * The RPC connections between the VMs stop delivering data. Guards against calls that keep waiting
  * on them: an unanswered ping has to close the connection, and the next call has to open a new one.
@@ -294,6 +336,7 @@
 	{"outcomes_match_the_log_under_random_faults",
 	 test_outcomes_match_the_log_under_random_faults},
 	{"home_dies_under_load", test_home_dies_under_load},
+	{"none_of_many_long_statements_is_lost", test_none_of_many_long_statements_is_lost},
 	{"silent_connections_are_replaced", test_silent_connections_are_replaced},
 	{"silent_rpc_is_replaced", test_silent_rpc_is_replaced},
 	{"once_id_stops_a_repetition", test_once_id_stops_a_repetition},
