Callers: a user name or kind that is too long is refused, not cut

What callers saw (by test): a user name of 64 bytes was accepted as the team whose name has its first 63, with that team's key; and a kind that SET refused, since it is too long or "*", was in force all the same, cut to 63 bytes, so that the next statement was refused or took another route.

Change: the length is checked first, and nothing is copied when it fails.

--- a/src/caller-auth.c
+++ b/src/caller-auth.c
@@ -107,6 +107,10 @@
 			      const char **why)
 {
 	if (strcmp(name, "user") == 0) {
+		if (strlen(value) >= sizeof(c->team)) {
+			*why = "a user name has up to 63 bytes";
+			return false;
+		}
 		g_strlcpy(c->team, value, sizeof(c->team));
 		return true;
 	}
--- a/src/caller-setting.c
+++ b/src/caller-setting.c
@@ -14,8 +14,10 @@
 
 static bool set_kind(struct caller *c, const char *value)
 {
+	if (strlen(value) >= sizeof(c->kind) || strcmp(value, "*") == 0)
+		return false;
 	g_strlcpy(c->kind, value, sizeof(c->kind));
-	return strlen(value) < sizeof(c->kind) && strcmp(value, "*") != 0;
+	return true;
 }
 
 static bool set_once(struct caller *c, const char *value)
--- a/tests/test-it-caller.c
+++ b/tests/test-it-caller.c
@@ -97,6 +97,32 @@
 	PQfinish(c);
 }
 
+/* Guards against a name that is cut, and then is that of another team or kind. */
+static void test_too_long_names_are_refused(void)
+{
+	struct test_fleet *f = get_shared_fleet();
+	char name[65], *key;
+	PGconn *c;
+
+	memset(name, 'n', 64);
+	name[63] = '\0';
+	key = fleet_create_key(f, name);
+	c = fleet_connect(f, 0, name, key, "-c mangoloom.kind=order");
+	CHECK(PQstatus(c) == CONNECTION_OK, "%s", PQerrorMessage(c));
+	PQfinish(c);
+	name[63] = 'x';
+	name[64] = '\0';
+	c = fleet_connect(f, 0, name, key, "-c mangoloom.kind=order");
+	CHECK(PQstatus(c) != CONNECTION_OK, "a cut user name is accepted");
+	PQfinish(c);
+	g_free(key);
+	c = fleet_connect_orders(f, 0);
+	CHECK(strcmp(sql(c, NULL, 0, "SET mangoloom.kind = '%s'", name), "22023") == 0, "kind");
+	CHECK(strcmp(sql(c, NULL, 0, "INSERT INTO orders VALUES ('kept', 'x')"), "00000") == 0,
+	      "a kind that was refused is in force");
+	PQfinish(c);
+}
+
 static void test_wrong_keys(void)
 {
 	struct test_fleet *f = get_shared_fleet();
@@ -334,6 +360,7 @@
 	{"extended_protocol", test_extended_protocol},
 	{"unsupported_statements_and_settings_are_refused",
 	 test_unsupported_statements_and_settings_are_refused},
+	{"too_long_names_are_refused", test_too_long_names_are_refused},
 	{"wrong_keys", test_wrong_keys},
 	{"slow_and_broken_callers", test_slow_and_broken_callers},
 	{"idle_and_too_many_callers", test_idle_and_too_many_callers},
