Store: an entry with a name that is too long is malformed

What could be seen (by test): a record, a VM's key or an entry of the list of VMs with a name of 64 bytes or more was read as one of another VM, member or address, whose name has its first 63; and of more than 16 senders in a record the rest were left out, so that a change of primary would not have fenced them. A sender that is no object made json-glib complain and counted as "".

Our own writers can't write such entries, since settings and the operators' document bound names; PROTOCOL.md warns of other writers.

Change: json_text_copy() says whether a text fits; an entry with one that does not is malformed as a whole. A record that is read malformed is logged, as one that is watched was.

--- a/src/fleet-list.c
+++ b/src/fleet-list.c
@@ -5,6 +5,7 @@
  */
 #include "fleet.h"
 
+#include "json-text.h"
 #include "log.h"
 
 #include <stdlib.h>
@@ -50,7 +51,7 @@
 	return strtoull(json_object_get_string_member_with_default(o, name, "0"), NULL, 16);
 }
 
-static void item_read(struct list_item *item, JsonObject *o)
+static bool item_read(struct list_item *item, JsonObject *o)
 {
 	item->is_part = json_object_has_member(o, "part");
 	item->index = (unsigned)json_object_get_int_member_with_default(o, "part", 0);
@@ -58,9 +59,9 @@
 	item->incarnation = hex_of(o, "incarnation");
 	item->lease = hex_of(o, "lease");
 	item->era = hex_of(o, "era");
-	g_strlcpy(item->name, text_of(o, "name"), sizeof(item->name));
-	g_strlcpy(item->address, text_of(o, "address"), sizeof(item->address));
-	g_strlcpy(item->data_center, text_of(o, "data_center"), sizeof(item->data_center));
+	return json_text_copy(o, "name", item->name, sizeof(item->name)) &&
+	       json_text_copy(o, "address", item->address, sizeof(item->address)) &&
+	       json_text_copy(o, "data_center", item->data_center, sizeof(item->data_center));
 }
 
 /** Parses @a item's value. @return false if it is malformed or has no name */
@@ -71,8 +72,7 @@
 		  json_parser_get_root(parser) != NULL &&
 		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
 
-	if (ok)
-		item_read(item, json_node_get_object(json_parser_get_root(parser)));
+	ok = ok && item_read(item, json_node_get_object(json_parser_get_root(parser)));
 	g_object_unref(parser);
 	return ok && item->name[0] != '\0';
 }
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -6,6 +6,7 @@
  */
 #include "fleet-store-source.h"
 
+#include "json-text.h"
 #include "log.h"
 #include "table.h"
 
@@ -269,12 +270,11 @@
 	if (ok) {
 		JsonObject *o = json_node_get_object(json_parser_get_root(parser));
 
-		g_strlcpy(name, json_object_get_string_member_with_default(o, "name", ""),
-			  NAME_SIZE);
+		ok = json_text_copy(o, "name", name, NAME_SIZE);
 		*incarnation =
 			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
 				 NULL, 16);
-		ok = name[0] != '\0' && *incarnation != 0;
+		ok = ok && name[0] != '\0' && *incarnation != 0;
 	}
 	g_object_unref(parser);
 	return ok;
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -63,14 +63,43 @@
 	return json_text_take(b);
 }
 
-static void read_vm(JsonObject *o, struct lead_vm *vm)
+static bool read_vm(JsonObject *o, struct lead_vm *vm)
 {
-	g_strlcpy(vm->name, json_object_get_string_member_with_default(o, "vm", ""),
-		  sizeof(vm->name));
 	vm->incarnation = strtoull(
 		json_object_get_string_member_with_default(o, "incarnation", "0"), NULL, 16);
+	return json_text_copy(o, "vm", vm->name, sizeof(vm->name));
 }
 
+/** @return false if a sender is malformed or there are too many: each must be fenced */
+static bool read_senders(JsonObject *o, struct lead_record *r)
+{
+	JsonNode *node = json_object_get_member(o, "senders");
+	JsonArray *list =
+		node != NULL && JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node) : NULL;
+	guint i, n = list != NULL ? json_array_get_length(list) : 0;
+
+	if (n > LEAD_SENDERS_MAX)
+		return false;
+	for (i = 0; i < n; i++) {
+		JsonNode *sender = json_array_get_element(list, i);
+
+		if (!JSON_NODE_HOLDS_OBJECT(sender) ||
+		    !read_vm(json_node_get_object(sender), &r->sender[r->n++]))
+			return false;
+	}
+	return true;
+}
+
+static bool read_record(JsonObject *o, struct lead_record *r)
+{
+	r->term_floor = (uint64_t)json_object_get_int_member_with_default(o, "floor", 0);
+	r->choices = (uint64_t)json_object_get_int_member_with_default(o, "choices", 0);
+	return read_vm(o, &r->owner) &&
+	       json_text_copy(o, "address", r->address, sizeof(r->address)) &&
+	       json_text_copy(o, "target", r->target, sizeof(r->target)) && read_senders(o, r);
+}
+
+/** Parses a record. @return false if it is malformed, or a name in it is too long */
 static bool record_parse(const char *text, struct lead_record *r)
 {
 	JsonParser *parser = json_parser_new();
@@ -79,26 +108,7 @@
 		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
 
 	memset(r, 0, sizeof(*r));
-	if (ok) {
-		JsonObject *o = json_node_get_object(json_parser_get_root(parser));
-		JsonNode *senders = json_object_get_member(o, "senders");
-		JsonArray *list = senders != NULL && JSON_NODE_HOLDS_ARRAY(senders)
-					  ? json_node_get_array(senders)
-					  : NULL;
-		guint i;
-
-		read_vm(o, &r->owner);
-		g_strlcpy(r->address, json_object_get_string_member_with_default(o, "address", ""),
-			  sizeof(r->address));
-		r->term_floor = (uint64_t)json_object_get_int_member_with_default(o, "floor", 0);
-		g_strlcpy(r->target, json_object_get_string_member_with_default(o, "target", ""),
-			  sizeof(r->target));
-		r->choices = (uint64_t)json_object_get_int_member_with_default(o, "choices", 0);
-		for (i = 0;
-		     list != NULL && i < json_array_get_length(list) && r->n < LEAD_SENDERS_MAX;
-		     i++)
-			read_vm(json_array_get_object_element(list, i), &r->sender[r->n++]);
-	}
+	ok = ok && read_record(json_node_get_object(json_parser_get_root(parser)), r);
 	g_object_unref(parser);
 	return ok;
 }
@@ -237,7 +247,8 @@
 	g->record_loaded = true;
 	g->outdated = false;
 	if (!record_parse(item->value, &r)) {
-		log_error("record-malformed", LOG_STR("pool", g->pool));
+		log_error("record-malformed", LOG_STR("pool", g->pool),
+			  LOG_REVISION("revision", item->revision));
 		return;
 	}
 	record_apply(g, &r, item->revision);
@@ -316,6 +327,9 @@
 			 */
 			if (item->revision == g->revision)
 				record_confirmed(g);
+		} else if (item != NULL && item->value != NULL) {
+			log_error("record-malformed", LOG_STR("pool", g->pool),
+				  LOG_REVISION("revision", item->revision));
 		} else if (item == NULL && !fleet_store_is_current(g->revision)) {
 			record_lost(g);
 		}
--- a/tests/test-list.c
+++ b/tests/test-list.c
@@ -122,11 +122,32 @@
 	CU_ASSERT_TRUE(has_vm(&a, "vm-3"));
 }
 
+/* Guards against taking a VM for another whose name is the beginning of its name. */
+static void test_entry_with_too_long_a_name_is_malformed(void)
+{
+	char name[NAME_SIZE + 1], *value;
+	struct list_vm w;
+
+	memset(name, 'n', NAME_SIZE);
+	name[NAME_SIZE] = '\0';
+	list_vm_open(&w, "vm-1");
+	value = g_strdup_printf("{\"name\":\"%s\",\"address\":\"127.0.0.1:9\"}", name);
+	change_entry(&w, "mangoloom/vms/x", value, 5);
+	g_free(value);
+	name[NAME_SIZE - 1] = '\0';
+	CU_ASSERT_FALSE(has_vm(&w, name));
+	value = g_strdup_printf("{\"name\":\"%s\",\"address\":\"127.0.0.1:9\"}", name);
+	change_entry(&w, "mangoloom/vms/x", value, 6);
+	g_free(value);
+	CU_ASSERT_TRUE(has_vm(&w, name));
+}
+
 static const struct test_case cases[] = {
 	{"only_changed_entries_are_sent", test_only_changed_entries_are_sent},
 	{"entries_removed_before_peer_start_are_dropped",
 	 test_entries_removed_before_peer_start_are_dropped},
 	{"a_late_answer_changes_nothing", test_a_late_answer_changes_nothing},
 	{"malformed_entry_keeps_previous_one", test_malformed_entry_keeps_previous_one},
+	{"entry_with_too_long_a_name_is_malformed", test_entry_with_too_long_a_name_is_malformed},
 };
 HARNESS_MAIN("list", cases)
