Owner: a promoted member is served though its order got no answer

What callers saw (by test): a promotion took effect, its answer was lost and the promoter did not answer again; writes were refused until it did, though the new primary answered probes.

Cause: an owner looked for the effect of an order only after its answer.

Change: it looks before it repeats an order, too. A member is accepted as ever: it is the one that the record names, with a term above the floor.

Measured: test-order promoted_member_is_served_without_an_answer_to_its_order failed before (no primary in 1.5 s; none until the promoter answers), passes now; test-order 5 of 5, test-change 4, test-move 5, test-owner 30, test- evacuation 4, test-it-owner 12, test-it-restore 4 passed.

--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -357,12 +357,26 @@
 	g_free(q);
 }
 
-/** Orders the promotion of the chosen member. */
+/** Serves the group if the chosen member is the primary. @return whether it is */
+static bool serve_promoted(struct owner_group *g, int64_t now)
+{
+	int found = choose_recorded_primary(g, now);
+
+	if (found < 0)
+		return false;
+	stat_add(STAT_FAILOVERS_DONE, 1);
+	change_set_primary(g, found, "promoted");
+	return true;
+}
+
+/** Orders the promotion of the chosen member, until it is answered or shows its effect. */
 static void order_promotion(struct owner_group *g, int64_t now)
 {
 	struct kernel *k = g->o->service.kernel;
 	struct order *q;
 
+	if (g->undo.orders > 0 && serve_promoted(g, now))
+		return;
 	if (g->ordered || now < g->next_call_us)
 		return;
 	/*
@@ -391,14 +405,7 @@
 /** Waits until the chosen member is the primary. */
 static void await_promotion(struct owner_group *g, int64_t now)
 {
-	int found = choose_recorded_primary(g, now);
-
-	if (found >= 0) {
-		stat_add(STAT_FAILOVERS_DONE, 1);
-		change_set_primary(g, found, "promoted");
-		return;
-	}
-	if (now - g->state_us >= AWAIT_TIMEOUT_US)
+	if (!serve_promoted(g, now) && now - g->state_us >= AWAIT_TIMEOUT_US)
 		order_given_up(g, "promotion-without-effect");
 }
 
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -333,7 +333,32 @@
 	kernel_set_clock(NULL);
 }
 
+/** Carries out the first order; no order gets an answer. */
+static void answer_nothing(const char *member, promoter_done cb, void *arg)
+{
+	if (model.orders++ == 0) {
+		model.target = member[1] - '0';
+		model.effect_us = model.now + PROMOTE_MAX_US;
+	}
+	cb(PROMOTER_UNKNOWN, 0, arg);
+}
+
+/* Guards against a group without writes while the promoter does not answer. */
+static void test_promoted_member_is_served_without_an_answer_to_its_order(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	g = run_until_ordered(&w, answer_nothing);
+	CU_ASSERT_TRUE(run_until_served(&w, g, PROMOTE_MAX_US + 300 * USEC_PER_MSEC));
+	CU_ASSERT_NOT_EQUAL(g->primary, 0);
+	world_close(&w);
+	kernel_set_clock(NULL);
+}
+
 static const struct test_case cases[] = {
+	{"promoted_member_is_served_without_an_answer_to_its_order",
+	 test_promoted_member_is_served_without_an_answer_to_its_order},
 	{"another_member_is_promoted_if_the_target_is_cut_off",
 	 test_another_member_is_promoted_if_the_target_is_cut_off},
 	{"primary_continues_if_the_promotion_is_refused",
