--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -339,6 +339,7 @@
 	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_REVISION("token", q->token),
 		 LOG_NUM("code", code));
 	if (g != NULL && g->state == OWNER_ORDERING && g->token == q->token) {
+		/* The choice can be reverted while no order of it may take effect. */
 		if (result == PROMOTER_REFUSED)
 			g->undo.possible = --g->undo.orders == 0;
 		if (result == PROMOTER_REFUSED && code == 409) {
--- a/src/owner-command.c
+++ b/src/owner-command.c
@@ -10,7 +10,7 @@
 
 /** Number of commands reserved for a reset, a prepare, a begin and the statement. */
 #define COMMANDS_RESERVED 4
-/** Size of the digest of a prepared statement; no two statements with the same one can be found. */
+/** Size of the collision-resistant digest that identifies a prepared statement. */
 #define DIGEST_SIZE crypto_generichash_BYTES
 
 /* Session values */
@@ -80,8 +80,8 @@
 }
 
 /**
- * Identifies a prepared statement by all of its shape, so that all callers of a connection share it
- * and it is prepared only once. The shape itself, of up to ML_TEXT_MAX, is not kept.
+ * Identifies a prepared statement by its kind and whole shape, so that all callers of a connection
+ * share it and it is prepared only once. The shape itself, of up to ML_TEXT_MAX, is not kept.
  */
 static void digest_statement(const ml_run_args *a, unsigned char digest[DIGEST_SIZE])
 {
