Store: a JSON text that nests too deeply is malformed

Cause: json-glib's parser calls itself for each level of nesting, without a limit. PROTOCOL.md: an entry may come from another writer, with bytes that can't be read; it names no backend, the others hold.

Change: json_text_load() is the one way to parse JSON. It refuses more than 64 levels and, outside of strings, whatever is not JSON: the parser would skip comments, where a quotation mark begins no string. Entries that can't be read are counted (entries_malformed) and logged with their key.

--- a/cmd/mangoloom-call.c
+++ b/cmd/mangoloom-call.c
@@ -3,6 +3,7 @@
  * errors.
  */
 #include "error.h"
+#include "json-text.h"
 #include "mangoloom-cli.h"
 
 #include <stdio.h>
@@ -137,7 +138,7 @@
 	if (a->kvs->len == 0)
 		goto out;
 	kv = g_ptr_array_index(a->kvs, 0);
-	if (!json_parser_load_from_data(parser, kv->value, -1, NULL))
+	if (!json_text_load(parser, kv->value, -1, NULL))
 		goto out;
 	list = json_node_get_array(json_parser_get_root(parser));
 	for (i = 0; i < json_array_get_length(list); i++) {
--- a/cmd/mangoloom-fleet.c
+++ b/cmd/mangoloom-fleet.c
@@ -1,6 +1,8 @@
 /** @file mangoloom-fleet.c The commands status and stop, on VMs. */
 #include "mangoloom-cli.h"
 
+#include "json-text.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -56,7 +58,7 @@
 	JsonParser *parser = json_parser_new();
 	JsonObject *o, *counters;
 
-	if (json_parser_load_from_data(parser, text, -1, NULL)) {
+	if (json_text_load(parser, text, -1, NULL)) {
 		o = json_node_get_object(json_parser_get_root(parser));
 		counters = json_object_get_object_member(o, "counters");
 		printf("%s in %s: %s, configuration %ld, %ld callers, %ld requests, %ld refused, "
--- a/cmd/mangoloom-rebalance.c
+++ b/cmd/mangoloom-rebalance.c
@@ -1,6 +1,8 @@
 /** @file mangoloom-rebalance.c The command rebalance, on the primaries of groups. */
 #include "mangoloom-cli.h"
 
+#include "json-text.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -64,7 +66,7 @@
 	JsonObject *o;
 
 	planner[0] = '\0';
-	if (!json_parser_load_from_data(parser, text, -1, NULL)) {
+	if (!json_text_load(parser, text, -1, NULL)) {
 		g_object_unref(parser);
 		return cli_fail(EXIT_FAILED, "found no JSON in the answer");
 	}
--- a/cmd/mangoloom-store.c
+++ b/cmd/mangoloom-store.c
@@ -3,6 +3,7 @@
  * changes them by compare-and-swap.
  */
 #include "error.h"
+#include "json-text.h"
 #include "mangoloom-cli.h"
 
 #include <stdio.h>
@@ -34,7 +35,7 @@
 	int i;
 
 	s->head_revision = kv->mod_revision;
-	if (json_parser_load_from_data(parser, kv->value, -1, NULL)) {
+	if (json_text_load(parser, kv->value, -1, NULL)) {
 		o = json_node_get_object(json_parser_get_root(parser));
 		s->version = (uint64_t)json_object_get_int_member_with_default(o, "version", 0);
 		g_strlcpy(s->commit_id, json_object_get_string_member_with_default(o, "change", ""),
--- a/src/fleet-etcd.c
+++ b/src/fleet-etcd.c
@@ -1,7 +1,9 @@
 /** @file fleet-etcd.c Reads and watches the configuration and the list of VMs in etcd. */
 #include "fleet.h"
 
+#include "json-text.h"
 #include "log.h"
+#include "stat.h"
 #include "platform.h"
 #include "table.h"
 
@@ -38,7 +40,7 @@
 	JsonParser *parser = json_parser_new();
 	uint64_t version = 0;
 
-	if (json_parser_load_from_data(parser, value, -1, NULL) &&
+	if (json_text_load(parser, value, -1, NULL) &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 		version = (uint64_t)json_object_get_int_member_with_default(
 			json_node_get_object(json_parser_get_root(parser)), "version", 0);
@@ -62,6 +64,7 @@
 	version = strtoul(kv->value, &text, 10);
 	e = table_entry_parse(id, version, *text == ' ' ? text + 1 : text, &error);
 	if (e == NULL) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_warn("entry-malformed", LOG_STR("id", id), LOG_STR("why", error->message));
 		g_error_free(error);
 	}
--- a/src/fleet-list.c
+++ b/src/fleet-list.c
@@ -7,6 +7,7 @@
 
 #include "json-text.h"
 #include "log.h"
+#include "stat.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -68,7 +69,7 @@
 static bool item_parse(struct list_item *item)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_parser_load_from_data(parser, item->value, -1, NULL) &&
+	bool ok = json_text_load(parser, item->value, -1, NULL) &&
 		  json_parser_get_root(parser) != NULL &&
 		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
 
@@ -88,6 +89,7 @@
 	item->revision = revision;
 	item->value = g_strdup(value);
 	if (value != NULL && !item_parse(item)) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_warn("vm-malformed", LOG_STR("key", key), LOG_REVISION("revision", revision));
 		item_free(item);
 		return;
@@ -187,7 +189,7 @@
 	JsonArray *list;
 	guint i;
 
-	if (!json_parser_load_from_data(parser, text, -1, NULL) ||
+	if (!json_text_load(parser, text, -1, NULL) ||
 	    !JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
 		log_warn("vms-malformed", LOG_REVISION("revision", revision));
 		goto out;
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -8,6 +8,7 @@
 
 #include "json-text.h"
 #include "log.h"
+#include "stat.h"
 #include "table.h"
 
 #include <stdlib.h>
@@ -263,8 +264,7 @@
 bool fleet_store_vm_parse(const char *value, char name[NAME_SIZE], uint64_t *incarnation)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_parser_load_from_data(parser, value, -1, NULL) &&
-		  json_parser_get_root(parser) != NULL &&
+	bool ok = json_text_load(parser, value, -1, NULL) && json_parser_get_root(parser) != NULL &&
 		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
 
 	if (ok) {
@@ -289,6 +289,7 @@
 	if (item->value == NULL || item->revision <= store_source.document_revision)
 		return;
 	if (!store_source.records->document(item->value, &d)) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_error("document-malformed", LOG_REVISION("revision", item->revision));
 		records_document_clear(&d);
 		return;
@@ -336,6 +337,7 @@
 		return;
 	}
 	if (!store_source.records->server(id, item->value, &r)) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_warn("server-malformed", LOG_STR("member", id),
 			 LOG_REVISION("revision", item->revision));
 		return;
@@ -368,6 +370,7 @@
 	const char *data_center = item->key + strlen(store_source.records->evacuations_prefix);
 
 	if (data_center[0] == '\0' || strlen(data_center) >= NAME_SIZE) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_warn("evacuation-malformed", LOG_STR("key", item->key));
 		return;
 	}
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -8,6 +8,7 @@
 #include "fleet-store.h"
 #include "json-text.h"
 #include "log.h"
+#include "stat.h"
 #include "store.h"
 
 #include <json-glib/json-glib.h>
@@ -103,8 +104,7 @@
 static bool record_parse(const char *text, struct lead_record *r)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_parser_load_from_data(parser, text, -1, NULL) &&
-		  json_parser_get_root(parser) != NULL &&
+	bool ok = json_text_load(parser, text, -1, NULL) && json_parser_get_root(parser) != NULL &&
 		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
 
 	memset(r, 0, sizeof(*r));
@@ -247,6 +247,7 @@
 	g->record_loaded = true;
 	g->outdated = false;
 	if (!record_parse(item->value, &r)) {
+		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_error("record-malformed", LOG_STR("pool", g->pool),
 			  LOG_REVISION("revision", item->revision));
 		return;
@@ -328,6 +329,7 @@
 			if (item->revision == g->revision)
 				record_confirmed(g);
 		} else if (item != NULL && item->value != NULL) {
+			stat_add(STAT_ENTRIES_MALFORMED, 1);
 			log_error("record-malformed", LOG_STR("pool", g->pool),
 				  LOG_REVISION("revision", item->revision));
 		} else if (item == NULL && !fleet_store_is_current(g->revision)) {
--- a/src/platform.c
+++ b/src/platform.c
@@ -1,6 +1,7 @@
 /** @file platform.c Client of etcd's JSON gateway, on evhttp. */
 #include "platform.h"
 
+#include "json-text.h"
 #include "log.h"
 #include "net.h"
 #include "stat.h"
@@ -164,7 +165,7 @@
 		size_t len = evbuffer_get_length(in);
 		const char *body = (const char *)evbuffer_pullup(in, -1);
 
-		if (len > 0 && json_parser_load_from_data(parser, body, (gssize)len, NULL) &&
+		if (len > 0 && json_text_load(parser, body, (gssize)len, NULL) &&
 		    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
 			parse_answer(&a, json_node_get_object(json_parser_get_root(parser)));
 	}
@@ -317,7 +318,7 @@
 {
 	JsonParser *parser = json_parser_new();
 
-	if (json_parser_load_from_data(parser, line, -1, NULL) &&
+	if (json_text_load(parser, line, -1, NULL) &&
 	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
 		JsonObject *result =
 			object_member(json_node_get_object(json_parser_get_root(parser)), "result");
--- a/src/schema.c
+++ b/src/schema.c
@@ -2,6 +2,7 @@
 #include "schema.h"
 
 #include "error.h"
+#include "json-text.h"
 #include "toml-shim.h"
 #include "types.h"
 
@@ -22,7 +23,7 @@
 		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS, "%s: %s", file, problem);
 		goto out;
 	}
-	if (!json_parser_load_from_data(parser, json, -1, error))
+	if (!json_text_load(parser, json, -1, error))
 		goto out;
 	o = json_object_ref(json_node_get_object(json_parser_get_root(parser)));
 out:
--- a/src/stat.c
+++ b/src/stat.c
@@ -64,6 +64,7 @@
 	[STAT_CONTROL_BYTES_OUT] = "control_bytes_out",
 	[STAT_PLATFORM_CALLS] = "platform_calls",
 	[STAT_PLATFORM_FAILED] = "platform_failed",
+	[STAT_ENTRIES_MALFORMED] = "entries_malformed",
 	[STAT_PLATFORM_WATCHES] = "platform_watches",
 	[STAT_CONF_APPLIED] = "conf_applied",
 	[STAT_SHARE_ORDERS] = "share_orders",
--- a/src/table.c
+++ b/src/table.c
@@ -2,6 +2,7 @@
 #include "table.h"
 
 #include "error.h"
+#include "json-text.h"
 #include "schema.h"
 
 #include <sodium.h>
@@ -293,7 +294,7 @@
 static bool read_json(const char *text, struct conf_entry *e, GError **error)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_parser_load_from_data(parser, text, -1, error);
+	bool ok = json_text_load(parser, text, -1, error);
 	JsonNode *root = ok ? json_parser_get_root(parser) : NULL;
 
 	if (ok && (root == NULL || !JSON_NODE_HOLDS_OBJECT(root))) {
