Rates: a holder's entry is not used after it was removed

Change: removing holders and completing the census are two functions. A report removes first and looks its entry up after that; what it calls then frees none. A holder that is not listed is told to give up its units, as intended.

--- a/decide/share.c
+++ b/decide/share.c
@@ -284,16 +284,22 @@
 	return e->listed || now_us - e->delisted_us < a->delist_grace_us;
 }
 
-/** Complete the census when every VM that may hold units is bound; the budget then is all units. */
-static void alloc_census(struct share_alloc *a, int64_t now_us)
+/** Removes the holders that hold no units any more. */
+static void alloc_drop_ended(struct share_alloc *a, int64_t now_us)
 {
 	struct share_entry *e, *next;
 
 	TAILQ_FOREACH_SAFE(e, &a->entries, link, next) {
-		if (entry_may_hold_units(a, e, now_us))
-			continue;
-		alloc_remove(a, e);
+		if (!entry_may_hold_units(a, e, now_us))
+			alloc_remove(a, e);
 	}
+}
+
+/** Complete the census when every VM that may hold units is bound; the budget then is all units. */
+static void alloc_census(struct share_alloc *a)
+{
+	const struct share_entry *e;
+
 	if (a->whole)
 		return;
 	TAILQ_FOREACH(e, &a->entries, link) {
@@ -357,7 +363,8 @@
 		if (e->was_listed && !e->listed)
 			e->delisted_us = now_us;
 	}
-	alloc_census(a, now_us);
+	alloc_drop_ended(a, now_us);
+	alloc_census(a);
 }
 
 void share_alloc_remove_vm(struct share_alloc *a, const char *vm, int64_t now_us)
@@ -367,7 +374,8 @@
 	if (e == NULL)
 		return;
 	alloc_remove(a, e);
-	alloc_census(a, now_us);
+	alloc_drop_ended(a, now_us);
+	alloc_census(a);
 }
 
 /** Start a new epoch above the one of another allocator that a holder has reported. */
@@ -589,8 +597,10 @@
 				      const struct share_report *r, int64_t now_us)
 {
 	struct share_order o = {0};
-	struct share_entry *e = alloc_get(a, vm);
+	struct share_entry *e;
 
+	alloc_drop_ended(a, now_us);
+	e = alloc_get(a, vm);
 	if (!entry_check_incarnation(e, r))
 		return o;
 	e->last_report_us = now_us;
@@ -607,7 +617,7 @@
 		entry_bind(a, e, r);
 	else
 		entry_ack(e, r);
-	alloc_census(a, now_us);
+	alloc_census(a);
 	entry_order(a, e, now_us);
 	o.seq = e->seq;
 	o.units = e->ordered;
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -206,6 +206,34 @@
 	share_alloc_clear(&a[1]);
 }
 
+/* Guards against the use of a holder's entry that is removed while the holder reports. */
+static void test_holder_that_is_not_listed_gives_up_its_units(void)
+{
+	struct share_holder h[VMS];
+	struct share_alloc a;
+	int64_t now = 1;
+	int round, i;
+
+	setup(h, &a, 1, now);
+	for (round = 0; round < 10; round++) {
+		now += STEP_US;
+		for (i = 0; i < VMS; i++)
+			exchange(&h[i], &a, i, now);
+	}
+	CU_ASSERT_TRUE(h[VMS - 1].units > 0);
+	/* The list is based on leases: a VM that left it has stopped. */
+	a.delist_grace_us = 0;
+	share_alloc_apply_list(&a, names, VMS - 1, now);
+	for (round = 0; round < 10; round++) {
+		now += STEP_US;
+		for (i = VMS - 1; i >= 0; i--)
+			exchange(&h[i], &a, i, now);
+	}
+	CU_ASSERT_EQUAL(h[VMS - 1].units, 0);
+	CHECK(sum(h) > SHARE_TOTAL_UNITS * 0.98 && sum(h) <= SHARE_TOTAL_UNITS, "%lu", sum(h));
+	share_alloc_clear(&a);
+}
+
 /*
  * Guards against a burst of one token that is split over five VMs and then admits no request. The
  * allocator's VM keeps it undivided.
@@ -489,6 +517,8 @@
 	{"paused_holder_gives_up_units", test_paused_holder_gives_up_units},
 	{"late_order_is_ignored", test_late_order_is_ignored},
 	{"units_of_a_leaving_holder_are_reassigned", test_units_of_a_leaving_holder_are_reassigned},
+	{"holder_that_is_not_listed_gives_up_its_units",
+	 test_holder_that_is_not_listed_gives_up_its_units},
 	{"small_burst_is_not_split", test_small_burst_is_not_split},
 	{"sum_of_units_never_exceeds_total", test_sum_of_units_never_exceeds_total},
 	{"idle_holder_reports_when_asked", test_idle_holder_reports_when_asked},
