JSON: one function parses a text as an object

The one in fleet-etcd.c had not looked whether there is a root. The includes of fleet-etcd.c are in order again.

No behaviour changed. Checked: lint; test-json, test-records, test-record, test-list, test-store-list, test-store-start, test-parts, test-lead and test-it-explain pass.

--- a/src/fleet-etcd.c
+++ b/src/fleet-etcd.c
@@ -3,8 +3,8 @@
 
 #include "json-text.h"
 #include "log.h"
-#include "stat.h"
 #include "platform.h"
+#include "stat.h"
 #include "table.h"
 
 #include <stdlib.h>
@@ -38,12 +38,11 @@
 static uint64_t head_version(const char *value)
 {
 	JsonParser *parser = json_parser_new();
+	JsonObject *o = json_text_object(parser, value);
 	uint64_t version = 0;
 
-	if (json_text_load(parser, value, -1, NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
-		version = (uint64_t)json_object_get_int_member_with_default(
-			json_node_get_object(json_parser_get_root(parser)), "version", 0);
+	if (o != NULL)
+		version = (uint64_t)json_object_get_int_member_with_default(o, "version", 0);
 	g_object_unref(parser);
 	return version;
 }
--- a/src/fleet-list.c
+++ b/src/fleet-list.c
@@ -69,11 +69,9 @@
 static bool item_parse(struct list_item *item)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_text_load(parser, item->value, -1, NULL) &&
-		  json_parser_get_root(parser) != NULL &&
-		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+	JsonObject *o = json_text_object(parser, item->value);
+	bool ok = o != NULL && item_read(item, o);
 
-	ok = ok && item_read(item, json_node_get_object(json_parser_get_root(parser)));
 	g_object_unref(parser);
 	return ok && item->name[0] != '\0';
 }
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -264,12 +264,10 @@
 bool fleet_store_vm_parse(const char *value, char name[NAME_SIZE], uint64_t *incarnation)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_text_load(parser, value, -1, NULL) && json_parser_get_root(parser) != NULL &&
-		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
-
-	if (ok) {
-		JsonObject *o = json_node_get_object(json_parser_get_root(parser));
+	JsonObject *o = json_text_object(parser, value);
+	bool ok = false;
 
+	if (o != NULL) {
 		ok = json_text_copy(o, "name", name, NAME_SIZE);
 		*incarnation =
 			strtoull(json_object_get_string_member_with_default(o, "incarnation", "0"),
--- a/src/json-text.c
+++ b/src/json-text.c
@@ -58,6 +58,14 @@
 	return false;
 }
 
+JsonObject *json_text_object(JsonParser *parser, const char *text)
+{
+	JsonNode *root =
+		json_text_load(parser, text, -1, NULL) ? json_parser_get_root(parser) : NULL;
+
+	return root != NULL && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root) : NULL;
+}
+
 bool json_text_copy(JsonObject *o, const char *name, char *out, size_t size)
 {
 	const char *text = json_object_get_string_member_with_default(o, name, "");
--- a/src/json-text.h
+++ b/src/json-text.h
@@ -15,6 +15,8 @@
  * @return false with @a error, which may be NULL, if it is not JSON or nests too deeply
  */
 bool json_text_load(JsonParser *parser, const char *text, gssize len, GError **error);
+/** Parses @a text as an object, which @a parser owns. @return NULL if it is not one */
+JsonObject *json_text_object(JsonParser *parser, const char *text);
 /**
  * Copies the text in the field @a name of @a o, or "" if there is none, to @a out of @a size bytes.
  * @return false if it does not fit; @a out is "" then
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -104,11 +104,11 @@
 static bool record_parse(const char *text, struct lead_record *r)
 {
 	JsonParser *parser = json_parser_new();
-	bool ok = json_text_load(parser, text, -1, NULL) && json_parser_get_root(parser) != NULL &&
-		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+	JsonObject *o = json_text_object(parser, text);
+	bool ok;
 
 	memset(r, 0, sizeof(*r));
-	ok = ok && read_record(json_node_get_object(json_parser_get_root(parser)), r);
+	ok = o != NULL && read_record(o, r);
 	g_object_unref(parser);
 	return ok;
 }
