Tests: the models answer a probe by one function of the harness

test-order.c had a third copy of the end of the loop that answers probes in test-change.c and test-move.c. fake_probe_answer() is that end; the three call it. test-order closes its model in one function.

--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -260,6 +260,19 @@
 
 /* A VM that owns the group */
 
+void fake_probe_answer(struct fake_conn *f, const struct member_status *st)
+{
+	member_opened opened = f->opened;
+	member_order_done order_done = f->order_done;
+
+	f->opened = NULL;
+	f->order_done = NULL;
+	if (opened != NULL)
+		opened(&f->conn, MEMBER_DONE, st->received, f->arg);
+	else if (order_done != NULL)
+		order_done(&f->conn, MEMBER_DONE, st, f->arg);
+}
+
 void answer_probes(uint64_t lsn)
 {
 	unsigned i;
--- a/tests/harness-owner.h
+++ b/tests/harness-owner.h
@@ -76,6 +76,8 @@
 void world_hold_lease(struct world *w);
 /** Lists vm-1, which is this VM and holds a lease, and vm-9, which is to claim the group. */
 struct owner_group *world_join(struct world *w);
+/** Answers the probe on @a f, or the opening of its connection, if one is open. */
+void fake_probe_answer(struct fake_conn *f, const struct member_status *st);
 /** Answers all open probes: m0 is the primary, and all members have @a lsn. */
 void answer_probes(uint64_t lsn);
 /** Runs the loop and answers probes until the group is in @a state. */
--- a/tests/test-change.c
+++ b/tests/test-change.c
@@ -267,18 +267,11 @@
 		struct fake_conn *f = fake.conns[i];
 		const struct model_member *m = &model.member[f->id[1] - '0'];
 		struct member_status st = {.primary = m->primary, .term = m->term};
-		member_opened opened = f->opened;
-		member_order_done order_done = f->order_done;
 
 		if (f->closed || (m == model.member && (partitioned() || i < model.n_dead)))
 			continue;
 		st.received = (struct pos){m->term, m->lsn};
-		f->opened = NULL;
-		f->order_done = NULL;
-		if (opened != NULL)
-			opened(&f->conn, MEMBER_DONE, st.received, f->arg);
-		else if (order_done != NULL)
-			order_done(&f->conn, MEMBER_DONE, &st, f->arg);
+		fake_probe_answer(f, &st);
 	}
 }
 
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -241,18 +241,11 @@
 		bool leads = model.promoted ? m == model.target : m == 0;
 		struct member_status st = {.primary = leads,
 					   .term = leads && model.promoted ? 2 : 1};
-		member_opened opened = f->opened;
-		member_order_done order_done = f->order_done;
 
 		if (f->closed || (m == 0 && is_silent()))
 			continue;
 		st.received = (struct pos){st.term, model.lsn[m]};
-		f->opened = NULL;
-		f->order_done = NULL;
-		if (opened != NULL)
-			opened(&f->conn, MEMBER_DONE, st.received, f->arg);
-		else if (order_done != NULL)
-			order_done(&f->conn, MEMBER_DONE, &st, f->arg);
+		fake_probe_answer(f, &st);
 	}
 }
 
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -106,18 +106,11 @@
 		struct fake_conn *f = fake.conns[i];
 		int m = f->id[1] - '0';
 		struct member_status st = {.primary = model.primary[m], .term = model.term[m]};
-		member_opened opened = f->opened;
-		member_order_done order_done = f->order_done;
 
 		if (f->closed || is_cut(m))
 			continue;
 		st.received = (struct pos){model.term[m], model.lsn[m]};
-		f->opened = NULL;
-		f->order_done = NULL;
-		if (opened != NULL)
-			opened(&f->conn, MEMBER_DONE, st.received, f->arg);
-		else if (order_done != NULL)
-			order_done(&f->conn, MEMBER_DONE, &st, f->arg);
+		fake_probe_answer(f, &st);
 	}
 }
 
@@ -188,6 +181,12 @@
 	set_leaving(w, "m0");
 }
 
+static void close_model(struct world *w)
+{
+	world_close(w);
+	kernel_set_clock(NULL);
+}
+
 static void model_begin(struct world *w, int seed)
 {
 	int i;
@@ -232,8 +231,7 @@
 		repeated += model.effects > 1 ? 1 : 0;
 		called_off += g->primary == 0 ? 1 : 0;
 		log_flush();
-		world_close(&w);
-		kernel_set_clock(NULL);
+		close_model(&w);
 	}
 	printf("%u with an order, %u with two promotions, %u kept the primary\n", ordered, repeated,
 	       called_off);
@@ -276,8 +274,7 @@
 	model.cut_to_us[1] = INT64_MAX;
 	CU_ASSERT_TRUE(run_until_served(&w, g, SUCCESSOR_CUT_OFF_US));
 	CU_ASSERT_EQUAL(g->primary, 2);
-	world_close(&w);
-	kernel_set_clock(NULL);
+	close_model(&w);
 }
 
 static void refuse(const char *member, promoter_done cb, void *arg)
@@ -296,8 +293,7 @@
 	CU_ASSERT_TRUE(run_until_served(&w, g, 200 * USEC_PER_MSEC));
 	CU_ASSERT_EQUAL(g->primary, 0);
 	CU_ASSERT_STRING_EQUAL(g->record.target, "");
-	world_close(&w);
-	kernel_set_clock(NULL);
+	close_model(&w);
 }
 
 /** Carries out the first order without an answer, and refuses the others. */
@@ -329,8 +325,7 @@
 	fake.promote = model_promote;
 	CU_ASSERT_TRUE(run_until_served(&w, g, SERVED_US));
 	CU_ASSERT_NOT_EQUAL(g->primary, 0);
-	world_close(&w);
-	kernel_set_clock(NULL);
+	close_model(&w);
 }
 
 /** Carries out the first order; no order gets an answer. */
@@ -352,8 +347,7 @@
 	g = run_until_ordered(&w, answer_nothing);
 	CU_ASSERT_TRUE(run_until_served(&w, g, PROMOTE_MAX_US + 300 * USEC_PER_MSEC));
 	CU_ASSERT_NOT_EQUAL(g->primary, 0);
-	world_close(&w);
-	kernel_set_clock(NULL);
+	close_model(&w);
 }
 
 static const struct test_case cases[] = {
