review: case 4, a service stays without a holder after many planned restarts

The record of a service has room for 16 processes that may still send to its primary, and only a change of primary removes them.

--- a/review/stand2/common.h
+++ b/review/stand2/common.h
@@ -12,7 +12,7 @@
 #define US_PER_MS INT64_C(1000)
 #define US_PER_S INT64_C(1000000)
 #define SERVERS 3
-#define MACHINES_MAX 4
+#define MACHINES_MAX 6
 
 /** What the stand-ins simulate. Filled in before the processes are started. */
 struct world_conf {
--- a/review/stand2/drive.c
+++ b/review/stand2/drive.c
@@ -209,9 +209,11 @@
 
 void drive_start(struct drive *d, unsigned n_vms, const char *config)
 {
-	static const char *const zones[] = {"north", "middle", "south", "north"};
-	static const char *const names[] = {"front-north-1", "front-middle-1", "front-south-1",
-					    "front-north-2"};
+	static const char *const zones[VMS_MAX] = {"north", "middle", "south",
+						   "north", "south",  "north"};
+	static const char *const names[VMS_MAX] = {"front-north-1", "front-middle-1",
+						   "front-south-1", "front-north-2",
+						   "front-south-2", "front-north-3"};
 	const char *trouble = getenv("TROUBLE");
 	unsigned i;
 
@@ -229,7 +231,7 @@
 	for (i = 0; i < SERVERS; i++)
 		d->world.server[i].port = free_port();
 	d->n_vms = n_vms;
-	for (i = 0; i < n_vms; i++) {
+	for (i = 0; i < VMS_MAX; i++) {
 		struct vm *vm = &d->vm[i];
 
 		vm->name = names[i];
@@ -242,11 +244,11 @@
 		d->world.machine[i].name = vm->name;
 		d->world.machine[i].port = vm->promotion;
 	}
-	d->world.machines = n_vms;
+	d->world.machines = VMS_MAX;
 	ports_release();
 	world_start(d);
 	drive_command(d, "config %s", config);
-	for (i = 0; i < n_vms; i++)
+	for (i = 0; i < VMS_MAX; i++)
 		write_settings(d, &d->vm[i]);
 	for (i = 0; i < n_vms; i++)
 		vm_start(d, &d->vm[i]);
@@ -265,12 +267,25 @@
 	vm_start(d, &d->vm[vm]);
 }
 
+void drive_kill(struct drive *d, unsigned vm)
+{
+	record("machine %s is killed", d->vm[vm].name);
+	kill(d->vm[vm].pid, SIGKILL);
+	waitpid(d->vm[vm].pid, NULL, 0);
+	d->vm[vm].pid = 0;
+}
+
+void drive_up(struct drive *d, unsigned vm)
+{
+	vm_start(d, &d->vm[vm]);
+}
+
 void drive_exit(struct drive *d, int code)
 {
 	const char *keep = getenv("KEEP");
 	unsigned i;
 
-	for (i = 0; i < d->n_vms; i++) {
+	for (i = 0; i < VMS_MAX; i++) {
 		if (d->vm[i].pid > 0) {
 			kill(d->vm[i].pid, SIGKILL);
 			waitpid(d->vm[i].pid, NULL, 0);
--- a/review/stand2/drive.h
+++ b/review/stand2/drive.h
@@ -26,12 +26,12 @@
 	struct world_conf world;
 	pid_t world_pid;
 	int commands, replies;
-	unsigned n_vms;
+	unsigned n_vms; /**< that drive_start() starts; the others are spare */
 	struct vm vm[VMS_MAX];
 };
 
 /**
- * Starts the stand-ins and @a n_vms daemons, one in each zone, and writes the configuration.
+ * Starts the stand-ins and @a n_vms daemons in three zones, and writes the configuration.
  * @param config op/config
  */
 void drive_start(struct drive *d, unsigned n_vms, const char *config);
@@ -42,6 +42,9 @@
 void drive_signal(struct drive *d, unsigned vm, int sig);
 /** Stops the machine by SIGTERM, waits until its process has ended, and starts it again. */
 void drive_restart(struct drive *d, unsigned vm);
+/** Kills the process of the machine, which stays down until drive_up(). */
+void drive_kill(struct drive *d, unsigned vm);
+void drive_up(struct drive *d, unsigned vm);
 /** Waits until all daemons report ready and serve @a database with @a key; exits with 2 if not. */
 void drive_wait_served(struct drive *d, const char *database, const char *key);
 /** Name of the VM that holds the duty of the service, as the store's record tells. */
