--- a/review/stand2/case5.c
+++ b/review/stand2/case5.c
@@ -1,8 +1,9 @@
 /**
  * @file case5.c
- * A service with synchronous-replicas 1. Of its two replicas one is draining, which still counts
- * toward synchronous-replicas, and the other one receives nothing for a while. Then the primary
- * crashes. The rule LOST: every acknowledged commit is in the log of the backend that is promoted.
+ * Rolling restarts: the machine that holds the service is stopped by SIGTERM and started again, time
+ * after time. Later all processes are killed at once; the machine that held the service then is gone
+ * for good, and another one comes in its place. The rule RECOVER: a quarter of the requests is served
+ * again recovery-s after the machines are back.
  */
 #include "drive.h"
 
@@ -10,127 +11,137 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WRITERS 4
+#define MACHINES 4
+#define SPARE MACHINES /**< the machine that comes in place of another */
+#define RESTARTS 17
+#define SETTLE_MS 1300
+#define CLIENTS 3
+#define RECOVERY_MS 12000
+#define WATCHED_MS 8000
 #define CONFIG                                                                                     \
 	"{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"orders\",\"prefix\":\"/\","        \
 	"\"kind\":\"primary\",\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,"        \
 	"\"service\":\"svc\",\"max-attempts\":2,\"allow-anonymous\":false}],"                      \
 	"\"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":16,"     \
-	"\"protocol\":\"h1\",\"tls-enabled\":false,\"synchronous-replicas\":1}],"                  \
+	"\"protocol\":\"h1\",\"tls-enabled\":false,\"synchronous-replicas\":0}],"                  \
 	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[{\"name\":\"salon\","              \
 	"\"api-keys\":[\"key-of-salon\"],\"priority\":1,\"rate-per-s\":500,\"burst\":500}]}"
 
 static struct drive d;
 static gint stop;
 
-static gpointer write_orders(gpointer arg)
+/** A client that goes to another machine after each failure, as the platform would send it. */
+static gpointer use(gpointer arg)
 {
-	unsigned n = GPOINTER_TO_UINT(arg), i = 0;
-	char *name = g_strdup_printf("writer%u", n);
+	unsigned n = GPOINTER_TO_UINT(arg), i = 0, vm = n;
+	char *name = g_strdup_printf("client%u", n);
 	struct client c = {0};
 
 	while (!g_atomic_int_get(&stop)) {
 		if (c.in == NULL &&
-		    !client_open(&c, name, &d.vm[n % d.n_vms], "orders", "key-of-salon")) {
+		    !client_open(&c, name, &d.vm[vm % (SPARE + 1)], "orders", "key-of-salon")) {
 			client_close(&c);
-			sleep_ms(100);
+			vm++;
+			sleep_ms(50);
 			continue;
 		}
-		/* A broken connection or an error ends the client's session. */
-		if (!client_query(&c, "WRITE order%u-%u x", n, i++)) {
-			if (c.code[0] == '\0')
-				client_close(&c);
-			sleep_ms(100);
+		if (!client_query(&c, i % 3 == 0 ? "WRITE order%u-%u x" : "READ order%u-%u", n, i)) {
+			client_close(&c);
+			vm++;
 		}
-		sleep_ms(20);
+		i++;
+		sleep_ms(50);
 	}
 	client_close(&c);
 	return NULL;
 }
 
-/** Counts the acknowledged commits that the promoted server's log lacks. */
-static unsigned judge(void)
+struct share {
+	unsigned sent, served;
+};
+
+/** Counts the requests that were sent in a span of time, and those of them that were served. */
+static struct share count(double from_ms, double to_ms)
 {
-	GHashTable *acknowledged = g_hash_table_new(g_str_hash, g_str_equal);
-	char **lines = drive_record(&d), **l, **k;
-	unsigned lost = 0, promotions = 0;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	char **lines = drive_record(&d), **l;
+	struct share s = {0};
 
 	for (l = lines; *l != NULL; l++) {
-		char **w = g_strsplit(*l, " ", -1);
-		guint n = g_strv_length(w);
-
-		/* TIME client NAME answered ID COMPLETE ... */
-		if (n > 5 && strcmp(w[1], "client") == 0 && strcmp(w[3], "answered") == 0 &&
-		    strcmp(w[5], "COMPLETE") == 0)
-			g_hash_table_add(acknowledged, g_strdup(w[4]));
-		/* TIME platform promoted SERVER term T number N */
-		if (n > 7 && strcmp(w[1], "platform") == 0 && strcmp(w[2], "promoted") == 0) {
-			unsigned long term = strtoul(w[5], NULL, 10);
-			unsigned number = (unsigned)atoi(w[7]);
-
-			promotions++;
-			for (k = lines; k != l; k++) {
-				char server[32], id[32];
-				unsigned long t;
-				unsigned at;
+		char id[32], code[32];
+		double at_ms;
 
-				if (sscanf(*k, "%*s server %31s commit %lu.%u %31s", server, &t, &at,
-					   id) != 4 ||
-				    t >= term || at <= number ||
-				    !g_hash_table_contains(acknowledged, id))
-					continue;
-				if (lost++ < 5)
-					printf("lost: %s, committed as %lu.%u, acknowledged, and %s "
-					       "is promoted with %u commits\n",
-					       id, t, at, w[3], number);
-			}
+		if (sscanf(*l, "%lf client client%*u sends QUERY %31s", &at_ms, id) == 2 &&
+		    at_ms > from_ms && at_ms <= to_ms) {
+			g_hash_table_add(ids, g_strdup(id));
+			s.sent++;
+		} else if (sscanf(*l, "%lf client client%*u answered %31s %31s", &at_ms, id, code) ==
+				   3 &&
+			   strcmp(code, "COMPLETE") == 0 && g_hash_table_contains(ids, id)) {
+			s.served++;
 		}
-		g_strfreev(w);
 	}
-	printf("%u acknowledged writes, %u promotions, %u acknowledged commits lost\n",
-	       g_hash_table_size(acknowledged), promotions, lost);
 	g_strfreev(lines);
-	return lost;
+	return s;
+}
+
+static double now_ms(void)
+{
+	return (double)elapsed_us() / US_PER_MS;
 }
 
 int main(void)
 {
-	GThread *writer[WRITERS];
-	unsigned i, lost;
+	double fault_ms, back_ms;
+	struct share before, after;
+	GThread *client[CLIENTS];
+	unsigned i, owner;
+	bool broken;
 
 	d.world = (struct world_conf){.service = "svc",
 				      .server = {{"s1", "north", 0}, {"s2", "middle", 0},
 						 {"s3", "south", 0}},
-				      .sync = true,
 				      .connection_limit = 16,
 				      .work_ms = 3,
-				      .replicate_ms = 2,
+				      .replicate_ms = 20,
 				      .promote_ms = 1000,
 				      .drain_ms = 7000,
-				      .drain_stay_ms = 10000,
+				      .drain_stay_ms = 1000,
 				      .heartbeat_ms = 1200};
-	drive_start(&d, 3, CONFIG);
+	drive_start(&d, MACHINES, CONFIG);
 	drive_wait_served(&d, "orders", "key-of-salon");
 	sleep_ms(2000);
-	for (i = 0; i < WRITERS; i++)
-		writer[i] = g_thread_new("writer", write_orders, GUINT_TO_POINTER(i));
+	for (i = 0; i < CLIENTS; i++)
+		client[i] = g_thread_new("client", use, GUINT_TO_POINTER(i));
 	sleep_ms(2000);
-	drive_command(&d, "drain s2");
+	for (i = 0; i < RESTARTS && d.trouble; i++) {
+		drive_restart(&d, drive_owner(&d));
+		sleep_ms(SETTLE_MS);
+	}
+	sleep_ms(5000);
+	owner = drive_owner(&d);
+	fault_ms = now_ms();
+	for (i = 0; i < MACHINES; i++)
+		drive_kill(&d, i);
 	sleep_ms(1000);
-	if (d.trouble) {
-		drive_command(&d, "deaf s3 1");
-		sleep_ms(2000);
-		drive_command(&d, "crash s1");
-		sleep_ms(4000);
-		drive_command(&d, "deaf s3 0");
-		sleep_ms(3000);
-		drive_command(&d, "start s1");
+	for (i = 0; i < MACHINES; i++) {
+		if (i != owner)
+			drive_up(&d, i);
 	}
-	sleep_ms(6000);
+	drive_up(&d, SPARE);
+	back_ms = now_ms();
+	sleep_ms(RECOVERY_MS + WATCHED_MS);
 	g_atomic_int_set(&stop, 1);
-	for (i = 0; i < WRITERS; i++)
-		g_thread_join(writer[i]);
-	lost = judge();
-	record("case found %u acknowledged commits lost", lost);
-	drive_exit(&d, lost > 0 ? 1 : 0);
+	for (i = 0; i < CLIENTS; i++)
+		g_thread_join(client[i]);
+	before = count(0, fault_ms);
+	after = count(back_ms + RECOVERY_MS, now_ms());
+	printf("served: %u of %u requests before the final fault, %u of %u from %d s after it\n",
+	       before.served, before.sent, after.served, after.sent, RECOVERY_MS / 1000);
+	record("case served %u of %u requests before, %u of %u after", before.served, before.sent,
+	       after.served, after.sent);
+	if (before.served * 4 < before.sent || after.sent + after.served == 0)
+		drive_exit(&d, before.served * 4 < before.sent ? 2 : 1);
+	broken = after.served * 4 < after.sent;
+	drive_exit(&d, broken ? 1 : 0);
 }
