--- a/review/stand2/case4.c
+++ b/review/stand2/case4.c
@@ -11,14 +11,6 @@
 #include <string.h>
 
 #define WRITERS 4
-#define CONFIG                                                                                     \
-	"{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"orders\",\"prefix\":\"/\","        \
-	"\"kind\":\"primary\",\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,"        \
-	"\"service\":\"svc\",\"max-attempts\":2,\"allow-anonymous\":false}],"                      \
-	"\"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":16,"     \
-	"\"protocol\":\"h1\",\"tls-enabled\":false,\"synchronous-replicas\":1}],"                  \
-	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[{\"name\":\"salon\","              \
-	"\"api-keys\":[\"key-of-salon\"],\"priority\":1,\"rate-per-s\":500,\"burst\":500}]}"
 
 static struct drive d;
 static gint stop;
@@ -110,7 +102,7 @@
 		.drain_ms = 7000,
 		.drain_stay_ms = 10000,
 		.heartbeat_ms = 1200};
-	drive_start(&d, 3, CONFIG);
+	drive_start(&d, 3, CONFIG_PLAIN("1"));
 	drive_wait_served(&d, "orders", "key-of-salon");
 	sleep_ms(2000);
 	for (i = 0; i < WRITERS; i++)
--- a/review/stand2/case5.c
+++ b/review/stand2/case5.c
@@ -18,14 +18,6 @@
 #define CLIENTS 3
 #define RECOVERY_MS 12000
 #define WATCHED_MS 8000
-#define CONFIG                                                                                     \
-	"{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"orders\",\"prefix\":\"/\","        \
-	"\"kind\":\"primary\",\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,"        \
-	"\"service\":\"svc\",\"max-attempts\":2,\"allow-anonymous\":false}],"                      \
-	"\"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":16,"     \
-	"\"protocol\":\"h1\",\"tls-enabled\":false,\"synchronous-replicas\":0}],"                  \
-	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[{\"name\":\"salon\","              \
-	"\"api-keys\":[\"key-of-salon\"],\"priority\":1,\"rate-per-s\":500,\"burst\":500}]}"
 
 static struct drive d;
 static gint stop;
@@ -108,7 +100,7 @@
 		.drain_ms = 7000,
 		.drain_stay_ms = 1000,
 		.heartbeat_ms = 1200};
-	drive_start(&d, MACHINES, CONFIG);
+	drive_start(&d, MACHINES, CONFIG_PLAIN("0"));
 	drive_wait_served(&d, "orders", "key-of-salon");
 	sleep_ms(2000);
 	for (i = 0; i < CLIENTS; i++)
--- a/review/stand2/case6.c
+++ b/review/stand2/case6.c
@@ -14,14 +14,6 @@
 
 #define CUT_MS 5000
 #define STOP_AFTER_MS 300
-#define CONFIG                                                                                     \
-	"{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"orders\",\"prefix\":\"/\","        \
-	"\"kind\":\"primary\",\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,"        \
-	"\"service\":\"svc\",\"max-attempts\":2,\"allow-anonymous\":false}],"                      \
-	"\"services\":[{\"name\":\"svc\",\"health-path\":\"/health\",\"connection-limit\":16,"     \
-	"\"protocol\":\"h1\",\"tls-enabled\":false,\"synchronous-replicas\":0}],"                  \
-	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[{\"name\":\"salon\","              \
-	"\"api-keys\":[\"key-of-salon\"],\"priority\":1,\"rate-per-s\":500,\"burst\":500}]}"
 
 static struct drive d;
 static unsigned owner;
@@ -101,7 +93,7 @@
 		.drain_ms = 7000,
 		.drain_stay_ms = 1000,
 		.heartbeat_ms = 1200};
-	drive_start(&d, 3, CONFIG);
+	drive_start(&d, 3, CONFIG_PLAIN("0"));
 	drive_wait_served(&d, "orders", "key-of-salon");
 	sleep_ms(4500);
 	owner = drive_owner(&d);
--- a/review/stand2/case8.c
+++ b/review/stand2/case8.c
@@ -14,23 +14,11 @@
 #define STATEMENTS 6
 #define PAUSE_MS 1500
 
-#define ROUTE(name, host)                                                                          \
-	"{\"name\":\"" name "\",\"host\":\"" host "\",\"prefix\":\"/\",\"kind\":\"primary\","      \
-	"\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,\"service\":\"svc\","         \
-	"\"max-attempts\":2,\"allow-anonymous\":false}"
-#define TENANT(name, key)                                                                          \
-	"{\"name\":\"" name "\",\"api-keys\":[\"" key "\"],\"priority\":1,\"rate-per-s\":135,"     \
-	"\"burst\":135}"
-#define CONFIG(version, routes, tenants)                                                           \
-	"{\"version\":" version ",\"routes\":[" routes "],\"services\":[{\"name\":\"svc\","        \
-	"\"health-path\":\"/health\",\"connection-limit\":16,\"protocol\":\"h1\","                 \
-	"\"tls-enabled\":false,\"synchronous-replicas\":0}],"                                      \
-	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[" tenants "]}"
-
 static const char before[] =
-	CONFIG("3", ROUTE("r1", "orders") "," ROUTE("r2", "visits"),
-	       TENANT("salon", "key-of-salon") "," TENANT("travel", "key-of-travel"));
-static const char after[] = CONFIG("7", ROUTE("r1", "orders"), TENANT("salon", "key-of-salon"));
+	CONFIG("3", ROUTE("r1", "orders", "false") "," ROUTE("r2", "visits", "false"), "0",
+	       TENANT("salon", "\"key-of-salon\"") "," TENANT("travel", "\"key-of-travel\""));
+static const char after[] =
+	CONFIG("7", ROUTE("r1", "orders", "false"), "0", TENANT("salon", "\"key-of-salon\""));
 
 static struct drive d;
 
--- a/review/stand2/drive.h
+++ b/review/stand2/drive.h
@@ -13,6 +13,24 @@
 
 #define VMS_MAX MACHINES_MAX
 
+/** Parts of op/config, as in PROTOCOL.md. */
+#define ROUTE(name, host, anonymous)                                                               \
+	"{\"name\":\"" name "\",\"host\":\"" host "\",\"prefix\":\"/\",\"kind\":\"primary\","      \
+	"\"timeout-ms\":800,\"target-latency-ms\":100,\"priority\":1,\"service\":\"svc\","         \
+	"\"max-attempts\":2,\"allow-anonymous\":" anonymous "}"
+#define TENANT(name, keys)                                                                         \
+	"{\"name\":\"" name "\",\"api-keys\":[" keys "],\"priority\":1,\"rate-per-s\":500,"        \
+	"\"burst\":500}"
+#define CONFIG(version, routes, synchronous_replicas, tenants)                                     \
+	"{\"version\":" version ",\"routes\":[" routes "],\"services\":[{\"name\":\"svc\","        \
+	"\"health-path\":\"/health\",\"connection-limit\":16,\"protocol\":\"h1\","                 \
+	"\"tls-enabled\":false,\"synchronous-replicas\":" synchronous_replicas "}],"               \
+	"\"limits\":{\"transaction-idle-ms\":3000},\"tenants\":[" tenants "]}"
+/** One route, one tenant. */
+#define CONFIG_PLAIN(synchronous_replicas)                                                         \
+	CONFIG("3", ROUTE("r1", "orders", "false"), synchronous_replicas,                          \
+	       TENANT("salon", "\"key-of-salon\""))
+
 struct vm {
 	const char *name, *zone;
 	int front, control, ready, metrics;
