--- a/review/stand2/drive.c
+++ b/review/stand2/drive.c
@@ -19,6 +19,9 @@
 
 #define ANSWER_TIMEOUT_S 5
 #define START_TIMEOUT_MS 20000
+#define PORT_MIN 12000
+#define PORT_MAX 32000
+#define PORT_TRIES 1000
 
 /** The folder of the case, which run.sh gives. */
 static const char *case_folder(void)
@@ -37,19 +40,24 @@
 static int reserved[64];
 static unsigned n_reserved;
 
-/** Reserves a port that the system gives. */
+/**
+ * Reserves a free port below those that the system gives to outgoing connections: one of these
+ * could take a port before its daemon listens on it, or while the daemon is restarted.
+ */
 static int free_port(void)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (n_reserved == G_N_ELEMENTS(reserved) ||
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
-		exit(2);
-	reserved[n_reserved++] = fd;
-	return ntohs(sin.sin_port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), tries;
+
+	for (tries = 0; tries < PORT_TRIES && n_reserved < G_N_ELEMENTS(reserved); tries++) {
+		sin.sin_port = htons((uint16_t)g_random_int_range(PORT_MIN, PORT_MAX));
+		if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+			continue;
+		reserved[n_reserved++] = fd;
+		return ntohs(sin.sin_port);
+	}
+	fprintf(stderr, "no free port\n");
+	exit(2);
 }
 
 static void ports_release(void)
