Change of primary: the member that has the acknowledged commits is promoted

Cause: lead_choose_successor() passed over every member that leaves, and synchronous-replicas was read and decided nothing.

Evidence: "chosen" had lsn=428 beside acknowledged_lsn=714, so the owner knew the position. It did not name the other members; with the field that this commit adds the unfixed code logs members="s1:- s2:1.714,leaving s3:1.428". Ruled out by that: the draining replica was not asked, or its answer was old.

Change: a leaving member is chosen if all others lack acknowledged commits and its log is newer; a planned change replaces it. Where commits are acknowledged by replicas, a choice is made at once only if no log that is missing can be newer (a commit is on its primary and on synchronous-replicas others), or the position acknowledged by all senders is known and reached; else it waits, 20 s at most without a primary, then the newest log is promoted as before and the gap is logged and counted. Related paths: a member that was excluded by a refused order is tried again if it alone has the commits; a primary that is back and not accepted is barred in its own right, not by being called leaving; commits that a planned change acknowledges while transactions end count if it goes on as an unplanned one.

It works since a commit cannot be acknowledged without a log that has it, and no choice is made while that log may be one of those not seen.

--- a/decide/lead.c
+++ b/decide/lead.c
@@ -97,13 +97,14 @@
 	return best;
 }
 
-int lead_choose_successor(const struct lead_candidate *c, unsigned n, int except)
+/** Returns the member with the newest log of those that leave, or of those that do not, or -1. */
+static int newest_log(const struct lead_candidate *c, unsigned n, int except, bool leaving)
 {
 	int best = -1;
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
-		if (!c[i].reached || c[i].leaving || (int)i == except)
+		if (!c[i].reached || c[i].barred || c[i].leaving != leaving || (int)i == except)
 			continue;
 		if (best < 0 || pos_cmp(c[i].received, c[best].received) > 0)
 			best = (int)i;
@@ -111,6 +112,19 @@
 	return best;
 }
 
+int lead_choose_successor(const struct lead_candidate *c, unsigned n, int except, struct pos need)
+{
+	int stays = newest_log(c, n, except, false);
+	int leaves = need.term != 0 ? newest_log(c, n, except, true) : -1;
+
+	if (leaves < 0)
+		return stays;
+	if (stays >= 0 && (pos_cmp(c[stays].received, need) >= 0 ||
+			   pos_cmp(c[stays].received, c[leaves].received) >= 0))
+		return stays;
+	return leaves;
+}
+
 enum lead_verdict lead_judge_primary(const struct lead_silence *s, int64_t now_us)
 {
 	int64_t timeout = s->refused ? REFUSED_TIMEOUT_US : UNANSWERED_TIMEOUT_US;
--- a/decide/lead.h
+++ b/decide/lead.h
@@ -69,6 +69,7 @@
 struct lead_candidate {
 	bool reached;
 	bool leaving;
+	bool barred; /**< must not be promoted */
 	bool primary;
 	uint64_t term;
 	struct pos received;
@@ -81,11 +82,14 @@
 int lead_find_primary(const struct lead_record *r, const char *const *names,
 		      const struct lead_candidate *c, unsigned n);
 /**
- * Chooses the member to promote: the reachable member with the newest log that is not leaving.
+ * Chooses the member to promote: the reachable member with the newest log that is not leaving. If
+ * all of these lack @a need, a leaving member with a newer log is chosen. It is replaced by a
+ * planned change, in which its successor receives what it has; a commit that is discarded is gone.
  * @param except member to exclude, or -1
+ * @param need log position that the successor should have; term 0: never choose a leaving member
  * @return its index, or -1 if there is none
  */
-int lead_choose_successor(const struct lead_candidate *c, unsigned n, int except);
+int lead_choose_successor(const struct lead_candidate *c, unsigned n, int except, struct pos need);
 
 /** What is known about a primary that does not answer. */
 struct lead_silence {
--- a/decide/succession.c
+++ b/decide/succession.c
@@ -83,8 +83,18 @@
 	return SUCCESSION_WAIT;
 }
 
+bool succession_choice_complete(const struct succession *s, const struct succession_choice *c)
+{
+	if (s->acknowledged_all && pos_cmp(c->best, s->acknowledged) >= 0)
+		return true;
+	return c->unseen <= c->sync && pos_cmp(c->best, c->newest) >= 0;
+}
+
 bool succession_choice_waits(const struct succession *s, const struct succession_choice *c)
 {
+	if (c->sync > 0)
+		return c->unserved_us < SUCCESSION_SYNC_TIMEOUT_US &&
+		       !succession_choice_complete(s, c);
 	return c->may_gain && c->waited_us < CHOICE_TIMEOUT_US &&
 	       pos_cmp(c->best, s->acknowledged) < 0;
 }
--- a/decide/succession.h
+++ b/decide/succession.h
@@ -5,7 +5,8 @@
  * answers the previous owner is kept. The choice of a successor waits for a limited time for a
  * member that has every write that any reachable VM can show to be acknowledged. This covers the
  * end of a network partition, when a data centre rejoins with a primary, its owner and their
- * callers that continued to work within the partition.
+ * callers that continued to work within the partition. Where commits are acknowledged only once
+ * replicas have received them, the choice waits for a log that certainly has all of them.
  */
 #ifndef DECIDE_SUCCESSION_H
 #define DECIDE_SUCCESSION_H
@@ -26,8 +27,10 @@
 struct succession {
 	int64_t since_us; /**< when this VM lost contact with the primary; only later contact of
 			     other VMs shows that the primary is alive */
-	struct pos acknowledged;   /**< highest position known to contain acknowledged writes */
-	int64_t acknowledged_us;   /**< latest time at which @a acknowledged was current, or 0 */
+	struct pos acknowledged; /**< highest position known to contain acknowledged writes */
+	int64_t acknowledged_us; /**< latest time at which @a acknowledged was current, or 0 */
+	bool acknowledged_all; /**< @a acknowledged contains the acknowledged writes of all senders
+				*/
 	char primary[NAME_SIZE];   /**< primary that still answers a previous owner */
 	int64_t latest_contact_us; /**< when @a primary last answered a previous owner; 0: never */
 	int64_t reported_us; /**< when this VM was first informed of such an answer; 0: never */
@@ -66,14 +69,31 @@
 /** Decides whether an unplanned change may choose a successor. */
 enum succession_verdict succession_judge_primary(const struct succession *s, int64_t now_us);
 
+/**
+ * Longest time without a primary while a choice waits for a commit that a replica had received
+ * before it was acknowledged. Covers the restart of a server and the usual network partition; a
+ * server that is away for longer may never return.
+ */
+#define SUCCESSION_SYNC_TIMEOUT_US (20 * USEC_PER_SEC)
+
 /** State of the choice of a successor. */
 struct succession_choice {
-	struct pos best; /**< newest log position among the candidates */
+	struct pos best;   /**< log position of the member to be chosen */
+	struct pos newest; /**< newest log position of all members that are seen */
 	bool may_gain; /**< a newer log may appear: a member is unreachable, or a primary may still
 			  replicate */
-	int64_t waited_us; /**< time since the choice began */
+	unsigned sync; /**< replicas that receive a commit before it is acknowledged */
+	unsigned unseen; /**< members, with the old primary, that have not reported their log since
+			    the senders stopped */
+	int64_t waited_us;   /**< time since the choice began */
+	int64_t unserved_us; /**< time since the change began */
 };
 
+/**
+ * Whether the member to be chosen certainly has every acknowledged commit, where @a c->sync is not
+ * 0. Such a commit is in the logs of its primary and of @a c->sync replicas.
+ */
+bool succession_choice_complete(const struct succession *s, const struct succession_choice *c);
 /** Decides whether to wait for a candidate that has every write known to be acknowledged. */
 bool succession_choice_waits(const struct succession *s, const struct succession_choice *c);
 
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -152,6 +152,7 @@
 					       : 0));
 	g->planned = planned;
 	g->leave_pending = false;
+	g->choice_waits = false;
 	g->excluded = -1;
 	if (!standing_moves(g))
 		standing_called_off(g, why);
@@ -159,6 +160,7 @@
 		succession_begin(&g->succession, now_us());
 		succession_acknowledged(&g->succession, g->marks.newest.pos,
 					g->marks.newest.asked_us);
+		g->succession.acknowledged_all = true;
 	}
 	owner_group_set_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
 	if (!planned && m != NULL)
--- a/src/owner-choose.c
+++ b/src/owner-choose.c
@@ -6,6 +6,7 @@
 #include "owner.h"
 
 #include "log.h"
+#include "stat.h"
 
 #include <string.h>
 
@@ -21,6 +22,8 @@
  * The store may refuse just this VM, for up to nine seconds.
  */
 #define INVITE_AFTER_US (200 * USEC_PER_MSEC)
+/** When a member that could not be promoted may be chosen again if it alone has commits. */
+#define RETRY_EXCLUDED_US (500 * USEC_PER_MSEC)
 /** How long a choice waits for members that do not answer. */
 #define CHOOSE_TIMEOUT_US (300 * USEC_PER_MSEC)
 
@@ -55,7 +58,16 @@
 	const char *names[GROUP_MEMBERS_MAX];
 
 	choose_candidates(g, c, names, now, fresh_us);
-	return lead_choose_successor(c, g->n, g->primary);
+	return lead_choose_successor(c, g->n, g->primary, (struct pos){0});
+}
+
+/** Returns the log position that a member must have to be preferred over one that leaves. */
+static struct pos needed_log(const struct owner_group *g)
+{
+	/* The acknowledged position of a previous owner may be unknown: the newest log has it. */
+	const struct pos newest = {UINT64_MAX, UINT64_MAX};
+
+	return g->sync > 0 ? newest : g->succession.acknowledged;
 }
 
 /* Reverting a choice */
@@ -297,8 +309,8 @@
 
 	if (current < 0 || g->record.target[0] == '\0')
 		return false;
-	c[current].leaving = true;
-	next = lead_choose_successor(c, g->n, g->excluded);
+	c[current].barred = true;
+	next = lead_choose_successor(c, g->n, g->excluded, needed_log(g));
 	return next >= 0 && now - g->state_us < CATCH_UP_ALIVE_TIMEOUT_US &&
 	       pos_cmp(c[next].received, c[current].received) < 0;
 }
@@ -315,15 +327,85 @@
 	return false;
 }
 
-/** Whether the choice must wait for acknowledged writes that the member at @a best lacks. */
-static bool wait_for_acknowledged(const struct owner_group *g, const struct lead_candidate *c,
-				  int best, int64_t now)
+/** Logs the member to be chosen, and all of them, such as "m0:- m1:1.7 m2:1.9,leaving". */
+static void log_choice(const char *event, const struct owner_group *g,
+		       const struct lead_candidate *c, const char *const *names, int best,
+		       int64_t now)
+{
+	GString *members = g_string_new(NULL);
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		g_string_append_printf(members, "%s%s:", i > 0 ? " " : "", names[i]);
+		if (c[i].reached)
+			g_string_append_printf(members, "%lu.%lu", c[i].received.term,
+					       c[i].received.lsn);
+		else
+			g_string_append_c(members, '-');
+		if (c[i].leaving)
+			g_string_append(members, ",leaving");
+	}
+	log_info(event, LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
+		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
+		 LOG_NUM("acknowledged_term", g->succession.acknowledged.term),
+		 LOG_NUM("acknowledged_lsn", g->succession.acknowledged.lsn),
+		 LOG_NUM("acknowledged_age_us", now - g->succession.acknowledged_us),
+		 LOG_STR("members", members->str));
+	g_string_free(members, TRUE);
+}
+
+/** Fills in the newest log that was seen, and counts the members whose log was not. */
+static void find_newest_log(const struct owner_group *g, const struct lead_candidate *c,
+			    struct succession_choice *choice, int64_t now)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n; i++) {
+		const struct owner_member *m = &g->member[i];
+
+		if (!m->listed && change_exceeds_leave_time(m, now))
+			continue;
+		if (!c[i].reached || m->observed_us < g->state_us)
+			choice->unseen++;
+		else if (pos_cmp(c[i].received, choice->newest) > 0)
+			choice->newest = c[i].received;
+	}
+}
+
+/** Lets a member be chosen again that could not be promoted, if no other one has its log. */
+static void end_exclusion(struct owner_group *g, const struct lead_candidate *c, int best,
+			  int64_t now)
 {
-	const struct succession_choice choice = {.best = c[best].received,
-						 .may_gain = may_gain(g, c),
-						 .waited_us = now - g->state_us};
+	const struct lead_candidate *x = g->excluded >= 0 ? &c[g->excluded] : NULL;
+
+	if (g->sync > 0 && x != NULL && x->reached && now - g->state_us > RETRY_EXCLUDED_US &&
+	    pos_cmp(x->received, c[best].received) > 0)
+		g->excluded = -1;
+}
 
-	return succession_choice_waits(&g->succession, &choice);
+/** Whether the choice must wait for acknowledged writes that the member at @a best lacks. */
+static bool wait_for_acknowledged(struct owner_group *g, const struct lead_candidate *c,
+				  const char *const *names, int best, int64_t now)
+{
+	struct succession_choice choice = {.best = c[best].received,
+					   .may_gain = may_gain(g, c),
+					   .sync = g->sync,
+					   .waited_us = now - g->state_us,
+					   .unserved_us = now - g->unserved_since_us};
+
+	find_newest_log(g, c, &choice, now);
+	if (succession_choice_waits(&g->succession, &choice)) {
+		if (!g->choice_waits)
+			log_choice("choice-waits", g, c, names, best, now);
+		g->choice_waits = true;
+		end_exclusion(g, c, best, now);
+		return true;
+	}
+	if (g->sync > 0 && !succession_choice_complete(&g->succession, &choice)) {
+		stat_add(STAT_CHOICES_INCOMPLETE, 1);
+		log_choice("choice-incomplete", g, c, names, best, now);
+	}
+	return false;
 }
 
 /**
@@ -356,6 +438,8 @@
 	}
 	if (choose_undo_if_returned(g, now))
 		return;
+	/* A planned change acknowledges commits until the old primary is idle. */
+	succession_acknowledged(&g->succession, g->marks.newest.pos, g->marks.newest.asked_us);
 	if (!all_probed(g) && now - g->state_us < CHOOSE_TIMEOUT_US)
 		return;
 	choose_candidates(g, c, names, now, CHANGE_PROBE_FRESH_US);
@@ -369,19 +453,14 @@
 		highest = MAX(highest, c[current].term);
 	if (skip_current_primary(g, c, current, now))
 		return;
-	best = lead_choose_successor(c, g->n, g->excluded);
+	best = lead_choose_successor(c, g->n, g->excluded, needed_log(g));
 	if (best < 0 && g->excluded >= 0) {
 		g->excluded = -1;
 		return;
 	}
-	if (best < 0 || wait_for_acknowledged(g, c, best, now))
+	if (best < 0 || wait_for_acknowledged(g, c, names, best, now))
 		return;
-	log_info("chosen", LOG_STR("pool", g->pool), LOG_STR("member", names[best]),
-		 LOG_NUM("term", c[best].received.term), LOG_NUM("lsn", c[best].received.lsn),
-		 LOG_NUM("floor", highest),
-		 LOG_NUM("acknowledged_term", g->succession.acknowledged.term),
-		 LOG_NUM("acknowledged_lsn", g->succession.acknowledged.lsn),
-		 LOG_NUM("acknowledged_age_us", now - g->succession.acknowledged_us));
+	log_choice("chosen", g, c, names, best, now);
 	owner_group_set_state(g, OWNER_RECORDING, "chosen");
 	choose_record(g, best, highest, choice_recorded);
 }
--- a/src/owner-fence.c
+++ b/src/owner-fence.c
@@ -21,14 +21,20 @@
 	int64_t asked_us;
 };
 
-/** Removes a sender that is known to send no more from the record. */
-static void fenced(struct owner *o, const char *pool, const struct lead_vm *vm, const char *how)
+/**
+ * Removes a sender that is known to send no more from the record.
+ * @param reported whether it has reported the newest position that it acknowledged
+ */
+static void fenced(struct owner *o, const char *pool, const struct lead_vm *vm, bool reported,
+		   const char *how)
 {
 	struct owner_group *g = owner_group_find(o, pool);
 
 	if (g == NULL || !owner_group_is_own(g))
 		return;
 	log_info("fenced", LOG_STR("pool", pool), LOG_STR("peer", vm->name), LOG_STR("how", how));
+	if (!reported && lead_has_sender(&g->record, vm))
+		g->succession.acknowledged_all = false;
 	lead_remove_sender(&g->record, vm);
 }
 
@@ -74,7 +80,7 @@
 	if (status == RPC_DONE) {
 		apply_report(f, res);
 		if (res->stopped)
-			fenced(f->o, f->pool, &f->vm, "yielded");
+			fenced(f->o, f->pool, &f->vm, res->acknowledged.term != 0, "yielded");
 	}
 	g_free(f);
 }
@@ -100,10 +106,10 @@
 		uint64_t incarnation = 0;
 
 		if (item == NULL || item->value == NULL)
-			fenced(f->o, f->pool, &f->vm, "lease-ended");
+			fenced(f->o, f->pool, &f->vm, false, "lease-ended");
 		else if (fleet_store_vm_parse(item->value, name, &incarnation) &&
 			 incarnation != f->vm.incarnation)
-			fenced(f->o, f->pool, &f->vm, "restarted");
+			fenced(f->o, f->pool, &f->vm, false, "restarted");
 	}
 	g_free(f);
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -278,6 +278,8 @@
 	if (g->member != NULL)
 		configure_members(g, pool);
 	g->configured = pool != NULL;
+	if (pool != NULL)
+		g->sync = pool->sync;
 }
 
 void owner_group_use(struct owner_group *g)
--- a/src/owner.h
+++ b/src/owner.h
@@ -219,6 +219,7 @@
 	char pool[NAME_SIZE];
 	char role[NAME_SIZE + sizeof(OWNER_ROLE)]; /**< of the VM that is to claim the group */
 	bool configured;
+	unsigned sync; /**< replicas that receive a commit before it is acknowledged */
 
 	struct lead_record record;
 	uint64_t revision;	   /**< revision of @a record in the store; 0: no record is known */
@@ -281,6 +282,7 @@
 		char target[NAME_SIZE];
 	} undo;		       /**< record fields before the choice */
 	int64_t chosen_us;     /**< when @a target was chosen */
+	bool choice_waits;     /**< the choice has waited for a log, which was logged */
 	int64_t fence_next_us; /**< other senders are not asked to stop before this time */
 
 	unsigned n;
--- a/src/stat.h
+++ b/src/stat.h
@@ -36,9 +36,10 @@
 	STAT_CONNECTIONS_LOST,
 	STAT_FAILOVERS_BEGUN,
 	STAT_FAILOVERS_DONE,
-	STAT_COMMITS_DISCARDED, /**< upper bound of the acknowledged commits lost by promotions */
-	STAT_CONFIRMS,		/**< commits confirmed by enough replicas */
-	STAT_CONFIRMS_LOST,	/**< commits that could not be confirmed */
+	STAT_COMMITS_DISCARDED,	 /**< upper bound of the acknowledged commits lost by promotions */
+	STAT_CHOICES_INCOMPLETE, /**< primaries chosen though commits may be missing in their log */
+	STAT_CONFIRMS,		 /**< commits confirmed by enough replicas */
+	STAT_CONFIRMS_LOST,	 /**< commits that could not be confirmed */
 	STAT_COMMIT_STATUS_QUERIES, /**< lookups of a commit whose answer was lost */
 	STAT_RPC_CALLS,
 	STAT_RPC_LOST,
--- a/tests/test-change.c
+++ b/tests/test-change.c
@@ -86,6 +86,31 @@
 	CU_ASSERT_EQUAL(succession_complete(&s, (struct pos){3, 20}), 0);
 }
 
+/*
+ * Guards against losing commits of a previous owner that could not report them, where just one of
+ * the members that may have them has reported its log.
+ */
+static void test_choice_is_complete_if_no_log_can_be_newer(void)
+{
+	struct succession_choice c = {
+		.best = {1, 40}, .newest = {1, 40}, .sync = 1, .unseen = 2, .may_gain = true};
+	struct succession s = {.acknowledged = {1, 40}};
+
+	CU_ASSERT_TRUE(succession_choice_waits(&s, &c));
+	s.acknowledged_all = true;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	s.acknowledged.lsn = 41;
+	CU_ASSERT_TRUE(succession_choice_waits(&s, &c));
+	/* The primary and one replica are missing: the other one has each acknowledged commit. */
+	c.unseen = 1;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	c.newest.lsn = 41;
+	CU_ASSERT_TRUE(succession_choice_waits(&s, &c));
+	c.unserved_us = SUCCESSION_SYNC_TIMEOUT_US;
+	CU_ASSERT_FALSE(succession_choice_waits(&s, &c));
+	CU_ASSERT_FALSE(succession_choice_complete(&s, &c));
+}
+
 /*
  * Model of a network partition. A data centre with the primary, its owner and callers is cut off.
  * The VM under test, on the other side, claims the group. The partition heals at a random time; the
@@ -406,6 +431,8 @@
 	{"primary_silent_since_last_contact_is_replaced",
 	 test_primary_silent_since_last_contact_is_replaced},
 	{"choice_waits_for_acknowledged_writes", test_choice_waits_for_acknowledged_writes},
+	{"choice_is_complete_if_no_log_can_be_newer",
+	 test_choice_is_complete_if_no_log_can_be_newer},
 	{"no_acknowledged_write_of_a_living_primary_is_discarded",
 	 test_no_acknowledged_write_of_a_living_primary_is_discarded},
 };
--- a/tests/test-lead.c
+++ b/tests/test-lead.c
@@ -82,6 +82,7 @@
 
 static void test_the_newest_log_is_chosen(void)
 {
+	const struct pos none = {0};
 	struct lead_candidate c[] = {
 		{.reached = true, .received = {2, 10}},
 		{.reached = true, .received = {1, 90}},
@@ -89,10 +90,29 @@
 		{.reached = false, .received = {2, 99}},
 	};
 
-	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, -1), 0);
-	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, 0), 1);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, -1, none), 0);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, 0, none), 1);
 	c[0].reached = c[1].reached = false;
-	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, -1), -1);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 4, -1, none), -1);
+}
+
+/* Guards against discarding commits that only a leaving member has received. */
+static void test_a_leaving_member_is_chosen_if_the_others_lack_commits(void)
+{
+	struct lead_candidate c[] = {
+		{.reached = true, .received = {1, 90}},
+		{.reached = true, .received = {1, 95}, .leaving = true},
+		{.reached = true, .received = {1, 99}, .leaving = true, .barred = true},
+	};
+
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, -1, (struct pos){1, 90}), 0);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, -1, (struct pos){1, 91}), 1);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, 1, (struct pos){1, 91}), 0);
+	c[0].received.lsn = 95;
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, -1, (struct pos){1, 99}), 0);
+	c[0].reached = false;
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, -1, (struct pos){1, 90}), 1);
+	CU_ASSERT_EQUAL(lead_choose_successor(c, 3, -1, (struct pos){0}), -1);
 }
 
 static void test_others_are_asked_before_a_silent_primary_is_replaced(void)
@@ -359,7 +379,7 @@
 	    !model_settled(m, v))
 		return;
 	v->primary = -1;
-	best = lead_choose_successor(m->member, MEMBERS, rand() % MEMBERS);
+	best = lead_choose_successor(m->member, MEMBERS, rand() % MEMBERS, (struct pos){0});
 	if (best < 0)
 		return;
 	r = v->record;
@@ -533,6 +553,8 @@
 	{"a_claim_on_a_full_record_fails", test_a_claim_on_a_full_record_fails},
 	{"a_replaced_primary_is_not_found", test_a_replaced_primary_is_not_found},
 	{"the_newest_log_is_chosen", test_the_newest_log_is_chosen},
+	{"a_leaving_member_is_chosen_if_the_others_lack_commits",
+	 test_a_leaving_member_is_chosen_if_the_others_lack_commits},
 	{"others_are_asked_before_a_silent_primary_is_replaced",
 	 test_others_are_asked_before_a_silent_primary_is_replaced},
 	{"no_vm_sends_to_a_replaced_primary", test_no_vm_sends_to_a_replaced_primary},
