Access: a dropped key stops at once, also in an open transaction

Callers saw: a version that removes a tenant's key together with its route let an open transaction of the tenant go on.

Cause: check_access() returned early where the route was gone and a transaction was open, before it looked at the key. Ruled out: that the key is still found (a version that drops it alone ends the session).

Change: access_check() in decide/ answers for each statement whether it may run, for whom and by which route. The route of an open transaction is that of its begin, the key is looked up always; the shortcut for a version that was checked before is gone.

--- a/src/session-state.h
+++ b/src/session-state.h
@@ -35,9 +35,8 @@
 	char database[NAME_SIZE];
 	char key_id[NAME_SIZE];
 	char team[NAME_SIZE];
-	uint64_t checked_version; /**< configuration that the key was checked against */
-	struct conf_route route;  /**< as of the start of the current operation */
-	GPtrArray *values;	  /**< ml_value, in the order of their first SET */
+	struct conf_route route; /**< as of the start of the current operation */
+	GPtrArray *values;	 /**< ml_value, in the order of their first SET */
 	GHashTable *prepared;
 
 	enum tx_state tx;
--- a/src/session.c
+++ b/src/session.c
@@ -1,6 +1,7 @@
 /** @file session.c Sessions of callers of groups that are run by an owner. */
 #include "session-state.h"
 
+#include "access.h"
 #include "key.h"
 #include "log.h"
 #include "stat.h"
@@ -80,28 +81,18 @@
 /* Access */
 
 /**
- * Sets the team of the session from its key; "" for an anonymous caller.
- * @return false if there is no valid key and the route does not allow anonymous callers
- */
-static bool find_team(struct session *s, const struct conf_route *route)
-{
-	const struct conf_key *key = s->key_id[0] != '\0' ? conf_key(conf_of(s), s->key_id) : NULL;
-
-	if (key != NULL && !key->withdrawn) {
-		g_strlcpy(s->team, key->team, sizeof(s->team));
-		return true;
-	}
-	return route->anonymous;
-}
-
-/**
- * Checks whether the current configuration allows the session. The key and the route are looked up
- * again after each change, so that a withdrawn key stops working on open sessions too.
+ * Checks whether the current configuration allows the next statement of the session, and sets the
+ * team and the route that it runs for.
  */
 static enum outcome check_access(struct session *s)
 {
 	const struct conf *conf = conf_of(s);
-	const struct conf_route *route;
+	const struct access_session session = {.database = s->database,
+					       .key_id = s->key_id,
+					       .team = s->team,
+					       .tx_route = s->tx != TX_NONE ? &s->route : NULL};
+	struct access access;
+	enum outcome o;
 
 	/*
 	 * A VM that has just started has no configuration for about 20 ms, or for as long as it
@@ -111,17 +102,13 @@
 	 */
 	if (conf->version == 0)
 		return OUTCOME_LEAVING;
-	if (s->checked_version == conf->version && s->tx != TX_NONE)
-		return OUTCOME_DONE;
-	route = conf_route(conf, s->team, s->database);
-	if (route == NULL)
-		return s->tx != TX_NONE ? OUTCOME_DONE : OUTCOME_NO_ROUTE;
-	if (!find_team(s, route))
-		return OUTCOME_NO_KEY;
-	s->checked_version = conf->version;
-	/* A change of the route applies from the next transaction on. */
-	if (s->tx == TX_NONE)
-		s->route = *route;
+	o = access_check(conf, &session, &access);
+	if (o != OUTCOME_DONE)
+		return o;
+	if (access.team != s->team)
+		g_strlcpy(s->team, access.team, sizeof(s->team));
+	if (access.route != &s->route)
+		s->route = *access.route;
 	return OUTCOME_DONE;
 }
 
--- a/tests/harness-line.c
+++ b/tests/harness-line.c
@@ -201,6 +201,8 @@
 
 	g_string_printf(text, "{\"version\":%d,\"routes\":[", ++f->version);
 	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (g_strcmp0(routes[i].host, f->dropped_route) == 0)
+			continue;
 		g_string_append_printf(text,
 				       "{\"name\":\"%s\",\"host\":\"%s\",\"kind\":\"%s\","
 				       "\"timeout-ms\":1500,\"priority\":%d,%s",
--- a/tests/harness-line.h
+++ b/tests/harness-line.h
@@ -39,9 +39,10 @@
 		int caller, rpc, ready, metrics, advertised;
 		pid_t pid;
 	} vm[LINE_VMS_MAX];
-	int version;	      /**< of the configuration document */
-	const char *settings; /**< further sections of the daemons' settings */
-	const char *keys;     /**< JSON list of the team's keys */
+	int version;		   /**< of the configuration document */
+	const char *settings;	   /**< further sections of the daemons' settings */
+	const char *keys;	   /**< JSON list of the team's keys */
+	const char *dropped_route; /**< database whose route the document leaves out, or NULL */
 	int rate;
 	/** The document's routes have priorities 0, 1 and 2 and state latency targets. */
 	bool with_classes;
--- a/tests/test-it-line.c
+++ b/tests/test-it-line.c
@@ -197,6 +197,43 @@
 	line_close(&c);
 }
 
+/*
+ * Guards against a transaction that goes on with a key which was dropped together with its route.
+ */
+static void test_a_dropped_key_ends_an_open_transaction(void)
+{
+	struct line_fleet *f = get_shared_fleet();
+	struct line_client c, reader;
+	int64_t until;
+
+	f->keys = "[\"" LINE_KEY "\",\"third\"]";
+	line_write_document(f);
+	until = test_now_ms() + 5000;
+	while (!line_connect(&c, f, 1, LINE_DB_SESSION, "third") && test_now_ms() < until)
+		line_close(&c);
+	EXPECT_COMPLETE(&c, "BEGIN");
+	EXPECT_COMPLETE(&c, "WRITE dropped x");
+	f->keys = "[\"" LINE_KEY "\"]";
+	f->dropped_route = LINE_DB_SESSION;
+	line_write_document(f);
+	until = test_now_ms() + 5000;
+	while (strcmp(line_query(&c, "READ dropped"), "COMPLETE") == 0 && test_now_ms() < until)
+		test_sleep_ms(20);
+	CU_ASSERT_STRING_EQUAL(c.code, "UNKNOWNKEY");
+	line_close(&c);
+	CU_ASSERT_TRUE(line_connect(&reader, f, 1, LINE_DB_PRIMARY, LINE_KEY));
+	EXPECT_COMPLETE(&reader, "READ dropped");
+	CU_ASSERT_STRING_EQUAL(reader.row, "-");
+	line_close(&reader);
+	f->dropped_route = NULL;
+	line_write_document(f);
+	until = test_now_ms() + 5000;
+	while (!line_connect(&c, f, 1, LINE_DB_SESSION, LINE_KEY) && test_now_ms() < until)
+		line_close(&c);
+	CU_ASSERT_EQUAL(c.state, 'I');
+	line_close(&c);
+}
+
 /*
  * The operators' document and two server entries in the store are malformed. Guards against one
  * malformed record that invalidates the others or the configuration in force.
@@ -334,6 +371,7 @@
 	{"malformed_statements_are_refused", test_malformed_statements_are_refused},
 	{"lost_answers", test_lost_answers},
 	{"a_withdrawn_key_stops_working", test_a_withdrawn_key_stops_working},
+	{"a_dropped_key_ends_an_open_transaction", test_a_dropped_key_ends_an_open_transaction},
 	{"malformed_records", test_malformed_records},
 	{"without_the_store", test_without_the_store},
 	{"reload", test_reload},
