Access: a caller without a valid key is anonymous, and no team's any more

Cause: the team of the last statement was kept where the key is not valid. The same on a related path: a key that a version gives to another tenant changed the team in the middle of a transaction, whose connection belongs to the first.

Change: the team is that of the key, and none without one; a transaction whose caller is not of its team any more is rolled back (transaction-lost).

--- a/decide/access.h
+++ b/decide/access.h
@@ -29,7 +29,8 @@
  * Checks the next statement of @a s. A changed or removed route applies from the next transaction
  * on, a withdrawn key at once.
  * @param a result, which refers to @a c and @a s
- * @return OUTCOME_DONE if the statement may run, OUTCOME_NO_ROUTE or OUTCOME_NO_KEY
+ * @return OUTCOME_DONE if the statement may run; OUTCOME_NO_ROUTE, OUTCOME_NO_KEY, or
+ * OUTCOME_TX_LOST if the caller is no longer of the team that has begun the transaction
  */
 enum outcome access_check(const struct conf *c, const struct access_session *s, struct access *a);
 
--- a/tests/test-access.c
+++ b/tests/test-access.c
@@ -7,19 +7,23 @@
 
 #define DATABASE "orders"
 
-enum key_state { NO_KEY, VALID, WITHDRAWN, DROPPED };
+enum key_state { NO_KEY, VALID, WITHDRAWN, DROPPED, MOVED };
 enum route_state { GONE, KEYED, ANONYMOUS };
 
 static const char *const key_ids[] = {
-	[NO_KEY] = "", [VALID] = "k1", [WITHDRAWN] = "k2", [DROPPED] = "k3"};
+	[NO_KEY] = "", [VALID] = "k1", [WITHDRAWN] = "k2", [DROPPED] = "k3", [MOVED] = "k4"};
 
-/** Returns a configuration with the keys k1, valid, and k2, withdrawn, and a route in @a state. */
+/**
+ * Returns a configuration with a route in @a state and the keys k1, valid, k2, withdrawn, and k4,
+ * which belongs to another team now.
+ */
 static struct conf *conf_with(enum route_state state)
 {
 	struct conf *c = conf_create();
 	struct conf_update u = {.version = 3, .full = true};
 	struct conf_key valid = {.id = "k1", .team = "t"};
 	struct conf_key withdrawn = {.id = "k2", .team = "t", .withdrawn = true};
+	struct conf_key moved = {.id = "k4", .team = "u"};
 	struct conf_route route = {.name = "r",
 				   .team = "*",
 				   .kind = DATABASE,
@@ -30,6 +34,7 @@
 	u.entries = g_ptr_array_new_with_free_func(conf_entry_destroy);
 	g_ptr_array_add(u.entries, table_key_entry(&valid));
 	g_ptr_array_add(u.entries, table_key_entry(&withdrawn));
+	g_ptr_array_add(u.entries, table_key_entry(&moved));
 	if (state != GONE)
 		g_ptr_array_add(u.entries, table_entry_make(CONF_ROUTE, &route));
 	for (i = 0; i < u.entries->len; i++)
@@ -72,9 +77,23 @@
 	{NO_KEY, GONE, &anonymous_tx, OUTCOME_DONE, "old"},
 	{NO_KEY, KEYED, &anonymous_tx, OUTCOME_DONE, "old"},
 	{VALID, GONE, &anonymous_tx, OUTCOME_DONE, "old"},
+	/* A caller without a valid key, or whose key has moved, is not of its former team. */
+	{WITHDRAWN, ANONYMOUS, NULL, OUTCOME_DONE, "new"},
+	{DROPPED, ANONYMOUS, NULL, OUTCOME_DONE, "new"},
+	{WITHDRAWN, GONE, &anonymous_tx, OUTCOME_TX_LOST, NULL},
+	{DROPPED, ANONYMOUS, &anonymous_tx, OUTCOME_TX_LOST, NULL},
+	{MOVED, KEYED, NULL, OUTCOME_DONE, "new"},
+	{MOVED, KEYED, &keyed_tx, OUTCOME_TX_LOST, NULL},
+	{MOVED, ANONYMOUS, &anonymous_tx, OUTCOME_TX_LOST, NULL},
 };
 
-/* Guards against a withdrawn key that goes on working because something else has changed too. */
+static const char *const teams[] = {
+	[NO_KEY] = "", [VALID] = "t", [WITHDRAWN] = "", [DROPPED] = "", [MOVED] = "u"};
+
+/*
+ * Guards against a withdrawn key that goes on working because something else has changed too, and
+ * against a statement that runs for a team which does not hold the caller's key any more.
+ */
 static void test_each_statement_is_checked(void)
 {
 	size_t i;
@@ -92,7 +111,8 @@
 		if (o == OUTCOME_DONE) {
 			CHECK(strcmp(a.route->pool, rows[i].pool) == 0, "row %zu: pool %s", i,
 			      a.route->pool);
-			CHECK(strcmp(a.team, s.team) == 0, "row %zu: team %s", i, a.team);
+			CHECK(strcmp(a.team, teams[rows[i].key]) == 0, "row %zu: team %s", i,
+			      a.team);
 		}
 		conf_free(c);
 	}
