Log: refused callers cannot hide lines on the process and its dependencies

Seen: test-it-line reload, 3 of 18 runs of the program: no "reload" line. Just before, a case lets callers try a key again and again; their session-refused lines used up the limit of 1,500 events a second (log-left-out events=72), and the line of the reload was among those left out. An operator would miss starts, stops, reloads and losses of the store in just the second of a flood.

Change: these lines have a limit of their own, 100 a second.

The case's fixed wait was not the cause; that it waits for the line is what showed so.

--- a/cmd/mangoloomd.c
+++ b/cmd/mangoloomd.c
@@ -37,7 +37,7 @@
  */
 static void on_reload(evutil_socket_t sig, short what, void *arg)
 {
-	log_info("reload", LOG_STR("settings", "unchanged until restart"));
+	log_process(G_LOG_LEVEL_INFO, "reload", LOG_STR("settings", "unchanged until restart"));
 }
 
 static void on_flush(evutil_socket_t fd, short what, void *arg)
@@ -117,9 +117,9 @@
 	event_add(sighup, NULL);
 	services_create(k);
 	if (kernel_start(k, &error)) {
-		log_info("started", LOG_STR("version", MANGOLOOM_VERSION),
-			 LOG_STR("callers", settings->caller_address),
-			 LOG_STR("rpc", settings->rpc_address));
+		log_process(G_LOG_LEVEL_INFO, "started", LOG_STR("version", MANGOLOOM_VERSION),
+			    LOG_STR("callers", settings->caller_address),
+			    LOG_STR("rpc", settings->rpc_address));
 		kernel_run(k);
 	} else {
 		log_error("start-failed", LOG_STR("why", error->message));
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -27,7 +27,7 @@
 	bool ready = session_accepting(e->service.kernel);
 
 	if (ready != e->was_ready)
-		log_info("ready", LOG_NUM("ready", ready));
+		log_process(G_LOG_LEVEL_INFO, "ready", LOG_NUM("ready", ready));
 	e->was_ready = ready;
 	evhttp_send_reply(req, ready ? 200 : 503, ready ? "OK" : "Service Unavailable", NULL);
 }
--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -81,7 +81,8 @@
 	if (store_source.registered && store_source.era.now != store_source.lease_era)
 		save_previous_registration();
 	if (store_source.registered)
-		log_warn("lease-lost", LOG_NUM("lease", store_source.lease), LOG_STR("why", why));
+		log_process(G_LOG_LEVEL_WARNING, "lease-lost", LOG_NUM("lease", store_source.lease),
+			    LOG_STR("why", why));
 	store_source.lease = 0;
 	store_source.registered = false;
 	store_source.lease_next_us = 0;
@@ -108,8 +109,8 @@
 	store_source.lease_next_us = store_source.lease_sent_us + LEASE_RENEW_INTERVAL_US;
 	if (store_source.on_key_written != NULL)
 		g_steal_pointer (&store_source.on_key_written)();
-	log_info("lease-held", LOG_NUM("lease", store_source.lease),
-		 LOG_NUM("until_ms", (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
+	log_process(G_LOG_LEVEL_INFO, "lease-held", LOG_NUM("lease", store_source.lease),
+		    LOG_NUM("until_ms", (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
 }
 
 /**
--- a/src/fleet-store.c
+++ b/src/fleet-store.c
@@ -95,11 +95,11 @@
 	if (ok && !store_source.registered)
 		store_source.lease_next_us = 0;
 	if (ok)
-		log_info("store-regained", LOG_STR("call", call));
+		log_process(G_LOG_LEVEL_INFO, "store-regained", LOG_STR("call", call));
 	else
-		log_warn("store-lost", LOG_STR("call", call),
-			 LOG_NUM("lease_left_ms",
-				 (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
+		log_process(G_LOG_LEVEL_WARNING, "store-lost", LOG_STR("call", call),
+			    LOG_NUM("lease_left_ms",
+				    (store_source.lease_until_us - now_us()) / USEC_PER_MSEC));
 }
 
 bool fleet_store_lost(void)
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -122,7 +122,7 @@
 
 	if (!kernel_drained(k) && now_us() < k->drain_until_us)
 		return;
-	log_info("stopped", LOG_NUM("clean", kernel_drained(k)));
+	log_process(G_LOG_LEVEL_INFO, "stopped", LOG_NUM("clean", kernel_drained(k)));
 	event_base_loopbreak(k->base);
 }
 
@@ -133,7 +133,7 @@
 	if (k->draining)
 		return;
 	k->draining = true;
-	log_info("draining", LOG_NUM("limit_ms", k->settings->drain_ms));
+	log_process(G_LOG_LEVEL_INFO, "draining", LOG_NUM("limit_ms", k->settings->drain_ms));
 	TAILQ_FOREACH(s, &k->services, link) {
 		if (s->ops->drain != NULL)
 			s->ops->drain(s);
--- a/src/log.c
+++ b/src/log.c
@@ -31,10 +31,18 @@
  */
 #define LOG_ROUTINE_PER_S 600
 #define LOG_EVENTS_PER_S 1500
+/** Limit of lines on the process itself and its dependencies. */
+#define LOG_PROCESS_PER_S 100
 /** Limit of lines that report how many others were dropped. */
 #define LOG_DROP_REPORTS_PER_S 10
 
-enum log_kind { LOG_KIND_ROUTINE, LOG_KIND_EVENT, LOG_KIND_DROP_REPORT, LOG_KINDS };
+enum log_kind {
+	LOG_KIND_ROUTINE,
+	LOG_KIND_EVENT,
+	LOG_KIND_PROCESS,
+	LOG_KIND_DROP_REPORT,
+	LOG_KINDS
+};
 
 static struct {
 	int fd;
@@ -51,6 +59,7 @@
 static const unsigned limits_per_s[LOG_KINDS] = {
 	[LOG_KIND_ROUTINE] = LOG_ROUTINE_PER_S,
 	[LOG_KIND_EVENT] = LOG_EVENTS_PER_S,
+	[LOG_KIND_PROCESS] = LOG_PROCESS_PER_S,
 	[LOG_KIND_DROP_REPORT] = LOG_DROP_REPORTS_PER_S,
 };
 
@@ -177,7 +186,7 @@
 static void log_dropped_lines(void)
 {
 	uint64_t routine = log_state.dropped[LOG_KIND_ROUTINE];
-	uint64_t events = log_state.dropped[LOG_KIND_EVENT];
+	uint64_t events = log_state.dropped[LOG_KIND_EVENT] + log_state.dropped[LOG_KIND_PROCESS];
 	char number[LOG_NUMBER_SIZE];
 
 	if (routine + events == 0 || log_state.out->len > LOG_BUFFER_MAX_BYTES / 2)
@@ -277,6 +286,12 @@
 	log_line(G_LOG_LEVEL_INFO, LOG_KIND_ROUTINE, event, fields, n);
 }
 
+void log_process_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
+			unsigned n)
+{
+	log_line(level, LOG_KIND_PROCESS, event, fields, n);
+}
+
 /** @return the length of the whole lines from @a offset that fit into one atomic write */
 static size_t chunk_len(size_t offset)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -46,6 +46,15 @@
 			   sizeof((const struct log_field[]){__VA_ARGS__}) /                       \
 				   sizeof(struct log_field))
 
+/**
+ * Logs a step of the process itself, or a dependency that is lost or regained. Such events have a
+ * rate limit of their own, which refused callers cannot use up.
+ */
+#define log_process(level, event, ...)                                                             \
+	log_process_fields((level), (event), (const struct log_field[]){__VA_ARGS__},              \
+			   sizeof((const struct log_field[]){__VA_ARGS__}) /                       \
+				   sizeof(struct log_field))
+
 enum log_format { LOG_TEXT, LOG_JSON };
 
 /**
@@ -58,6 +67,8 @@
 void log_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
 		unsigned n);
 void log_routine_fields(const char *event, const struct log_field *fields, unsigned n);
+void log_process_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
+			unsigned n);
 /** Writes buffered lines as far as possible without blocking. */
 void log_flush(void);
 
