Failover: pledges include a synchronous replica

With one synchronous replica of four, the three members that pledged may all lack the last acknowledged write, while the fourth has it; the newest of the three was promoted.

Change: such a pool needs n - sync_replicas pledges, at least a majority, so one of them stored each acknowledged write.

--- a/decide/failover.c
+++ b/decide/failover.c
@@ -100,31 +100,44 @@
 	return best;
 }
 
+/**
+ * Returns how many pledges a promotion needs: a majority, so that two promoters share a member, and
+ * enough that one of them stored each acknowledged write, which its primary and g->sync replicas
+ * did.
+ */
+static unsigned pledges_needed(const struct group_view *g)
+{
+	unsigned majority = g->n / 2 + 1;
+	unsigned shared = g->sync > 0 && g->sync < g->n ? g->n - g->sync : 0;
+
+	return shared > majority ? shared : majority;
+}
+
 struct failover_order failover_fenced(struct failover *f, const struct group_view *g, int member,
 				      uint64_t term, bool pledged, struct pos received,
 				      int64_t now_us)
 {
-	unsigned majority = g->n / 2 + 1;
+	unsigned needed = pledges_needed(g);
 
 	/* Ignore answers to an earlier attempt, which carry its term, and repeated pledges. */
 	if (f->phase != FAILOVER_FENCING || term != f->term || f->grant[member])
 		return no_order;
 	if (!pledged) {
 		f->refused++;
-		if (f->refused > g->n - majority)
+		if (f->refused > g->n - needed)
 			failover_reset(f, now_us + FAILOVER_JITTER_MAX_US);
 		return no_order;
 	}
 	f->grant[member] = true;
 	f->received[member] = received;
 	f->granted++;
-	if (f->granted < majority)
+	if (f->granted < needed)
 		return no_order;
 	/*
-	 * An acknowledged write was stored by a majority of members while they were in its term.
-	 * That majority and the one that pledged now share at least one member, which had the
-	 * record before it pledged. The newest log among the pledged members therefore contains
-	 * every acknowledged write.
+	 * An acknowledged write was stored by a majority of members, or by the primary and its
+	 * synchronous replicas, while they were in its term. These and the members that pledged now
+	 * share at least one, which had the record before it pledged. The newest log among the
+	 * pledged members therefore contains every acknowledged write.
 	 */
 	f->chosen = failover_newest_log(f, g);
 	f->phase = FAILOVER_PROMOTING;
--- a/decide/group.h
+++ b/decide/group.h
@@ -47,6 +47,8 @@
 struct group_view {
 	char pool[NAME_SIZE];
 	unsigned n;
+	unsigned sync; /**< replicas that store a write before the primary acknowledges it; 0 where
+			  acknowledgements wait for a majority, or for none */
 	struct member_view member[GROUP_MEMBERS_MAX];
 	struct age_sample sample[AGE_SAMPLES]; /**< ring buffer, in order of arrival */
 	unsigned samples;		       /**< number added since the last reset */
--- a/src/home.c
+++ b/src/home.c
@@ -52,6 +52,7 @@
 	for (j = 0; j < pool->n; j++)
 		names[j] = pool->member[j].name;
 	group_set_members(&m->view, names, pool->n);
+	m->view.sync = pool->confirm == CONFIRM_PRIMARY ? pool->sync : 0;
 	m->self = group_find(&m->view, m->conf.name);
 	if (moved)
 		home_conn_trim(m, INT64_MAX);
--- a/tests/test-failover.c
+++ b/tests/test-failover.c
@@ -266,7 +266,34 @@
 		random_run(seed);
 }
 
+/*
+ * Guards against losing writes of a pool that acknowledges them at the word of its primary, which
+ * waits for one of four replicas: a majority of members may all lack them.
+ */
+static void test_pledges_include_a_synchronous_replica(void)
+{
+	const char *names[] = {"a", "b", "c", "d", "e"};
+	struct member_report r = report(true, 1, 1, 10);
+	struct group_view g;
+	struct failover f = {0};
+	int64_t now = START_US;
+	int i;
+
+	group_init(&g, "pool");
+	group_set_members(&g, names, 5);
+	g.sync = 1;
+	group_report(&g, 0, &r, START_US);
+	group_unreachable(&g, 0, MEMBER_DOWN, now);
+	now += FAILOVER_DOWN_TIMEOUT_US;
+	CU_ASSERT_EQUAL(failover_tick(&f, &g, 0, 1, now).act, FAILOVER_FENCE);
+	for (i = 1; i <= 3; i++)
+		CU_ASSERT_EQUAL(failover_fenced(&f, &g, i, 2, true, (struct pos){1, 7}, now).act,
+				FAILOVER_NOTHING);
+	CU_ASSERT_EQUAL(failover_fenced(&f, &g, 4, 2, true, (struct pos){1, 10}, now).member, 4);
+}
+
 static const struct test_case cases[] = {
+	{"pledges_include_a_synchronous_replica", test_pledges_include_a_synchronous_replica},
 	{"no_failover_while_the_primary_is_up", test_no_failover_while_the_primary_is_up},
 	{"no_failover_before_the_first_report", test_no_failover_before_the_first_report},
 	{"promotes_highest_log", test_promotes_highest_log},
