Log: refused callers cannot hide entries that can't be read

Change: lines on entries of the store or of another VM that can't be read have a limit of their own, 100 a second; the line of a document that is taken has that of the process, so that a writer of many odd entries does not hide it either.

--- a/src/fleet-conf.c
+++ b/src/fleet-conf.c
@@ -135,8 +135,8 @@
 			continue;
 		}
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_warn("entry-malformed", LOG_STR("entry", wire->id),
-			 LOG_REVISION("version", wire->conf_version), LOG_STR("from", "peer"));
+		log_entry(G_LOG_LEVEL_WARNING, "entry-malformed", LOG_STR("entry", wire->id),
+			  LOG_REVISION("version", wire->conf_version), LOG_STR("from", "peer"));
 	}
 }
 
--- a/src/fleet-etcd.c
+++ b/src/fleet-etcd.c
@@ -64,7 +64,8 @@
 	e = table_entry_parse(id, version, *text == ' ' ? text + 1 : text, &error);
 	if (e == NULL) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_warn("entry-malformed", LOG_STR("id", id), LOG_STR("why", error->message));
+		log_entry(G_LOG_LEVEL_WARNING, "entry-malformed", LOG_STR("id", id),
+			  LOG_STR("why", error->message));
 		g_error_free(error);
 	}
 	return e;
--- a/src/fleet-list.c
+++ b/src/fleet-list.c
@@ -88,7 +88,8 @@
 	item->value = g_strdup(value);
 	if (value != NULL && !item_parse(item)) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_warn("vm-malformed", LOG_STR("key", key), LOG_REVISION("revision", revision));
+		log_entry(G_LOG_LEVEL_WARNING, "vm-malformed", LOG_STR("key", key),
+			  LOG_REVISION("revision", revision));
 		item_free(item);
 		return;
 	}
@@ -189,7 +190,7 @@
 
 	if (!json_text_load(parser, text, -1, NULL) ||
 	    !JSON_NODE_HOLDS_ARRAY(json_parser_get_root(parser))) {
-		log_warn("vms-malformed", LOG_REVISION("revision", revision));
+		log_entry(G_LOG_LEVEL_WARNING, "vms-malformed", LOG_REVISION("revision", revision));
 		goto out;
 	}
 	list = json_node_get_array(json_parser_get_root(parser));
--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -288,13 +288,14 @@
 		return;
 	if (!store_source.records->document(item->value, &d)) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_error("document-malformed", LOG_REVISION("revision", item->revision));
+		log_entry(G_LOG_LEVEL_CRITICAL, "document-malformed",
+			  LOG_REVISION("revision", item->revision));
 		records_document_clear(&d);
 		return;
 	}
-	log_info("document", LOG_NUM("version", d.version),
-		 LOG_REVISION("revision", item->revision), LOG_NUM("entries", d.entries->len),
-		 LOG_NUM("pools", d.pools->len));
+	log_process(G_LOG_LEVEL_INFO, "document", LOG_NUM("version", d.version),
+		    LOG_REVISION("revision", item->revision), LOG_NUM("entries", d.entries->len),
+		    LOG_NUM("pools", d.pools->len));
 	records_document_clear(&store_source.document);
 	store_source.document = d;
 	store_source.document_revision = item->revision;
@@ -336,8 +337,8 @@
 	}
 	if (!store_source.records->server(id, item->value, &r)) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_warn("server-malformed", LOG_STR("member", id),
-			 LOG_REVISION("revision", item->revision));
+		log_entry(G_LOG_LEVEL_WARNING, "server-malformed", LOG_STR("member", id),
+			  LOG_REVISION("revision", item->revision));
 		return;
 	}
 	s = g_hash_table_lookup(store_source.servers, id);
@@ -369,7 +370,7 @@
 
 	if (data_center[0] == '\0' || strlen(data_center) >= NAME_SIZE) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_warn("evacuation-malformed", LOG_STR("key", item->key));
+		log_entry(G_LOG_LEVEL_WARNING, "evacuation-malformed", LOG_STR("key", item->key));
 		return;
 	}
 	if (item->value != NULL)
--- a/src/log.c
+++ b/src/log.c
@@ -33,6 +33,8 @@
 #define LOG_EVENTS_PER_S 1500
 /** Limit of lines on the process itself and its dependencies. */
 #define LOG_PROCESS_PER_S 100
+/** Limit of lines on entries of the store. */
+#define LOG_ENTRIES_PER_S 100
 /** Limit of lines that report how many others were dropped. */
 #define LOG_DROP_REPORTS_PER_S 10
 
@@ -40,6 +42,7 @@
 	LOG_KIND_ROUTINE,
 	LOG_KIND_EVENT,
 	LOG_KIND_PROCESS,
+	LOG_KIND_ENTRY,
 	LOG_KIND_DROP_REPORT,
 	LOG_KINDS
 };
@@ -57,9 +60,8 @@
 } log_state = {.fd = STDERR_FILENO, .threshold = G_LOG_LEVEL_INFO};
 
 static const unsigned limits_per_s[LOG_KINDS] = {
-	[LOG_KIND_ROUTINE] = LOG_ROUTINE_PER_S,
-	[LOG_KIND_EVENT] = LOG_EVENTS_PER_S,
-	[LOG_KIND_PROCESS] = LOG_PROCESS_PER_S,
+	[LOG_KIND_ROUTINE] = LOG_ROUTINE_PER_S,		 [LOG_KIND_EVENT] = LOG_EVENTS_PER_S,
+	[LOG_KIND_PROCESS] = LOG_PROCESS_PER_S,		 [LOG_KIND_ENTRY] = LOG_ENTRIES_PER_S,
 	[LOG_KIND_DROP_REPORT] = LOG_DROP_REPORTS_PER_S,
 };
 
@@ -186,7 +188,8 @@
 static void log_dropped_lines(void)
 {
 	uint64_t routine = log_state.dropped[LOG_KIND_ROUTINE];
-	uint64_t events = log_state.dropped[LOG_KIND_EVENT] + log_state.dropped[LOG_KIND_PROCESS];
+	uint64_t events = log_state.dropped[LOG_KIND_EVENT] + log_state.dropped[LOG_KIND_PROCESS] +
+			  log_state.dropped[LOG_KIND_ENTRY];
 	char number[LOG_NUMBER_SIZE];
 
 	if (routine + events == 0 || log_state.out->len > LOG_BUFFER_MAX_BYTES / 2)
@@ -292,6 +295,12 @@
 	log_line(level, LOG_KIND_PROCESS, event, fields, n);
 }
 
+void log_entry_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
+		      unsigned n)
+{
+	log_line(level, LOG_KIND_ENTRY, event, fields, n);
+}
+
 /** @return the length of the whole lines from @a offset that fit into one atomic write */
 static size_t chunk_len(size_t offset)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -47,14 +47,24 @@
 				   sizeof(struct log_field))
 
 /**
- * Logs a step of the process itself, or a dependency that is lost or regained. Such events have a
- * rate limit of their own, which refused callers cannot use up.
+ * Logs a step of the process itself, a dependency that is lost or regained, or a version of the
+ * document that is taken. Such events have a rate limit of their own, which refused callers cannot
+ * use up.
  */
 #define log_process(level, event, ...)                                                             \
 	log_process_fields((level), (event), (const struct log_field[]){__VA_ARGS__},              \
 			   sizeof((const struct log_field[]){__VA_ARGS__}) /                       \
 				   sizeof(struct log_field))
 
+/**
+ * Logs an entry of the store, or of another VM, that can't be read. Such events have a rate limit
+ * of their own too: refused callers do not hide them, and many of them hide no other lines.
+ */
+#define log_entry(level, event, ...)                                                               \
+	log_entry_fields((level), (event), (const struct log_field[]){__VA_ARGS__},                \
+			 sizeof((const struct log_field[]){__VA_ARGS__}) /                         \
+				 sizeof(struct log_field))
+
 enum log_format { LOG_TEXT, LOG_JSON };
 
 /**
@@ -69,6 +79,8 @@
 void log_routine_fields(const char *event, const struct log_field *fields, unsigned n);
 void log_process_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
 			unsigned n);
+void log_entry_fields(GLogLevelFlags level, const char *event, const struct log_field *fields,
+		      unsigned n);
 /** Writes buffered lines as far as possible without blocking. */
 void log_flush(void);
 
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -248,7 +248,7 @@
 	g->outdated = false;
 	if (!record_parse(item->value, &r)) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
-		log_error("record-malformed", LOG_STR("pool", g->pool),
+		log_entry(G_LOG_LEVEL_CRITICAL, "record-malformed", LOG_STR("pool", g->pool),
 			  LOG_REVISION("revision", item->revision));
 		return;
 	}
@@ -330,7 +330,8 @@
 				record_confirmed(g);
 		} else if (item != NULL && item->value != NULL) {
 			stat_add(STAT_ENTRIES_MALFORMED, 1);
-			log_error("record-malformed", LOG_STR("pool", g->pool),
+			log_entry(G_LOG_LEVEL_CRITICAL, "record-malformed",
+				  LOG_STR("pool", g->pool),
 				  LOG_REVISION("revision", item->revision));
 		} else if (item == NULL && !fleet_store_is_current(g->revision)) {
 			record_lost(g);
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -95,13 +95,16 @@
 	for (i = 0; i < 20000; i++)
 		log_routine("run", LOG_NUM("i", i));
 	log_info("belief", LOG_STR("what", "changed"));
-	/* Nor must callers that are refused hide what the process does. */
+	/* Nor must refused callers hide what the process does, nor entries that can't be read. */
 	for (i = 0; i < 20000; i++)
 		log_info("session-refused", LOG_NUM("i", i));
+	for (i = 0; i < 20000; i++)
+		log_entry(G_LOG_LEVEL_WARNING, "server-malformed", LOG_NUM("member", i));
 	log_process(G_LOG_LEVEL_INFO, "reload", LOG_STR("settings", "unchanged"));
 	text = drain(in);
 	log_restore(stdout_was, in);
 	CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=belief what=changed"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=server-malformed member=0\n"));
 	CU_ASSERT_PTR_NOT_NULL(strstr(text, "event=reload settings=unchanged"));
 	CHECK(strlen(text) < 300000, "%zu bytes", strlen(text));
 	g_free(text);
