Net: listening on port 0 works again

Seen: test-line ends with a segmentation fault in make check, in its first case that listens on "127.0.0.1:0".

Change: net_listen() takes port 0; addresses to connect to, in records and in the settings, do not, and the message about a setting names the range.

--- a/src/net.c
+++ b/src/net.c
@@ -32,30 +32,35 @@
 	return *colon == ':' ? colon + 1 : colon;
 }
 
-/** Returns the port in @a text, or 0 if it is not a decimal number from 1 to PORT_MAX. */
-static uint16_t parse_port(const char *text)
+/** Returns the port in @a text, or -1 if it is not a decimal number from 0 to PORT_MAX. */
+static int parse_port(const char *text)
 {
 	size_t digits = strspn(text, "0123456789");
-	unsigned long port;
+	int port;
 
 	if (digits == 0 || digits > PORT_DIGITS_MAX || text[digits] != '\0')
-		return 0;
-	port = strtoul(text, NULL, 10);
-	return port <= PORT_MAX ? (uint16_t)port : 0;
+		return -1;
+	port = atoi(text);
+	return port <= PORT_MAX ? port : -1;
 }
 
-bool net_parse(const char *address, struct sockaddr_in *sin)
+static bool parse_address(const char *address, int port_min, struct sockaddr_in *sin)
 {
 	char host[ADDRESS_SIZE];
-	uint16_t port;
+	int port;
 
 	if (strlen(address) >= ADDRESS_SIZE)
 		return false;
 	port = parse_port(net_split(address, host));
 	memset(sin, 0, sizeof(*sin));
 	sin->sin_family = AF_INET;
-	sin->sin_port = htons(port);
-	return port != 0 && inet_pton(AF_INET, host, &sin->sin_addr) == 1;
+	sin->sin_port = htons((uint16_t)port);
+	return port >= port_min && inet_pton(AF_INET, host, &sin->sin_addr) == 1;
+}
+
+bool net_parse(const char *address, struct sockaddr_in *sin)
+{
+	return parse_address(address, 1, sin);
 }
 
 void net_set_nodelay(evutil_socket_t fd)
@@ -114,7 +119,7 @@
 	struct evconnlistener *l = NULL;
 	struct sockaddr_in sin;
 
-	if (net_parse(address, &sin))
+	if (parse_address(address, 0, &sin))
 		l = evconnlistener_new_bind(base, cb, arg,
 					    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
 					    LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
--- a/src/net.h
+++ b/src/net.h
@@ -30,7 +30,7 @@
  * therefore read and dropped meanwhile.
  */
 void net_linger(struct bufferevent *bev);
-/** Listens on @a address. @return the listener, or NULL with @a error set */
+/** Listens on @a address; port 0: any that is free. @return NULL with @a error set on failure */
 struct evconnlistener *net_listen(struct event_base *base, const char *address,
 				  evconnlistener_cb cb, void *arg, GError **error);
 
--- a/src/schema.c
+++ b/src/schema.c
@@ -81,7 +81,7 @@
 static const char *const allowed_strings[] = {
 	[SCHEMA_NAME] = "a name of 1 to 63 letters, digits, '-', '_' or '.'",
 	[SCHEMA_PATTERN] = "\"*\" or a name of 1 to 63 letters, digits, '-', '_' or '.'",
-	[SCHEMA_ADDRESS] = "\"ip:port\" with an IPv4 address",
+	[SCHEMA_ADDRESS] = "\"ip:port\" with an IPv4 address and a port from 1 to 65535",
 	[SCHEMA_PATH] = "a text of at most 255 bytes",
 };
 
