Records: entries of the operators' document are read by every VM

A quotation mark made the entry's text invalid JSON. A related path of the odd entries among the backends: the entries that VMs exchange are read with the bounds of the operators' tables, and those made of a document were not held to them.

Change: table_entry_make() sets numbers out of their bounds to the nearest bound; a record with a name that is not valid is malformed, logged and counted, and the others hold. A member may have fewer than four connections, except in the operators' tables, where this stays an error.

Not changed: a service without members is an entry that other VMs refuse, until its first backend server is there.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -8,6 +8,7 @@
 
 #include "json-text.h"
 #include "log.h"
+#include "schema.h"
 #include "stat.h"
 #include "table.h"
 
@@ -368,7 +369,7 @@
 {
 	const char *data_center = item->key + strlen(store_source.records->evacuations_prefix);
 
-	if (data_center[0] == '\0' || strlen(data_center) >= NAME_SIZE) {
+	if (!schema_name_valid(data_center)) {
 		stat_add(STAT_ENTRIES_MALFORMED, 1);
 		log_entry(G_LOG_LEVEL_WARNING, "evacuation-malformed", LOG_STR("key", item->key));
 		return;
--- a/src/schema.c
+++ b/src/schema.c
@@ -69,7 +69,7 @@
 	return text;
 }
 
-static bool name_valid(const char *s)
+bool schema_name_valid(const char *s)
 {
 	size_t len = 0;
 
@@ -89,9 +89,9 @@
 {
 	switch (type) {
 	case SCHEMA_NAME:
-		return name_valid(s);
+		return schema_name_valid(s);
 	case SCHEMA_PATTERN:
-		return strcmp(s, "*") == 0 || name_valid(s);
+		return strcmp(s, "*") == 0 || schema_name_valid(s);
 	case SCHEMA_ADDRESS:
 		return net_parse(s, &(struct sockaddr_in){0});
 	default:
@@ -331,6 +331,22 @@
 	return true;
 }
 
+void schema_clamp(const struct schema_field *fields, unsigned n, void *out)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		const struct schema_field *f = &fields[i];
+		char *value = (char *)out + f->offset;
+
+		if (f->type == SCHEMA_UINT)
+			*(unsigned *)value =
+				(unsigned)CLAMP((double)*(unsigned *)value, f->min, f->max);
+		else if (f->type == SCHEMA_DOUBLE)
+			*(double *)value = CLAMP(*(double *)value, f->min, f->max);
+	}
+}
+
 /* Reading of texts that schema_write() made, without a parser's tree */
 
 /** Longest string of such a text. */
--- a/src/schema.h
+++ b/src/schema.h
@@ -53,8 +53,12 @@
  */
 gboolean schema_read(JsonObject *o, const char *where, const struct schema_field *fields,
 		     unsigned n, const char *const *other_keys, void *out, GError **error);
+/** Whether @a s is a SCHEMA_NAME. */
+bool schema_name_valid(const char *s);
 /** Whether schema_read() accepts what schema_write() writes of the struct @a in. */
 bool schema_valid(const struct schema_field *fields, unsigned n, const void *in);
+/** Sets numbers of the struct @a out that are out of their bounds to the nearest bound. */
+void schema_clamp(const struct schema_field *fields, unsigned n, void *out);
 /** Writes the struct @a in as lines of TOML, or, if @a json, as members of a JSON object. */
 void schema_write(const struct schema_field *fields, unsigned n, const void *in, bool json,
 		  GString *out);
--- a/src/table.c
+++ b/src/table.c
@@ -13,7 +13,9 @@
 		.key = (k), .type = (t), .offset = offsetof(struct st, field), __VA_ARGS__         \
 	}
 #define DAY_MS 86400000.0
-#define MEMBER_CONNECTIONS_MIN 4
+#define MEMBER_CONNECTIONS_MAX 65536
+/** Least connections of a member in an operators' table. */
+#define TABLE_CONNECTIONS_MIN 4
 /** Limit of version numbers: a double holds every whole number up to 2^53 exactly. */
 #define VERSION_MAX 9e15
 
@@ -57,8 +59,8 @@
 	FIELD(conf_member, address, "address", SCHEMA_ADDRESS, .required = true),
 	FIELD(conf_member, data_center, "data_center", SCHEMA_NAME, .required = true),
 	FIELD(conf_member, slots, "slots", SCHEMA_UINT, .min = 1, .max = 1024, .fallback = "2"),
-	FIELD(conf_member, connections, "connections", SCHEMA_UINT, .min = MEMBER_CONNECTIONS_MIN,
-	      .max = 65536, .fallback = "16"),
+	FIELD(conf_member, connections, "connections", SCHEMA_UINT, .min = 1,
+	      .max = MEMBER_CONNECTIONS_MAX, .fallback = "16"),
 	FIELD(conf_member, leaving, "leaving", SCHEMA_BOOL, .fallback = "false"),
 	FIELD(conf_member, cold, "cold", SCHEMA_BOOL, .fallback = "false"),
 	FIELD(conf_member, cold_per_s, "cold_per_s", SCHEMA_DOUBLE, .min = 0, .max = 1e6,
@@ -329,11 +331,22 @@
 	return NULL;
 }
 
+static void entry_clamp(struct conf_entry *e)
+{
+	const struct kind *k = &kinds[e->kind];
+	unsigned i;
+
+	schema_clamp(k->fields, k->n, entry_body(e));
+	for (i = 0; e->kind == CONF_POOL && i < e->pool.n; i++)
+		schema_clamp(member_fields, G_N_ELEMENTS(member_fields), &e->pool.member[i]);
+}
+
 struct conf_entry *table_entry_make(enum conf_kind kind, const void *body)
 {
 	struct conf_entry *e = conf_entry_create(kind, "", 0, "");
 
 	memcpy(entry_body(e), body, conf_kind_size(kind));
+	entry_clamp(e);
 	g_free(e->id);
 	e->id = g_strdup_printf("%s/%s", kinds[kind].prefix, (const char *)entry_body(e));
 	g_free(e->text);
@@ -345,7 +358,7 @@
 {
 	struct conf_member copy = *m;
 
-	copy.connections = MEMBER_CONNECTIONS_MIN;
+	copy.connections = 1;
 	return schema_valid(member_fields, G_N_ELEMENTS(member_fields), &copy);
 }
 
@@ -369,6 +382,23 @@
 	return e;
 }
 
+static gboolean check_connections(const char *where, const struct conf_pool *pool, GError **error)
+{
+	unsigned i;
+
+	for (i = 0; i < pool->n; i++) {
+		if (pool->member[i].connections >= TABLE_CONNECTIONS_MIN)
+			continue;
+		g_set_error(error, ML_ERROR, ML_ERROR_SETTINGS,
+			    "%s: member %u: connections: found %u; allowed: a whole number from %d "
+			    "to %d",
+			    where, i + 1, pool->member[i].connections, TABLE_CONNECTIONS_MIN,
+			    MEMBER_CONNECTIONS_MAX);
+		return FALSE;
+	}
+	return TRUE;
+}
+
 static gboolean read_entry(struct table *t, const char *file, enum conf_kind kind, JsonObject *o,
 			   guint at, GError **error)
 {
@@ -377,7 +407,8 @@
 	gboolean ok;
 	guint i;
 
-	ok = read_body(o, where, e, error);
+	ok = read_body(o, where, e, error) &&
+	     (kind != CONF_POOL || check_connections(where, &e->pool, error));
 	g_free(e->id);
 	e->id = g_strdup_printf("%s/%s", kinds[kind].prefix, (const char *)entry_body(e));
 	for (i = 0; i < t->entries->len && ok; i++) {
--- a/tests/test-conf.c
+++ b/tests/test-conf.c
@@ -258,6 +258,10 @@
 		 "[[pool]]\nname = \"p\"\n[[pool.member]]\nname = \"m\"\naddress = \"host:1\"\n"
 		 "data_center = \"d\"",
 		 "address: found \"host:1\"; allowed: \"ip:port\""},
+		{TABLE_POOLS,
+		 "[[pool]]\nname = \"p\"\n[[pool.member]]\nname = \"m\"\naddress = \"1.2.3.4:5\"\n"
+		 "data_center = \"d\"\nconnections = 3",
+		 "connections: found 3; allowed: a whole number from 4 to 65536"},
 		{TABLE_POOLS, "pool = 3", "pool: found something else"},
 		{TABLE_POOLS, "[[pool]\n", "line 1"},
 	};
--- a/tests/test-records.c
+++ b/tests/test-records.c
@@ -3,6 +3,7 @@
 #include "key.h"
 #include "platform-adapter.h"
 #include "statement.h"
+#include "table.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -254,7 +255,77 @@
 	}
 }
 
+/** Checks that a VM which gets @a e from another one can read it, and sees the same. */
+static void check_peer_reads(const struct conf_entry *e, const char *what)
+{
+	struct conf_entry *copy = table_entry_parse(e->id, 1, e->text, NULL);
+
+	CHECK(copy != NULL && memcmp(&copy->route, &e->route, conf_kind_size(e->kind)) == 0,
+	      "not read: %s of %s", e->text, what);
+	if (copy != NULL)
+		conf_entry_unref(copy);
+}
+
+/*
+ * Guards against an entry of the operators' document that a VM takes and those that get it from
+ * this one refuse: they serve without the route, or the team without its rate.
+ */
+static void test_entries_of_a_document_are_read_by_peers(void)
+{
+	static const char *const fields[] = {
+		"\"timeout-ms\":172800000", "\"target-latency-ms\":4e9", "\"priority\":5000",
+		"\"max-staleness-ms\":4e9", "\"rate-per-s\":0",		 "\"rate-per-s\":1e300",
+		"\"burst\":1e300",
+	};
+	static const char *const odd_names[] = {"a b", "a\\\"", "a\\u0001", "\xc3\xbc"};
+	struct records_document d;
+	unsigned i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(fields) + G_N_ELEMENTS(odd_names); i++) {
+		bool number = i < G_N_ELEMENTS(fields);
+		const char *name = number ? "n" : odd_names[i - G_N_ELEMENTS(fields)];
+		char *text = g_strdup_printf(
+			"{\"version\":1,\"limits\":{\"transaction-idle-ms\":4e9},\"routes\":[{"
+			"\"name\":"
+			"\"%s\",\"host\":\"h\",\"service\":\"s\",\"kind\":\"primary\",%s}],"
+			"\"tenants\":[{\"name\":\"%s\",\"rate-per-s\":5,%s,\"api-keys\":[\"k\"]}],"
+			"\"services\":[{\"name\":\"%s\"}]}",
+			name, number ? fields[i] : "\"x\":1", name, number ? fields[i] : "\"x\":1",
+			name);
+
+		CU_ASSERT_TRUE(platform_records_ops.document(text, &d));
+		CHECK(d.entries->len == (number ? 3 : 0) && d.pools->len == (number ? 1 : 0),
+		      "%u entries, %u pools: %s", d.entries->len, d.pools->len, text);
+		for (j = 0; j < d.entries->len; j++)
+			check_peer_reads(g_ptr_array_index(d.entries, j), text);
+		records_document_clear(&d);
+		g_free(text);
+	}
+}
+
+/* Guards against peers that refuse the pool of a service with few connections. */
+static void test_a_small_pool_is_read_by_peers(void)
+{
+	struct conf_pool pool = {.name = "p",
+				 .confirm = CONFIRM_PRIMARY,
+				 .sync = 4000000000u,
+				 .n = 1,
+				 .member[0] = {.name = "m",
+					       .address = "10.0.0.1:5000",
+					       .data_center = "z",
+					       .slots = 2,
+					       .connections = 2,
+					       .cold_per_s = 1e300}};
+	struct conf_entry *e = table_entry_make(CONF_POOL, &pool);
+
+	check_peer_reads(e, "a small pool");
+	CU_ASSERT_EQUAL(e->pool.member[0].connections, 2);
+	conf_entry_unref(e);
+}
+
 static const struct test_case cases[] = {
+	{"entries_of_a_document_are_read_by_peers", test_entries_of_a_document_are_read_by_peers},
+	{"a_small_pool_is_read_by_peers", test_a_small_pool_is_read_by_peers},
 	{"document", test_document},
 	{"odd_server_records_name_no_server", test_odd_server_records_name_no_server},
 	{"malformed_documents_are_rejected", test_malformed_documents_are_rejected},
