--- a/src/session.c
+++ b/src/session.c
@@ -105,8 +105,7 @@
 	o = access_check(conf, &session, &access);
 	if (o != OUTCOME_DONE)
 		return o;
-	if (access.team != s->team)
-		g_strlcpy(s->team, access.team, sizeof(s->team));
+	g_strlcpy(s->team, access.team, sizeof(s->team));
 	if (access.route != &s->route)
 		s->route = *access.route;
 	return OUTCOME_DONE;
--- a/src/table.h
+++ b/src/table.h
@@ -52,8 +52,8 @@
 /**
  * Creates an entry from the struct of its kind, such as struct conf_route for CONF_ROUTE. Use
  * table_key_entry() for CONF_KEY. A VM that gets the entry from this one has to be able to read it:
- * numbers out of their bounds are set to the nearest bound. Names
- * and addresses in @a body are valid.
+ * numbers out of their bounds are set to the nearest bound.
+ * @param body has valid names and addresses
  */
 struct conf_entry *table_entry_make(enum conf_kind kind, const void *body);
 /**
