Owner: senders whose processes have ended leave the record

Cause: the record names at most 16 VMs that may still send, each hand-over adds one, and only a change of primary removed any. A full record refused each claim.

Evidence: claim-senders-full every 100 ms, "owner senders=" one higher after each hand-over, no other refusal of the claim.

Change: one rule, lead_process_ended(), by the list of VMs if it is as new as the record. Claims and hand-overs leave such senders out, an owner that serves writes the record without them, and a claim on a full record asks its senders to stop. A process that has a lease again stops if the record no longer names it. On a related path, a change of primary trusts its acknowledged position only if that is newer than the removal of the last sender.

Not done: a gauge, and the table of all lists and their bounds.

--- a/decide/lead.c
+++ b/decide/lead.c
@@ -53,6 +53,13 @@
 		r->sender[i] = r->sender[--r->n];
 }
 
+bool lead_process_ended(const struct lead_vm *vm, const struct lead_listing *l)
+{
+	if (!l->current)
+		return false;
+	return !l->listed || (l->incarnation != 0 && l->incarnation != vm->incarnation);
+}
+
 bool lead_claim(struct lead_record *r, const struct lead_vm *vm, const char *address,
 		bool previous_ended)
 {
--- a/decide/lead.h
+++ b/decide/lead.h
@@ -40,6 +40,20 @@
 bool lead_add_sender(struct lead_record *r, const struct lead_vm *vm);
 bool lead_has_sender(const struct lead_record *r, const struct lead_vm *vm);
 void lead_remove_sender(struct lead_record *r, const struct lead_vm *vm);
+
+/** What the platform's list of VMs tells of a VM. */
+struct lead_listing {
+	bool current; /**< the list is as new as the record */
+	bool listed;
+	uint64_t incarnation; /**< of the process that is listed; 0: unknown */
+};
+/**
+ * Whether the process @a vm, which the record names, can no longer be sending: another process of
+ * its VM is listed, or none, so that its lease has ended. Should that process get another lease, it
+ * reads the record before it sends, and stops if the record no longer names it.
+ */
+bool lead_process_ended(const struct lead_vm *vm, const struct lead_listing *l);
+
 /**
  * Makes @a vm the owner and lists the previous owner as a sender.
  * @param previous_ended whether the previous owner's process is known to have ended, so that it
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -160,7 +160,8 @@
 		succession_begin(&g->succession, now_us());
 		succession_acknowledged(&g->succession, g->marks.newest.pos,
 					g->marks.newest.asked_us);
-		g->succession.acknowledged_all = true;
+		/* The mark is of the primary that senders wrote to, also those removed before. */
+		g->succession.acknowledged_all = g->marks.newest.asked_us >= g->sender_removed_us;
 	}
 	owner_group_set_state(g, planned ? OWNER_SETTLING : OWNER_FENCING, why);
 	if (!planned && m != NULL)
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -154,8 +154,10 @@
 
 	owner_group_use(g);
 	g->from_invitation = strcmp(why, "invited") == 0;
+	fence_drop_ended(g, &r);
 	if (!lead_claim(&r, &self, g->o->service.kernel->settings->advertise, ended)) {
 		log_warn("claim-senders-full", LOG_STR("pool", g->pool));
+		fence_ask(g);
 		g->next_call_us = now_us() + RETRY_US;
 		return;
 	}
@@ -555,6 +557,20 @@
 		claim_notify(g);
 }
 
+/**
+ * Writes the record without the senders whose processes have ended.
+ * @return whether there are any
+ */
+static bool drop_ended_senders(struct owner_group *g)
+{
+	struct lead_record r = g->record;
+
+	if (g->state != OWNER_SERVING || !owner_group_is_own(g) || fence_drop_ended(g, &r) == 0)
+		return false;
+	record_write(g, &r, record_rewritten);
+	return true;
+}
+
 static bool needs_record(const struct owner_group *g, bool successor)
 {
 	if (!fleet_store_is_current(g->revision) && fleet_store_renewed())
@@ -618,7 +634,7 @@
 		 */
 		return claim_if_lost(g, now);
 	} else {
-		return g->recovered || g->owner_lost;
+		return drop_ended_senders(g) || g->recovered || g->owner_lost;
 	}
 	return true;
 }
@@ -635,8 +651,11 @@
 		return;
 	next.incarnation = vm->incarnation;
 	g_strlcpy(next.name, vm->name, sizeof(next.name));
-	if (!lead_claim(&r, &next, vm->address, false))
+	fence_drop_ended(g, &r);
+	if (!lead_claim(&r, &next, vm->address, false)) {
+		fence_ask(g);
 		return;
+	}
 	log_info("hand-over", LOG_STR("pool", g->pool), LOG_STR("to", to), LOG_STR("why", why));
 	record_write(g, &r, record_rewritten);
 }
--- a/src/owner-fence.c
+++ b/src/owner-fence.c
@@ -1,12 +1,14 @@
 /**
  * @file owner-fence.c
  * Fencing: makes sure that no other VM sends to the primary of a group. Each sender that the record
- * names must confirm that it stopped, or its lease must have ended.
+ * names must confirm that it stopped, or its lease must have ended. Senders whose processes have
+ * ended leave the record at each claim, and while the group is served.
  */
 #include "owner.h"
 
 #include "fleet-store.h"
 #include "log.h"
+#include "stat.h"
 
 #include <string.h>
 
@@ -18,6 +20,7 @@
 	struct owner *o;
 	char pool[NAME_SIZE];
 	struct lead_vm vm;
+	uint64_t revision; /**< of the record that names the sender */
 	int64_t asked_us;
 };
 
@@ -25,17 +28,43 @@
  * Removes a sender that is known to send no more from the record.
  * @param reported whether it has reported the newest position that it acknowledged
  */
-static void fenced(struct owner *o, const char *pool, const struct lead_vm *vm, bool reported,
-		   const char *how)
+static void fenced(const struct fence *f, bool reported, const char *how)
 {
-	struct owner_group *g = owner_group_find(o, pool);
+	struct owner_group *g = owner_group_find(f->o, f->pool);
 
-	if (g == NULL || !owner_group_is_own(g))
+	if (g == NULL || (!owner_group_is_own(g) && g->revision != f->revision))
 		return;
-	log_info("fenced", LOG_STR("pool", pool), LOG_STR("peer", vm->name), LOG_STR("how", how));
-	if (!reported && lead_has_sender(&g->record, vm))
+	log_info("fenced", LOG_STR("pool", f->pool), LOG_STR("peer", f->vm.name),
+		 LOG_STR("how", how));
+	if (!reported && lead_has_sender(&g->record, &f->vm))
 		g->succession.acknowledged_all = false;
-	lead_remove_sender(&g->record, vm);
+	g->sender_removed_us = now_us();
+	lead_remove_sender(&g->record, &f->vm);
+}
+
+unsigned fence_drop_ended(struct owner_group *g, struct lead_record *r)
+{
+	struct fleet *f = owner_group_fleet(g);
+	unsigned i, n = r->n;
+
+	for (i = n; i-- > 0;) {
+		const struct lead_vm sender = r->sender[i];
+		const struct vm *vm = peers_find(&f->peers, sender.name);
+		const struct lead_listing l = {
+			.current = f->peers.revision >= g->revision && fleet_store_settled(f),
+			.listed = vm != NULL && vm->listed,
+			.incarnation = vm != NULL ? vm->listed_incarnation : 0};
+
+		if (!lead_process_ended(&sender, &l))
+			continue;
+		stat_add(STAT_SENDERS_ENDED, 1);
+		log_info("sender-ended", LOG_STR("pool", g->pool), LOG_STR("peer", sender.name),
+			 LOG_NUM("listed", l.listed), LOG_NUM("senders", r->n),
+			 LOG_REVISION("revision", g->revision));
+		g->sender_removed_us = now_us();
+		lead_remove_sender(r, &sender);
+	}
+	return n - r->n;
 }
 
 /**
@@ -80,7 +109,7 @@
 	if (status == RPC_DONE) {
 		apply_report(f, res);
 		if (res->stopped)
-			fenced(f->o, f->pool, &f->vm, res->acknowledged.term != 0, "yielded");
+			fenced(f, res->acknowledged.term != 0, "yielded");
 	}
 	g_free(f);
 }
@@ -106,10 +135,10 @@
 		uint64_t incarnation = 0;
 
 		if (item == NULL || item->value == NULL)
-			fenced(f->o, f->pool, &f->vm, false, "lease-ended");
+			fenced(f, false, "lease-ended");
 		else if (fleet_store_vm_parse(item->value, name, &incarnation) &&
 			 incarnation != f->vm.incarnation)
-			fenced(f->o, f->pool, &f->vm, false, "restarted");
+			fenced(f, false, "restarted");
 	}
 	g_free(f);
 }
@@ -121,6 +150,7 @@
 	f->o = g->o;
 	g_strlcpy(f->pool, g->pool, sizeof(f->pool));
 	f->vm = *vm;
+	f->revision = g->revision;
 	f->asked_us = now_us();
 	return f;
 }
@@ -134,7 +164,8 @@
 	ml_yield_args args = {
 		.pool = g->pool, .revision = g->revision, .vm = (char *)k->settings->name};
 
-	if (!g->planned)
+	/* A VM that is not the owner asks only for room in the record. */
+	if (!g->planned && owner_group_is_own(g))
 		args.quiet_us = (u_quad_t)(now_us() - g->succession.since_us);
 	if (peer != NULL && peer != f->peers.self)
 		rpc_start(rpc_of(k), peer->address, ML_YIELD, &args, YIELD_TIMEOUT_US,
@@ -147,6 +178,10 @@
 {
 	unsigned i;
 
-	for (i = 0; i < g->record.n; i++)
-		ask_sender(g, &g->record.sender[i]);
+	/* Backwards: an answer that comes at once removes its sender. */
+	for (i = g->record.n; i-- > 0;) {
+		const struct lead_vm sender = g->record.sender[i];
+
+		ask_sender(g, &sender);
+	}
 }
--- a/src/owner-record.c
+++ b/src/owner-record.c
@@ -200,8 +200,8 @@
 }
 
 /**
- * Whether this VM may be sending although the record does not name it as a sender. The record of
- * another era may have lost that entry, and then nobody would wait until this VM stops.
+ * Whether this VM may be sending although the record does not name it as a sender, so that nobody
+ * would wait until it stops. Its lease had ended, or the record of another era has lost the entry.
  */
 static bool is_unlisted_sender(const struct owner_group *g)
 {
@@ -214,7 +214,6 @@
 static void record_apply(struct owner_group *g, const struct lead_record *r, uint64_t revision)
 {
 	bool owned = g->state > OWNER_CLAIMING;
-	bool new_era = era_of(revision) != era_of(g->revision);
 
 	if (revision <= g->revision)
 		return;
@@ -233,7 +232,7 @@
 	else if (!owned)
 		log_info("owner-known", LOG_STR("pool", g->pool), LOG_STR("owner", r->owner.name),
 			 LOG_REVISION("revision", revision));
-	if (new_era && is_unlisted_sender(g))
+	if (is_unlisted_sender(g))
 		claim_stop(g, "not-listed-as-sender");
 }
 
--- a/src/owner.h
+++ b/src/owner.h
@@ -280,10 +280,11 @@
 		unsigned orders;     /**< orders of the recorded choice that may take effect */
 		uint64_t term_floor; /**< a primary is accepted only with a term above this one */
 		char target[NAME_SIZE];
-	} undo;		       /**< record fields before the choice */
-	int64_t chosen_us;     /**< when @a target was chosen */
-	bool choice_waits;     /**< the choice has waited for a log, which was logged */
-	int64_t fence_next_us; /**< other senders are not asked to stop before this time */
+	} undo;			   /**< record fields before the choice */
+	int64_t chosen_us;	   /**< when @a target was chosen */
+	bool choice_waits;	   /**< the choice has waited for a log, which was logged */
+	int64_t sender_removed_us; /**< when a sender was last found to send no more */
+	int64_t fence_next_us;	   /**< other senders are not asked to stop before this time */
 
 	unsigned n;
 	/** GROUP_MEMBERS_MAX of them; NULL while this VM has not used the group, as most VMs do not
@@ -510,6 +511,8 @@
 /* owner-fence.c */
 /** Asks all other senders to stop, and checks in the store whether their leases have ended. */
 void fence_ask(struct owner_group *g);
+/** Removes the senders whose processes have ended from @a r. @return how many */
+unsigned fence_drop_ended(struct owner_group *g, struct lead_record *r);
 
 /* owner-watch.c */
 void watch_tick(struct owner_group *g, int64_t now);
--- a/src/stat.c
+++ b/src/stat.c
@@ -53,6 +53,7 @@
 	[STAT_FAILOVERS_BEGUN] = "failovers_begun",
 	[STAT_FAILOVERS_DONE] = "failovers_done",
 	[STAT_COMMITS_DISCARDED] = "commits_discarded",
+	[STAT_SENDERS_ENDED] = "senders_ended",
 	[STAT_CHOICES_INCOMPLETE] = "choices_incomplete",
 	[STAT_CONFIRMS] = "confirms",
 	[STAT_CONFIRMS_LOST] = "confirms_lost",
--- a/src/stat.h
+++ b/src/stat.h
@@ -37,6 +37,7 @@
 	STAT_FAILOVERS_BEGUN,
 	STAT_FAILOVERS_DONE,
 	STAT_COMMITS_DISCARDED,	 /**< upper bound of the acknowledged commits lost by promotions */
+	STAT_SENDERS_ENDED,	 /**< previous owners that left a record because they had ended */
 	STAT_CHOICES_INCOMPLETE, /**< primaries chosen though commits may be missing in their log */
 	STAT_CONFIRMS,		 /**< commits confirmed by enough replicas */
 	STAT_CONFIRMS_LOST,	 /**< commits that could not be confirmed */
--- a/tests/test-lead.c
+++ b/tests/test-lead.c
@@ -53,6 +53,30 @@
 	CU_ASSERT_TRUE(lead_claim(&r, &last, "1.1.1.1:1", true));
 }
 
+/*
+ * Guards against dropping a sender that may still send, and against keeping one that has ended for
+ * good.
+ */
+static void test_the_list_of_vms_tells_which_process_has_ended(void)
+{
+	static const struct {
+		struct lead_listing l;
+		bool ended;
+	} cases[] = {
+		{{.current = true, .listed = true, .incarnation = 7}, false},
+		{{.current = true, .listed = true, .incarnation = 8}, true},
+		{{.current = true, .listed = true, .incarnation = 0}, false},
+		{{.current = true, .listed = false}, true},
+		{{.current = false, .listed = true, .incarnation = 8}, false},
+		{{.current = false, .listed = false}, false},
+	};
+	struct lead_vm v = vm("v", 7);
+	unsigned i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CHECK(lead_process_ended(&v, &cases[i].l) == cases[i].ended, "case %u", i);
+}
+
 /*
  * Guards against a write that is acknowledged by a replaced primary and discarded by the new one. A
  * member is accepted as primary only if it is the target and its term is above term_floor.
@@ -548,6 +572,8 @@
 }
 
 static const struct test_case cases[] = {
+	{"the_list_of_vms_tells_which_process_has_ended",
+	 test_the_list_of_vms_tells_which_process_has_ended},
 	{"a_claim_lists_the_previous_owner_as_sender",
 	 test_a_claim_lists_the_previous_owner_as_sender},
 	{"a_claim_on_a_full_record_fails", test_a_claim_on_a_full_record_fails},
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -856,6 +856,147 @@
 	CU_ASSERT_EQUAL(g->record.n, 0);
 }
 
+/** Lists vm-1, which is this VM, and vm-9 with @a incarnation. */
+static void list_vms(struct world *w, uint64_t revision, uint64_t incarnation)
+{
+	const struct vm_listing l[] = {{.name = "vm-1", .address = SELF, .data_center = "dc"},
+				       {.name = "vm-9",
+					.address = "127.0.0.1:2",
+					.data_center = "dc",
+					.incarnation = incarnation}};
+
+	peers_apply_list(&fleet_of(w->k)->peers, revision, l, G_N_ELEMENTS(l));
+}
+
+/** Delivers a record of owner @a vm that also names the senders of @a r. */
+static void deliver_record(struct world *w, const char *vm, uint64_t incarnation,
+			   const struct lead_record *r, uint64_t revision)
+{
+	GString *value = g_string_new(NULL);
+	struct store_item item = {.key = FLEET_STORE_PREFIX "group/" POOL, .revision = revision};
+	unsigned i;
+
+	g_string_printf(value,
+			"{\"vm\":\"%s\",\"incarnation\":\"%lx\",\"address\":\"127.0.0.1:2\","
+			"\"floor\":0,\"target\":\"\",\"senders\":[",
+			vm, incarnation);
+	for (i = 0; i < r->n; i++)
+		g_string_append_printf(value, "%s{\"vm\":\"%s\",\"incarnation\":\"%lx\"}",
+				       i > 0 ? "," : "", r->sender[i].name,
+				       r->sender[i].incarnation);
+	g_string_append(value, "]}");
+	item.value = value->str;
+	fake.store_revision = revision;
+	store_source.listeners[0].cb(&item, w->o);
+	g_string_free(value, TRUE);
+}
+
+/*
+ * Guards against a group that nobody can claim any more: at each planned restart its holder hands
+ * it over, ends, and stays in the record as a sender.
+ */
+static void test_planned_restarts_do_not_fill_the_record(void)
+{
+	struct lead_record senders = {0};
+	struct owner_group *g;
+	struct world w;
+	unsigned i;
+
+	world_open(&w);
+	g = world_join(&w);
+	for (i = 1; i <= 1000 && !CU_get_number_of_failures(); i++) {
+		struct lead_vm previous = {.name = "vm-9", .incarnation = i};
+		uint64_t revision = 10 * i;
+
+		/* vm-9 hands the group over to this VM and ends. */
+		CU_ASSERT_TRUE(lead_add_sender(&senders, &previous));
+		deliver_record(&w, "vm-1", w.k->incarnation, &senders, revision);
+		CU_ASSERT_TRUE(owner_group_is_own(g));
+		/* Its next process claims the group. */
+		list_vms(&w, revision + 1, i + 1);
+		senders = g->record;
+		CU_ASSERT_EQUAL(fence_drop_ended(g, &senders), 1);
+		deliver_record(&w, "vm-9", i + 1, &senders, revision + 2);
+		CU_ASSERT_FALSE(owner_group_is_own(g));
+		senders = g->record;
+	}
+	CU_ASSERT_EQUAL(senders.n, 0);
+	world_close(&w);
+}
+
+/** Opens a world with a full record of vm-9, whose senders are those of @a name. */
+static struct owner_group *join_full_record(struct world *w, const char *name)
+{
+	struct lead_record r = {.n = LEAD_SENDERS_MAX};
+	struct owner_group *g;
+	unsigned i;
+
+	world_open(w);
+	g = world_join(w);
+	for (i = 0; i < r.n; i++) {
+		g_strlcpy(r.sender[i].name, name, sizeof(r.sender[i].name));
+		r.sender[i].incarnation = 100 + i;
+	}
+	deliver_record(w, "vm-9", 5, &r, 30);
+	CU_ASSERT_EQUAL(g->record.n, LEAD_SENDERS_MAX);
+	g->invited = true;
+	return g;
+}
+
+/* Guards against a claim that is refused for good because the record is full. */
+static void test_a_group_with_a_full_record_is_claimed(void)
+{
+	struct owner_group *g;
+	struct world w;
+
+	/* The senders' VMs are gone: the list is as new as the record and lacks them. */
+	g = join_full_record(&w, "gone");
+	list_vms(&w, 31, 5);
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(owner_group_is_own(g));
+	CU_ASSERT_EQUAL(g->record.n, 1);
+	world_close(&w);
+	/* The list is older, and each sender is asked: its key has gone from the store. */
+	g = join_full_record(&w, "gone");
+	list_vms(&w, 29, 5);
+	claim_tick(g, now_us());
+	CU_ASSERT_FALSE(owner_group_is_own(g));
+	g->next_call_us = 0;
+	g->invited = true;
+	claim_tick(g, now_us());
+	CU_ASSERT_TRUE(owner_group_is_own(g));
+	CU_ASSERT_EQUAL(g->record.n, 1);
+	world_close(&w);
+}
+
+/*
+ * Guards against a record that grows while the group is served, and against dropping a sender that
+ * may still send: then the primary could be replaced meanwhile.
+ */
+static void test_the_owner_drops_senders_that_have_ended(void)
+{
+	struct lead_record r = {.n = 1, .sender[0] = {.name = "vm-9", .incarnation = 5}};
+	struct owner_group *g;
+	struct world w;
+
+	g = world_serve(&w);
+	deliver_record(&w, "vm-1", w.k->incarnation, &r, 30);
+	list_vms(&w, 29, 6);
+	CU_ASSERT_FALSE(claim_tick(g, now_us()));
+	list_vms(&w, 31, 5);
+	CU_ASSERT_FALSE(claim_tick(g, now_us()));
+	CU_ASSERT_EQUAL(g->record.n, 1);
+	list_vms(&w, 32, 6);
+	fake.store_revision = 33;
+	claim_tick(g, now_us());
+	CU_ASSERT_EQUAL(g->record.n, 0);
+	CU_ASSERT_EQUAL(g->state, OWNER_SERVING);
+	/* What it acknowledged is known once the primary has told its position. */
+	change_begin(g, false, "test");
+	CU_ASSERT_FALSE(g->succession.acknowledged_all);
+	world_close(&w);
+}
+
 /**
  * Delivers a record of another era with @a senders. An era counts how often the store came back
  * from an older copy.
@@ -929,6 +1070,9 @@
 }
 
 static const struct test_case cases[] = {
+	{"planned_restarts_do_not_fill_the_record", test_planned_restarts_do_not_fill_the_record},
+	{"a_group_with_a_full_record_is_claimed", test_a_group_with_a_full_record_is_claimed},
+	{"the_owner_drops_senders_that_have_ended", test_the_owner_drops_senders_that_have_ended},
 	{"a_group_whose_owner_is_not_reached_is_claimed",
 	 test_a_group_whose_owner_is_not_reached_is_claimed},
 	{"sender_missing_from_restored_record_stops",
