Promotion: an order without an answer is taken back by a reset

Cause: an order was given up by an orderly close, after its time limit, as the owner stopped and as its process ended; the kernel delivers what such a connection had to send. The owner said "stopped" while its order was held up by a cut.

Evidence: promote without promotion-answered, then stopped; the next owner's fenced and promote with the higher token; the first call arrives after both.

Change: an order that has no answer is taken back when the owner leaves the state ORDERING, by a reset that drops what waits; the kernel resets it as the process ends; it is waited for no longer than the lease is trusted.

--- a/src/net.c
+++ b/src/net.c
@@ -113,6 +113,21 @@
 	linger_written(bev, NULL);
 }
 
+void net_set_reset_on_close(evutil_socket_t fd, bool reset)
+{
+	struct linger l = {.l_onoff = reset};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+void net_reset(evutil_socket_t fd)
+{
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	/* A close after a shutdown, as libevent does it, would send an end of file first. */
+	connect(fd, &none, sizeof(none));
+}
+
 struct evconnlistener *net_listen(struct event_base *base, const char *address,
 				  evconnlistener_cb cb, void *arg, GError **error)
 {
--- a/src/net.h
+++ b/src/net.h
@@ -30,6 +30,10 @@
  * therefore read and dropped meanwhile.
  */
 void net_linger(struct bufferevent *bev);
+/** Lets the kernel reset the connection, instead of an orderly close, when @a fd is closed. */
+void net_set_reset_on_close(evutil_socket_t fd, bool reset);
+/** Resets the connection at once: what waits to be sent, or to arrive, is dropped. */
+void net_reset(evutil_socket_t fd);
 /** Listens on @a address; port 0: any that is free. @return NULL with @a error set on failure */
 struct evconnlistener *net_listen(struct event_base *base, const char *address,
 				  evconnlistener_cb cb, void *arg, GError **error);
--- a/src/owner-change.c
+++ b/src/owner-change.c
@@ -341,6 +341,8 @@
 
 	log_info("promotion-answered", LOG_STR("pool", q->pool), LOG_REVISION("token", q->token),
 		 LOG_NUM("code", code));
+	if (g != NULL && g->order == q)
+		g->order = NULL;
 	if (g != NULL && g->state == OWNER_ORDERING && g->token == q->token) {
 		/* The choice can be reverted while no order of it may take effect. */
 		if (result == PROMOTER_REFUSED)
@@ -361,6 +363,16 @@
 	g_free(q);
 }
 
+void change_take_order_back(struct owner_group *g)
+{
+	if (g->order == NULL)
+		return;
+	log_info("order-taken-back", LOG_STR("pool", g->pool),
+		 LOG_REVISION("token", g->order->token));
+	g->o->service.kernel->adapter->promoter->take_back(g->order);
+	g_clear_pointer(&g->order, g_free);
+}
+
 /** Serves the group if the chosen member is the primary. @return whether it is */
 static bool serve_promoted(struct owner_group *g, int64_t now)
 {
@@ -398,12 +410,14 @@
 	q->o = g->o;
 	g_strlcpy(q->pool, g->pool, sizeof(q->pool));
 	q->token = g->token;
+	g->order = q;
 	log_info("promote", LOG_STR("pool", g->pool),
 		 LOG_STR("member", g->member[g->target].conf.name),
 		 LOG_REVISION("token", g->token));
 	k->adapter->promoter->promote(k, k->settings->promoter_address, g->pool,
 				      g->member[g->target].conf.name, k->settings->name, g->token,
-				      ORDER_TIMEOUT_US, promotion_answered, q);
+				      MIN(ORDER_TIMEOUT_US, owner_group_may_send_until_us(g) - now),
+				      promotion_answered, q);
 }
 
 /** Waits until the chosen member is the primary. */
--- a/src/owner.c
+++ b/src/owner.c
@@ -90,12 +90,17 @@
 	       strcmp(g->record.owner.name, k->settings->name) == 0;
 }
 
-bool owner_group_may_send(const struct owner_group *g)
+int64_t owner_group_may_send_until_us(const struct owner_group *g)
 {
-	struct fleet *f = owner_group_fleet(g);
+	if (!g->sending || g->yielded)
+		return 0;
+	return fleet_store_trusted_until_us(owner_group_fleet(g), g->registration) -
+	       LEASE_MARGIN_US;
+}
 
-	return g->sending && !g->yielded &&
-	       now_us() < fleet_store_trusted_until_us(f, g->registration) - LEASE_MARGIN_US;
+bool owner_group_may_send(const struct owner_group *g)
+{
+	return now_us() < owner_group_may_send_until_us(g);
 }
 
 struct owner_member *owner_group_primary(struct owner_group *g)
@@ -148,6 +153,8 @@
 		 LOG_STR("to", state_names[state]), LOG_STR("why", why),
 		 LOG_NUM("after_ms", (now_us() - g->state_us) / USEC_PER_MSEC),
 		 LOG_REVISION("revision", g->revision));
+	if (g->state == OWNER_ORDERING)
+		change_take_order_back(g);
 	g->state = state;
 	g->state_us = now_us();
 }
--- a/src/owner.h
+++ b/src/owner.h
@@ -272,6 +272,7 @@
 	int excluded;	      /**< member that could not be promoted, or -1 */
 	uint64_t token; /**< fencing token of a promotion: revision of the record with the choice */
 	int64_t unserved_since_us; /**< since when no primary serves; 0: one does */
+	struct order *order;	   /**< promotion order that has no answer yet, or NULL */
 	bool ordered;		   /**< the promotion of @a target was ordered */
 	struct succession succession;
 	struct {
@@ -391,6 +392,8 @@
 bool owner_group_is_own(const struct owner_group *g);
 /** Whether this VM may send to the group's primary and trust its answers now. */
 bool owner_group_may_send(const struct owner_group *g);
+/** Until when it may send unless its lease is renewed; 0: it may not. */
+int64_t owner_group_may_send_until_us(const struct owner_group *g);
 /** Whether the setting "relay" is on. */
 bool owner_group_uses_relay(const struct owner_group *g);
 /**
@@ -508,6 +511,12 @@
 /** Runs the state OWNER_CHOOSING. */
 void choose_step(struct owner_group *g, int64_t now);
 
+/**
+ * Takes back a promotion order that has no answer yet: it must not arrive after the order of the
+ * next owner.
+ */
+void change_take_order_back(struct owner_group *g);
+
 /* owner-fence.c */
 /** Asks all other senders to stop, and checks in the store whether their leases have ended. */
 void fence_ask(struct owner_group *g);
--- a/src/promoter.h
+++ b/src/promoter.h
@@ -26,6 +26,12 @@
 	void (*promote)(struct kernel *k, const char *address, const char *pool, const char *member,
 			const char *holder, uint64_t token, int64_t timeout_us, promoter_done cb,
 			void *arg);
+	/**
+	 * Takes back the order that was given with @a arg and has no answer yet. Its connection is
+	 * reset, so that bytes held up on the way are dropped and the order can't arrive any more.
+	 * It may have arrived before. Its callback is not called.
+	 */
+	void (*take_back)(void *arg);
 };
 
 #endif
--- a/tests/harness-owner.c
+++ b/tests/harness-owner.c
@@ -188,18 +188,20 @@
 			 const char *member, const char *holder, uint64_t token, int64_t timeout_us,
 			 promoter_done cb, void *arg)
 {
-	static GPtrArray *unanswered;
-
-	if (fake.promote != NULL) {
+	fake.n_orders++;
+	fake.order = arg;
+	if (fake.promote != NULL)
 		fake.promote(member, cb, arg);
-		return;
-	}
-	if (unanswered == NULL)
-		unanswered = g_ptr_array_new();
-	g_ptr_array_add(unanswered, arg);
 }
 
-static const struct promoter_ops fake_promoter_ops = {.promote = fake_promote};
+static void fake_take_back(void *arg)
+{
+	CU_ASSERT_PTR_EQUAL(arg, fake.order);
+	fake.n_orders_taken_back++;
+}
+
+static const struct promoter_ops fake_promoter_ops = {.promote = fake_promote,
+						      .take_back = fake_take_back};
 static const struct records_ops fake_records = {.document_key = "doc",
 						.servers_prefix = "servers/"};
 static const struct adapter fake_adapter = {.member = &fake_member_ops,
--- a/tests/harness-owner.h
+++ b/tests/harness-owner.h
@@ -38,6 +38,8 @@
 
 	bool store_refuses;
 	unsigned n_commits;
+	unsigned n_orders, n_orders_taken_back;
+	void *order; /**< argument of the last promotion order */
 	unsigned n_gets;
 	uint64_t store_era, store_revision;
 	/**
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -44,6 +44,29 @@
 	read_by(w, READER_LOCAL, 1500, 800);
 }
 
+/** Delivers a record of owner @a vm that also names the senders of @a r. */
+static void deliver_record(struct world *w, const char *vm, uint64_t incarnation,
+			   const struct lead_record *r, uint64_t revision)
+{
+	GString *value = g_string_new(NULL);
+	struct store_item item = {.key = FLEET_STORE_PREFIX "group/" POOL, .revision = revision};
+	unsigned i;
+
+	g_string_printf(value,
+			"{\"vm\":\"%s\",\"incarnation\":\"%lx\",\"address\":\"127.0.0.1:2\","
+			"\"floor\":0,\"target\":\"\",\"senders\":[",
+			vm, incarnation);
+	for (i = 0; i < r->n; i++)
+		g_string_append_printf(value, "%s{\"vm\":\"%s\",\"incarnation\":\"%lx\"}",
+				       i > 0 ? "," : "", r->sender[i].name,
+				       r->sender[i].incarnation);
+	g_string_append(value, "]}");
+	item.value = value->str;
+	fake.store_revision = revision;
+	store_source.listeners[0].cb(&item, w->o);
+	g_string_free(value, TRUE);
+}
+
 /*
  * Guards against data older than the route allows: the replica must be asked to wait for the
  * position of the mark.
@@ -371,6 +394,37 @@
 	world_close(&w);
 }
 
+/*
+ * Guards against a promotion order that arrives after the next owner's, with a lower fencing token:
+ * its owner has stopped before it was answered.
+ */
+static void test_an_owner_that_stops_takes_its_order_back(void)
+{
+	const struct lead_record none = {0};
+	struct owner_group *g;
+	struct world w;
+
+	g = world_serve(&w);
+	change_begin(g, false, "silent");
+	g->target = 1;
+	owner_group_set_state(g, OWNER_ORDERING, "test");
+	change_tick(g, now_us());
+	CU_ASSERT_EQUAL(fake.n_orders, 1);
+	claim_stop(g, "asked");
+	CU_ASSERT_EQUAL(fake.n_orders_taken_back, 1);
+	world_close(&w);
+
+	g = world_serve(&w);
+	change_begin(g, false, "silent");
+	g->target = 1;
+	owner_group_set_state(g, OWNER_ORDERING, "test");
+	change_tick(g, now_us());
+	deliver_record(&w, "vm-9", 5, &none, 30);
+	CU_ASSERT_FALSE(owner_group_is_own(g));
+	CU_ASSERT_EQUAL(fake.n_orders_taken_back, 1);
+	world_close(&w);
+}
+
 /*
  * Guards against refusing writes for three seconds more than needed. A group that was never written
  * to waits that long for a primary that registers late when the system starts. A group that has
@@ -868,29 +922,6 @@
 	peers_apply_list(&fleet_of(w->k)->peers, revision, l, G_N_ELEMENTS(l));
 }
 
-/** Delivers a record of owner @a vm that also names the senders of @a r. */
-static void deliver_record(struct world *w, const char *vm, uint64_t incarnation,
-			   const struct lead_record *r, uint64_t revision)
-{
-	GString *value = g_string_new(NULL);
-	struct store_item item = {.key = FLEET_STORE_PREFIX "group/" POOL, .revision = revision};
-	unsigned i;
-
-	g_string_printf(value,
-			"{\"vm\":\"%s\",\"incarnation\":\"%lx\",\"address\":\"127.0.0.1:2\","
-			"\"floor\":0,\"target\":\"\",\"senders\":[",
-			vm, incarnation);
-	for (i = 0; i < r->n; i++)
-		g_string_append_printf(value, "%s{\"vm\":\"%s\",\"incarnation\":\"%lx\"}",
-				       i > 0 ? "," : "", r->sender[i].name,
-				       r->sender[i].incarnation);
-	g_string_append(value, "]}");
-	item.value = value->str;
-	fake.store_revision = revision;
-	store_source.listeners[0].cb(&item, w->o);
-	g_string_free(value, TRUE);
-}
-
 /*
  * Guards against a group that nobody can claim any more: at each planned restart its holder hands
  * it over, ends, and stays in the record as a sender.
@@ -1070,6 +1101,7 @@
 }
 
 static const struct test_case cases[] = {
+	{"an_owner_that_stops_takes_its_order_back", test_an_owner_that_stops_takes_its_order_back},
 	{"planned_restarts_do_not_fill_the_record", test_planned_restarts_do_not_fill_the_record},
 	{"a_group_with_a_full_record_is_claimed", test_a_group_with_a_full_record_is_claimed},
 	{"the_owner_drops_senders_that_have_ended", test_the_owner_drops_senders_that_have_ended},
