Line callers: a planned stop answers what it has received

Cause: a session counted as idle if no statement of it was being run. A request that came while the loop was busy, with a large configuration, was in the socket or in the input buffer as the timer closed idle sessions, and was dropped.

Change: a connection is closed for a stop only if nothing of it is unread, in the kernel's buffer too, and in the same callback that has found this.

Open: the configuration is still taken in one piece.

--- a/src/net.c
+++ b/src/net.c
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #define LISTEN_BACKLOG 1024
 #define PORT_MAX 65535
@@ -113,6 +114,14 @@
 	linger_written(bev, NULL);
 }
 
+bool net_has_input(struct bufferevent *bev)
+{
+	int unread = 0;
+
+	return evbuffer_get_length(bufferevent_get_input(bev)) > 0 ||
+	       (ioctl(bufferevent_getfd(bev), FIONREAD, &unread) == 0 && unread > 0);
+}
+
 void net_set_reset_on_close(evutil_socket_t fd, bool reset)
 {
 	struct linger l = {.l_onoff = reset};
--- a/src/net.h
+++ b/src/net.h
@@ -30,6 +30,8 @@
  * therefore read and dropped meanwhile.
  */
 void net_linger(struct bufferevent *bev);
+/** Whether the peer has sent bytes that @a bev has not handed over yet, or not even read. */
+bool net_has_input(struct bufferevent *bev);
 /** Lets the kernel reset the connection, instead of an orderly close, when @a fd is closed. */
 void net_set_reset_on_close(evutil_socket_t fd, bool reset);
 /** Resets the connection at once: what waits to be sent, or to arrive, is dropped. */
--- a/src/session.h
+++ b/src/session.h
@@ -32,7 +32,10 @@
 
 struct session_ops {
 	void (*answer)(struct session *s, const struct session_answer *a, void *arg);
-	/** The session must end: this VM shuts down, or its callers are better served elsewhere. */
+	/**
+	 * The session must end: this VM shuts down, or its callers are better served elsewhere. It
+	 * stays open, and is asked again, if its caller has sent something that was not read yet.
+	 */
 	void (*close)(struct session *s, void *arg);
 };
 
--- a/tests/test-it-line.c
+++ b/tests/test-it-line.c
@@ -433,7 +433,34 @@
 	line_fleet_stop(f);
 }
 
+/*
+ * Guards against a planned stop that cuts a request: it has come while the VM was busy with
+ * something else, and the session was taken for idle.
+ */
+static void test_a_planned_stop_answers_what_it_has_received(void)
+{
+	static const char query[] = "QUERY received READ item\r\n";
+	struct line_fleet *f = line_fleet_start(2);
+	struct line_client c;
+
+	CU_ASSERT_TRUE(line_wait_until_writable(f, 0, 10000));
+	CU_ASSERT_TRUE(line_connect(&c, f, 0, LINE_DB_PRIMARY, LINE_KEY));
+	line_vm_signal(f, 0, SIGTERM);
+	/* Idle sessions are closed 2.2 s later. */
+	test_sleep_ms(2050);
+	line_vm_signal(f, 0, SIGSTOP);
+	line_send(&c, query, strlen(query));
+	test_sleep_ms(300);
+	line_vm_signal(f, 0, SIGCONT);
+	line_read_answer(&c);
+	CHECK(c.code[0] != '\0', "the request was cut");
+	line_close(&c);
+	line_fleet_stop(f);
+}
+
 static const struct test_case cases[] = {
+	{"a_planned_stop_answers_what_it_has_received",
+	 test_a_planned_stop_answers_what_it_has_received},
 	{"a_vm_without_configuration_answers_busy", test_a_vm_without_configuration_answers_busy},
 	{"reads_and_writes", test_reads_and_writes},
 	{"transactions", test_transactions},
