Store: a VM's key is written on the condition that it has not changed

Cause: the registration of a process that had been killed, run late, replaced that of its successor, as the key was written without a condition. Claims and fencing concluded from the key that the living process had ended.

Change: the write of the key has a guard on its last known revision; after a conflict the key is read and the write tried again.

--- a/src/fleet-store-items.c
+++ b/src/fleet-store-items.c
@@ -430,6 +430,13 @@
 		g_ptr_array_unref(pending);
 }
 
+static bool is_own_key(const char *key)
+{
+	return g_str_has_prefix(key, FLEET_STORE_VMS) &&
+	       strcmp(key + strlen(FLEET_STORE_VMS),
+		      store_source.f->service.kernel->settings->name) == 0;
+}
+
 void source_apply_item(const struct store_item *item)
 {
 	uint64_t *known = g_hash_table_lookup(store_source.known, item->key);
@@ -455,6 +462,8 @@
 		store_source.conf_revision = MAX(store_source.conf_revision, item->revision);
 		apply_evacuation(item);
 	} else if (source_is_vm_key(item->key)) {
+		if (is_own_key(item->key))
+			source_own_key_changed(item);
 		fleet_list_put(store_source.f, item->key, item->value, item->revision);
 		store_source.vms_changed = true;
 	}
--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -12,6 +12,8 @@
 #define LEASE_RETRY_DIVISOR 4
 /** Target rate at which all VMs together write their keys after a change of the era. */
 #define ERA_WRITES_PER_S 200
+/** Writes of the key that are tried at once after another process has changed it. */
+#define KEY_CONFLICTS_MAX 3
 
 int64_t fleet_store_lease_until_us(struct fleet *f)
 {
@@ -88,6 +90,40 @@
 	store_source.lease_next_us = 0;
 }
 
+static void register_vm(void);
+
+static void on_key_read(const struct store_answer *a, void *arg)
+{
+	const struct store_item *item = a->items->len > 0 ? g_ptr_array_index(a->items, 0) : NULL;
+
+	store_source.lease_call_pending = false;
+	if (a->status != STORE_DONE && a->status != STORE_NO_LEASE) {
+		source_set_reachable("register", false);
+		store_source.lease_next_us = now_us() + LEASE_RETRY_MIN_US;
+		return;
+	}
+	store_source.key_revision = item != NULL && item->value != NULL ? item->revision : 0;
+	if (!store_source.releasing)
+		register_vm();
+}
+
+/** Reads the key if another process has changed it, such as the previous one, and tries again. */
+static void key_conflict(void)
+{
+	char *key =
+		g_strconcat(FLEET_STORE_VMS, store_source.f->service.kernel->settings->name, NULL);
+
+	source_set_reachable("register", true);
+	if (++store_source.key_conflicts <= KEY_CONFLICTS_MAX) {
+		store_source.lease_call_pending = true;
+		store_source.store->ops->get(store_source.store, key, on_key_read, NULL);
+	} else {
+		store_source.key_conflicts = 0;
+		store_source.lease_next_us = now_us() + LEASE_RETRY_MIN_US;
+	}
+	g_free(key);
+}
+
 static void on_registered(const struct store_answer *a, void *arg)
 {
 	store_source.lease_call_pending = false;
@@ -95,6 +131,11 @@
 		lease_lost("not-known");
 		return;
 	}
+	if (a->status == STORE_CONFLICT) {
+		key_conflict();
+		return;
+	}
+	store_source.key_conflicts = 0;
 	/* Writing the key is idempotent, so a write without an answer is retried. */
 	if (a->status != STORE_DONE) {
 		source_set_reachable("register", false);
@@ -102,6 +143,7 @@
 		return;
 	}
 	source_set_reachable("register", true);
+	store_source.key_revision = a->revision;
 	store_source.published_era = store_source.publishing_era;
 	if (!store_source.registered)
 		store_source.registration++;
@@ -139,10 +181,18 @@
 				"\"incarnation\":\"%lx\",\"era\":\"%lx\"}",
 				set->name, set->advertise, set->data_center, k->incarnation, era);
 	struct store_write w = {.key = key, .value = value, .lease = store_source.lease};
+	/*
+	 * Without a guard the write of a process that has been killed could be run late, and take
+	 * the key of its successor, which others would then take for ended.
+	 */
+	struct store_guard guard = {.key = key};
+
+	if (fleet_store_is_current(store_source.key_revision))
+		guard.revision = store_source.key_revision;
 
 	store_source.publishing_era = era;
 	store_source.lease_call_pending = true;
-	store_source.store->ops->commit(store_source.store, NULL, 0, &w, 1, on_registered, NULL);
+	store_source.store->ops->commit(store_source.store, &guard, 1, &w, 1, on_registered, NULL);
 	g_free(value);
 	g_free(key);
 }
@@ -188,13 +238,36 @@
 		register_vm();
 }
 
+void source_own_key_changed(const struct store_item *item)
+{
+	char name[NAME_SIZE];
+	uint64_t incarnation = 0;
+
+	/* What can't be read is not taken for another process by other VMs either. */
+	if (item->value != NULL && (!fleet_store_vm_parse(item->value, name, &incarnation) ||
+				    incarnation == store_source.f->service.kernel->incarnation))
+		return;
+	store_source.foreign_revision = item->revision;
+	if (store_source.registered && item->revision > store_source.key_revision)
+		log_process(G_LOG_LEVEL_WARNING, "key-taken",
+			    LOG_NUM("removed", item->value == NULL),
+			    LOG_REVISION("revision", item->revision));
+}
+
+/** Whether another process has written this VM's key after its last write, or it was removed. */
+static bool key_is_foreign(void)
+{
+	return store_source.registered && store_source.foreign_revision > store_source.key_revision;
+}
+
 void source_rewrite_key(int64_t now, void (*then)(void))
 {
 	if (!store_source.registered || store_source.lease_call_pending ||
 	    now < store_source.rewrite_next_us)
 		return;
 	store_source.rewrite_next_us = now + LEASE_RETRY_MIN_US;
-	store_source.on_key_written = then;
+	if (then != NULL)
+		store_source.on_key_written = then;
 	register_vm();
 }
 
@@ -209,6 +282,11 @@
 		source_rewrite_key(now, NULL);
 		return;
 	}
+	if (key_is_foreign()) {
+		source_rewrite_key(now, NULL);
+		if (store_source.lease_call_pending)
+			return;
+	}
 	if (now < store_source.lease_next_us)
 		return;
 	if (store_source.lease != 0 && !store_source.registered) {
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -42,9 +42,12 @@
 	/** Registration and end of the lease of the previous era. */
 	uint64_t previous_registration;
 	int64_t previous_lease_until_us;
-	uint64_t published_era;	 /**< era in this VM's key */
-	uint64_t publishing_era; /**< era in the write of the key that is in progress */
-	int64_t rewrite_next_us; /**< earliest time of the next write of the key */
+	uint64_t published_era;	   /**< era in this VM's key */
+	uint64_t publishing_era;   /**< era in the write of the key that is in progress */
+	int64_t rewrite_next_us;   /**< earliest time of the next write of the key */
+	uint64_t key_revision;	   /**< of the last known change of this VM's key; 0: none */
+	uint64_t foreign_revision; /**< of its last change by another process, or of its removal */
+	unsigned key_conflicts;	   /**< writes of the key that failed in a row */
 	uint64_t lapses; /**< number of times that this VM's lease expired before it was renewed */
 	fleet_store_caught_up_cb caught_up; /**< may be NULL */
 	void *caught_up_owner;
@@ -136,6 +139,8 @@
  * lease call is in progress or the last write is too recent. The write raises the store's revision,
  * so a list of VMs that @a then reads has a higher revision than the list that the peers have.
  */
+/** Notes a change of this VM's own key. */
+void source_own_key_changed(const struct store_item *item);
 void source_rewrite_key(int64_t now, void (*then)(void));
 /** Requests or renews the lease, or writes the key, when it is due. */
 void source_lease_tick(int64_t now);
--- a/tests/test-store-list.c
+++ b/tests/test-store-list.c
@@ -7,6 +7,10 @@
 #include <string.h>
 
 #define DOCUMENT_REVISION 10
+/** A registration of another process of this VM. */
+#define OTHER_PROCESS                                                                              \
+	"{\"name\":\"vm-1\",\"address\":\"127.0.0.1:1\",\"data_center\":\"dc\","                   \
+	"\"incarnation\":\"5\"}"
 #define SELF "{\"name\":\"vm-1\",\"address\":\"127.0.0.1:1\",\"data_center\":\"dc\"}"
 /** Revision of the whole store, which the daemons' own keys raise all the time. */
 #define STORE_REVISION 500
@@ -89,14 +93,38 @@
 	return (struct store_call *)s;
 }
 
+/** Revision of this VM's key in the store, if writes are checked against it. */
+static uint64_t key_revision;
+static bool checks_guards;
+static unsigned n_writes_done;
+
 static struct store_call *fake_commit(struct store *s, const struct store_guard *guards,
 				      unsigned n_guards, const struct store_write *writes,
 				      unsigned n_writes, store_done cb, void *arg)
 {
 	struct store_answer a = {.status = STORE_DONE};
 
+	if (checks_guards && (n_guards != 1 || guards[0].revision != key_revision)) {
+		a.status = STORE_CONFLICT;
+		cb(&a, arg);
+		return NULL;
+	}
+	n_writes_done++;
 	a.revision = era_revision(era, ++store_revision);
+	key_revision = a.revision;
+	cb(&a, arg);
+	return NULL;
+}
+
+static struct store_call *fake_get(struct store *s, const char *key, store_done cb, void *arg)
+{
+	struct store_item item = {
+		.key = (char *)key, .value = OTHER_PROCESS, .revision = key_revision};
+	struct store_answer a = {.status = STORE_DONE, .items = g_ptr_array_new()};
+
+	g_ptr_array_add(a.items, &item);
 	cb(&a, arg);
+	g_ptr_array_unref(a.items);
 	return NULL;
 }
 
@@ -118,6 +146,7 @@
 
 static const struct store_ops fake_ops = {.create = fake_create,
 					  .free = fake_free,
+					  .get = fake_get,
 					  .list = fake_list,
 					  .watch = fake_watch,
 					  .cancel = fake_cancel,
@@ -338,6 +367,44 @@
 	era = 0;
 }
 
+/*
+ * Guards against a registration of a process that was killed, run late: it replaces that of its
+ * successor, which others then take for ended.
+ */
+static void test_a_registration_replaces_only_the_known_one(void)
+{
+	struct store_item item = {.key = FLEET_STORE_VMS "vm-1", .value = OTHER_PROCESS};
+	const struct timeval tick = {.tv_usec = 250000};
+	struct settings settings;
+	struct fleet *f;
+
+	/* The key of the previous process is replaced, as its revision is known by then. */
+	f = start_vm_in_first_era(&settings);
+	checks_guards = true;
+	key_revision = era_revision(1, 400);
+	n_writes_done = 0;
+	store_source.lease = 7;
+	store_source.lease_era = 1;
+	store_source.lease_call_pending = false;
+	store_source.lease_next_us = 0;
+	event_base_loopexit(f->service.kernel->base, &tick);
+	event_base_dispatch(f->service.kernel->base);
+	CU_ASSERT_EQUAL(n_writes_done, 1);
+	CU_ASSERT_EQUAL(fleet_store_registration(f), 1);
+	CU_ASSERT_EQUAL(store_source.key_revision, key_revision);
+	/* Should an unguarded write have taken the key, it is written again. */
+	store_source.lease_next_us = now_us() + 10 * USEC_PER_SEC;
+	store_source.rewrite_next_us = 0;
+	item.revision = key_revision = era_revision(1, ++store_revision);
+	source_apply_item(&item);
+	event_base_loopexit(f->service.kernel->base, &tick);
+	event_base_dispatch(f->service.kernel->base);
+	CU_ASSERT_EQUAL(n_writes_done, 2);
+	CU_ASSERT_EQUAL(fleet_store_registration(f), 1);
+	checks_guards = false;
+	era = 0;
+}
+
 /** Simulates a restore of the store: raises its era. */
 static void simulate_restore(void)
 {
@@ -526,5 +593,7 @@
 	{"restarted_vm_sends_only_changed_pools", test_restarted_vm_sends_only_changed_pools},
 	{"a_change_makes_a_new_version", test_a_change_makes_a_new_version},
 	{"new_servers_are_taken_together", test_new_servers_are_taken_together},
+	{"a_registration_replaces_only_the_known_one",
+	 test_a_registration_replaces_only_the_known_one},
 };
 HARNESS_MAIN("store-list", cases)
