Store: an older key of a restored store is not taken for a foreign one

A VM that saw the older key of a restored store wrote its key again under a lease that this store does not know, and so lost the lease, and its group for a second, at once instead of serving on under the lease of the previous era.

Change: a key of another era is left to the renewal of the lease.

--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -243,6 +243,10 @@
 	char name[NAME_SIZE];
 	uint64_t incarnation = 0;
 
+	/* After a restore of the store the lease is renewed, or the key is written under another.
+	 */
+	if (era_of(item->revision) != era_of(store_source.key_revision))
+		return;
 	/* What can't be read is not taken for another process by other VMs either. */
 	if (item->value != NULL && (!fleet_store_vm_parse(item->value, name, &incarnation) ||
 				    incarnation == store_source.f->service.kernel->incarnation))
