--- a/src/fleet-store-lease.c
+++ b/src/fleet-store-lease.c
@@ -90,6 +90,12 @@
 	store_source.lease_next_us = 0;
 }
 
+/** Returns the name of this VM's key; free with g_free(). */
+static char *own_key(void)
+{
+	return g_strconcat(FLEET_STORE_VMS, store_source.f->service.kernel->settings->name, NULL);
+}
+
 static void register_vm(void);
 
 static void on_key_read(const struct store_answer *a, void *arg)
@@ -110,8 +116,7 @@
 /** Reads the key if another process has changed it, such as the previous one, and tries again. */
 static void key_conflict(void)
 {
-	char *key =
-		g_strconcat(FLEET_STORE_VMS, store_source.f->service.kernel->settings->name, NULL);
+	char *key = own_key();
 
 	source_set_reachable("register", true);
 	if (++store_source.key_conflicts <= KEY_CONFLICTS_MAX) {
@@ -175,7 +180,7 @@
 	struct kernel *k = store_source.f->service.kernel;
 	const struct settings *set = k->settings;
 	uint64_t era = era_to_publish();
-	char *key = g_strconcat(FLEET_STORE_VMS, set->name, NULL);
+	char *key = own_key();
 	char *value =
 		g_strdup_printf("{\"name\":\"%s\",\"address\":\"%s\",\"data_center\":\"%s\","
 				"\"incarnation\":\"%lx\",\"era\":\"%lx\"}",
@@ -243,8 +248,7 @@
 	char name[NAME_SIZE];
 	uint64_t incarnation = 0;
 
-	/* After a restore of the store the lease is renewed, or the key is written under another.
-	 */
+	/* The key of a restored store is left to the renewal of the lease. */
 	if (era_of(item->revision) != era_of(store_source.key_revision))
 		return;
 	/* What can't be read is not taken for another process by other VMs either. */
--- a/src/fleet-store-source.h
+++ b/src/fleet-store-source.h
@@ -139,9 +139,9 @@
  * lease call is in progress or the last write is too recent. The write raises the store's revision,
  * so a list of VMs that @a then reads has a higher revision than the list that the peers have.
  */
+void source_rewrite_key(int64_t now, void (*then)(void));
 /** Notes a change of this VM's own key. */
 void source_own_key_changed(const struct store_item *item);
-void source_rewrite_key(int64_t now, void (*then)(void));
 /** Requests or renews the lease, or writes the key, when it is due. */
 void source_lease_tick(int64_t now);
 
--- a/src/owner-claim.c
+++ b/src/owner-claim.c
@@ -563,9 +563,12 @@
  */
 static bool drop_ended_senders(struct owner_group *g)
 {
-	struct lead_record r = g->record;
+	struct lead_record r;
 
-	if (g->state != OWNER_SERVING || !owner_group_is_own(g) || fence_drop_ended(g, &r) == 0)
+	if (g->record.n == 0 || g->state != OWNER_SERVING || !owner_group_is_own(g))
+		return false;
+	r = g->record;
+	if (fence_drop_ended(g, &r) == 0)
 		return false;
 	record_write(g, &r, record_rewritten);
 	return true;
--- a/src/owner-fence.c
+++ b/src/owner-fence.c
@@ -45,15 +45,16 @@
 unsigned fence_drop_ended(struct owner_group *g, struct lead_record *r)
 {
 	struct fleet *f = owner_group_fleet(g);
+	bool current = f->peers.revision >= g->revision && fleet_store_settled(f);
 	unsigned i, n = r->n;
 
 	for (i = n; i-- > 0;) {
 		const struct lead_vm sender = r->sender[i];
 		const struct vm *vm = peers_find(&f->peers, sender.name);
-		const struct lead_listing l = {
-			.current = f->peers.revision >= g->revision && fleet_store_settled(f),
-			.listed = vm != NULL && vm->listed,
-			.incarnation = vm != NULL ? vm->listed_incarnation : 0};
+		const struct lead_listing l = {.current = current,
+					       .listed = vm != NULL && vm->listed,
+					       .incarnation =
+						       vm != NULL ? vm->listed_incarnation : 0};
 
 		if (!lead_process_ended(&sender, &l))
 			continue;
--- a/tests/test-it-line.c
+++ b/tests/test-it-line.c
@@ -179,6 +179,20 @@
 	line_close(&c);
 }
 
+/** Connects, and tries again for up to @a ms while this is refused. */
+static bool connect_within(struct line_client *c, struct line_fleet *f, int vm,
+			   const char *database, const char *key, int ms)
+{
+	int64_t until = test_now_ms() + ms;
+
+	while (!line_connect(c, f, vm, database, key)) {
+		if (test_now_ms() >= until)
+			return false;
+		line_close(c);
+	}
+	return true;
+}
+
 /* Guards against an open session that stays usable after its key was withdrawn. */
 static void test_a_withdrawn_key_stops_working(void)
 {
@@ -188,9 +202,7 @@
 
 	f->keys = "[\"" LINE_KEY "\",\"second\"]";
 	line_write_document(f);
-	until = test_now_ms() + 5000;
-	while (!line_connect(&c, f, 1, LINE_DB_PRIMARY, "second") && test_now_ms() < until)
-		line_close(&c);
+	connect_within(&c, f, 1, LINE_DB_PRIMARY, "second", 5000);
 	EXPECT_COMPLETE(&c, "WRITE k1 x");
 	f->keys = "[\"" LINE_KEY "\"]";
 	line_write_document(f);
@@ -212,9 +224,7 @@
 
 	f->keys = "[\"" LINE_KEY "\",\"third\"]";
 	line_write_document(f);
-	until = test_now_ms() + 5000;
-	while (!line_connect(&c, f, 1, LINE_DB_SESSION, "third") && test_now_ms() < until)
-		line_close(&c);
+	connect_within(&c, f, 1, LINE_DB_SESSION, "third", 5000);
 	EXPECT_COMPLETE(&c, "BEGIN");
 	EXPECT_COMPLETE(&c, "WRITE dropped x");
 	f->keys = "[\"" LINE_KEY "\"]";
@@ -231,9 +241,7 @@
 	line_close(&reader);
 	f->dropped_route = NULL;
 	line_write_document(f);
-	until = test_now_ms() + 5000;
-	while (!line_connect(&c, f, 1, LINE_DB_SESSION, LINE_KEY) && test_now_ms() < until)
-		line_close(&c);
+	connect_within(&c, f, 1, LINE_DB_SESSION, LINE_KEY, 5000);
 	CU_ASSERT_EQUAL(c.state, 'I');
 	line_close(&c);
 }
@@ -310,7 +318,6 @@
 	struct pollfd stranger = {.events = POLLIN};
 	struct line_client c;
 	int i, port;
-	int64_t until;
 
 	stranger.fd = listen_anywhere(&port);
 	memset(nested, '[', sizeof(nested) - 1);
@@ -328,9 +335,7 @@
 	f->keys = "[\"" LINE_KEY "\",\"fourth\"]";
 	line_write_document(f);
 	for (i = 0; i < f->n_vms; i++) {
-		until = test_now_ms() + 5000;
-		while (!line_connect(&c, f, i, LINE_DB_PRIMARY, "fourth") && test_now_ms() < until)
-			line_close(&c);
+		connect_within(&c, f, i, LINE_DB_PRIMARY, "fourth", 5000);
 		EXPECT_COMPLETE(&c, "WRITE odd%d x", i);
 		EXPECT_COMPLETE(&c, "READ odd%d", i);
 		line_close(&c);
@@ -366,9 +371,7 @@
 	line_fault(f, "{\"compact\":true}");
 	f->keys = "[\"" LINE_KEY "\",\"third\"]";
 	line_write_document(f);
-	int64_t until = test_now_ms() + 8000;
-	while (!line_connect(&c, f, 2, LINE_DB_PRIMARY, "third") && test_now_ms() < until)
-		line_close(&c);
+	connect_within(&c, f, 2, LINE_DB_PRIMARY, "third", 8000);
 	CHECK(c.state == 'I', "key not accepted after the store compacted its history: %s", c.code);
 	line_close(&c);
 }
